--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,930 @@
+//! The decision module: one `Control` a gateway. A protocol's adapter calls it (today crates/benchlink, later
+//! the gateway's own); src/api.rs defines the values that go in and out. The adapter feeds facts (`take`,
+//! `listed`, `report`, `probed`, `noted`, `client_gone`), then asks `wait` until it names a time: `wait` says
+//! what is due, `place` where a batch goes, `after` what follows an outcome.
+//!
+//! The ordinary path is the design's: fair queues on a virtual clock, the engine with fewest of our threads a
+//! core, a start by chance under a mark. Beside it stand six mechanisms:
+//!  1. guard: `allowed`, the rules, checked wherever a dispatch, pushback or error leaves;
+//!  2. health: engines whose dispatches fail, beyond what all do, rest and come back one batch at a time;
+//!  3. cold care: a started engine counts with the part of its cores that it can use, and has a work budget;
+//!  4. shedding: waiting batches that cannot be answered in time, least utility for the work first;
+//!  5. learning: work, memory and slowdown a service group, which set estimates, grants and priorities;
+//!  6. affinity: among engines about equally loaded, one that read the batch's data set lately.
+
+use crate::api::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Threads a core that an engine is filled to; the design's figure.
+const MARK: f64 = 1.5;
+/// Share of cores busy that stands for the mark: threads also read and write, and reports lag.
+const BUSY_AT_MARK: f64 = 0.9;
+/// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
+const CURVE: i32 = 4;
+/// Seconds until a batch redraws, drawn evenly; short against any response goal.
+const REDRAW: (f64, f64) = (0.01, 0.03);
+/// Seconds between periodic looks: shedding and probing follow trouble within a fraction of a second.
+const TICK: f64 = 0.1;
+/// Seconds between probes of an engine: about the pace at which engines refresh reports.
+const PROBE_EVERY: f64 = 0.5;
+/// Seconds a report counts for; beyond it our own threads say more.
+const REPORT_LIFE: f64 = 6.0;
+/// Seconds a busy report or a refusal as full keeps up the pressure.
+const PRESSURE_LIFE: f64 = 1.0;
+/// Latency over bare work beyond which an engine is under pressure.
+const SLOW: f64 = 2.0;
+/// Share of disks, or batches a core waiting for memory, at which a report is busy.
+const DISKS_BUSY: f64 = 0.95;
+const WAITING_BUSY: f64 = 0.1;
+/// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
+const FAIL_WEIGHT: f64 = 0.3;
+const GOOD_WEIGHT: f64 = 0.15;
+/// Failing share from which an engine rests, where others fail at most half as much.
+const FAILING: f64 = 0.4;
+/// Seconds of an engine's first and longest rest, doubled in between.
+const REST: (f64, f64) = (0.5, 8.0);
+/// Weight of one answer in learned averages: the last fifty or so count.
+const LEARN: f64 = 0.02;
+/// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
+const FIRST_GUESS: f64 = 0.1;
+/// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
+const COLD_PART: f64 = 0.5;
+/// Share of cores that a pool keeps busy under load; what the backlog is held against.
+const YIELD: f64 = 0.85;
+/// Seconds kept clear of a limit or window for travel and the caller's tick.
+const MARGIN: f64 = 0.02;
+/// Grant over the corrected estimate: estimates scatter, and a spill costs more than spare memory.
+const GRANT_OVER: f64 = 1.2;
+/// Threads a core by which an engine that knows the data set may lie above the least loaded.
+const AFFINITY: f64 = 0.25;
+/// Data sets taken as warm on an engine; few, since engines keep few.
+const WARM_SETS: usize = 4;
+/// Utility for the work, against the least of any service group, that earns the top priority.
+const RANK_RATIO: f64 = 1.5;
+
+/// A multiply-with-carry generator.
+struct Chance(u64);
+
+impl Chance {
+    fn draw(&mut self) -> f64 {
+        self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Tick,
+    Redraw,
+    Limit(BatchId),
+    Rested(u64),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Stage {
+    /// Behind an earlier batch of its key, or its key rests.
+    Held,
+    Queued,
+    /// To be answered without another dispatch.
+    GivenUp,
+    Out,
+    Ended,
+}
+
+struct InHand {
+    b: Batch,
+    taken: f64,
+    limit: f64,
+    over_share: bool,
+    stage: Stage,
+    dispatches: u32,
+    out: Option<Sent>,
+    /// The first dispatch that may have run: when it was sent, and where.
+    may_have_run: Option<(f64, EngineId)>,
+}
+
+#[derive(Clone, Copy)]
+struct Sent {
+    engine: EngineId,
+    at: f64,
+}
+
+/// A tenant's queue on the virtual clock, with a line a service group so that one group's wait for its
+/// engines does not hold up another.
+struct Queue {
+    start: f64,
+    lines: Vec<VecDeque<BatchId>>,
+    stalled: Vec<f64>,
+    running: u32,
+    tokens: f64,
+    refilled: f64,
+}
+
+impl Queue {
+    fn busy(&self) -> bool {
+        self.running > 0 || self.lines.iter().any(|l| !l.is_empty())
+    }
+}
+
+/// What is learned of a service group.
+struct Learned {
+    work: f64,
+    answers: u32,
+    estimated: f64,
+    told: f64,
+    memory_estimated: f64,
+    memory_told: f64,
+    slowdown: f64,
+}
+
+struct Engine {
+    line: Option<Listed>,
+    cores: f64,
+    threads: f64,
+    batches: u32,
+    heard: bool,
+    report: Report,
+    report_at: f64,
+    threads_then: f64,
+    pressed_until: f64,
+    slowdown: f64,
+    failing: f64,
+    last_good: f64,
+    rests_until: f64,
+    rest: f64,
+    probe_at: f64,
+    cold_sent: VecDeque<(f64, f64)>,
+    read: VecDeque<u32>,
+    loads: Vec<u32>,
+}
+
+#[derive(Default)]
+struct KeyLine {
+    line: VecDeque<BatchId>,
+    rests_until: f64,
+}
+
+pub struct Control {
+    s: Settings,
+    chance: Chance,
+    g: f64,
+    clock: f64,
+    clock_at: f64,
+    running: f64,
+    queues: Vec<Queue>,
+    learned: Vec<Learned>,
+    engines: Vec<Engine>,
+    batches: BTreeMap<BatchId, InHand>,
+    keys: BTreeMap<u64, KeyLine>,
+    due: BTreeSet<(u64, Due)>,
+    probes: VecDeque<EngineId>,
+    cancels: VecDeque<(BatchId, u32)>,
+    give_ups: VecDeque<BatchId>,
+    subscribe: bool,
+    taken_at: VecDeque<f64>,
+    further_at: VecDeque<f64>,
+}
+
+fn micros(t: f64) -> u64 {
+    (t.max(0.0) * 1e6).ceil() as u64
+}
+
+impl Control {
+    pub fn new(s: Settings, seed: u64, now: f64) -> Self {
+        let groups = s.groups.len();
+        let queue = |quota: &Option<f64>| Queue {
+            start: 0.0,
+            lines: vec![VecDeque::new(); groups],
+            stalled: vec![0.0; groups],
+            running: 0,
+            tokens: quota.unwrap_or(0.0) / s.gateways,
+            refilled: now,
+        };
+        let quotas = if s.quotas.is_empty() { vec![None] } else { s.quotas.clone() };
+        let learned = |c: &ServiceGroup| Learned {
+            work: c.limit * FIRST_GUESS,
+            answers: 0,
+            estimated: 0.0,
+            told: 0.0,
+            memory_estimated: 0.0,
+            memory_told: 0.0,
+            slowdown: 1.0,
+        };
+        Control {
+            chance: Chance((seed | 1) % 0xffff_da61_0000_0000),
+            g: s.groups.iter().map(|c| c.limit).fold(0.0, f64::max),
+            clock: 0.0,
+            clock_at: now,
+            running: 0.0,
+            queues: quotas.iter().map(queue).collect(),
+            learned: s.groups.iter().map(learned).collect(),
+            engines: Vec::new(),
+            batches: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            due: BTreeSet::from([(micros(now), Due::Tick)]),
+            probes: VecDeque::new(),
+            cancels: VecDeque::new(),
+            give_ups: VecDeque::new(),
+            subscribe: s.list_on_request,
+            taken_at: VecDeque::new(),
+            further_at: VecDeque::new(),
+            s,
+        }
+    }
+
+    pub fn knows_group(&self, group: usize) -> bool {
+        group < self.s.groups.len()
+    }
+
+    // ---- Facts ----
+
+    pub fn take(&mut self, now: f64, b: Batch) {
+        self.advance(now);
+        let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
+        let over_share = self.over_share(now, b.tenant);
+        let limit = now + b.left.max(0.0);
+        self.taken_at.push_back(now);
+        let stage =
+            if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
+        let in_hand =
+            InHand { b, taken: now, limit, over_share, stage, dispatches: 0, out: None, may_have_run: None };
+        self.batches.insert(b.id, in_hand);
+        self.due.insert((micros(limit - MARGIN), Due::Limit(b.id)));
+        if stage == Stage::Queued {
+            self.enqueue(b.id);
+        } else if let Some(key) = b.key {
+            self.keys.entry(key).or_default().line.push_back(b.id);
+            self.release(now, key);
+        }
+    }
+
+    pub fn listed(&mut self, now: f64, lines: &[Listed], whole: bool) {
+        self.subscribe = false;
+        if whole {
+            for line in self.engines.iter_mut().filter_map(|e| e.line.as_mut()) {
+                line.condition = Condition::Gone;
+            }
+        }
+        for l in lines {
+            let cores = self.cores(l.kind);
+            while self.engines.len() <= l.engine {
+                self.engines.push(Engine::unknown(cores));
+            }
+            let e = &mut self.engines[l.engine];
+            let restarted = e.line.is_some_and(|old| old.came_up != l.came_up);
+            e.cores = cores;
+            e.line = Some(*l);
+            if restarted {
+                // The same engine came back empty: nothing learned of its last life holds.
+                *e = Engine {
+                    line: Some(*l),
+                    threads: e.threads,
+                    batches: e.batches,
+                    ..Engine::unknown(cores)
+                };
+                e.probe_at = now;
+            }
+        }
+    }
+
+    pub fn list_failed(&mut self, _now: f64) {
+        self.subscribe = self.s.list_on_request;
+    }
+
+    pub fn report(&mut self, now: f64, engine: EngineId, report: Report) {
+        let Some(e) = self.engines.get_mut(engine) else {
+            return;
+        };
+        e.heard = true;
+        e.report = report;
+        e.report_at = now;
+        e.threads_then = e.threads;
+        let full_disks = report.disks.is_some_and(|d| d >= DISKS_BUSY);
+        if full_disks || report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores) {
+            e.pressed_until = now + PRESSURE_LIFE;
+        }
+    }
+
+    pub fn probed(&mut self, now: f64, engine: EngineId, end: End, _latency: f64) {
+        let Some(e) = self.engines.get_mut(engine) else {
+            return;
+        };
+        e.heard = true;
+        if end == End::Unconnected {
+            self.failed(now, engine);
+        }
+    }
+
+    pub fn noted(&mut self, _now: f64, _id: BatchId, _dispatch: u32, _note: Note) {}
+
+    pub fn client_gone(&mut self, now: f64, id: BatchId) {
+        self.advance(now);
+        if let Some(h) = self.batches.get(&id) {
+            if h.out.is_some() && self.s.may_cancel {
+                self.cancels.push_back((id, h.dispatches - 1));
+            }
+        }
+        self.end(now, id);
+    }
+
+    // ---- The three calls ----
+
+    /// How long to wait, or what is due now.
+    pub fn wait(&mut self, now: f64) -> Wait {
+        self.advance(now);
+        while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= micros(now)) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Tick => self.tick(now),
+                Due::Redraw => {}
+                Due::Rested(key) => self.release(now, key),
+                Due::Limit(id) => {
+                    if self.batches.get(&id).is_some_and(|h| matches!(h.stage, Stage::Held | Stage::Queued)) {
+                        self.give_up(id);
+                    }
+                }
+            }
+        }
+        if std::mem::take(&mut self.subscribe) {
+            return Wait::Subscribe;
+        }
+        if let Some((id, dispatch)) = self.cancels.pop_front() {
+            return Wait::Cancel(id, dispatch);
+        }
+        if let Some(engine) = self.probes.pop_front() {
+            return Wait::Probe(engine);
+        }
+        if let Some(id) = self.give_ups.pop_front() {
+            return Wait::Ask(id);
+        }
+        if let Some(id) = self.head(now) {
+            return Wait::Ask(id);
+        }
+        let next = self.due.first().map_or(TICK, |(at, _)| *at as f64 / 1e6 - now);
+        Wait::For(next.max(1e-4))
+    }
+
+    /// Where to send this batch, or not yet, or never.
+    pub fn place(&mut self, now: f64, id: BatchId) -> Place {
+        self.advance(now);
+        let Some(h) = self.batches.get(&id) else {
+            return Place::NotYet;
+        };
+        match h.stage {
+            Stage::GivenUp => match self.answer(now, id) {
+                Next::PushBack { come_back } => Place::PushBack { come_back },
+                _ => Place::Error,
+            },
+            Stage::Queued => match self.choose(now, id) {
+                Some(engine) => self.send(now, id, engine),
+                None => {
+                    let at = now + REDRAW.0 + self.chance.draw() * (REDRAW.1 - REDRAW.0);
+                    let b = self.batches[&id].b;
+                    self.queues[b.tenant].stalled[b.group] = at;
+                    self.due.insert((micros(at), Due::Redraw));
+                    Place::NotYet
+                }
+            },
+            Stage::Held | Stage::Out | Stage::Ended => Place::NotYet,
+        }
+    }
+
+    /// What to do after this outcome.
+    pub fn after(&mut self, now: f64, id: BatchId, o: Outcome) -> Next {
+        self.advance(now);
+        let Some(sent) = self.batches.get_mut(&id).and_then(|h| h.out.take()) else {
+            return Next::Nothing;
+        };
+        let h = &self.batches[&id];
+        let (b, stage) = (h.b, h.stage);
+        let threads = self.s.groups[b.group].threads;
+        self.running -= threads;
+        let q = &mut self.queues[b.tenant];
+        q.running -= 1;
+        q.start -= (self.g - (now - sent.at)) * threads;
+        let e = &mut self.engines[sent.engine];
+        e.threads -= threads;
+        e.batches -= 1;
+        if let Some(at) = e.loads.iter().position(|d| *d == b.data_set) {
+            if self.s.groups[b.group].is_load {
+                e.loads.swap_remove(at);
+            }
+        }
+        self.judge(now, &b, sent, &o);
+        if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
+            if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
+                self.keys.entry(key).or_default().rests_until = now + self.s.key_rest + MARGIN;
+            }
+        }
+        if !matches!(o.end, End::Full | End::Unconnected | End::Moot) {
+            let h = self.batches.get_mut(&id).expect("checked above");
+            h.may_have_run.get_or_insert((sent.at, sent.engine));
+        }
+        if o.closed || o.end == End::Returned || stage == Stage::Ended {
+            self.end(now, id);
+            return Next::Nothing;
+        }
+        if o.end == End::Moot || !self.may_go_again(now, id) {
+            return self.answer(now, id);
+        }
+        self.enqueue(id);
+        Next::Nothing
+    }
+
+    // ---- The design's queues ----
+
+    /// The virtual clock runs at our running threads over the busy queues.
+    fn advance(&mut self, now: f64) {
+        let busy = self.queues.iter().filter(|q| q.busy()).count();
+        if busy > 0 {
+            self.clock += (now - self.clock_at).max(0.0) * self.running / busy as f64;
+        }
+        self.clock_at = self.clock_at.max(now);
+    }
+
+    /// Queues a batch, in the order taken; a queue found idle starts at the clock.
+    fn enqueue(&mut self, id: BatchId) {
+        let h = self.batches.get_mut(&id).expect("only batches in hand are queued");
+        h.stage = Stage::Queued;
+        let b = h.b;
+        let q = &mut self.queues[b.tenant];
+        if !q.busy() {
+            q.start = self.clock;
+        }
+        let line = &mut q.lines[b.group];
+        let at = line.partition_point(|other| *other < id);
+        line.insert(at, id);
+    }
+
+    /// The head with the smallest virtual finish, of queues whose head does not wait to redraw.
+    fn head(&self, now: f64) -> Option<BatchId> {
+        let mut best: Option<(f64, BatchId)> = None;
+        for q in &self.queues {
+            let ready = |(line, stalled): (&VecDeque<BatchId>, &f64)| {
+                line.front().filter(|_| *stalled <= now).copied()
+            };
+            let Some(id) = q.lines.iter().zip(&q.stalled).filter_map(ready).min() else {
+                continue;
+            };
+            let finish = q.start + self.g * self.s.groups[self.batches[&id].b.group].threads;
+            if best.is_none_or(|(f, _)| finish < f) {
+                best = Some((finish, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    fn unqueue(&mut self, id: BatchId) {
+        let b = self.batches[&id].b;
+        let line = &mut self.queues[b.tenant].lines[b.group];
+        if let Some(at) = line.iter().position(|other| *other == id) {
+            line.remove(at);
+        }
+    }
+
+    /// The engine with fewest of our threads a core, of those that would start the batch at once; where there
+    /// is none, the least of all, by chance.
+    fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
+        let b = self.batches[&id].b;
+        let threads = self.s.groups[b.group].threads;
+        let open: Vec<EngineId> = (0..self.engines.len()).filter(|e| self.allowed(now, id, *e)).collect();
+        let fit: Vec<EngineId> = open.iter().copied().filter(|e| self.engines[*e].fit(now)).collect();
+        let trial = |e: &EngineId| self.engines[*e].batches == 0;
+        let fit = if fit.is_empty() { open.into_iter().filter(trial).collect() } else { fit };
+        let heard: Vec<f64> =
+            fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
+        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
+        let mut best: Option<(bool, f64, EngineId)> = None;
+        let mut equals = 0.0;
+        for e in fit {
+            let waits = self.stands_still(&b, e);
+            let load = if self.engines[e].heard { self.load(now, e) } else { average };
+            let warm = if self.engines[e].read.contains(&b.data_set) { AFFINITY } else { 0.0 };
+            let full = self.marks(now, e, threads) >= 1.0;
+            let rank = (full || waits, load - warm, e);
+            let order =
+                best.map_or(std::cmp::Ordering::Less, |o| rank.0.cmp(&o.0).then(rank.1.total_cmp(&o.1)));
+            equals = if order.is_eq() { equals + 1.0 } else { 1.0 };
+            if order.is_lt() || (order.is_eq() && self.chance.draw() * equals < 1.0) {
+                best = Some(rank);
+            }
+        }
+        let (_, _, e) = best?;
+        let marks = self.marks(now, e, threads);
+        let chance = (2.0 - marks).clamp(0.0, 1.0).powi(CURVE);
+        (marks < 1.0 || self.chance.draw() < chance).then_some(e)
+    }
+
+    fn load(&self, now: f64, e: EngineId) -> f64 {
+        self.engines[e].threads / self.able_cores(now, e)
+    }
+
+    /// A load on the batch's data set, sent there by us, would hold it still.
+    fn stands_still(&self, b: &Batch, e: EngineId) -> bool {
+        let c = &self.s.groups[b.group];
+        (c.is_load || c.waits_for_loads) && self.engines[e].loads.contains(&b.data_set)
+    }
+
+    /// How full an engine is, in marks: by its reported utilisation, or by our threads against our slice.
+    fn marks(&self, now: f64, e: EngineId, threads: f64) -> f64 {
+        let cores = self.able_cores(now, e);
+        let e = &self.engines[e];
+        let slice = (cores * MARK / self.s.gateways).max(threads);
+        let ours = (e.threads + threads) / slice;
+        match e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE) {
+            Some(busy) => {
+                let since = (e.threads - e.threads_then) / (cores * MARK);
+                let told = busy / BUSY_AT_MARK + since;
+                if told < 1.0 {
+                    told
+                } else {
+                    told.max(ours)
+                }
+            }
+            None if e.pressed_until > now || e.slowdown > SLOW => ours,
+            None => ours.min(0.99),
+        }
+    }
+
+    fn send(&mut self, now: f64, id: BatchId, engine: EngineId) -> Place {
+        self.unqueue(id);
+        let work = self.work(&self.batches[&id].b);
+        let h = self.batches.get_mut(&id).expect("checked by the caller");
+        if h.dispatches > 0 {
+            self.further_at.push_back(now);
+        }
+        h.stage = Stage::Out;
+        h.dispatches += 1;
+        h.out = Some(Sent { engine, at: now });
+        let (b, over_share, time_out) = (h.b, h.over_share, h.limit - now);
+        let c = &self.s.groups[b.group];
+        self.running += c.threads;
+        let q = &mut self.queues[b.tenant];
+        q.running += 1;
+        q.start += self.g * c.threads;
+        let usual = self.learned[b.group].work.max(work.min(self.learned[b.group].work));
+        let e = &mut self.engines[engine];
+        e.threads += c.threads;
+        e.batches += 1;
+        e.cold_sent.push_back((now, usual));
+        e.read.retain(|d| *d != b.data_set);
+        e.read.push_front(b.data_set);
+        e.read.truncate(WARM_SETS);
+        if c.is_load {
+            e.loads.push(b.data_set);
+        }
+        let memory = self.grant(&b, engine);
+        Place::To { engine, time_out, memory, priority: self.priority(b.group, over_share) }
+    }
+
+    // ---- 1: the guard ----
+
+    /// Whether the rules let this batch go to this engine now.
+    fn allowed(&self, now: f64, id: BatchId, engine: EngineId) -> bool {
+        let h = &self.batches[&id];
+        let (Some(line), c) = (self.engines[engine].line, &self.s.groups[h.b.group]) else {
+            return false;
+        };
+        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
+        line.condition == Condition::Ready
+            && h.stage == Stage::Queued
+            && h.out.is_none()
+            && now < h.limit - MARGIN
+            && named(&c.zones, line.zone)
+            && named(&c.kinds, line.kind as u32)
+            && (h.dispatches == 0 || self.may_go_again(now, id))
+            && self.in_scope(h, engine)
+            && self.cold_room(now, engine, h.b.group)
+    }
+
+    /// Whether the rules let a batch have another dispatch anywhere.
+    fn may_go_again(&self, now: f64, id: BatchId) -> bool {
+        let h = &self.batches[&id];
+        let harmless = match (h.may_have_run, self.s.groups[h.b.group].effect) {
+            (None, _) | (_, Effect::Repeatable) => true,
+            (Some(_), Effect::OnceOnly) => false,
+            (Some((at, _)), Effect::Referenced { window, .. }) => now + MARGIN < at + window,
+        };
+        harmless && now < h.limit - MARGIN && h.dispatches < self.s.max_dispatches && self.further_left(now)
+    }
+
+    fn in_scope(&self, h: &InHand, engine: EngineId) -> bool {
+        let (Some((_, first)), Effect::Referenced { scope, .. }) =
+            (h.may_have_run, self.s.groups[h.b.group].effect)
+        else {
+            return true;
+        };
+        let (Some(a), Some(b)) = (self.engines[first].line, self.engines[engine].line) else {
+            return false;
+        };
+        match scope {
+            Scope::Everywhere => true,
+            Scope::Zone => a.zone == b.zone,
+            Scope::Cell => a.zone == b.zone && a.cell == b.cell,
+        }
+    }
+
+    fn further_left(&self, now: f64) -> bool {
+        let Some(f) = self.s.further else { return true };
+        let since = now - f.window;
+        let made = self.further_at.iter().rev().take_while(|t| **t >= since - MARGIN).count();
+        let taken = self.taken_at.iter().rev().take_while(|t| **t > since + MARGIN).count();
+        made as f64 + 1.0 <= f.floor + f.per_batch * taken as f64
+    }
+
+    /// The final answer the rules allow: pushed back where trying again is harmless, else errored.
+    fn answer(&mut self, now: f64, id: BatchId) -> Next {
+        let h = &self.batches[&id];
+        let harmless = match (h.may_have_run, self.s.groups[h.b.group].effect) {
+            (None, _) | (_, Effect::Repeatable) => true,
+            (Some(_), Effect::Referenced { scope, .. }) => scope == Scope::Everywhere,
+            (Some(_), Effect::OnceOnly) => false,
+        };
+        self.end(now, id);
+        if harmless {
+            let come_back = self.s.names_return.then_some(self.s.longest_return);
+            Next::PushBack { come_back }
+        } else {
+            Next::Error
+        }
+    }
+
+    /// A batch is over for its client; it stays in hand while a dispatch is out.
+    fn end(&mut self, now: f64, id: BatchId) {
+        let Some(h) = self.batches.get(&id) else { return };
+        let (b, out, limit, stage) = (h.b, h.out.is_some(), h.limit, h.stage);
+        if stage == Stage::Queued {
+            self.unqueue(id);
+        }
+        self.due.remove(&(micros(limit - MARGIN), Due::Limit(id)));
+        if out {
+            self.batches.get_mut(&id).expect("found above").stage = Stage::Ended;
+            return;
+        }
+        self.batches.remove(&id);
+        if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
+            if let Some(k) = self.keys.get_mut(&key) {
+                k.line.retain(|other| *other != id);
+            }
+            self.release(now, key);
+        }
+    }
+
+    /// Lets the first batch of a key go once the one before it is over and the key has rested.
+    fn release(&mut self, now: f64, key: u64) {
+        let Some(k) = self.keys.get(&key) else { return };
+        if k.rests_until > now {
+            self.due.insert((micros(k.rests_until), Due::Rested(key)));
+            return;
+        }
+        match k.line.front().copied() {
+            None => {
+                self.keys.remove(&key);
+            }
+            Some(id) if self.batches[&id].stage == Stage::Held => self.enqueue(id),
+            Some(_) => {}
+        }
+    }
+
+    fn give_up(&mut self, id: BatchId) {
+        if self.batches[&id].stage == Stage::Queued {
+            self.unqueue(id);
+        }
+        self.batches.get_mut(&id).expect("found above").stage = Stage::GivenUp;
+        self.give_ups.push_back(id);
+    }
+
+    // ---- 2: health ----
+
+    fn judge(&mut self, now: f64, b: &Batch, sent: Sent, o: &Outcome) {
+        let e = &mut self.engines[sent.engine];
+        e.heard = true;
+        match o.end {
+            End::Returned => {
+                e.last_good = now;
+                e.failing *= 1.0 - GOOD_WEIGHT;
+                if e.failing < FAILING / 2.0 {
+                    e.rest = REST.0;
+                }
+                self.learn(b, sent.engine, o);
+            }
+            End::Full => {
+                e.pressed_until = now + PRESSURE_LIFE;
+                e.rests_until = e.rests_until.max(now + REDRAW.1);
+            }
+            // A time-out tells of the engine only where it has answered nothing since.
+            End::TimedOut if e.last_good >= sent.at => {}
+            End::Errored | End::Broken | End::Unconnected | End::TimedOut => self.failed(now, sent.engine),
+            End::Withdrawn | End::Moot => {}
+        }
+    }
+
+    /// Guards against engines that fail quickly, are dead or silent. Where all fail alike none rests.
+    fn failed(&mut self, now: f64, engine: EngineId) {
+        let listed = |e: &&Engine| e.line.is_some_and(|l| l.condition == Condition::Ready);
+        let others: Vec<f64> = self.engines.iter().filter(listed).map(|e| e.failing).collect();
+        let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        let e = &mut self.engines[engine];
+        e.failing += (1.0 - e.failing) * FAIL_WEIGHT;
+        if e.failing > FAILING && e.failing > 2.0 * mean && e.rests_until <= now {
+            e.rests_until = now + e.rest;
+            e.rest = (e.rest * 2.0).min(REST.1);
+        }
+    }
+
+    // ---- 3: cold care ----
+
+    fn cores(&self, kind: usize) -> f64 {
+        let known: Vec<f64> = self.s.kind_cores.iter().flatten().copied().collect();
+        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        self.s.kind_cores.get(kind).copied().flatten().unwrap_or(mean).max(1.0)
+    }
+
+    /// Share of its capacity that an engine has: from the told start share, evenly up until told warm.
+    fn able(&self, now: f64, engine: EngineId) -> f64 {
+        let came_up = self.engines[engine].line.and_then(|l| l.came_up);
+        match (came_up, self.s.cold) {
+            (Some(at), Some(c)) if c.warm_after > 0.0 && now - at < c.warm_after => {
+                c.starts_at + (1.0 - c.starts_at) * ((now - at) / c.warm_after).max(0.0)
+            }
+            _ => 1.0,
+        }
+    }
+
+    fn able_cores(&self, now: f64, engine: EngineId) -> f64 {
+        (self.engines[engine].cores * self.able(now, engine)).max(0.1)
+    }
+
+    /// Keeps our part of a cold engine's work budget, counted in usual work over the told window.
+    fn cold_room(&self, now: f64, engine: EngineId, group: usize) -> bool {
+        let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0) else {
+            return true;
+        };
+        let e = &self.engines[engine];
+        let budget = c.multiple * c.starts_at * e.cores * YIELD * c.window * COLD_PART / self.s.gateways;
+        let sent: f64 =
+            e.cold_sent.iter().rev().take_while(|(at, _)| *at > now - c.window).map(|(_, w)| w).sum();
+        sent + self.learned[group].work <= budget
+    }
+
+    // ---- 4: shedding ----
+
+    fn over_share(&mut self, now: f64, tenant: usize) -> bool {
+        let Some(quota) = self.s.quotas.get(tenant).copied().flatten() else {
+            return false;
+        };
+        let rate = quota / self.s.gateways;
+        let q = &mut self.queues[tenant];
+        q.tokens = (q.tokens + (now - q.refilled) * rate).min(rate);
+        q.refilled = now;
+        let over = q.tokens < 1.0;
+        q.tokens -= if over { 0.0 } else { 1.0 };
+        over
+    }
+
+    /// Utility for the work, and how long the batch can still wait for it.
+    fn prospect(&self, now: f64, h: &InHand) -> (f64, f64) {
+        let c = &self.s.groups[h.b.group];
+        let alone = self.work(&h.b) / c.threads;
+        let service = alone * self.learned[h.b.group].slowdown;
+        let share = if h.over_share { self.s.over_share } else { 1.0 };
+        let in_goal = h.taken + c.goal + c.goal_stretch * alone - service - now;
+        let (utility, wait) =
+            if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, h.limit - service - now) };
+        (c.utility * share * utility / (alone * c.threads).max(1e-3), wait)
+    }
+
+    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack
+    /// of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
+    fn shed(&mut self, now: f64) {
+        let ready = |e: &usize| self.engines[*e].line.is_some_and(|l| l.condition == Condition::Ready);
+        let fit = |e: &usize| ready(e) && self.engines[*e].fit(now);
+        let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
+        let rate = (cores * YIELD / self.s.gateways).max(0.1);
+        let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
+        let mut waiting: Vec<(f64, f64, f64, BatchId)> = queued
+            .map(|h| {
+                let (density, wait) = self.prospect(now, h);
+                (density, wait, self.work(&h.b), h.b.id)
+            })
+            .collect();
+        waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.3.cmp(&b.3)));
+        let mut ahead = 0.0;
+        for (density, wait, work, id) in waiting {
+            if density <= 0.0 || wait < 0.0 || ahead / rate > wait {
+                self.give_up(id);
+            } else {
+                ahead += work;
+            }
+        }
+    }
+
+    fn tick(&mut self, now: f64) {
+        self.due.insert((micros(now + TICK), Due::Tick));
+        let window = self.s.further.map_or(0.0, |f| f.window) + 1.0;
+        for times in [&mut self.taken_at, &mut self.further_at] {
+            while times.front().is_some_and(|t| *t < now - window) {
+                times.pop_front();
+            }
+        }
+        let cold_window = self.s.cold.map_or(0.0, |c| c.window) + 1.0;
+        let probing = self.s.may_probe && self.s.reports == Reports::WithProbes;
+        for (i, e) in self.engines.iter_mut().enumerate() {
+            while e.cold_sent.front().is_some_and(|(at, _)| *at < now - cold_window) {
+                e.cold_sent.pop_front();
+            }
+            let wanted = probing || (self.s.may_probe && !e.heard);
+            if wanted && e.probe_at <= now && e.line.is_some_and(|l| l.condition == Condition::Ready) {
+                e.probe_at = now + PROBE_EVERY;
+                self.probes.push_back(i);
+            }
+        }
+        self.shed(now);
+    }
+
+    // ---- 5: learning ----
+
+    fn learn(&mut self, b: &Batch, engine: EngineId, o: &Outcome) {
+        let c = &self.s.groups[b.group];
+        let l = &mut self.learned[b.group];
+        l.answers += 1;
+        let weight = LEARN.max(1.0 / f64::from(l.answers));
+        let blend = |old: &mut f64, new: f64| *old += weight * (new - *old);
+        let work = o.work.unwrap_or(o.latency * c.threads).max(1e-3);
+        blend(&mut l.work, work);
+        if let Some(cost) = b.cost {
+            blend(&mut l.estimated, cost);
+            blend(&mut l.told, work);
+        }
+        if let (Some(estimate), Some(told)) = (b.memory, o.memory) {
+            blend(&mut l.memory_estimated, estimate);
+            blend(&mut l.memory_told, told);
+        }
+        let slowdown = (o.latency * c.threads / work).clamp(1.0, 20.0);
+        blend(&mut l.slowdown, slowdown);
+        let e = &mut self.engines[engine];
+        e.slowdown += 0.1 * (slowdown - e.slowdown);
+    }
+
+    /// Work of a batch in seconds on one thread: its estimate corrected by what answers told, or the usual.
+    fn work(&self, b: &Batch) -> f64 {
+        let l = &self.learned[b.group];
+        match b.cost {
+            Some(cost) if l.estimated > 0.0 => cost * (l.told / l.estimated).clamp(0.2, 5.0),
+            Some(cost) => cost,
+            None => l.work,
+        }
+    }
+
+    fn grant(&self, b: &Batch, engine: EngineId) -> Option<f64> {
+        let l = &self.learned[b.group];
+        let estimate = b.memory.filter(|_| self.s.grants && l.memory_estimated > 0.0)?;
+        let kind = self.engines[engine].line?.kind;
+        let most = self.s.kind_memory.get(kind).copied().flatten().map(|m| m * self.s.largest_grant);
+        let wanted = estimate * (l.memory_told / l.memory_estimated).clamp(0.2, 5.0) * GRANT_OVER;
+        Some(most.map_or(wanted, |m| wanted.min(m)))
+    }
+
+    fn priority(&self, group: usize, over_share: bool) -> Option<u8> {
+        if !self.s.priorities {
+            return None;
+        }
+        let density = |g: usize| self.s.groups[g].utility / self.learned[g].work.max(1e-3);
+        let least = (0..self.s.groups.len()).map(density).fold(f64::INFINITY, f64::min);
+        Some(match (over_share, density(group) > RANK_RATIO * least) {
+            (true, _) => 0,
+            (false, true) => 3,
+            (false, false) => 1,
+        })
+    }
+}
+
+impl Engine {
+    fn unknown(cores: f64) -> Self {
+        Engine {
+            line: None,
+            cores,
+            threads: 0.0,
+            batches: 0,
+            heard: false,
+            report: Report::default(),
+            report_at: 0.0,
+            threads_then: 0.0,
+            pressed_until: 0.0,
+            slowdown: 1.0,
+            failing: 0.0,
+            last_good: 0.0,
+            rests_until: 0.0,
+            rest: REST.0,
+            probe_at: 0.0,
+            cold_sent: VecDeque::new(),
+            read: VecDeque::new(),
+            loads: Vec::new(),
+        }
+    }
+
+    /// Not resting; one that has just rested takes one batch at a time until it does well.
+    fn fit(&self, now: f64) -> bool {
+        self.rests_until <= now && (self.failing <= FAILING || self.batches == 0)
+    }
+}
