--- a/src/control.rs
+++ b/src/control.rs
@@ -13,6 +13,7 @@
 //!  6. affinity: among engines about equally loaded, one that read the batch's data set lately.
 
 use crate::api::*;
+use crate::state::{micros, Chance, Due, Engine, InHand, KeyLine, Learned, Queue, Sent, Stage, Window};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Threads a core that an engine is filled to; the design's figure.
@@ -20,9 +21,9 @@
 /// Share of cores busy that stands for the mark: threads also read and write, and reports lag.
 const BUSY_AT_MARK: f64 = 0.9;
 /// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
-const CURVE: i32 = 4;
+const CURVE: i32 = 8;
 /// Seconds until a batch redraws, drawn evenly; short against any response goal.
-const REDRAW: (f64, f64) = (0.01, 0.03);
+const REDRAW: (f64, f64) = (0.02, 0.06);
 /// Seconds between periodic looks: shedding and probing follow trouble within a fraction of a second.
 const TICK: f64 = 0.1;
 /// Seconds between probes of an engine: about the pace at which engines refresh reports.
@@ -33,8 +34,8 @@
 const PRESSURE_LIFE: f64 = 1.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
-/// Share of disks, or batches a core waiting for memory, at which a report is busy.
-const DISKS_BUSY: f64 = 0.95;
+/// Share of disks or memory, and batches a core waiting for memory, at which a report is busy.
+const USED_UP: f64 = 0.95;
 const WAITING_BUSY: f64 = 0.1;
 /// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
 const FAIL_WEIGHT: f64 = 0.3;
@@ -62,108 +63,6 @@
 /// Utility for the work, against the least of any service group, that earns the top priority.
 const RANK_RATIO: f64 = 1.5;
 
-/// A multiply-with-carry generator.
-struct Chance(u64);
-
-impl Chance {
-    fn draw(&mut self) -> f64 {
-        self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
-        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Tick,
-    Redraw,
-    Limit(BatchId),
-    Rested(u64),
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Stage {
-    /// Behind an earlier batch of its key, or its key rests.
-    Held,
-    Queued,
-    /// To be answered without another dispatch.
-    GivenUp,
-    Out,
-    Ended,
-}
-
-struct InHand {
-    b: Batch,
-    taken: f64,
-    limit: f64,
-    over_share: bool,
-    stage: Stage,
-    dispatches: u32,
-    out: Option<Sent>,
-    /// The first dispatch that may have run: when it was sent, and where.
-    may_have_run: Option<(f64, EngineId)>,
-}
-
-#[derive(Clone, Copy)]
-struct Sent {
-    engine: EngineId,
-    at: f64,
-}
-
-/// A tenant's queue on the virtual clock, with a line a service group so that one group's wait for its
-/// engines does not hold up another.
-struct Queue {
-    start: f64,
-    lines: Vec<VecDeque<BatchId>>,
-    stalled: Vec<f64>,
-    running: u32,
-    tokens: f64,
-    refilled: f64,
-}
-
-impl Queue {
-    fn busy(&self) -> bool {
-        self.running > 0 || self.lines.iter().any(|l| !l.is_empty())
-    }
-}
-
-/// What is learned of a service group.
-struct Learned {
-    work: f64,
-    answers: u32,
-    estimated: f64,
-    told: f64,
-    memory_estimated: f64,
-    memory_told: f64,
-    slowdown: f64,
-}
-
-struct Engine {
-    line: Option<Listed>,
-    cores: f64,
-    threads: f64,
-    batches: u32,
-    heard: bool,
-    report: Report,
-    report_at: f64,
-    threads_then: f64,
-    pressed_until: f64,
-    slowdown: f64,
-    failing: f64,
-    last_good: f64,
-    rests_until: f64,
-    rest: f64,
-    probe_at: f64,
-    cold_sent: VecDeque<(f64, f64)>,
-    read: VecDeque<u32>,
-    loads: Vec<u32>,
-}
-
-#[derive(Default)]
-struct KeyLine {
-    line: VecDeque<BatchId>,
-    rests_until: f64,
-}
-
 pub struct Control {
     s: Settings,
     chance: Chance,
@@ -181,12 +80,8 @@
     cancels: VecDeque<(BatchId, u32)>,
     give_ups: VecDeque<BatchId>,
     subscribe: bool,
-    taken_at: VecDeque<f64>,
-    further_at: VecDeque<f64>,
-}
-
-fn micros(t: f64) -> u64 {
-    (t.max(0.0) * 1e6).ceil() as u64
+    taken_at: Window,
+    further_at: Window,
 }
 
 impl Control {
@@ -201,17 +96,10 @@
             refilled: now,
         };
         let quotas = if s.quotas.is_empty() { vec![None] } else { s.quotas.clone() };
-        let learned = |c: &ServiceGroup| Learned {
-            work: c.limit * FIRST_GUESS,
-            answers: 0,
-            estimated: 0.0,
-            told: 0.0,
-            memory_estimated: 0.0,
-            memory_told: 0.0,
-            slowdown: 1.0,
-        };
+        let learned =
+            |c: &ServiceGroup| Learned { work: c.limit * FIRST_GUESS, slowdown: 1.0, ..Learned::default() };
         Control {
-            chance: Chance((seed | 1) % 0xffff_da61_0000_0000),
+            chance: Chance::new(seed),
             g: s.groups.iter().map(|c| c.limit).fold(0.0, f64::max),
             clock: 0.0,
             clock_at: now,
@@ -226,8 +114,8 @@
             cancels: VecDeque::new(),
             give_ups: VecDeque::new(),
             subscribe: s.list_on_request,
-            taken_at: VecDeque::new(),
-            further_at: VecDeque::new(),
+            taken_at: Window::default(),
+            further_at: Window::default(),
             s,
         }
     }
@@ -243,7 +131,7 @@
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let over_share = self.over_share(now, b.tenant);
         let limit = now + b.left.max(0.0);
-        self.taken_at.push_back(now);
+        self.taken_at.add(now, 1.0);
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
         let in_hand =
@@ -267,21 +155,17 @@
         }
         for l in lines {
             let cores = self.cores(l.kind);
+            let memory = self.s.kind_memory.get(l.kind).copied().flatten();
             while self.engines.len() <= l.engine {
-                self.engines.push(Engine::unknown(cores));
+                self.engines.push(unheard(cores, memory));
             }
             let e = &mut self.engines[l.engine];
             let restarted = e.line.is_some_and(|old| old.came_up != l.came_up);
-            e.cores = cores;
-            e.line = Some(*l);
+            (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
             if restarted {
                 // The same engine came back empty: nothing learned of its last life holds.
-                *e = Engine {
-                    line: Some(*l),
-                    threads: e.threads,
-                    batches: e.batches,
-                    ..Engine::unknown(cores)
-                };
+                let (threads, batches, memory_used) = (e.threads, e.batches, e.memory_used);
+                *e = Engine { line: Some(*l), threads, batches, memory_used, ..unheard(cores, memory) };
                 e.probe_at = now;
             }
         }
@@ -299,8 +183,11 @@
         e.report = report;
         e.report_at = now;
         e.threads_then = e.threads;
-        let full_disks = report.disks.is_some_and(|d| d >= DISKS_BUSY);
-        if full_disks || report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores) {
+        let used_up = |share: Option<f64>| share.is_some_and(|s| s >= USED_UP);
+        if used_up(report.disks)
+            || used_up(report.memory)
+            || report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores)
+        {
             e.pressed_until = now + PRESSURE_LIFE;
         }
     }
@@ -405,6 +292,7 @@
         let e = &mut self.engines[sent.engine];
         e.threads -= threads;
         e.batches -= 1;
+        e.memory_used -= sent.memory;
         if let Some(at) = e.loads.iter().position(|d| *d == b.data_set) {
             if self.s.groups[b.group].is_load {
                 e.loads.swap_remove(at);
@@ -418,7 +306,7 @@
         }
         if !matches!(o.end, End::Full | End::Unconnected | End::Moot) {
             let h = self.batches.get_mut(&id).expect("checked above");
-            h.may_have_run.get_or_insert((sent.at, sent.engine));
+            h.may_have_run.get_or_insert(sent);
         }
         if o.closed || o.end == End::Returned || stage == Stage::Ended {
             self.end(now, id);
@@ -486,9 +374,8 @@
     /// is none, the least of all, by chance.
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
         let b = self.batches[&id].b;
-        let threads = self.s.groups[b.group].threads;
         let open: Vec<EngineId> = (0..self.engines.len()).filter(|e| self.allowed(now, id, *e)).collect();
-        let fit: Vec<EngineId> = open.iter().copied().filter(|e| self.engines[*e].fit(now)).collect();
+        let fit: Vec<EngineId> = open.iter().copied().filter(|e| fit(&self.engines[*e], now)).collect();
         let trial = |e: &EngineId| self.engines[*e].batches == 0;
         let fit = if fit.is_empty() { open.into_iter().filter(trial).collect() } else { fit };
         let heard: Vec<f64> =
@@ -500,7 +387,7 @@
             let waits = self.stands_still(&b, e);
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
             let warm = if self.engines[e].read.contains(&b.data_set) { AFFINITY } else { 0.0 };
-            let full = self.marks(now, e, threads) >= 1.0;
+            let full = self.marks(now, e, &b) >= 1.0;
             let rank = (full || waits, load - warm, e);
             let order =
                 best.map_or(std::cmp::Ordering::Less, |o| rank.0.cmp(&o.0).then(rank.1.total_cmp(&o.1)));
@@ -510,7 +397,7 @@
             }
         }
         let (_, _, e) = best?;
-        let marks = self.marks(now, e, threads);
+        let marks = self.marks(now, e, &b);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powi(CURVE);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
@@ -525,16 +412,16 @@
         (c.is_load || c.waits_for_loads) && self.engines[e].loads.contains(&b.data_set)
     }
 
-    /// How full an engine is, in marks: by its reported utilisation, or by our threads against our slice.
-    fn marks(&self, now: f64, e: EngineId, threads: f64) -> f64 {
+    /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against our
+    /// slice, and by the memory of ours, which guards against spilling and paging.
+    fn marks(&self, now: f64, e: EngineId, b: &Batch) -> f64 {
+        let threads = self.s.groups[b.group].threads;
         let cores = self.able_cores(now, e);
         let e = &self.engines[e];
-        let slice = (cores * MARK / self.s.gateways).max(threads);
-        let ours = (e.threads + threads) / slice;
-        match e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE) {
+        let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let by_threads = match e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE) {
             Some(busy) => {
-                let since = (e.threads - e.threads_then) / (cores * MARK);
-                let told = busy / BUSY_AT_MARK + since;
+                let told = busy / BUSY_AT_MARK + (e.threads - e.threads_then) / (cores * MARK);
                 if told < 1.0 {
                     told
                 } else {
@@ -543,30 +430,34 @@
             }
             None if e.pressed_until > now || e.slowdown > SLOW => ours,
             None => ours.min(0.99),
-        }
+        };
+        let need = self.memory(b);
+        let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / (m / self.s.gateways).max(need));
+        by_threads.max(by_memory)
     }
 
     fn send(&mut self, now: f64, id: BatchId, engine: EngineId) -> Place {
         self.unqueue(id);
-        let work = self.work(&self.batches[&id].b);
+        let need = self.memory(&self.batches[&id].b);
         let h = self.batches.get_mut(&id).expect("checked by the caller");
         if h.dispatches > 0 {
-            self.further_at.push_back(now);
+            self.further_at.add(now, 1.0);
         }
         h.stage = Stage::Out;
         h.dispatches += 1;
-        h.out = Some(Sent { engine, at: now });
+        h.out = Some(Sent { engine, at: now, memory: need });
         let (b, over_share, time_out) = (h.b, h.over_share, h.limit - now);
         let c = &self.s.groups[b.group];
         self.running += c.threads;
         let q = &mut self.queues[b.tenant];
         q.running += 1;
         q.start += self.g * c.threads;
-        let usual = self.learned[b.group].work.max(work.min(self.learned[b.group].work));
+        let usual = self.learned[b.group].work;
         let e = &mut self.engines[engine];
         e.threads += c.threads;
         e.batches += 1;
-        e.cold_sent.push_back((now, usual));
+        e.memory_used += need;
+        e.work_sent.add(now, usual);
         e.read.retain(|d| *d != b.data_set);
         e.read.push_front(b.data_set);
         e.read.truncate(WARM_SETS);
@@ -603,18 +494,18 @@
         let harmless = match (h.may_have_run, self.s.groups[h.b.group].effect) {
             (None, _) | (_, Effect::Repeatable) => true,
             (Some(_), Effect::OnceOnly) => false,
-            (Some((at, _)), Effect::Referenced { window, .. }) => now + MARGIN < at + window,
+            (Some(first), Effect::Referenced { window, .. }) => now + MARGIN < first.at + window,
         };
         harmless && now < h.limit - MARGIN && h.dispatches < self.s.max_dispatches && self.further_left(now)
     }
 
     fn in_scope(&self, h: &InHand, engine: EngineId) -> bool {
-        let (Some((_, first)), Effect::Referenced { scope, .. }) =
+        let (Some(first), Effect::Referenced { scope, .. }) =
             (h.may_have_run, self.s.groups[h.b.group].effect)
         else {
             return true;
         };
-        let (Some(a), Some(b)) = (self.engines[first].line, self.engines[engine].line) else {
+        let (Some(a), Some(b)) = (self.engines[first.engine].line, self.engines[engine].line) else {
             return false;
         };
         match scope {
@@ -626,10 +517,9 @@
 
     fn further_left(&self, now: f64) -> bool {
         let Some(f) = self.s.further else { return true };
-        let since = now - f.window;
-        let made = self.further_at.iter().rev().take_while(|t| **t >= since - MARGIN).count();
-        let taken = self.taken_at.iter().rev().take_while(|t| **t > since + MARGIN).count();
-        made as f64 + 1.0 <= f.floor + f.per_batch * taken as f64
+        let (made, taken) =
+            (self.further_at.since(now - f.window - MARGIN), self.taken_at.since(now - f.window + MARGIN));
+        made + 1.0 <= f.floor + f.per_batch * taken
     }
 
     /// The final answer the rules allow: pushed back where trying again is harmless, else errored.
@@ -673,7 +563,7 @@
     /// Lets the first batch of a key go once the one before it is over and the key has rested.
     fn release(&mut self, now: f64, key: u64) {
         let Some(k) = self.keys.get(&key) else { return };
-        if k.rests_until > now {
+        if micros(k.rests_until) > micros(now) {
             self.due.insert((micros(k.rests_until), Due::Rested(key)));
             return;
         }
@@ -762,8 +652,7 @@
         };
         let e = &self.engines[engine];
         let budget = c.multiple * c.starts_at * e.cores * YIELD * c.window * COLD_PART / self.s.gateways;
-        let sent: f64 =
-            e.cold_sent.iter().rev().take_while(|(at, _)| *at > now - c.window).map(|(_, w)| w).sum();
+        let sent = e.work_sent.since(now - c.window);
         sent + self.learned[group].work <= budget
     }
 
@@ -798,7 +687,7 @@
     /// of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
     fn shed(&mut self, now: f64) {
         let ready = |e: &usize| self.engines[*e].line.is_some_and(|l| l.condition == Condition::Ready);
-        let fit = |e: &usize| ready(e) && self.engines[*e].fit(now);
+        let fit = |e: &usize| ready(e) && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
         let rate = (cores * YIELD / self.s.gateways).max(0.1);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
@@ -822,17 +711,12 @@
     fn tick(&mut self, now: f64) {
         self.due.insert((micros(now + TICK), Due::Tick));
         let window = self.s.further.map_or(0.0, |f| f.window) + 1.0;
-        for times in [&mut self.taken_at, &mut self.further_at] {
-            while times.front().is_some_and(|t| *t < now - window) {
-                times.pop_front();
-            }
-        }
+        self.taken_at.forget(now - window);
+        self.further_at.forget(now - window);
         let cold_window = self.s.cold.map_or(0.0, |c| c.window) + 1.0;
         let probing = self.s.may_probe && self.s.reports == Reports::WithProbes;
         for (i, e) in self.engines.iter_mut().enumerate() {
-            while e.cold_sent.front().is_some_and(|(at, _)| *at < now - cold_window) {
-                e.cold_sent.pop_front();
-            }
+            e.work_sent.forget(now - cold_window);
             let wanted = probing || (self.s.may_probe && !e.heard);
             if wanted && e.probe_at <= now && e.line.is_some_and(|l| l.condition == Condition::Ready) {
                 e.probe_at = now + PROBE_EVERY;
@@ -856,9 +740,12 @@
             blend(&mut l.estimated, cost);
             blend(&mut l.told, work);
         }
-        if let (Some(estimate), Some(told)) = (b.memory, o.memory) {
-            blend(&mut l.memory_estimated, estimate);
-            blend(&mut l.memory_told, told);
+        if let Some(told) = o.memory {
+            blend(&mut l.memory, told);
+            if let Some(estimate) = b.memory {
+                blend(&mut l.memory_estimated, estimate);
+                blend(&mut l.memory_told, told);
+            }
         }
         let slowdown = (o.latency * c.threads / work).clamp(1.0, 20.0);
         blend(&mut l.slowdown, slowdown);
@@ -876,13 +763,20 @@
         }
     }
 
-    fn grant(&self, b: &Batch, engine: EngineId) -> Option<f64> {
+    /// Memory a batch is likely to need: its estimate corrected by what answers told, or the usual; 0 if unknown.
+    fn memory(&self, b: &Batch) -> f64 {
         let l = &self.learned[b.group];
-        let estimate = b.memory.filter(|_| self.s.grants && l.memory_estimated > 0.0)?;
-        let kind = self.engines[engine].line?.kind;
-        let most = self.s.kind_memory.get(kind).copied().flatten().map(|m| m * self.s.largest_grant);
-        let wanted = estimate * (l.memory_told / l.memory_estimated).clamp(0.2, 5.0) * GRANT_OVER;
-        Some(most.map_or(wanted, |m| wanted.min(m)))
+        match b.memory {
+            Some(m) if l.memory_estimated > 0.0 => m * (l.memory_told / l.memory_estimated).clamp(0.2, 5.0),
+            Some(m) => m,
+            None => l.memory,
+        }
+    }
+
+    fn grant(&self, b: &Batch, engine: EngineId) -> Option<f64> {
+        b.memory.filter(|_| self.s.grants && self.learned[b.group].memory_estimated > 0.0)?;
+        let most = self.engines[engine].memory.map_or(f64::INFINITY, |m| m * self.s.largest_grant);
+        Some((self.memory(b) * GRANT_OVER).min(most))
     }
 
     fn priority(&self, group: usize, over_share: bool) -> Option<u8> {
@@ -899,32 +793,12 @@
     }
 }
 
-impl Engine {
-    fn unknown(cores: f64) -> Self {
-        Engine {
-            line: None,
-            cores,
-            threads: 0.0,
-            batches: 0,
-            heard: false,
-            report: Report::default(),
-            report_at: 0.0,
-            threads_then: 0.0,
-            pressed_until: 0.0,
-            slowdown: 1.0,
-            failing: 0.0,
-            last_good: 0.0,
-            rests_until: 0.0,
-            rest: REST.0,
-            probe_at: 0.0,
-            cold_sent: VecDeque::new(),
-            read: VecDeque::new(),
-            loads: Vec::new(),
-        }
-    }
-
-    /// Not resting; one that has just rested takes one batch at a time until it does well.
-    fn fit(&self, now: f64) -> bool {
-        self.rests_until <= now && (self.failing <= FAILING || self.batches == 0)
-    }
+/// An engine of which only the size is known.
+fn unheard(cores: f64, memory: Option<f64>) -> Engine {
+    Engine { cores, memory, slowdown: 1.0, rest: REST.0, ..Engine::default() }
+}
+
+/// Not resting; one that has just rested takes one batch at a time until it does well.
+fn fit(e: &Engine, now: f64) -> bool {
+    e.rests_until <= now && (e.failing <= FAILING || e.batches == 0)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,4 @@
 //! plain values it is asked with and answers in. Protocols live in crates of their own.
 pub mod api;
 pub mod control;
+mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,146 @@
+//! What the decision module remembers: plain records and their bookkeeping. Nothing here decides.
+
+use crate::api::{Batch, BatchId, EngineId, Listed, Report};
+use std::collections::VecDeque;
+
+/// A multiply-with-carry generator.
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Self {
+        Chance((seed | 1) % 0xffff_da61_0000_0000)
+    }
+
+    pub fn draw(&mut self) -> f64 {
+        self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Tick,
+    Redraw,
+    Limit(BatchId),
+    Rested(u64),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Stage {
+    /// Behind an earlier batch of its key, or its key rests.
+    Held,
+    Queued,
+    /// To be answered without another dispatch.
+    GivenUp,
+    Out,
+    Ended,
+}
+
+/// A batch in hand, until it is over and no dispatch of it is out.
+pub struct InHand {
+    pub b: Batch,
+    pub taken: f64,
+    pub limit: f64,
+    pub over_share: bool,
+    pub stage: Stage,
+    pub dispatches: u32,
+    pub out: Option<Sent>,
+    /// The first dispatch that may have run.
+    pub may_have_run: Option<Sent>,
+}
+
+/// A dispatch: where, when, and the memory counted for it.
+#[derive(Clone, Copy)]
+pub struct Sent {
+    pub engine: EngineId,
+    pub at: f64,
+    pub memory: f64,
+}
+
+/// A tenant's queue on the virtual clock, with a line a service group.
+pub struct Queue {
+    pub start: f64,
+    pub lines: Vec<VecDeque<BatchId>>,
+    /// Until when a line waits to redraw.
+    pub stalled: Vec<f64>,
+    pub running: u32,
+    /// Batches still within the tenant's share, as a bucket, and when it was filled last.
+    pub tokens: f64,
+    pub refilled: f64,
+}
+
+impl Queue {
+    pub fn busy(&self) -> bool {
+        self.running > 0 || self.lines.iter().any(|l| !l.is_empty())
+    }
+}
+
+/// What is learned of a service group: averages over its answers.
+#[derive(Default)]
+pub struct Learned {
+    pub answers: u32,
+    pub work: f64,
+    pub estimated: f64,
+    pub told: f64,
+    pub memory: f64,
+    pub memory_estimated: f64,
+    pub memory_told: f64,
+    pub slowdown: f64,
+}
+
+/// What is known of an engine, and what of ours it holds.
+#[derive(Default)]
+pub struct Engine {
+    pub line: Option<Listed>,
+    pub cores: f64,
+    pub memory: Option<f64>,
+    pub threads: f64,
+    pub batches: u32,
+    pub memory_used: f64,
+    pub heard: bool,
+    pub report: Report,
+    pub report_at: f64,
+    pub threads_then: f64,
+    pub pressed_until: f64,
+    pub slowdown: f64,
+    pub failing: f64,
+    pub last_good: f64,
+    pub rests_until: f64,
+    pub rest: f64,
+    pub probe_at: f64,
+    /// Usual work sent lately, for the cold budget.
+    pub work_sent: Window,
+    pub read: VecDeque<u32>,
+    pub loads: Vec<u32>,
+}
+
+#[derive(Default)]
+pub struct KeyLine {
+    pub line: VecDeque<BatchId>,
+    pub rests_until: f64,
+}
+
+/// Amounts with their times, summed over a sliding window.
+#[derive(Default)]
+pub struct Window(VecDeque<(f64, f64)>);
+
+impl Window {
+    pub fn add(&mut self, at: f64, amount: f64) {
+        self.0.push_back((at, amount));
+    }
+
+    pub fn since(&self, from: f64) -> f64 {
+        self.0.iter().rev().take_while(|(at, _)| *at >= from).map(|(_, n)| n).sum()
+    }
+
+    pub fn forget(&mut self, before: f64) {
+        while self.0.front().is_some_and(|(at, _)| *at < before) {
+            self.0.pop_front();
+        }
+    }
+}
+
+/// The whole microsecond at or after a time, for the ordered due times.
+pub fn micros(t: f64) -> u64 {
+    (t.max(0.0) * 1e6).ceil() as u64
+}
