Shed at half the slack; batches past their goal go behind better work

Cause: queues were first in, first out to the edge of the goal, so what was started came late, and batches past their goal went before fresh ones.

--- a/src/control.rs
+++ b/src/control.rs
@@ -52,6 +52,10 @@
 const COLD_PART: f64 = 0.5;
 /// Share of cores that a pool keeps busy under load; what the backlog is held against.
 const YIELD: f64 = 0.85;
+/// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
+const SLACK_USE: f64 = 0.5;
+/// Seconds that better work may take ahead of a batch whose goal has passed.
+const LATE_WAIT: f64 = 0.1;
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
 /// Grant over the corrected estimate: estimates scatter, and a spill costs more than spare memory.
@@ -678,8 +682,8 @@
         let service = alone * self.learned[h.b.group].slowdown;
         let share = if h.over_share { self.s.over_share } else { 1.0 };
         let in_goal = h.taken + c.goal + c.goal_stretch * alone - service - now;
-        let (utility, wait) =
-            if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, h.limit - service - now) };
+        let late = (h.limit - service - now).min(LATE_WAIT);
+        let (utility, wait) = if in_goal >= 0.0 { (1.0, in_goal * SLACK_USE) } else { (c.late_share, late) };
         (c.utility * share * utility / (alone * c.threads).max(1e-3), wait)
     }
 
