--- a/src/control.rs
+++ b/src/control.rs
@@ -188,7 +188,10 @@
         e.report_at = now;
         e.threads_then = e.threads;
         let used_up = |share: Option<f64>| share.is_some_and(|s| s >= USED_UP);
-        if used_up(report.disks)
+        let a_batch = if e.batches > 0 { e.threads / f64::from(e.batches) } else { 1.0 };
+        let crowded = report.held.is_some_and(|n| n * a_batch >= MARK * e.cores);
+        if crowded
+            || used_up(report.disks)
             || used_up(report.memory)
             || report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores)
         {
