Grants learned to cover 95% of a service group's batches

Learned is kept: it fits estimates of any quality. Harm: where estimates are wild, spare memory is held.

--- a/src/control.rs
+++ b/src/control.rs
@@ -58,8 +58,11 @@
 const LATE_WAIT: f64 = 0.1;
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
-/// Grant over the corrected estimate: estimates scatter, and a spill costs more than spare memory.
-const GRANT_OVER: f64 = 1.2;
+/// Grants cover this share of a group's batches; a spill costs far more than spare memory.
+const GRANT_COVERS: f64 = 0.95;
+/// Grant over the estimate until answers tell, and how far one answer moves it.
+const GRANT_FIRST: f64 = 2.0;
+const GRANT_STEP: f64 = 0.05;
 /// Threads a core by which an engine that knows the data set may lie above the least loaded.
 const AFFINITY: f64 = 0.25;
 /// Data sets taken as warm on an engine; few, since engines keep few.
@@ -100,8 +103,12 @@
             refilled: now,
         };
         let quotas = if s.quotas.is_empty() { vec![None] } else { s.quotas.clone() };
-        let learned =
-            |c: &ServiceGroup| Learned { work: c.limit * FIRST_GUESS, slowdown: 1.0, ..Learned::default() };
+        let learned = |c: &ServiceGroup| Learned {
+            work: c.limit * FIRST_GUESS,
+            grant: GRANT_FIRST,
+            slowdown: 1.0,
+            ..Learned::default()
+        };
         Control {
             chance: Chance::new(seed),
             g: s.groups.iter().map(|c| c.limit).fold(0.0, f64::max),
@@ -750,6 +757,8 @@
         if let Some(told) = o.memory {
             blend(&mut l.memory, told);
             if let Some(estimate) = b.memory {
+                let covered = if told <= estimate * l.grant { 1.0 } else { 0.0 };
+                l.grant *= 1.0 + GRANT_STEP * (GRANT_COVERS - covered);
                 blend(&mut l.memory_estimated, estimate);
                 blend(&mut l.memory_told, told);
             }
@@ -781,9 +790,9 @@
     }
 
     fn grant(&self, b: &Batch, engine: EngineId) -> Option<f64> {
-        b.memory.filter(|_| self.s.grants && self.learned[b.group].memory_estimated > 0.0)?;
+        let estimate = b.memory.filter(|_| self.s.grants)?;
         let most = self.engines[engine].memory.map_or(f64::INFINITY, |m| m * self.s.largest_grant);
-        Some((self.memory(b) * GRANT_OVER).min(most))
+        Some((estimate * self.learned[b.group].grant).min(most))
     }
 
     fn priority(&self, group: usize, over_share: bool) -> Option<u8> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,6 +85,8 @@
     pub memory: f64,
     pub memory_estimated: f64,
     pub memory_told: f64,
+    /// Grant over the estimate.
+    pub grant: f64,
     pub slowdown: f64,
 }
 
