Our memory counts against a mark of 0.7 of an engine's

Cause: memory in use passed what engines have, which pages or spills. Guards against any memory shortage; harms where needs are overstated.

--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,8 @@
 
 /// Threads a core that an engine is filled to; the design's figure.
 const MARK: f64 = 1.5;
+/// Share of an engine's memory that stands for the mark: other gateways' parts are uneven, needs are guesses.
+const MEMORY_MARK: f64 = 0.7;
 /// Share of cores busy that stands for the mark: threads also read and write, and reports lag.
 const BUSY_AT_MARK: f64 = 0.9;
 /// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
@@ -446,7 +448,8 @@
             None => ours.min(0.99),
         };
         let need = self.memory(b);
-        let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / (m / self.s.gateways).max(need));
+        let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
+        let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
         by_threads.max(by_memory)
     }
 
