--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -30,6 +30,10 @@
     owed: Vec<(u32, Next)>,
 }
 
+fn name(a: Address) -> u64 {
+    a.iter().fold(0, |n, byte| n << 8 | u64::from(*byte))
+}
+
 fn positive(v: f64) -> Option<f64> {
     Some(v).filter(|v| v.is_finite() && *v > 0.0)
 }
@@ -77,6 +81,7 @@
             let engine = self.engine(e.address);
             lines.push(Listed {
                 engine,
+                name: name(e.address),
                 zone: e.zone,
                 kind: e.kind,
                 cell: e.cell,
@@ -221,7 +226,8 @@
         let note = match sort {
             1 => share(amount).map(Note::Done),
             2 => share(amount).map(Note::Spills),
-            3 => Some(Note::Waits),
+            3 if amount == 2.0 => Some(Note::WaitsForLoad),
+            3 => Some(Note::WaitsForMemory),
             other => return r.fault(format!("unknown sort of note {other}")),
         };
         if let Some((i, note)) = known.zip(note) {
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -88,8 +88,6 @@
     let t = Text::parse(text)?;
     let groups = (0..t.count("categories")?).map(|i| group(&t, i)).collect::<Result<Vec<_>, _>>()?;
     let tenants = t.count("tenants")?;
-    let quota = |i| t.number(&format!("tenants.{i}.quota-per-s"));
-    let quotas = (0..tenants).map(quota).collect::<Result<Vec<_>, _>>()?;
     let further = match t.seconds("rules.extra-window")? {
         None => None,
         Some(window) => Some(FurtherBudget {
@@ -114,10 +112,8 @@
     };
     let settings = Settings {
         groups,
-        quotas,
-        over_share: t.number_or("over-share-worth", 1.0)?,
+        tenants,
         gateways: t.number_or("balancers", 1.0)?.max(1.0),
-        zone: t.number_or("zone", 0.0)? as u32,
         kind_cores: t.sizes("domain.kind-cores"),
         kind_memory: t.sizes("domain.kind-memory-mb"),
         largest_grant: t.number_or("domain.largest-share", 1.0)?,
@@ -133,7 +129,6 @@
         further,
         cold,
         key_rest: t.seconds_or("rules.order-pause", 0.0)?,
-        cross_zone_price: t.number_or("prices.cross-zone", 0.0)?,
     };
     let fields = t.list("telemetry.fields").into_iter().map(String::from).collect();
     Ok(Decoded { settings, fields })
--- a/src/api.rs
+++ b/src/api.rs
@@ -53,21 +53,19 @@
     pub window: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reports {
     WithAnswers,
     WithProbes,
+    #[default]
     Never,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub groups: Vec<ServiceGroup>,
-    /// Batches a second within each tenant's share, all gateways together.
-    pub quotas: Vec<Option<f64>>,
-    pub over_share: f64,
+    pub tenants: usize,
     pub gateways: f64,
-    pub zone: u32,
     pub kind_cores: Vec<Option<f64>>,
     pub kind_memory: Vec<Option<f64>>,
     pub largest_grant: f64,
@@ -83,7 +81,6 @@
     pub further: Option<FurtherBudget>,
     pub cold: Option<ColdRule>,
     pub key_rest: f64,
-    pub cross_zone_price: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +106,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Listed {
     pub engine: EngineId,
+    /// A number that every gateway knows the engine by; it says nothing else.
+    pub name: u64,
     pub zone: u32,
     pub kind: usize,
     pub cell: u32,
@@ -155,7 +154,8 @@
 pub enum Note {
     Done(f64),
     Spills(f64),
-    Waits,
+    WaitsForMemory,
+    WaitsForLoad,
 }
 
 /// Where to send a batch, or not yet, or never.
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,11 +10,13 @@
 //!  3. cold care: a started engine counts with the part of its cores that it can use, and has a work budget;
 //!  4. shedding: waiting batches that cannot be answered in time, least utility for the work first;
 //!  5. learning: work, memory and slowdown a service group, which set estimates, grants and priorities;
-//!  6. affinity: among engines about equally loaded, one that read the batch's data set lately.
+//!  6. leaning: among engines about equally loaded, those that all gateways rank high for the data set; loads
+//!     go to those ranked low, and readers keep off engines where a load holds what they read.
 
 use crate::api::*;
-use crate::state::{micros, Chance, Due, Engine, InHand, KeyLine, Learned, Queue, Sent, Stage, Window};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub use crate::state::Control;
+use crate::state::{affinity, micros, Chance, Due, Engine, InHand, Learned, Queue, Sent, Stage};
+use std::collections::{BTreeSet, VecDeque};
 
 /// Threads a core that an engine is filled to; the design's figure.
 const MARK: f64 = 1.5;
@@ -65,46 +67,20 @@
 /// Grant over the estimate until answers tell, and how far one answer moves it.
 const GRANT_FIRST: f64 = 2.0;
 const GRANT_STEP: f64 = 0.05;
-/// Threads a core by which an engine that knows the data set may lie above the least loaded.
-const AFFINITY: f64 = 0.25;
-/// Data sets taken as warm on an engine; few, since engines keep few.
-const WARM_SETS: usize = 4;
+/// Threads a core by which an engine's rank for a data set can outweigh a lesser load.
+const AFFINITY: f64 = 0.4;
+/// Threads a core within which engines are drawn by lot.
+const TIE: f64 = 1e-6;
+/// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
+const LOCK_LIFE: f64 = 2.0;
+/// Times the usual time after which an unanswered dispatch is overdue, and how many make an engine silent.
+const SILENT: f64 = 5.0;
+const SILENT_BATCHES: usize = 2;
 /// Utility for the work, against the least of any service group, that earns the top priority.
 const RANK_RATIO: f64 = 1.5;
 
-pub struct Control {
-    s: Settings,
-    chance: Chance,
-    g: f64,
-    clock: f64,
-    clock_at: f64,
-    running: f64,
-    queues: Vec<Queue>,
-    learned: Vec<Learned>,
-    engines: Vec<Engine>,
-    batches: BTreeMap<BatchId, InHand>,
-    keys: BTreeMap<u64, KeyLine>,
-    due: BTreeSet<(u64, Due)>,
-    probes: VecDeque<EngineId>,
-    cancels: VecDeque<(BatchId, u32)>,
-    give_ups: VecDeque<BatchId>,
-    subscribe: bool,
-    taken_at: Window,
-    further_at: Window,
-}
-
 impl Control {
     pub fn new(s: Settings, seed: u64, now: f64) -> Self {
-        let groups = s.groups.len();
-        let queue = |quota: &Option<f64>| Queue {
-            start: 0.0,
-            lines: vec![VecDeque::new(); groups],
-            stalled: vec![0.0; groups],
-            running: 0,
-            tokens: quota.unwrap_or(0.0) / s.gateways,
-            refilled: now,
-        };
-        let quotas = if s.quotas.is_empty() { vec![None] } else { s.quotas.clone() };
         let learned = |c: &ServiceGroup| Learned {
             work: c.limit * FIRST_GUESS,
             grant: GRANT_FIRST,
@@ -114,22 +90,13 @@
         Control {
             chance: Chance::new(seed),
             g: s.groups.iter().map(|c| c.limit).fold(0.0, f64::max),
-            clock: 0.0,
             clock_at: now,
-            running: 0.0,
-            queues: quotas.iter().map(queue).collect(),
+            queues: (0..s.tenants.max(1)).map(|_| Queue::new(s.groups.len())).collect(),
             learned: s.groups.iter().map(learned).collect(),
-            engines: Vec::new(),
-            batches: BTreeMap::new(),
-            keys: BTreeMap::new(),
             due: BTreeSet::from([(micros(now), Due::Tick)]),
-            probes: VecDeque::new(),
-            cancels: VecDeque::new(),
-            give_ups: VecDeque::new(),
             subscribe: s.list_on_request,
-            taken_at: Window::default(),
-            further_at: Window::default(),
             s,
+            ..Control::default()
         }
     }
 
@@ -142,13 +109,11 @@
     pub fn take(&mut self, now: f64, b: Batch) {
         self.advance(now);
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
-        let over_share = self.over_share(now, b.tenant);
         let limit = now + b.left.max(0.0);
         self.taken_at.add(now, 1.0);
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
-        let in_hand =
-            InHand { b, taken: now, limit, over_share, stage, dispatches: 0, out: None, may_have_run: None };
+        let in_hand = InHand { b, taken: now, limit, stage, dispatches: 0, out: None, may_have_run: None };
         self.batches.insert(b.id, in_hand);
         self.due.insert((micros(limit - MARGIN), Due::Limit(b.id)));
         if stage == Stage::Queued {
@@ -178,7 +143,15 @@
             if restarted {
                 // The same engine came back empty: nothing learned of its last life holds.
                 let (threads, batches, memory_used) = (e.threads, e.batches, e.memory_used);
-                *e = Engine { line: Some(*l), threads, batches, memory_used, ..unheard(cores, memory) };
+                let work_sent = std::mem::take(&mut e.work_sent);
+                *e = Engine {
+                    line: Some(*l),
+                    threads,
+                    batches,
+                    memory_used,
+                    work_sent,
+                    ..unheard(cores, memory)
+                };
                 e.probe_at = now;
             }
         }
@@ -218,7 +191,21 @@
         }
     }
 
-    pub fn noted(&mut self, _now: f64, _id: BatchId, _dispatch: u32, _note: Note) {}
+    pub fn noted(&mut self, now: f64, id: BatchId, dispatch: u32, note: Note) {
+        let Some(h) = self.batches.get(&id).filter(|h| h.dispatches == dispatch + 1) else { return };
+        let (Some(sent), Note::WaitsForLoad) = (h.out, note) else { return };
+        self.engines[sent.engine].locks.push((h.b.data_set, now + LOCK_LIFE));
+        self.recall(now, id);
+    }
+
+    /// Takes back a dispatch that stands still where the batch may run again elsewhere.
+    fn recall(&mut self, now: f64, id: BatchId) {
+        let h = &self.batches[&id];
+        let repeatable = self.s.groups[h.b.group].effect == Effect::Repeatable;
+        if repeatable && h.stage == Stage::Out && self.s.may_cancel && self.may_go_again(now, id) {
+            self.cancels.push_back((id, h.dispatches - 1));
+        }
+    }
 
     pub fn client_gone(&mut self, now: f64, id: BatchId) {
         self.advance(now);
@@ -306,13 +293,9 @@
         q.running -= 1;
         q.start -= (self.g - (now - sent.at)) * threads;
         let e = &mut self.engines[sent.engine];
-        e.threads -= threads;
-        e.batches -= 1;
-        e.memory_used -= sent.memory;
-        if let Some(at) = e.loads.iter().position(|d| *d == b.data_set) {
-            if self.s.groups[b.group].is_load {
-                e.loads.swap_remove(at);
-            }
+        e.lets_go(threads, sent.memory);
+        if self.s.groups[b.group].is_load {
+            e.unlock(b.data_set);
         }
         self.judge(now, &b, sent, &o);
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
@@ -355,9 +338,7 @@
         if !q.busy() {
             q.start = self.clock;
         }
-        let line = &mut q.lines[b.group];
-        let at = line.partition_point(|other| *other < id);
-        line.insert(at, id);
+        q.put(b.group, id);
     }
 
     /// The head with the smallest virtual finish, of queues whose head does not wait to redraw.
@@ -365,7 +346,7 @@
         let mut best: Option<(f64, BatchId)> = None;
         for q in &self.queues {
             let ready = |(line, stalled): (&VecDeque<BatchId>, &f64)| {
-                line.front().filter(|_| *stalled <= now).copied()
+                line.front().filter(|_| micros(*stalled) <= micros(now)).copied()
             };
             let Some(id) = q.lines.iter().zip(&q.stalled).filter_map(ready).min() else {
                 continue;
@@ -379,11 +360,8 @@
     }
 
     fn unqueue(&mut self, id: BatchId) {
-        let b = self.batches[&id].b;
-        let line = &mut self.queues[b.tenant].lines[b.group];
-        if let Some(at) = line.iter().position(|other| *other == id) {
-            line.remove(at);
-        }
+        let b = &self.batches[&id].b;
+        self.queues[b.tenant].remove(b.group, id);
     }
 
     /// The engine with fewest of our threads a core, of those that would start the batch at once; where there
@@ -398,17 +376,11 @@
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let mut best: Option<(bool, f64, EngineId)> = None;
-        let mut equals = 0.0;
         for e in fit {
-            let waits = self.stands_still(&b, e);
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
-            let warm = if self.engines[e].read.contains(&b.data_set) { AFFINITY } else { 0.0 };
-            let full = self.marks(now, e, &b) >= 1.0;
-            let rank = (full || waits, load - warm, e);
-            let order =
-                best.map_or(std::cmp::Ordering::Less, |o| rank.0.cmp(&o.0).then(rank.1.total_cmp(&o.1)));
-            equals = if order.is_eq() { equals + 1.0 } else { 1.0 };
-            if order.is_lt() || (order.is_eq() && self.chance.draw() * equals < 1.0) {
+            let full = self.marks(now, e, &b) >= 1.0 || self.stands_still(now, &b, e);
+            let rank = (full, load + self.leaning(&b, e) + TIE * self.chance.draw(), e);
+            if best.is_none_or(|o| (rank.0, rank.1) < (o.0, o.1)) {
                 best = Some(rank);
             }
         }
@@ -422,10 +394,21 @@
         self.engines[e].threads / self.able_cores(now, e)
     }
 
-    /// A load on the batch's data set, sent there by us, would hold it still.
-    fn stands_still(&self, b: &Batch, e: EngineId) -> bool {
+    /// A load on the batch's data set would hold it still there.
+    fn stands_still(&self, now: f64, b: &Batch, e: EngineId) -> bool {
         let c = &self.s.groups[b.group];
-        (c.is_load || c.waits_for_loads) && self.engines[e].loads.contains(&b.data_set)
+        (c.is_load || c.waits_for_loads) && self.engines[e].locked(b.data_set, now)
+    }
+
+    /// Readers of a data set lean to the engines that all gateways rank high for it, where it stays warm; loads
+    /// lean the other way, where they hold few readers still.
+    fn leaning(&self, b: &Batch, e: EngineId) -> f64 {
+        let rank = affinity(b.data_set, self.engines[e].line.map_or(0, |l| l.name));
+        if self.s.groups[b.group].is_load {
+            rank * AFFINITY
+        } else {
+            -rank * AFFINITY
+        }
     }
 
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against our
@@ -463,7 +446,7 @@
         h.stage = Stage::Out;
         h.dispatches += 1;
         h.out = Some(Sent { engine, at: now, memory: need });
-        let (b, over_share, time_out) = (h.b, h.over_share, h.limit - now);
+        let (b, time_out) = (h.b, h.limit - now);
         let c = &self.s.groups[b.group];
         self.running += c.threads;
         let q = &mut self.queues[b.tenant];
@@ -471,18 +454,13 @@
         q.start += self.g * c.threads;
         let usual = self.learned[b.group].work;
         let e = &mut self.engines[engine];
-        e.threads += c.threads;
-        e.batches += 1;
-        e.memory_used += need;
+        e.holds(c.threads, need);
         e.work_sent.add(now, usual);
-        e.read.retain(|d| *d != b.data_set);
-        e.read.push_front(b.data_set);
-        e.read.truncate(WARM_SETS);
         if c.is_load {
-            e.loads.push(b.data_set);
+            e.locks.push((b.data_set, f64::INFINITY));
         }
         let memory = self.grant(&b, engine);
-        Place::To { engine, time_out, memory, priority: self.priority(b.group, over_share) }
+        Place::To { engine, time_out, memory, priority: self.priority(b.group) }
     }
 
     // ---- 1: the guard ----
@@ -628,8 +606,7 @@
 
     /// Guards against engines that fail quickly, are dead or silent. Where all fail alike none rests.
     fn failed(&mut self, now: f64, engine: EngineId) {
-        let listed = |e: &&Engine| e.line.is_some_and(|l| l.condition == Condition::Ready);
-        let others: Vec<f64> = self.engines.iter().filter(listed).map(|e| e.failing).collect();
+        let others: Vec<f64> = self.engines.iter().filter(|e| e.ready()).map(|e| e.failing).collect();
         let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
         let e = &mut self.engines[engine];
         e.failing += (1.0 - e.failing) * FAIL_WEIGHT;
@@ -639,6 +616,32 @@
         }
     }
 
+    /// Guards against engines that take batches and answer nothing while others answer: dead without a word,
+    /// hung, cut off. They rest, and what may run again is taken back. Harm: rare long batches are redone.
+    fn silence(&mut self, now: f64) {
+        let last_good = self.engines.iter().map(|e| e.last_good).fold(0.0, f64::max);
+        let mut overdue = vec![Vec::new(); self.engines.len()];
+        for (id, h) in &self.batches {
+            let Some(sent) = h.out else { continue };
+            let c = &self.s.groups[h.b.group];
+            let usual = self.work(&h.b) / c.threads * self.learned[h.b.group].slowdown;
+            if now - sent.at > SILENT * usual
+                && self.engines[sent.engine].last_good < sent.at
+                && last_good > sent.at
+            {
+                overdue[sent.engine].push(*id);
+            }
+        }
+        for (engine, ids) in overdue.into_iter().enumerate() {
+            let e = &mut self.engines[engine];
+            if ids.len() >= SILENT_BATCHES || (e.failing > FAILING && !ids.is_empty()) {
+                e.failing = 1.0;
+                self.failed(now, engine);
+                ids.into_iter().for_each(|id| self.recall(now, id));
+            }
+        }
+    }
+
     // ---- 3: cold care ----
 
     fn cores(&self, kind: usize) -> f64 {
@@ -675,36 +678,21 @@
 
     // ---- 4: shedding ----
 
-    fn over_share(&mut self, now: f64, tenant: usize) -> bool {
-        let Some(quota) = self.s.quotas.get(tenant).copied().flatten() else {
-            return false;
-        };
-        let rate = quota / self.s.gateways;
-        let q = &mut self.queues[tenant];
-        q.tokens = (q.tokens + (now - q.refilled) * rate).min(rate);
-        q.refilled = now;
-        let over = q.tokens < 1.0;
-        q.tokens -= if over { 0.0 } else { 1.0 };
-        over
-    }
-
     /// Utility for the work, and how long the batch can still wait for it.
     fn prospect(&self, now: f64, h: &InHand) -> (f64, f64) {
         let c = &self.s.groups[h.b.group];
         let alone = self.work(&h.b) / c.threads;
         let service = alone * self.learned[h.b.group].slowdown;
-        let share = if h.over_share { self.s.over_share } else { 1.0 };
         let in_goal = h.taken + c.goal + c.goal_stretch * alone - service - now;
         let late = (h.limit - service - now).min(LATE_WAIT);
         let (utility, wait) = if in_goal >= 0.0 { (1.0, in_goal * SLACK_USE) } else { (c.late_share, late) };
-        (c.utility * share * utility / (alone * c.threads).max(1e-3), wait)
+        (c.utility * utility / (alone * c.threads).max(1e-3), wait)
     }
 
     /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack
     /// of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
     fn shed(&mut self, now: f64) {
-        let ready = |e: &usize| self.engines[*e].line.is_some_and(|l| l.condition == Condition::Ready);
-        let fit = |e: &usize| ready(e) && fit(&self.engines[*e], now);
+        let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
         let rate = (cores * YIELD / self.s.gateways).max(0.1);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
@@ -734,12 +722,14 @@
         let probing = self.s.may_probe && self.s.reports == Reports::WithProbes;
         for (i, e) in self.engines.iter_mut().enumerate() {
             e.work_sent.forget(now - cold_window);
+            e.locks.retain(|(_, until)| *until > now);
             let wanted = probing || (self.s.may_probe && !e.heard);
-            if wanted && e.probe_at <= now && e.line.is_some_and(|l| l.condition == Condition::Ready) {
+            if wanted && e.probe_at <= now && e.ready() {
                 e.probe_at = now + PROBE_EVERY;
                 self.probes.push_back(i);
             }
         }
+        self.silence(now);
         self.shed(now);
     }
 
@@ -798,17 +788,11 @@
         Some((estimate * self.learned[b.group].grant).min(most))
     }
 
-    fn priority(&self, group: usize, over_share: bool) -> Option<u8> {
-        if !self.s.priorities {
-            return None;
-        }
+    /// Service groups that earn more for their work go before the others.
+    fn priority(&self, group: usize) -> Option<u8> {
         let density = |g: usize| self.s.groups[g].utility / self.learned[g].work.max(1e-3);
         let least = (0..self.s.groups.len()).map(density).fold(f64::INFINITY, f64::min);
-        Some(match (over_share, density(group) > RANK_RATIO * least) {
-            (true, _) => 0,
-            (false, true) => 3,
-            (false, false) => 1,
-        })
+        self.s.priorities.then_some(if density(group) > RANK_RATIO * least { 3 } else { 1 })
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,33 @@
 //! What the decision module remembers: plain records and their bookkeeping. Nothing here decides.
 
-use crate::api::{Batch, BatchId, EngineId, Listed, Report};
-use std::collections::VecDeque;
+use crate::api::{Batch, BatchId, Condition, EngineId, Listed, Report, Settings};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// One gateway's whole memory.
+#[derive(Default)]
+pub struct Control {
+    pub(crate) s: Settings,
+    pub(crate) chance: Chance,
+    pub(crate) g: f64,
+    pub(crate) clock: f64,
+    pub(crate) clock_at: f64,
+    pub(crate) running: f64,
+    pub(crate) queues: Vec<Queue>,
+    pub(crate) learned: Vec<Learned>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) batches: BTreeMap<BatchId, InHand>,
+    pub(crate) keys: BTreeMap<u64, KeyLine>,
+    pub(crate) due: BTreeSet<(u64, Due)>,
+    pub(crate) probes: VecDeque<EngineId>,
+    pub(crate) cancels: VecDeque<(BatchId, u32)>,
+    pub(crate) give_ups: VecDeque<BatchId>,
+    pub(crate) subscribe: bool,
+    pub(crate) taken_at: Window,
+    pub(crate) further_at: Window,
+}
 
 /// A multiply-with-carry generator.
+#[derive(Default)]
 pub struct Chance(u64);
 
 impl Chance {
@@ -41,7 +65,6 @@
     pub b: Batch,
     pub taken: f64,
     pub limit: f64,
-    pub over_share: bool,
     pub stage: Stage,
     pub dispatches: u32,
     pub out: Option<Sent>,
@@ -57,6 +80,7 @@
     pub memory: f64,
 }
 
+#[derive(Default)]
 /// A tenant's queue on the virtual clock, with a line a service group.
 pub struct Queue {
     pub start: f64,
@@ -64,12 +88,22 @@
     /// Until when a line waits to redraw.
     pub stalled: Vec<f64>,
     pub running: u32,
-    /// Batches still within the tenant's share, as a bucket, and when it was filled last.
-    pub tokens: f64,
-    pub refilled: f64,
 }
 
 impl Queue {
+    pub fn new(groups: usize) -> Self {
+        Queue { lines: vec![VecDeque::new(); groups], stalled: vec![0.0; groups], ..Queue::default() }
+    }
+
+    pub fn put(&mut self, group: usize, id: BatchId) {
+        let at = self.lines[group].partition_point(|other| *other < id);
+        self.lines[group].insert(at, id);
+    }
+
+    pub fn remove(&mut self, group: usize, id: BatchId) {
+        self.lines[group].retain(|other| *other != id);
+    }
+
     pub fn busy(&self) -> bool {
         self.running > 0 || self.lines.iter().any(|l| !l.is_empty())
     }
@@ -112,8 +146,37 @@
     pub probe_at: f64,
     /// Usual work sent lately, for the cold budget.
     pub work_sent: Window,
-    pub read: VecDeque<u32>,
-    pub loads: Vec<u32>,
+    /// Data sets that loads hold there, and until when that is taken to last.
+    pub locks: Vec<(u32, f64)>,
+}
+
+impl Engine {
+    pub fn ready(&self) -> bool {
+        self.line.is_some_and(|l| l.condition == Condition::Ready)
+    }
+
+    pub fn holds(&mut self, threads: f64, memory: f64) {
+        self.threads += threads;
+        self.batches += 1;
+        self.memory_used += memory;
+    }
+
+    pub fn lets_go(&mut self, threads: f64, memory: f64) {
+        self.threads -= threads;
+        self.batches -= 1;
+        self.memory_used -= memory;
+    }
+
+    pub fn locked(&self, data_set: u32, now: f64) -> bool {
+        self.locks.iter().any(|(d, until)| *d == data_set && *until > now)
+    }
+
+    /// One of our loads has ended.
+    pub fn unlock(&mut self, data_set: u32) {
+        if let Some(at) = self.locks.iter().position(|l| *l == (data_set, f64::INFINITY)) {
+            self.locks.swap_remove(at);
+        }
+    }
 }
 
 #[derive(Default)]
@@ -142,6 +205,15 @@
     }
 }
 
+/// A number in 0 to 1 that every gateway gets alike for a data set and an engine.
+pub fn affinity(data_set: u32, name: u64) -> f64 {
+    let mut h = (u64::from(data_set) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ name;
+    for _ in 0..2 {
+        h = (h ^ (h >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    }
+    (h >> 40) as f64 / f64::from(1 << 24)
+}
+
 /// The whole microsecond at or after a time, for the ordered due times.
 pub fn micros(t: f64) -> u64 {
     (t.max(0.0) * 1e6).ceil() as u64
