--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -94,7 +94,7 @@
                     },
                 };
                 if let Some(i) = self.instances.get_mut(&who) {
-                    i.listed(kind, list, clock);
+                    i.listed(kind, list);
                 }
                 Ok(())
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,17 +113,39 @@
 #[derive(Default)]
 pub struct Learned {
     pub answers: u32,
-    pub work: f64,
-    pub estimated: f64,
-    pub told: f64,
-    pub memory: f64,
-    pub memory_estimated: f64,
-    pub memory_told: f64,
+    pub work: Guess,
+    pub memory: Guess,
     /// Grant over the estimate.
     pub grant: f64,
     pub slowdown: f64,
 }
 
+/// An average that corrects estimates, or stands in for them.
+#[derive(Default)]
+pub struct Guess {
+    pub usual: f64,
+    pub estimated: f64,
+    pub told: f64,
+}
+
+impl Guess {
+    pub fn learn(&mut self, weight: f64, told: f64, estimate: Option<f64>) {
+        self.usual += weight * (told - self.usual);
+        if let Some(estimate) = estimate {
+            self.estimated += weight * (estimate - self.estimated);
+            self.told += weight * (told - self.told);
+        }
+    }
+
+    pub fn guess(&self, estimate: Option<f64>) -> f64 {
+        match estimate {
+            Some(e) if self.estimated > 0.0 => e * self.told / self.estimated,
+            Some(e) => e,
+            None => self.usual,
+        }
+    }
+}
+
 /// What is known of an engine, and what of ours it holds.
 #[derive(Default)]
 pub struct Engine {
@@ -155,6 +177,13 @@
         self.line.is_some_and(|l| l.condition == Condition::Ready)
     }
 
+    /// All but its line, what it holds of ours and the work it was sent.
+    pub fn forget(&mut self, new: Engine) {
+        let old = std::mem::replace(self, new);
+        (self.line, self.threads, self.batches) = (old.line, old.threads, old.batches);
+        (self.memory_used, self.work_sent) = (old.memory_used, old.work_sent);
+    }
+
     pub fn holds(&mut self, threads: f64, memory: f64) {
         self.threads += threads;
         self.batches += 1;
