--- a/src/control.rs
+++ b/src/control.rs
@@ -36,6 +36,9 @@
 const REPORT_LIFE: f64 = 6.0;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
 const PRESSURE_LIFE: f64 = 1.0;
+/// Marks of our own threads that are pressure by themselves: guards against all going to the one engine that
+/// has not yet told that it is slow.
+const FLOODED: f64 = 3.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
 /// Share of disks or memory, and batches a core waiting for memory, at which a report is busy.
@@ -151,10 +154,8 @@
         let Some(e) = self.engines.get_mut(engine) else { return };
         (e.heard, e.report, e.report_at, e.threads_then) = (true, report, now, e.threads);
         let used_up = |share: Option<f64>| share.is_some_and(|s| s >= USED_UP);
-        let a_batch = if e.batches > 0 { e.threads / f64::from(e.batches) } else { 1.0 };
-        let crowded = report.held.is_some_and(|n| n * a_batch >= MARK * e.cores);
         let waiting = report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores);
-        if crowded || waiting || used_up(report.disks) || used_up(report.memory) {
+        if waiting || used_up(report.disks) || used_up(report.memory) {
             e.pressed_until = now + PRESSURE_LIFE;
         }
     }
@@ -390,6 +391,7 @@
                 told.max(if told < 1.0 { 0.0 } else { ours })
             }
             None if e.pressed_until > now || e.slowdown > SLOW => ours,
+            None if ours > FLOODED => ours,
             None => ours.min(0.99),
         };
         let need = self.need(b);
@@ -575,18 +577,22 @@
     /// hung, cut off. They rest, and what may run again is taken back. Harm: rare long batches are redone.
     fn silence(&mut self, now: f64) {
         let last_good = self.engines.iter().map(|e| e.last_good).fold(0.0, f64::max);
+        let mut lost = Vec::new();
         let mut overdue = vec![Vec::new(); self.engines.len()];
         for (id, h) in &self.batches {
             let Some(sent) = h.out else { continue };
             let c = &self.s.groups[h.b.group];
             let usual = self.work(&h.b) / c.threads * self.learned[h.b.group].slowdown;
-            if now - sent.at > SILENT * usual
+            if self.engines[sent.engine].lost(sent.at) {
+                lost.push(*id);
+            } else if now - sent.at > SILENT * usual
                 && self.engines[sent.engine].last_good < sent.at
                 && last_good > sent.at
             {
                 overdue[sent.engine].push(*id);
             }
         }
+        lost.into_iter().for_each(|id| self.recall(now, id));
         for (engine, ids) in overdue.into_iter().enumerate() {
             let e = &mut self.engines[engine];
             if ids.len() >= SILENT_BATCHES || (e.failing > FAILING && !ids.is_empty()) {
