--- a/src/state.rs
+++ b/src/state.rs
@@ -184,9 +184,9 @@
         (self.memory_used, self.work_sent) = (old.memory_used, old.work_sent);
     }
 
-    /// Whether a dispatch sent then went down with the process: it is gone, or has started since.
+    /// Whether a dispatch sent then went down with the process, which has started since.
     pub fn lost(&self, sent: f64) -> bool {
-        self.line.is_some_and(|l| l.condition == Condition::Gone || l.came_up.is_some_and(|at| at > sent))
+        self.line.and_then(|l| l.came_up).is_some_and(|at| at > sent)
     }
 
     pub fn holds(&mut self, threads: f64, memory: f64) {
