--- a/src/control.rs
+++ b/src/control.rs
@@ -41,7 +41,7 @@
 const FLOODED: f64 = 3.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
-/// Share of disks or memory, and batches a core waiting for memory, at which a report is busy.
+/// Share of disks, and batches a core waiting for memory, at which a report is busy.
 const USED_UP: f64 = 0.95;
 const WAITING_BUSY: f64 = 0.1;
 /// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
@@ -66,7 +66,7 @@
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
 /// Grants cover this share of a group's batches; a spill costs far more than spare memory.
-const GRANT_COVERS: f64 = 0.95;
+const GRANT_COVERS: f64 = 0.88;
 /// Grant over the estimate until answers tell, and how far one answer moves it.
 const GRANT_FIRST: f64 = 2.0;
 const GRANT_STEP: f64 = 0.05;
@@ -153,9 +153,8 @@
     pub fn report(&mut self, now: f64, engine: EngineId, report: Report) {
         let Some(e) = self.engines.get_mut(engine) else { return };
         (e.heard, e.report, e.report_at, e.threads_then) = (true, report, now, e.threads);
-        let used_up = |share: Option<f64>| share.is_some_and(|s| s >= USED_UP);
         let waiting = report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores);
-        if waiting || used_up(report.disks) || used_up(report.memory) {
+        if waiting || report.disks.is_some_and(|share| share >= USED_UP) {
             e.pressed_until = now + PRESSURE_LIFE;
         }
     }
