--- a/src/control.rs
+++ b/src/control.rs
@@ -66,7 +66,7 @@
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
 /// Grants cover this share of a group's batches; a spill costs far more than spare memory.
-const GRANT_COVERS: f64 = 0.88;
+const GRANT_COVERS: f64 = 0.85;
 /// Grant over the estimate until answers tell, and how far one answer moves it.
 const GRANT_FIRST: f64 = 2.0;
 const GRANT_STEP: f64 = 0.05;
