Pressure binds the slice beside reported utilisation too

Also guards against wrong or stale reports; harms a gateway that alone carries the traffic while engines are slow.

--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -20,6 +20,7 @@
 pub struct Instance {
     control: Control,
     fields: Vec<String>,
+    groups: usize,
     engines: BTreeMap<Address, usize>,
     addresses: Vec<Address>,
     ids: BTreeMap<u32, u32>,
@@ -46,6 +47,7 @@
     pub fn new(seed: u64, text: &str, clock: f64) -> Result<Self, String> {
         let Decoded { settings, fields } = settings::decode(text)?;
         Ok(Instance {
+            groups: settings.groups.len(),
             control: Control::new(settings, seed, clock),
             fields,
             engines: BTreeMap::new(),
@@ -157,7 +159,7 @@
         let marks = r.u8("marks")?;
         let cost = positive(cost / 1000.0).filter(|_| marks & 1 != 0);
         let Some(i) = known else { return Ok(()) };
-        if !i.control.knows_group(group) {
+        if group >= i.groups {
             return r.fault(format!("unknown service group {group}"));
         }
         if i.ids.contains_key(&wire) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,8 +36,8 @@
 const REPORT_LIFE: f64 = 6.0;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
 const PRESSURE_LIFE: f64 = 1.0;
-/// Marks of our own threads that are pressure by themselves: guards against all going to the one engine that
-/// has not yet told that it is slow.
+/// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it: cores
+/// that idle while all wait for disks, or the one engine that has not yet told that it is slow.
 const FLOODED: f64 = 3.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
@@ -99,10 +99,6 @@
         }
     }
 
-    pub fn knows_group(&self, group: usize) -> bool {
-        group < self.s.groups.len()
-    }
-
     // ---- Facts ----
 
     pub fn take(&mut self, now: f64, b: Batch) {
@@ -384,15 +380,10 @@
         let cores = self.able_cores(now, e);
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
-        let by_threads = match e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE) {
-            Some(busy) => {
-                let told = busy / BUSY_AT_MARK + (e.threads - e.threads_then) / (cores * MARK);
-                told.max(if told < 1.0 { 0.0 } else { ours })
-            }
-            None if e.pressed_until > now || e.slowdown > SLOW => ours,
-            None if ours > FLOODED => ours,
-            None => ours.min(0.99),
-        };
+        let pressed = e.pressed_until > now || e.slowdown > SLOW || ours > FLOODED;
+        let fresh = e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE);
+        let told = fresh.map_or(0.0, |u| u / BUSY_AT_MARK + (e.threads - e.threads_then) / (cores * MARK));
+        let by_threads = if told < 1.0 && !pressed { told } else { told.max(ours) };
         let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
         let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
@@ -461,14 +452,10 @@
         else {
             return true;
         };
-        let (Some(a), Some(b)) = (self.engines[first.engine].line, self.engines[engine].line) else {
-            return false;
+        let place = |e: EngineId| {
+            self.engines[e].line.map(|l| (l.zone, if scope == Scope::Cell { l.cell } else { 0 }))
         };
-        match scope {
-            Scope::Everywhere => true,
-            Scope::Zone => a.zone == b.zone,
-            Scope::Cell => a.zone == b.zone && a.cell == b.cell,
-        }
+        scope == Scope::Everywhere || place(first.engine) == place(engine)
     }
 
     fn further_left(&self, now: f64) -> bool {
