--- a/src/control.rs
+++ b/src/control.rs
@@ -422,22 +422,19 @@
     /// Whether the rules let this batch go to this engine now.
     fn allowed(&self, now: f64, id: BatchId, engine: EngineId) -> bool {
         let h = &self.batches[&id];
-        self.engines[engine].ready()
+        let (Some(line), c) = (self.engines[engine].line, &self.s.groups[h.b.group]) else { return false };
+        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
+        line.condition == Condition::Ready
             && h.stage == Stage::Queued
             && h.out.is_none()
             && now < h.limit - MARGIN
-            && self.placed(h.b.group, engine)
+            && named(&c.zones, line.zone)
+            && named(&c.kinds, line.kind as u32)
             && (h.dispatches == 0 || self.may_go_again(now, id))
             && self.in_scope(h, engine)
             && self.cold_room(now, engine, h.b.group)
     }
 
-    fn placed(&self, group: usize, engine: EngineId) -> bool {
-        let (Some(line), c) = (self.engines[engine].line, &self.s.groups[group]) else { return false };
-        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
-        named(&c.zones, line.zone) && named(&c.kinds, line.kind as u32)
-    }
-
     /// Whether the rules let a batch have another dispatch anywhere.
     fn may_go_again(&self, now: f64, id: BatchId) -> bool {
         let h = &self.batches[&id];
@@ -640,25 +637,18 @@
     /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack
     /// of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
     fn shed(&mut self, now: f64) {
-        let open = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
-        let rate = |g: Option<usize>| {
-            let may = |e: &usize| g.is_none_or(|g| self.placed(g, *e));
-            let cores = (0..self.engines.len()).filter(open).filter(may).map(|e| self.able_cores(now, e));
-            (cores.sum::<f64>() * YIELD / self.s.gateways).max(0.1)
-        };
-        let rates: Vec<f64> = (0..self.s.groups.len()).map(|g| rate(Some(g))).collect();
-        let (all, mut of_group) = (rate(None), vec![0.0; rates.len()]);
+        let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
+        let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
+        let rate = (cores * YIELD / self.s.gateways).max(0.1);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
-        let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
+        let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b.id)).collect();
         waiting.sort_by(|a, b| b.0 .0.total_cmp(&a.0 .0));
         let mut ahead = 0.0;
-        for ((density, wait), work, b) in waiting {
-            let behind = f64::max(ahead / all, of_group[b.group] / rates[b.group]);
-            if density <= 0.0 || wait < 0.0 || behind > wait {
-                self.give_up(b.id);
+        for ((density, wait), work, id) in waiting {
+            if density <= 0.0 || wait < 0.0 || ahead / rate > wait {
+                self.give_up(id);
             } else {
                 ahead += work;
-                of_group[b.group] += work;
             }
         }
     }
