--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -114,8 +114,6 @@
         groups,
         tenants,
         gateways: t.number_or("balancers", 1.0)?.max(1.0),
-        zone: t.number_or("zone", 0.0)? as u32,
-        crossing_costs: t.number_or("prices.cross-zone", 0.0)? > 0.0,
         kind_cores: t.sizes("domain.kind-cores"),
         kind_memory: t.sizes("domain.kind-memory-mb"),
         largest_grant: t.number_or("domain.largest-share", 1.0)?,
--- a/src/api.rs
+++ b/src/api.rs
@@ -66,8 +66,6 @@
     pub groups: Vec<ServiceGroup>,
     pub tenants: usize,
     pub gateways: f64,
-    pub zone: u32,
-    pub crossing_costs: bool,
     pub kind_cores: Vec<Option<f64>>,
     pub kind_memory: Vec<Option<f64>>,
     pub largest_grant: f64,
--- a/src/control.rs
+++ b/src/control.rs
@@ -72,8 +72,6 @@
 const GRANT_STEP: f64 = 0.05;
 /// Threads a core by which an engine's rank for a data set can outweigh a lesser load.
 const AFFINITY: f64 = 0.4;
-/// Threads a core by which an engine of another zone must be less loaded, where crossing has a price.
-const AWAY: f64 = 0.2;
 /// Threads a core within which engines are drawn by lot.
 const TIE: f64 = 1e-6;
 /// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
@@ -367,10 +365,12 @@
     /// Readers of a data set lean to the engines that all gateways rank high for it, where it stays warm; loads
     /// lean the other way, where they hold few readers still.
     fn leaning(&self, b: &Batch, e: EngineId) -> f64 {
-        let Some(l) = self.engines[e].line else { return 0.0 };
-        let rank = affinity(b.data_set, l.name) * AFFINITY;
-        let away = if l.zone != self.s.zone && self.s.crossing_costs { AWAY } else { 0.0 };
-        away + if self.s.groups[b.group].is_load { rank } else { -rank }
+        let rank = affinity(b.data_set, self.engines[e].line.map_or(0, |l| l.name));
+        if self.s.groups[b.group].is_load {
+            rank * AFFINITY
+        } else {
+            -rank * AFFINITY
+        }
     }
 
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against our
