--- a/src/control.rs
+++ b/src/control.rs
@@ -330,10 +330,8 @@
     /// is none, the least of all, by chance.
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
         let b = self.batches[&id].b;
-        let open: Vec<EngineId> = (0..self.engines.len()).filter(|e| self.allowed(now, id, *e)).collect();
-        let fit: Vec<EngineId> = open.iter().copied().filter(|e| fit(&self.engines[*e], now)).collect();
-        let trial = |e: &EngineId| self.engines[*e].batches == 0;
-        let fit = if fit.is_empty() { open.into_iter().filter(trial).collect() } else { fit };
+        let open = |e: &EngineId| fit(&self.engines[*e], now) && self.allowed(now, id, *e);
+        let fit: Vec<EngineId> = (0..self.engines.len()).filter(open).collect();
         let heard: Vec<f64> =
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
