--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -128,6 +128,7 @@
         list_on_request: t.word("registry-mode") == Some("on_request"),
         further,
         cold,
+        notes_every: t.seconds_or("domain.progress", 0.0)?,
         key_rest: t.seconds_or("rules.order-pause", 0.0)?,
     };
     let fields = t.list("telemetry.fields").into_iter().map(String::from).collect();
--- a/src/api.rs
+++ b/src/api.rs
@@ -81,6 +81,8 @@
     pub further: Option<FurtherBudget>,
     pub cold: Option<ColdRule>,
     pub key_rest: f64,
+    /// Time between notes on a dispatch that is out; 0 where there are none.
+    pub notes_every: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/control.rs
+++ b/src/control.rs
@@ -79,6 +79,8 @@
 /// Times the usual time after which an unanswered dispatch is overdue, and how many make an engine silent.
 const SILENT: f64 = 5.0;
 const SILENT_BATCHES: usize = 2;
+/// Notes missed, where engines send them, after which a dispatch is taken as lost.
+const QUIET: f64 = 2.5;
 /// Utility for the work, against the least of any service group, that earns the top priority.
 const RANK_RATIO: f64 = 1.5;
 
@@ -164,9 +166,14 @@
     }
 
     pub fn noted(&mut self, now: f64, id: BatchId, dispatch: u32, note: Note) {
-        let Some(h) = self.batches.get(&id).filter(|h| h.dispatches == dispatch + 1) else { return };
-        let (Some(sent), Note::WaitsForLoad) = (h.out, note) else { return };
-        self.engines[sent.engine].locks.push((h.b.data_set, now + LOCK_LIFE));
+        let Some(h) = self.batches.get_mut(&id).filter(|h| h.dispatches == dispatch + 1) else { return };
+        let Some(sent) = h.out.as_mut() else { return };
+        sent.heard = now;
+        let (engine, data_set) = (sent.engine, h.b.data_set);
+        if note != Note::WaitsForLoad {
+            return;
+        }
+        self.engines[engine].locks.push((data_set, now + LOCK_LIFE));
         self.recall(now, id);
     }
 
@@ -397,7 +404,7 @@
         }
         h.stage = Stage::Out;
         h.dispatches += 1;
-        h.out = Some(Sent { engine, at: now, memory: need });
+        h.out = Some(Sent { engine, at: now, heard: now, memory: need });
         let (b, time_out) = (h.b, h.limit - now);
         let c = &self.s.groups[b.group];
         self.running += c.threads;
@@ -557,34 +564,37 @@
         }
     }
 
-    /// Guards against engines that take batches and answer nothing while others answer: dead without a word,
-    /// hung, cut off. They rest, and what may run again is taken back. Harm: rare long batches are redone.
+    /// Guards against dispatches that are lost: a process that restarted, an engine that hangs, is cut off, or
+    /// drops some of what it takes. What may run again is taken back; an engine that has answered nothing since
+    /// rests. Where notes tell of dispatches their lack shows it; where there are none only a silent engine does.
     fn silence(&mut self, now: f64) {
         let last_good = self.engines.iter().map(|e| e.last_good).fold(0.0, f64::max);
-        let mut lost = Vec::new();
         let mut overdue = vec![Vec::new(); self.engines.len()];
+        let mut lost = Vec::new();
         for (id, h) in &self.batches {
             let Some(sent) = h.out else { continue };
             let c = &self.s.groups[h.b.group];
             let usual = self.work(&h.b) / c.threads * self.learned[h.b.group].slowdown;
-            if self.engines[sent.engine].lost(sent.at) {
+            let unnoted = self.s.notes_every > 0.0 && now - sent.heard > QUIET * self.s.notes_every;
+            let e = &self.engines[sent.engine];
+            if e.lost(sent.at) || unnoted {
                 lost.push(*id);
-            } else if now - sent.at > SILENT * usual
-                && self.engines[sent.engine].last_good < sent.at
-                && last_good > sent.at
-            {
+            }
+            if now - sent.heard > SILENT * usual && e.last_good < sent.at && last_good > sent.at {
                 overdue[sent.engine].push(*id);
             }
         }
-        lost.into_iter().for_each(|id| self.recall(now, id));
         for (engine, ids) in overdue.into_iter().enumerate() {
             let e = &mut self.engines[engine];
             if ids.len() >= SILENT_BATCHES || (e.failing > FAILING && !ids.is_empty()) {
                 e.failing = 1.0;
                 self.failed(now, engine);
-                ids.into_iter().for_each(|id| self.recall(now, id));
+                lost.extend(ids);
             }
         }
+        lost.sort_unstable();
+        lost.dedup();
+        lost.into_iter().for_each(|id| self.recall(now, id));
     }
 
     // ---- 3: cold care ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,6 +77,8 @@
 pub struct Sent {
     pub engine: EngineId,
     pub at: f64,
+    /// When it was sent, or a note of it came last.
+    pub heard: f64,
     pub memory: f64,
 }
 
