--- a/src/control.rs
+++ b/src/control.rs
@@ -61,8 +61,8 @@
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
 const SLACK_USE: f64 = 0.5;
-/// Seconds that better work may take ahead of a batch whose goal has passed.
-const LATE_WAIT: f64 = 0.1;
+/// Seconds taken as left to a batch whose goal has passed: better work goes first.
+const LATE_SLACK: f64 = 0.2;
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
 /// Grants cover this share of a group's batches; a spill costs far more than spare memory.
@@ -637,9 +637,9 @@
         let alone = self.work(&h.b) / c.threads;
         let service = alone * self.learned[h.b.group].slowdown;
         let in_goal = h.taken + c.goal + c.goal_stretch * alone - service - now;
-        let late = (h.limit - service - now).min(LATE_WAIT);
-        let (utility, wait) = if in_goal >= 0.0 { (1.0, in_goal * SLACK_USE) } else { (c.late_share, late) };
-        (c.utility * utility / (alone * c.threads).max(1e-3), wait)
+        let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
+        let wait = slack.min(h.limit - service - now) * SLACK_USE;
+        (c.utility * earns / (alone * c.threads).max(1e-3), wait)
     }
 
     /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -198,3 +198,19 @@
     let failed = w.records.iter().flat_map(|r| &r.dispatches).filter(|d| d.engine == 0).count();
     assert!(failed < 8, "{failed} dispatches to the failing engine");
 }
+
+/// Found on an incident: clients with little time left were served past it, which wasted the work.
+#[test]
+fn what_its_time_limit_cannot_hold_is_pushed_back() {
+    let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 1);
+    for _ in 0..20 {
+        let id = w.take(0, 0, None, 4.0);
+        w.pass(0.2);
+        w.outcome(id, End::Returned);
+    }
+    w.c.report(w.now, 0, Report { disks: Some(1.0), ..Report::default() });
+    (0..100).for_each(|_| drop(w.take(0, 0, None, 4.0)));
+    let hurried = w.take(0, 0, None, 0.25);
+    w.pass(0.15);
+    assert!(w.records[hurried as usize].pushed_back);
+}
