--- a/src/control.rs
+++ b/src/control.rs
@@ -60,9 +60,12 @@
 /// Share of cores that a pool keeps busy under load; what the backlog is held against.
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
-const SLACK_USE: f64 = 0.5;
+const SLACK_USE: f64 = 0.4;
 /// Seconds taken as left to a batch whose goal has passed: better work goes first.
 const LATE_SLACK: f64 = 0.2;
+/// Part of the fixed goal after which a client is told to come back: late enough for the queue to have moved,
+/// early enough for an answer that still counts.
+const COME_BACK: f64 = 0.4;
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
 /// Grants cover this share of a group's batches; a spill costs far more than spare memory.
@@ -471,11 +474,11 @@
     /// The final answer the rules allow: pushed back where trying again is harmless, else errored.
     fn answer(&mut self, now: f64, id: BatchId) -> Next {
         let h = &self.batches[&id];
-        let effect = self.s.groups[h.b.group].effect;
+        let ServiceGroup { effect, goal, .. } = self.s.groups[h.b.group];
         let everywhere = matches!(effect, Effect::Referenced { scope: Scope::Everywhere, .. });
         let harmless = h.may_have_run.is_none() || effect == Effect::Repeatable || everywhere;
         self.end(now, id);
-        let come_back = self.s.names_return.then_some(self.s.longest_return);
+        let come_back = self.s.names_return.then_some(self.s.longest_return.min(goal * COME_BACK));
         if harmless {
             Next::PushBack { come_back }
         } else {
