A failing share counts as load, and engines rest only from 0.75 on

Also guards against engines that fail a little under high load; harms once-only batches, which a failing engine costs for good.

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,7 +48,7 @@
 const FAIL_WEIGHT: f64 = 0.3;
 const GOOD_WEIGHT: f64 = 0.15;
 /// Failing share from which an engine rests, where others fail at most half as much.
-const FAILING: f64 = 0.4;
+const FAILING: f64 = 0.75;
 /// Seconds of an engine's first and longest rest, doubled in between.
 const REST: (f64, f64) = (0.5, 8.0);
 /// Weight of one answer in learned averages: the last fifty or so count.
@@ -348,7 +348,8 @@
         for e in fit {
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
             let full = self.marks(now, e, &b) >= 1.0 || self.stands_still(now, &b, e);
-            let rank = (full, load + self.leaning(&b, e) + TIE * self.chance.draw(), e);
+            let rank =
+                (full, load + self.leaning(&b, e) + self.engines[e].failing + TIE * self.chance.draw(), e);
             if best.is_none_or(|o| (rank.0, rank.1) < (o.0, o.1)) {
                 best = Some(rank);
             }
