--- a/src/control.rs
+++ b/src/control.rs
@@ -38,7 +38,7 @@
 const PRESSURE_LIFE: f64 = 1.0;
 /// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it: cores
 /// that idle while all wait for disks, or the one engine that has not yet told that it is slow.
-const FLOODED: f64 = 3.0;
+const FLOODED: f64 = 2.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
 /// Share of disks, and batches a core waiting for memory, at which a report is busy.
@@ -388,10 +388,10 @@
         let cores = self.able_cores(now, e);
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
-        let pressed = e.pressed_until > now || e.slowdown > SLOW || ours > FLOODED;
         let fresh = e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE);
+        let slow = fresh.is_none() && e.slowdown > SLOW || ours > FLOODED;
         let told = fresh.map_or(0.0, |u| u / BUSY_AT_MARK + (e.threads - e.threads_then) / (cores * MARK));
-        let by_threads = if told < 1.0 && !pressed { told } else { told.max(ours) };
+        let by_threads = if told < 1.0 && !slow && e.pressed_until <= now { told } else { told.max(ours) };
         let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
         let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
