--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -7,6 +7,9 @@
 use garnetwall::control::Control;
 use std::collections::BTreeMap;
 
+/// The wire names a priority with every grant; the module sets none, and this is what holds where none is set.
+const USUAL_PRIORITY: u8 = 1;
+
 /// Calls answered in one round before the rest waits for the next; the module never comes near it.
 const CALLS: usize = 1_000_000;
 
@@ -31,10 +34,6 @@
     owed: Vec<(u32, Next)>,
 }
 
-fn name(a: Address) -> u64 {
-    a.iter().fold(0, |n, byte| n << 8 | u64::from(*byte))
-}
-
 fn positive(v: f64) -> Option<f64> {
     Some(v).filter(|v| v.is_finite() && *v > 0.0)
 }
@@ -83,7 +82,6 @@
             let engine = self.engine(e.address);
             lines.push(Listed {
                 engine,
-                name: name(e.address),
                 zone: e.zone,
                 kind: e.kind,
                 cell: e.cell,
@@ -303,16 +301,16 @@
             Place::NotYet => {}
             Place::PushBack { come_back } => self.push_back(who, id, come_back, reply),
             Place::Error => self.error(who, id, reply),
-            Place::To { engine, time_out, memory, priority } => {
+            Place::To { engine, time_out, memory } => {
                 let Some(b) = self.in_hand.get_mut(&id) else {
                     return;
                 };
                 b.out += 1;
-                if memory.is_some() || priority.is_some() {
+                if let Some(memory) = memory {
                     let body = reply.record(who, 13);
                     body.extend(b.wire.to_be_bytes());
-                    body.extend((memory.unwrap_or(0.0) as f32).to_be_bytes());
-                    body.push(priority.unwrap_or(1));
+                    body.extend((memory as f32).to_be_bytes());
+                    body.push(USUAL_PRIORITY);
                 }
                 let body = reply.record(who, 1);
                 body.extend(b.wire.to_be_bytes());
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -118,7 +118,6 @@
         kind_memory: t.sizes("domain.kind-memory-mb"),
         largest_grant: t.number_or("domain.largest-share", 1.0)?,
         grants: t.flag("domain.grants-count")?,
-        priorities: t.flag("domain.lanes-count")?,
         reports,
         may_probe: t.flag("allowed.may-probe")?,
         may_cancel: t.flag("allowed.cancelling")?,
--- a/src/api.rs
+++ b/src/api.rs
@@ -70,7 +70,6 @@
     pub kind_memory: Vec<Option<f64>>,
     pub largest_grant: f64,
     pub grants: bool,
-    pub priorities: bool,
     pub reports: Reports,
     pub may_probe: bool,
     pub may_cancel: bool,
@@ -108,8 +107,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Listed {
     pub engine: EngineId,
-    /// A number that every gateway knows the engine by; it says nothing else.
-    pub name: u64,
     pub zone: u32,
     pub kind: usize,
     pub cell: u32,
@@ -163,7 +160,7 @@
 /// Where to send a batch, or not yet, or never.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Place {
-    To { engine: EngineId, time_out: f64, memory: Option<f64>, priority: Option<u8> },
+    To { engine: EngineId, time_out: f64, memory: Option<f64> },
     NotYet,
     PushBack { come_back: Option<f64> },
     Error,
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,13 +9,12 @@
 //!  2. health: engines whose dispatches fail, beyond what all do, rest and come back one batch at a time;
 //!  3. cold care: a started engine counts with the part of its cores that it can use, and has a work budget;
 //!  4. shedding: waiting batches that cannot be answered in time, least utility for the work first;
-//!  5. learning: work, memory and slowdown a service group, which set estimates, grants and priorities;
-//!  6. leaning: among engines about equally loaded, those that all gateways rank high for the data set; loads
-//!     go to those ranked low, and readers keep off engines where a load holds what they read.
+//!  5. learning: work, memory and slowdown a service group, which set estimates and grants;
+//!  6. locks: readers keep off engines where a load is known to hold what they read.
 
 use crate::api::*;
 pub use crate::state::Control;
-use crate::state::{affinity, micros, Chance, Due, Engine, Guess, InHand, Learned, Queue, Sent, Stage};
+use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Queue, Sent, Stage};
 use std::collections::BTreeSet;
 
 /// Threads a core that an engine is filled to; the design's figure.
@@ -73,8 +72,6 @@
 /// Grant over the estimate until answers tell, and how far one answer moves it.
 const GRANT_FIRST: f64 = 2.0;
 const GRANT_STEP: f64 = 0.05;
-/// Threads a core by which an engine's rank for a data set can outweigh a lesser load.
-const AFFINITY: f64 = 0.4;
 /// Threads a core within which engines are drawn by lot.
 const TIE: f64 = 1e-6;
 /// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
@@ -84,9 +81,6 @@
 const SILENT_BATCHES: usize = 2;
 /// Notes missed, where engines send them, after which a dispatch is taken as lost.
 const QUIET: f64 = 2.5;
-/// Utility for the work, against the least of any service group, that earns the top priority.
-const RANK_RATIO: f64 = 1.5;
-
 impl Control {
     pub fn new(s: Settings, seed: u64, now: f64) -> Self {
         let work = |c: &ServiceGroup| Guess { usual: c.limit * FIRST_GUESS, ..Guess::default() };
@@ -348,8 +342,7 @@
         for e in fit {
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
             let full = self.marks(now, e, &b) >= 1.0 || self.stands_still(now, &b, e);
-            let rank =
-                (full, load + self.leaning(&b, e) + self.engines[e].failing + TIE * self.chance.draw(), e);
+            let rank = (full, load + self.engines[e].failing + TIE * self.chance.draw(), e);
             if best.is_none_or(|o| (rank.0, rank.1) < (o.0, o.1)) {
                 best = Some(rank);
             }
@@ -370,17 +363,6 @@
         (c.is_load || c.waits_for_loads) && self.engines[e].locked(b.data_set, now)
     }
 
-    /// Readers of a data set lean to the engines that all gateways rank high for it, where it stays warm; loads
-    /// lean the other way, where they hold few readers still.
-    fn leaning(&self, b: &Batch, e: EngineId) -> f64 {
-        let rank = affinity(b.data_set, self.engines[e].line.map_or(0, |l| l.name));
-        if self.s.groups[b.group].is_load {
-            rank * AFFINITY
-        } else {
-            -rank * AFFINITY
-        }
-    }
-
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against our
     /// slice, and by the memory of ours, which guards against spilling and paging.
     fn marks(&self, now: f64, e: EngineId, b: &Batch) -> f64 {
@@ -422,7 +404,7 @@
             e.locks.push((b.data_set, f64::INFINITY));
         }
         let memory = self.grant(&b, engine);
-        Place::To { engine, time_out, memory, priority: self.priority(b.group) }
+        Place::To { engine, time_out, memory }
     }
 
     // ---- 1: the guard ----
@@ -719,13 +701,6 @@
         let most = self.engines[engine].memory.map_or(f64::INFINITY, |m| m * self.s.largest_grant);
         Some((estimate * self.learned[b.group].grant).min(most))
     }
-
-    /// Service groups that earn more for their work go before the others.
-    fn priority(&self, group: usize) -> Option<u8> {
-        let density = |g: usize| self.s.groups[g].utility / self.learned[g].work.usual.max(1e-3);
-        let least = (0..self.s.groups.len()).map(density).fold(f64::INFINITY, f64::min);
-        self.s.priorities.then_some(if density(group) > RANK_RATIO * least { 3 } else { 1 })
-    }
 }
 
 /// An engine of which only the size is known.
--- a/src/state.rs
+++ b/src/state.rs
@@ -249,15 +249,6 @@
     }
 }
 
-/// A number in 0 to 1 that every gateway gets alike for a data set and an engine.
-pub fn affinity(data_set: u32, name: u64) -> f64 {
-    let mut h = (u64::from(data_set) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ name;
-    for _ in 0..2 {
-        h = (h ^ (h >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    }
-    (h >> 40) as f64 / f64::from(1 << 24)
-}
-
 /// The whole microsecond at or after a time, for the ordered due times.
 pub fn micros(t: f64) -> u64 {
     (t.max(0.0) * 1e6).ceil() as u64
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -79,7 +79,6 @@
     let odd = (engine % 2) as u32;
     Listed {
         engine,
-        name: engine as u64,
         zone: odd,
         kind: odd as usize,
         cell: engine as u32,
