--- a/src/control.rs
+++ b/src/control.rs
@@ -76,9 +76,6 @@
 const TIE: f64 = 1e-6;
 /// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
 const LOCK_LIFE: f64 = 2.0;
-/// Times the usual time after which an unanswered dispatch is overdue, and how many make an engine silent.
-const SILENT: f64 = 5.0;
-const SILENT_BATCHES: usize = 2;
 /// Notes missed, where engines send them, after which a dispatch is taken as lost.
 const QUIET: f64 = 2.5;
 impl Control {
@@ -530,10 +527,10 @@
                 e.pressed_until = now + PRESSURE_LIFE;
                 e.rests_until = e.rests_until.max(now + REDRAW.1);
             }
-            // A time-out tells of the engine only where it has answered nothing since.
-            End::TimedOut if e.last_good >= sent.at => {}
-            End::Errored | End::Broken | End::Unconnected | End::TimedOut => self.failed(now, sent.engine),
-            End::Withdrawn | End::Moot => {}
+            // A time-out or a dispatch taken back tells of the engine only where it has answered nothing since.
+            End::TimedOut | End::Withdrawn if e.last_good >= sent.at => {}
+            End::Moot => {}
+            _ => self.failed(now, sent.engine),
         }
     }
 
@@ -549,36 +546,13 @@
         }
     }
 
-    /// Guards against dispatches that are lost: a process that restarted, an engine that hangs, is cut off, or
-    /// drops some of what it takes. What may run again is taken back; an engine that has answered nothing since
-    /// rests. Where notes tell of dispatches their lack shows it; where there are none only a silent engine does.
-    fn silence(&mut self, now: f64) {
-        let last_good = self.engines.iter().map(|e| e.last_good).fold(0.0, f64::max);
-        let mut overdue = vec![Vec::new(); self.engines.len()];
-        let mut lost = Vec::new();
-        for (id, h) in &self.batches {
-            let Some(sent) = h.out else { continue };
-            let c = &self.s.groups[h.b.group];
-            let usual = self.work(&h.b) / c.threads * self.learned[h.b.group].slowdown;
-            let unnoted = self.s.notes_every > 0.0 && now - sent.heard > QUIET * self.s.notes_every;
-            let e = &self.engines[sent.engine];
-            if e.lost(sent.at) || unnoted {
-                lost.push(*id);
-            }
-            if now - sent.heard > SILENT * usual && e.last_good < sent.at && last_good > sent.at {
-                overdue[sent.engine].push(*id);
-            }
-        }
-        for (engine, ids) in overdue.into_iter().enumerate() {
-            let e = &mut self.engines[engine];
-            if ids.len() >= SILENT_BATCHES || (e.failing > FAILING && !ids.is_empty()) {
-                e.failing = 1.0;
-                self.failed(now, engine);
-                lost.extend(ids);
-            }
-        }
-        lost.sort_unstable();
-        lost.dedup();
+    /// Guards against dispatches that are lost: to a process that has restarted, or, where notes tell of
+    /// dispatches, to an engine that hangs, is cut off or drops some of what it takes. They are taken back.
+    fn watch(&mut self, now: f64) {
+        let quiet = if self.s.notes_every > 0.0 { QUIET * self.s.notes_every } else { f64::INFINITY };
+        let lost = |s: &Sent| now - s.heard > quiet || self.engines[s.engine].lost(s.at);
+        let out = self.batches.iter().filter(|(_, h)| h.out.as_ref().is_some_and(lost));
+        let lost: Vec<BatchId> = out.map(|(id, _)| *id).collect();
         lost.into_iter().for_each(|id| self.recall(now, id));
     }
 
@@ -662,7 +636,7 @@
                 self.probes.push_back(i);
             }
         }
-        self.silence(now);
+        self.watch(now);
         self.shed(now);
     }
 
