--- a/src/control.rs
+++ b/src/control.rs
@@ -608,14 +608,15 @@
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
         let rate = (cores * YIELD / self.s.gateways).max(0.1);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
-        let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b.id)).collect();
+        let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
         waiting.sort_by(|a, b| b.0 .0.total_cmp(&a.0 .0));
-        let mut ahead = 0.0;
-        for ((density, wait), work, id) in waiting {
-            if density <= 0.0 || wait < 0.0 || ahead / rate > wait {
-                self.give_up(id);
+        let (mut ahead, mut tight) = (0.0, f64::INFINITY);
+        for ((density, wait), work, b) in waiting {
+            if density <= 0.0 || wait < 0.0 || ahead / rate > wait.min(tight) {
+                self.give_up(b.id);
             } else {
                 ahead += work;
+                tight = tight.min(self.s.groups[b.group].goal * SLACK_USE);
             }
         }
     }
