--- a/src/control.rs
+++ b/src/control.rs
@@ -218,7 +218,11 @@
             return Wait::Probe(engine);
         }
         let next = self.due.first().map_or(TICK, |(at, _)| *at as f64 / 1e6 - now);
-        let asked = self.give_ups.pop_front().or_else(|| self.head(now));
+        let mut asked = self.give_ups.pop_front().or_else(|| self.head(now));
+        if asked.is_none() && std::mem::take(&mut self.look) {
+            self.shed(now);
+            asked = self.give_ups.pop_front();
+        }
         asked.map_or(Wait::For(next.max(1e-4)), Wait::Ask)
     }
 
@@ -638,7 +642,7 @@
             }
         }
         self.watch(now);
-        self.shed(now);
+        self.look = true;
     }
 
     // ---- 5: learning ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,8 @@
     pub(crate) cancels: VecDeque<(BatchId, u32)>,
     pub(crate) give_ups: VecDeque<BatchId>,
     pub(crate) subscribe: bool,
+    /// What waits is to be looked over once nothing more can leave.
+    pub(crate) look: bool,
     pub(crate) taken_at: Window,
     pub(crate) further_at: Window,
 }
