--- a/src/control.rs
+++ b/src/control.rs
@@ -29,8 +29,8 @@
 const REDRAW: (f64, f64) = (0.02, 0.06);
 /// Seconds between periodic looks: shedding and probing follow trouble within a fraction of a second.
 const TICK: f64 = 0.1;
-/// Seconds between probes of an engine: about the pace at which engines refresh reports.
-const PROBE_EVERY: f64 = 0.5;
+/// Seconds between probes of an engine: reports age by half of it, and each probe has a price.
+const PROBE_EVERY: f64 = 1.5;
 /// Seconds a report counts for; beyond it our own threads say more.
 const REPORT_LIFE: f64 = 6.0;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
