--- a/src/control.rs
+++ b/src/control.rs
@@ -46,12 +46,18 @@
 /// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
 const FAIL_WEIGHT: f64 = 0.3;
 const GOOD_WEIGHT: f64 = 0.15;
-/// Failing share from which an engine rests, where others fail at most half as much.
+/// Failing share from which an engine rests, if it is this many times the pool's mean: where all fail alike, or
+/// many fail in part, resting them would lose more than it saves.
 const FAILING: f64 = 0.75;
+const APART: f64 = 2.0;
 /// Seconds of an engine's first and longest rest, doubled in between.
 const REST: (f64, f64) = (0.5, 8.0);
 /// Weight of one answer in learned averages: the last fifty or so count.
 const LEARN: f64 = 0.02;
+/// Weight of one answer in an engine's own slowdown: the last ten or so, to see a jam within a second; and the
+/// most that one answer counts, so that a single batch that stood still does not mark an engine.
+const ENGINE_LEARN: f64 = 0.1;
+const SLOWEST: f64 = 20.0;
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
 /// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
@@ -72,6 +78,8 @@
 /// Grant over the estimate until answers tell, and how far one answer moves it.
 const GRANT_FIRST: f64 = 2.0;
 const GRANT_STEP: f64 = 0.05;
+/// Least seconds, and least cores, ever divided by or waited for: keeps odd settings out of the arithmetic.
+const LEAST: f64 = 1e-3;
 /// Threads a core within which engines are drawn by lot.
 const TIE: f64 = 1e-6;
 /// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
@@ -223,7 +231,7 @@
             self.shed(now);
             asked = self.give_ups.pop_front();
         }
-        asked.map_or(Wait::For(next.max(1e-4)), Wait::Ask)
+        asked.map_or(Wait::For(next.max(LEAST)), Wait::Ask)
     }
 
     /// Where to send this batch, or not yet, or never.
@@ -544,7 +552,7 @@
         let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
         let e = &mut self.engines[engine];
         e.failing += (1.0 - e.failing) * FAIL_WEIGHT;
-        if e.failing > FAILING && e.failing > 2.0 * mean && e.rests_until <= now {
+        if e.failing > FAILING && e.failing > APART * mean && e.rests_until <= now {
             e.rests_until = now + e.rest;
             e.rest = (e.rest * 2.0).min(REST.1);
         }
@@ -580,7 +588,7 @@
     }
 
     fn able_cores(&self, now: f64, engine: EngineId) -> f64 {
-        (self.engines[engine].cores * self.able(now, engine)).max(0.1)
+        (self.engines[engine].cores * self.able(now, engine)).max(LEAST)
     }
 
     /// Keeps our part of a cold engine's work budget, counted in usual work over the told window.
@@ -602,7 +610,7 @@
         let in_goal = h.taken + c.goal + c.goal_stretch * alone - service - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
         let wait = slack.min(h.limit - service - now) * SLACK_USE;
-        (c.utility * earns / (alone * c.threads).max(1e-3), wait)
+        (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
     /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack
@@ -610,7 +618,7 @@
     fn shed(&mut self, now: f64) {
         let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
-        let rate = (cores * YIELD / self.s.gateways).max(0.1);
+        let rate = (cores * YIELD / self.s.gateways).max(LEAST);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
         let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
         waiting.sort_by(|a, b| b.0 .0.total_cmp(&a.0 .0));
@@ -652,17 +660,17 @@
         let l = &mut self.learned[b.group];
         l.answers += 1;
         let weight = LEARN.max(1.0 / f64::from(l.answers));
-        let work = o.work.unwrap_or(o.latency * c.threads).max(1e-3);
+        let work = o.work.unwrap_or(o.latency * c.threads).max(LEAST);
         l.work.learn(weight, work, b.cost);
         if let Some(told) = o.memory {
             l.memory.learn(weight, told, b.memory);
             let covered = b.memory.is_none_or(|estimate| told <= estimate * l.grant);
             l.grant *= 1.0 + GRANT_STEP * (GRANT_COVERS - if covered { 1.0 } else { 0.0 });
         }
-        let slowdown = (o.latency * c.threads / work).clamp(1.0, 20.0);
+        let slowdown = (o.latency * c.threads / work).clamp(1.0, SLOWEST);
         l.slowdown += weight * (slowdown - l.slowdown);
         let e = &mut self.engines[engine];
-        e.slowdown += 0.1 * (slowdown - e.slowdown);
+        e.slowdown += ENGINE_LEARN * (slowdown - e.slowdown);
     }
 
     /// Work of a batch in seconds on one thread: its estimate corrected by what answers told, or the usual.
