Subscribing to an asked-for list outlives the first list

Found by reading: the cached list at the start took back the wish to subscribe, so the gateway went on a stale list. Queues also find a batch by bisection.

--- a/src/control.rs
+++ b/src/control.rs
@@ -124,7 +124,6 @@
     }
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
-        self.subscribe = false;
         if whole {
             for line in self.engines.iter_mut().filter_map(|e| e.line.as_mut()) {
                 line.condition = Condition::Gone;
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,7 +105,9 @@
     }
 
     pub fn remove(&mut self, group: usize, id: BatchId) {
-        self.lines[group].retain(|other| *other != id);
+        if let Ok(at) = self.lines[group].binary_search(&id) {
+            self.lines[group].remove(at);
+        }
     }
 
     /// The oldest batch whose line does not wait to redraw.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,3 +217,14 @@
     w.pass(0.15);
     assert!(w.records[hurried as usize].pushed_back);
 }
+
+/// Found by reading: the list handed over at the start took back the wish to subscribe.
+#[test]
+fn a_list_on_request_is_subscribed_to_after_the_first_list_and_after_a_failure() {
+    let asked = Settings { list_on_request: true, ..settings(vec![group(Effect::Repeatable)]) };
+    let mut w = World::new(asked, 1);
+    assert_eq!(w.c.wait(w.now), Wait::Subscribe);
+    assert_ne!(w.c.wait(w.now), Wait::Subscribe);
+    w.c.list_failed();
+    assert_eq!(w.c.wait(w.now), Wait::Subscribe);
+}
