--- a/src/control.rs
+++ b/src/control.rs
@@ -239,7 +239,7 @@
         let Some(h) = self.batches.get(&id) else { return Place::NotYet };
         match h.stage {
             Stage::GivenUp => self.give_back(now, id),
-            Stage::Queued if self.prospect(now, h).1 < 0.0 => self.give_back(now, id),
+            Stage::Queued if self.hopeless(now, h) => self.give_back(now, id),
             Stage::Queued => match self.choose(now, id) {
                 Some(engine) => self.send(now, id, engine),
                 None => self.redraw(now, id),
@@ -248,6 +248,11 @@
         }
     }
 
+    /// No answer can come in time, or the rules have come to forbid the further dispatch it waits for.
+    fn hopeless(&self, now: f64, h: &InHand) -> bool {
+        self.prospect(now, h).1 < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
+    }
+
     fn give_back(&mut self, now: f64, id: BatchId) -> Place {
         match self.answer(now, id) {
             Next::PushBack { come_back } => Place::PushBack { come_back },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -228,3 +228,18 @@
     w.c.list_failed();
     assert_eq!(w.c.wait(w.now), Wait::Subscribe);
 }
+
+/// Found by reading: a referenced batch whose window ran out while it waited was held to its limit.
+#[test]
+fn a_batch_that_may_not_go_again_is_answered_at_once() {
+    let referenced = Effect::Referenced { scope: Scope::Everywhere, window: 1.0 };
+    let mut w = World::new(settings(vec![group(referenced)]), 1);
+    let id = w.take(0, 0, None, 4.0);
+    w.pump();
+    w.relist(0, Condition::Draining, None);
+    w.outcome(id, End::Errored);
+    w.pass(0.8);
+    assert!(!w.records[id as usize].over);
+    w.pass(0.4);
+    assert!(w.records[id as usize].pushed_back);
+}
