--- a/src/control.rs
+++ b/src/control.rs
@@ -66,6 +66,8 @@
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
 const SLACK_USE: f64 = 0.4;
+/// Times the usual service that must fit in the goal of a batch without an estimate: half of them take longer.
+const UNSURE: f64 = 1.5;
 /// Seconds taken as left to a batch whose goal has passed: better work goes first.
 const LATE_SLACK: f64 = 0.2;
 /// Part of the fixed goal after which a client is told to come back: late enough for the queue to have moved,
@@ -248,9 +250,10 @@
         }
     }
 
-    /// No answer can come in time, or the rules have come to forbid the further dispatch it waits for.
+    /// No answer that earns anything can come in time, or the rules have come to forbid the further dispatch it waits for.
     fn hopeless(&self, now: f64, h: &InHand) -> bool {
-        self.prospect(now, h).1 < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
+        let (density, wait) = self.prospect(now, h);
+        density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
     }
 
     fn give_back(&mut self, now: f64, id: BatchId) -> Place {
@@ -611,7 +614,8 @@
         let c = &self.s.groups[h.b.group];
         let alone = self.work(&h.b) / c.threads;
         let service = alone * self.learned[h.b.group].slowdown;
-        let in_goal = h.taken + c.goal + c.goal_stretch * alone - service - now;
+        let unsure = if h.b.cost.is_some() { 1.0 } else { UNSURE };
+        let in_goal = h.taken + c.goal + c.goal_stretch * alone - unsure * service - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
         let wait = slack.min(h.limit - service - now) * SLACK_USE;
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
