A group's remembered slowdown fades when no answer comes

Guards against any estimate that silences its own correction; harms by starting a little that ends late.

--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,9 @@
 /// most that one answer counts, so that a single batch that stood still does not mark an engine.
 const ENGINE_LEARN: f64 = 0.1;
 const SLOWEST: f64 = 20.0;
+/// Part of a group's slowdown above bare work that fades in a tick, some seconds in all. Guards against pushing
+/// all of a group back on the word of a jam that is over, which no answer would then take back.
+const FADE: f64 = 0.01;
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
 /// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
@@ -658,6 +661,9 @@
             }
         }
         self.watch(now);
+        for l in &mut self.learned {
+            l.slowdown += FADE * (1.0 - l.slowdown);
+        }
         self.look = true;
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -243,3 +243,20 @@
     w.pass(0.4);
     assert!(w.records[id as usize].pushed_back);
 }
+
+/// Found on an incident: after a jam the remembered slowdown had a whole group pushed back, and as nothing of it
+/// was answered any more nothing corrected it.
+#[test]
+fn a_jam_that_is_over_is_forgotten() {
+    let prompt = ServiceGroup { late_share: 0.0, ..group(Effect::Repeatable) };
+    let mut w = World::new(settings(vec![prompt]), 4);
+    let slow: Vec<BatchId> = (0..40).map(|_| w.take(0, 0, None, 4.0)).collect();
+    w.pass(3.0);
+    slow.into_iter().for_each(|id| w.outcome(id, End::Returned));
+    let at_once = w.take(0, 0, None, 4.0);
+    w.pass(20.0);
+    let later = w.take(0, 0, None, 4.0);
+    w.pump();
+    assert!(w.records[at_once as usize].pushed_back);
+    assert_eq!(w.sent_to(later).len(), 1);
+}
