--- a/src/control.rs
+++ b/src/control.rs
@@ -58,9 +58,6 @@
 /// most that one answer counts, so that a single batch that stood still does not mark an engine.
 const ENGINE_LEARN: f64 = 0.1;
 const SLOWEST: f64 = 20.0;
-/// Part of a group's slowdown above bare work that fades in a tick, some seconds in all. Guards against pushing
-/// all of a group back on the word of a jam that is over, which no answer would then take back.
-const FADE: f64 = 0.01;
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
 /// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
@@ -71,6 +68,9 @@
 const SLACK_USE: f64 = 0.4;
 /// Times the usual service that must fit in the goal of a batch without an estimate: half of them take longer.
 const UNSURE: f64 = 1.5;
+/// Part of its goal that a batch's service is taken to need at most. Guards against pushing all of a group back
+/// on the word of a jam that is over, or of a first guess, which no answer would then correct.
+const MOST: f64 = 0.9;
 /// Seconds taken as left to a batch whose goal has passed: better work goes first.
 const LATE_SLACK: f64 = 0.2;
 /// Part of the fixed goal after which a client is told to come back: late enough for the queue to have moved,
@@ -618,7 +618,8 @@
         let alone = self.work(&h.b) / c.threads;
         let service = alone * self.learned[h.b.group].slowdown;
         let unsure = if h.b.cost.is_some() { 1.0 } else { UNSURE };
-        let in_goal = h.taken + c.goal + c.goal_stretch * alone - unsure * service - now;
+        let goal = c.goal + c.goal_stretch * alone;
+        let in_goal = h.taken + goal - (unsure * service).min(goal * MOST) - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
         let wait = slack.min(h.limit - service - now) * SLACK_USE;
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
@@ -661,9 +662,6 @@
             }
         }
         self.watch(now);
-        for l in &mut self.learned {
-            l.slowdown += FADE * (1.0 - l.slowdown);
-        }
         self.look = true;
     }
 
