A service is taken to need at most 0.9 of its group's limit too; long lines wrapped

Kept at 0.9 as a guard: a group pushed back on its own word would never be corrected. Harm: hurried clients are tried a little more often.

--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -7,7 +7,8 @@
 use garnetwall::control::Control;
 use std::collections::BTreeMap;
 
-/// The wire names a priority with every grant; the module sets none, and this is what holds where none is set.
+/// The wire names a priority with every grant; the module sets none, and this is what holds where none is
+/// set.
 const USUAL_PRIORITY: u8 = 1;
 
 /// Calls answered in one round before the rest waits for the next; the module never comes near it.
--- a/src/control.rs
+++ b/src/control.rs
@@ -35,8 +35,8 @@
 const REPORT_LIFE: f64 = 6.0;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
 const PRESSURE_LIFE: f64 = 1.0;
-/// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it: cores
-/// that idle while all wait for disks, or the one engine that has not yet told that it is slow.
+/// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it:
+/// cores that idle while all wait for disks, or the one engine that has not yet told that it is slow.
 const FLOODED: f64 = 2.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
@@ -46,16 +46,16 @@
 /// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
 const FAIL_WEIGHT: f64 = 0.3;
 const GOOD_WEIGHT: f64 = 0.15;
-/// Failing share from which an engine rests, if it is this many times the pool's mean: where all fail alike, or
-/// many fail in part, resting them would lose more than it saves.
+/// Failing share from which an engine rests, if it is this many times the pool's mean: where all fail alike,
+/// or many fail in part, resting them would lose more than it saves.
 const FAILING: f64 = 0.75;
 const APART: f64 = 2.0;
 /// Seconds of an engine's first and longest rest, doubled in between.
 const REST: (f64, f64) = (0.5, 8.0);
 /// Weight of one answer in learned averages: the last fifty or so count.
 const LEARN: f64 = 0.02;
-/// Weight of one answer in an engine's own slowdown: the last ten or so, to see a jam within a second; and the
-/// most that one answer counts, so that a single batch that stood still does not mark an engine.
+/// Weight of one answer in an engine's own slowdown: the last ten or so, to see a jam within a second; and
+/// the most that one answer counts, so that a single batch that stood still does not mark an engine.
 const ENGINE_LEARN: f64 = 0.1;
 const SLOWEST: f64 = 20.0;
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
@@ -66,10 +66,12 @@
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
 const SLACK_USE: f64 = 0.4;
-/// Times the usual service that must fit in the goal of a batch without an estimate: half of them take longer.
+/// Times the usual service that must fit in the goal of a batch without an estimate: half of them take
+/// longer.
 const UNSURE: f64 = 1.5;
-/// Part of its goal that a batch's service is taken to need at most. Guards against pushing all of a group back
-/// on the word of a jam that is over, or of a first guess, which no answer would then correct.
+/// Part of its goal, and of its group's limit, that a batch's service is taken to need at most. Guards
+/// against pushing all of a group back on the word of a jam that is over, or of a first guess, which no
+/// answer would then correct.
 const MOST: f64 = 0.9;
 /// Seconds taken as left to a batch whose goal has passed: better work goes first.
 const LATE_SLACK: f64 = 0.2;
@@ -253,7 +255,8 @@
         }
     }
 
-    /// No answer that earns anything can come in time, or the rules have come to forbid the further dispatch it waits for.
+    /// No answer that earns anything can come in time, or the rules have come to forbid the further dispatch
+    /// it waits for.
     fn hopeless(&self, now: f64, h: &InHand) -> bool {
         let (density, wait) = self.prospect(now, h);
         density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
@@ -382,8 +385,8 @@
         (c.is_load || c.waits_for_loads) && self.engines[e].locked(b.data_set, now)
     }
 
-    /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against our
-    /// slice, and by the memory of ours, which guards against spilling and paging.
+    /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against
+    /// our slice, and by the memory of ours, which guards against spilling and paging.
     fn marks(&self, now: f64, e: EngineId, b: &Batch) -> f64 {
         let threads = self.s.groups[b.group].threads;
         let cores = self.able_cores(now, e);
@@ -549,7 +552,8 @@
                 e.pressed_until = now + PRESSURE_LIFE;
                 e.rests_until = e.rests_until.max(now + REDRAW.1);
             }
-            // A time-out or a dispatch taken back tells of the engine only where it has answered nothing since.
+            // A time-out or a dispatch taken back tells of the engine only where it has answered nothing
+            // since.
             End::TimedOut | End::Withdrawn if e.last_good >= sent.at => {}
             End::Moot => {}
             _ => self.failed(now, sent.engine),
@@ -616,7 +620,7 @@
     fn prospect(&self, now: f64, h: &InHand) -> (f64, f64) {
         let c = &self.s.groups[h.b.group];
         let alone = self.work(&h.b) / c.threads;
-        let service = alone * self.learned[h.b.group].slowdown;
+        let service = (alone * self.learned[h.b.group].slowdown).min(c.limit * MOST);
         let unsure = if h.b.cost.is_some() { 1.0 } else { UNSURE };
         let goal = c.goal + c.goal_stretch * alone;
         let in_goal = h.taken + goal - (unsure * service).min(goal * MOST) - now;
@@ -625,8 +629,9 @@
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
-    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack
-    /// of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
+    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any
+    /// lack of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would
+    /// fit.
     fn shed(&mut self, now: f64) {
         let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -3,7 +3,8 @@
 use garnetwall::api::*;
 use garnetwall::control::Control;
 
-/// Seconds of true work of every batch; below the module's first guess, so that its cold budget is the safe side.
+/// Seconds of true work of every batch; below the module's first guess, so that its cold budget is the safe
+/// side.
 pub const WORK: f64 = 0.2;
 
 pub struct Dispatch {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -109,8 +109,8 @@
 }
 
 /// Worked by hand: an outcome after 1 s takes (4 - 1) x 1 back off the charge of 4. Tenant 0 then starts at 1
-/// and ends at 5; tenant 1, found idle when the clock had run 1 s x 1 thread over one queue, ends at 1 + 4 too,
-/// but with a second batch already charged stands at 9.
+/// and ends at 5; tenant 1, found idle when the clock had run 1 s x 1 thread over one queue, ends at 1 + 4
+/// too, but with a second batch already charged stands at 9.
 #[test]
 fn an_outcome_corrects_the_charge_once() {
     let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 4);
@@ -244,8 +244,8 @@
     assert!(w.records[id as usize].pushed_back);
 }
 
-/// Found on an incident: after a jam the remembered slowdown had a whole group pushed back, and as nothing of it
-/// was answered any more nothing corrected it.
+/// Found on an incident: after a jam the remembered slowdown had a whole group pushed back, and as nothing of
+/// it was answered any more nothing corrected it.
 #[test]
 fn a_jam_that_is_over_is_forgotten() {
     let prompt = ServiceGroup { late_share: 0.0, ..group(Effect::Repeatable) };
