The hand-worked test of the charge's correction now fails without it

The earlier one let the queue fall idle, which resets its start, and so would have passed uncorrected. Leaving the correction out, or making it twice, now fails it (tried, not committed).

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -108,24 +108,21 @@
     assert_eq!(w.asked, [light, heavy]);
 }
 
-/// Worked by hand: an outcome after 1 s takes (4 - 1) x 1 back off the charge of 4. Tenant 0 then starts at 1
-/// and ends at 5; tenant 1, found idle when the clock had run 1 s x 1 thread over one queue, ends at 1 + 4
-/// too, but with a second batch already charged stands at 9.
+/// Worked by hand: each tenant has two batches out, so both starts stand at 8. One of tenant 1's is closed by its
+/// client and ends after 1 s, which takes (4 - 1) x 1 off: 5. Its next batches end at 9 and 13, tenant 0's at 12.
+/// Uncorrected they would end at 12 and 16, corrected twice at 6 and 10.
 #[test]
 fn an_outcome_corrects_the_charge_once() {
     let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 4);
-    let a = w.take(0, 0, None, 4.0);
-    w.pump();
+    let out: Vec<BatchId> = (0..4).map(|n| w.take(0, n % 2, None, 4.0)).collect();
     w.pass(1.0);
-    w.take(0, 1, None, 4.0);
-    w.pump();
-    w.client_gone(a);
+    w.client_gone(out[1]);
     w.pump();
     w.asked.clear();
-    let later = w.take(0, 1, None, 4.0);
-    let corrected = w.take(0, 0, None, 4.0);
+    let zero = w.take(0, 0, None, 4.0);
+    let (one, another) = (w.take(0, 1, None, 4.0), w.take(0, 1, None, 4.0));
     w.pump();
-    assert_eq!(w.asked, [corrected, later]);
+    assert_eq!(w.asked, [one, zero, another]);
 }
 
 /// Found by the first score: a key's rest that ended within a microsecond kept the module from ever waiting.
