--- a/src/control.rs
+++ b/src/control.rs
@@ -66,8 +66,8 @@
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
 const SLACK_USE: f64 = 0.4;
-/// Times the usual service that must fit in the goal of a batch without an estimate: half of them take
-/// longer.
+/// For a batch without an estimate: its usual service times this must fit in the goal, divided by it in the time
+/// limit. Usual work is a mean: a few long batches carry it, and most are shorter.
 const UNSURE: f64 = 1.5;
 /// Part of its goal, and of its group's limit, that a batch's service is taken to need at most. Guards
 /// against pushing all of a group back on the word of a jam that is over, or of a first guess, which no
@@ -625,7 +625,7 @@
         let goal = c.goal + c.goal_stretch * alone;
         let in_goal = h.taken + goal - (unsure * service).min(goal * MOST) - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
-        let wait = slack.min(h.limit - service - now) * SLACK_USE;
+        let wait = slack.min(h.limit - service / unsure - now) * SLACK_USE;
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
