--- a/src/control.rs
+++ b/src/control.rs
@@ -31,6 +31,8 @@
 const TICK: f64 = 0.1;
 /// Seconds between probes of an engine: reports age by half of it, and each probe has a price.
 const PROBE_EVERY: f64 = 1.5;
+/// Probes that each batch taken pays for. Guards against a cost that grows as gateways x engines.
+const PROBES: f64 = 0.1;
 /// Seconds a report counts for; beyond it our own threads say more.
 const REPORT_LIFE: f64 = 6.0;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
@@ -117,6 +119,7 @@
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let limit = now + b.left.max(0.0);
         self.taken_at.add(now, 1.0);
+        self.may_ask = (self.may_ask + PROBES).min(self.engines.len() as f64);
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
         let in_hand = InHand { b, taken: now, limit, stage, dispatches: 0, out: None, may_have_run: None };
@@ -661,7 +664,8 @@
             e.work_sent.forget(now - cold_window);
             e.locks.retain(|(_, until)| *until > now);
             let wanted = probing || (self.s.may_probe && !e.heard);
-            if wanted && e.probe_at <= now && e.ready() {
+            if wanted && e.probe_at <= now && e.ready() && self.may_ask >= 1.0 {
+                self.may_ask -= 1.0;
                 e.probe_at = now + PROBE_EVERY;
                 self.probes.push_back(i);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,8 @@
     pub(crate) subscribe: bool,
     /// What waits is to be looked over once nothing more can leave.
     pub(crate) look: bool,
+    /// Probes paid for by batches taken.
+    pub(crate) may_ask: f64,
     pub(crate) taken_at: Window,
     pub(crate) further_at: Window,
 }
