--- a/src/control.rs
+++ b/src/control.rs
@@ -14,7 +14,7 @@
 
 use crate::api::*;
 pub use crate::state::Control;
-use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Queue, Sent, Stage};
+use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Level, Queue, Sent, Stage};
 use std::collections::BTreeSet;
 
 /// Threads a core that an engine is filled to; the design's figure.
@@ -33,8 +33,11 @@
 const PROBE_EVERY: f64 = 1.5;
 /// Probes that each batch taken pays for. Guards against a cost that grows as gateways x engines.
 const PROBES: f64 = 0.1;
-/// Seconds a report counts for; beyond it our own threads say more.
-const REPORT_LIFE: f64 = 6.0;
+/// Seconds in which what was heard of an engine, or of the pool, loses most of its weight; an engine that was
+/// not heard for longer counts as the average, and a pool not heard of as idle.
+const HEARD_LIFE: f64 = 2.0;
+/// Weight of the guess that the pool is idle against one thing heard just now.
+const IDLE_GUESS: f64 = 0.5;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
 const PRESSURE_LIFE: f64 = 1.0;
 /// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it:
@@ -106,6 +109,7 @@
             queues: (0..s.tenants.max(1)).map(|_| Queue::new(s.groups.len())).collect(),
             learned: s.groups.iter().map(learned).collect(),
             due: BTreeSet::from([(micros(now), Due::Tick)]),
+            ran: (s.groups.iter().map(|c| c.threads).sum(), s.groups.len() as f64),
             subscribe: s.list_on_request,
             s,
             ..Control::default()
@@ -161,11 +165,47 @@
 
     pub fn report(&mut self, now: f64, engine: EngineId, report: Report) {
         let Some(e) = self.engines.get_mut(engine) else { return };
-        (e.heard, e.report, e.report_at, e.threads_then) = (true, report, now, e.threads);
-        let waiting = report.waiting.is_some_and(|w| w >= WAITING_BUSY * e.cores);
-        if waiting || report.disks.is_some_and(|share| share >= USED_UP) {
+        (e.heard, e.report, e.threads_then) = (true, report, e.threads);
+        let waiting = report.waiting.map_or(0.0, |w| w / (WAITING_BUSY * e.cores));
+        let disks = report.disks.map_or(0.0, |share| share / USED_UP);
+        if waiting >= 1.0 || disks >= 1.0 {
             e.pressed_until = now + PRESSURE_LIFE;
         }
+        let (thread_seconds, seconds) = self.ran;
+        let threads = report.held.map_or(0.0, |n| n * thread_seconds / seconds.max(LEAST));
+        let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
+        let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
+        e.level = marks;
+        e.level_at = now;
+        self.told.add(now, HEARD_LIFE, marks);
+    }
+
+    /// Marks at which the pool is held to run, by reports or by how slow answers are.
+    fn pool(&self, now: f64) -> f64 {
+        let mean = |l: &Level| l.mean(now, HEARD_LIFE, IDLE_GUESS);
+        mean(&self.told).max(mean(&self.felt))
+    }
+
+    /// Marks at which an engine is held to run: as heard, fading to the pool's mean.
+    fn level(&self, now: f64, pool: f64, e: EngineId) -> f64 {
+        let e = &self.engines[e];
+        let since = (e.threads - e.threads_then) / (e.cores * MARK);
+        pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
+    }
+
+    /// Our threads, in marks of our slice of the whole pool, where the pool is at its mark or over. Guards
+    /// against many gateways that each start little and together too much: a slice of one engine is then less
+    /// than a batch and binds nothing.
+    fn shared(&self, now: f64, pool: f64, b: &Batch) -> f64 {
+        let threads = self.s.groups[b.group].threads;
+        let ready = (0..self.engines.len()).filter(|e| self.engines[*e].ready());
+        let cores: f64 = ready.map(|e| self.able_cores(now, e)).sum();
+        let ours = (self.running + threads) / (cores * MARK / self.s.gateways).max(threads);
+        if pool < 1.0 {
+            0.0
+        } else {
+            (pool + ours) / 2.0
+        }
     }
 
     pub fn probed(&mut self, now: f64, engine: EngineId, end: End) {
@@ -288,6 +328,12 @@
             e.unlock(b.data_set);
         }
         self.judge(now, &b, sent, &o);
+        if matches!(o.end, End::Returned | End::TimedOut) {
+            self.ran.0 += o.latency * threads;
+            self.ran.1 += o.latency;
+            let slowdown = o.latency * threads / o.work.unwrap_or(self.work(&b)).max(LEAST);
+            self.felt.add(now, HEARD_LIFE, slowdown.min(SLOWEST) / SLOW);
+        }
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
             if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
                 self.keys.entry(key).or_default().rests_until = now + self.s.key_rest + MARGIN;
@@ -363,17 +409,19 @@
         let heard: Vec<f64> =
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
+        let pool = self.pool(now);
         let mut best: Option<(bool, f64, EngineId)> = None;
         for e in fit {
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
-            let full = self.marks(now, e, &b) >= 1.0 || self.stands_still(now, &b, e);
-            let rank = (full, load + self.engines[e].failing + TIE * self.chance.draw(), e);
+            let full = self.marks(now, pool, e, &b) >= 1.0 || self.stands_still(now, &b, e);
+            let level = self.level(now, pool, e) + TIE * self.chance.draw();
+            let rank = (full, load + self.engines[e].failing + TIE * level, e);
             if best.is_none_or(|o| (rank.0, rank.1) < (o.0, o.1)) {
                 best = Some(rank);
             }
         }
         let (_, _, e) = best?;
-        let marks = self.marks(now, e, &b);
+        let marks = self.marks(now, pool, e, &b).max(self.shared(now, pool, &b));
         let chance = (2.0 - marks).clamp(0.0, 1.0).powi(CURVE);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
@@ -390,14 +438,13 @@
 
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against
     /// our slice, and by the memory of ours, which guards against spilling and paging.
-    fn marks(&self, now: f64, e: EngineId, b: &Batch) -> f64 {
+    fn marks(&self, now: f64, pool: f64, e: EngineId, b: &Batch) -> f64 {
         let threads = self.s.groups[b.group].threads;
         let cores = self.able_cores(now, e);
+        let told = self.level(now, pool, e);
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
-        let fresh = e.report.utilisation.filter(|_| now - e.report_at < REPORT_LIFE);
-        let slow = fresh.is_none() && e.slowdown > SLOW || ours > FLOODED;
-        let told = fresh.map_or(0.0, |u| u / BUSY_AT_MARK + (e.threads - e.threads_then) / (cores * MARK));
+        let slow = e.report.utilisation.is_none() && e.slowdown > SLOW || ours > FLOODED;
         let by_threads = if told < 1.0 && !slow && e.pressed_until <= now { told } else { told.max(ours) };
         let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,11 @@
     pub(crate) look: bool,
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
+    /// What reports told of load, and what answers let feel of it, over the pool.
+    pub(crate) told: Level,
+    pub(crate) felt: Level,
+    /// Thread-seconds and seconds that dispatches were out.
+    pub(crate) ran: (f64, f64),
     pub(crate) taken_at: Window,
     pub(crate) further_at: Window,
 }
@@ -136,6 +141,31 @@
     pub slowdown: f64,
 }
 
+/// An average over what was heard lately.
+#[derive(Default)]
+pub struct Level {
+    sum: f64,
+    weight: f64,
+    at: f64,
+}
+
+impl Level {
+    fn kept(&self, now: f64, life: f64) -> f64 {
+        (-(now - self.at).max(0.0) / life).exp()
+    }
+
+    pub fn add(&mut self, now: f64, life: f64, heard: f64) {
+        let kept = self.kept(now, life);
+        (self.sum, self.weight, self.at) = (self.sum * kept + heard, self.weight * kept + 1.0, now);
+    }
+
+    /// Leans to 0 by a weight of its own, so that little heard long ago counts little.
+    pub fn mean(&self, now: f64, life: f64, zero: f64) -> f64 {
+        let kept = self.kept(now, life);
+        self.sum * kept / (self.weight * kept + zero)
+    }
+}
+
 /// An average that corrects estimates, or stands in for them.
 #[derive(Default)]
 pub struct Guess {
@@ -173,7 +203,8 @@
     pub memory_used: f64,
     pub heard: bool,
     pub report: Report,
-    pub report_at: f64,
+    pub level: f64,
+    pub level_at: f64,
     pub threads_then: f64,
     pub pressed_until: f64,
     pub slowdown: f64,
