--- a/src/control.rs
+++ b/src/control.rs
@@ -173,6 +173,7 @@
         }
         let (thread_seconds, seconds) = self.ran;
         let threads = report.held.map_or(0.0, |n| n * thread_seconds / seconds.max(LEAST));
+        self.tells_cores = report.utilisation.is_some();
         let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
         e.level = marks;
@@ -183,7 +184,8 @@
     /// Marks at which the pool is held to run, by reports or by how slow answers are.
     fn pool(&self, now: f64) -> f64 {
         let mean = |l: &Level| l.mean(now, HEARD_LIFE, IDLE_GUESS);
-        mean(&self.told).max(mean(&self.felt))
+        let (told, felt) = (mean(&self.told), mean(&self.felt));
+        if felt >= 1.0 || self.tells_cores { told.max(felt) } else { felt }
     }
 
     /// Marks at which an engine is held to run: as heard, fading to the pool's mean.
@@ -445,6 +447,8 @@
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
         let slow = e.report.utilisation.is_none() && e.slowdown > SLOW || ours > FLOODED;
+        let pressed = self.felt.mean(now, HEARD_LIFE, IDLE_GUESS) >= 1.0 || e.pressed_until > now || slow;
+        let told = if e.report.utilisation.is_none() && !pressed { 0.0 } else { told };
         let by_threads = if told < 1.0 && !slow && e.pressed_until <= now { told } else { told.max(ours) };
         let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,6 +29,7 @@
     /// What reports told of load, and what answers let feel of it, over the pool.
     pub(crate) told: Level,
     pub(crate) felt: Level,
+    pub(crate) tells_cores: bool,
     /// Thread-seconds and seconds that dispatches were out.
     pub(crate) ran: (f64, f64),
     pub(crate) taken_at: Window,
