--- a/src/control.rs
+++ b/src/control.rs
@@ -93,7 +93,9 @@
 /// Least seconds, and least cores, ever divided by or waited for: keeps odd settings out of the arithmetic.
 const LEAST: f64 = 1e-3;
 /// Threads a core within which engines are drawn by lot.
-const TIE: f64 = 1e-6;
+const TIE: f64 = 0.3;
+/// Seconds in which work sent to a kind of engine loses most of its weight: many batches of a slow gateway.
+const KIND_LIFE: f64 = 20.0;
 /// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
 const LOCK_LIFE: f64 = 2.0;
 /// Notes missed, where engines send them, after which a dispatch is taken as lost.
@@ -412,22 +414,32 @@
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let pool = self.pool(now);
-        let mut best: Option<(bool, f64, EngineId)> = None;
+        let mut best: Option<(bool, f64, f64, f64, EngineId)> = None;
         for e in fit {
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
             let full = self.marks(now, pool, e, &b) >= 1.0 || self.stands_still(now, &b, e);
             let level = self.level(now, pool, e) + TIE * self.chance.draw();
-            let rank = (full, load + self.engines[e].failing + TIE * level, e);
-            if best.is_none_or(|o| (rank.0, rank.1) < (o.0, o.1)) {
+            let rank = (full, load + self.engines[e].failing, self.kind_load(now, e), level, e);
+            if best.is_none_or(|o| (rank.0, rank.1, rank.2, rank.3) < (o.0, o.1, o.2, o.3)) {
                 best = Some(rank);
             }
         }
-        let (_, _, e) = best?;
+        let e = best?.4;
         let marks = self.marks(now, pool, e, &b).max(self.shared(now, pool, &b));
         let chance = (2.0 - marks).clamp(0.0, 1.0).powi(CURVE);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
 
+    /// Work a core that we sent lately to engines of this one's kind. Guards against filling the kind that other
+    /// service groups are bound to, where engines tie at none of ours.
+    fn kind_load(&self, now: f64, e: EngineId) -> f64 {
+        let kind = |e: &Engine| e.line.map(|l| l.kind);
+        let own = kind(&self.engines[e]);
+        let like = (0..self.engines.len()).filter(|o| kind(&self.engines[*o]) == own && self.engines[*o].ready());
+        let cores: f64 = like.map(|o| self.able_cores(now, o)).sum();
+        self.kinds.get(&own.unwrap_or(0)).map_or(0.0, |k| k.sum(now, KIND_LIFE)) / cores.max(LEAST)
+    }
+
     fn load(&self, now: f64, e: EngineId) -> f64 {
         self.engines[e].threads / self.able_cores(now, e)
     }
@@ -473,6 +485,9 @@
         q.running += 1;
         q.start += self.g * c.threads;
         let usual = self.learned[b.group].work.usual;
+        let kind = self.engines[engine].line.map_or(0, |l| l.kind);
+        let work = self.work(&b);
+        self.kinds.entry(kind).or_default().add(now, KIND_LIFE, work);
         let e = &mut self.engines[engine];
         e.holds(c.threads, need);
         e.work_sent.add(now, usual);
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,8 @@
     pub(crate) told: Level,
     pub(crate) felt: Level,
     pub(crate) tells_cores: bool,
+    /// Work sent by kind of engine.
+    pub(crate) kinds: BTreeMap<usize, Level>,
     /// Thread-seconds and seconds that dispatches were out.
     pub(crate) ran: (f64, f64),
     pub(crate) taken_at: Window,
@@ -160,6 +162,10 @@
         (self.sum, self.weight, self.at) = (self.sum * kept + heard, self.weight * kept + 1.0, now);
     }
 
+    pub fn sum(&self, now: f64, life: f64) -> f64 {
+        self.sum * self.kept(now, life)
+    }
+
     /// Leans to 0 by a weight of its own, so that little heard long ago counts little.
     pub fn mean(&self, now: f64, life: f64, zero: f64) -> f64 {
         let kept = self.kept(now, life);
