One answer counts two marks at most in what the pool lets feel

A single batch that stood still behind a load counted ten marks and closed a gateway's gate for seconds.

--- a/src/control.rs
+++ b/src/control.rs
@@ -187,7 +187,11 @@
     fn pool(&self, now: f64) -> f64 {
         let mean = |l: &Level| l.mean(now, HEARD_LIFE, IDLE_GUESS);
         let (told, felt) = (mean(&self.told), mean(&self.felt));
-        if felt >= 1.0 || self.tells_cores { told.max(felt) } else { felt }
+        if felt >= 1.0 || self.tells_cores {
+            told.max(felt)
+        } else {
+            felt
+        }
     }
 
     /// Marks at which an engine is held to run: as heard, fading to the pool's mean.
@@ -336,7 +340,7 @@
             self.ran.0 += o.latency * threads;
             self.ran.1 += o.latency;
             let slowdown = o.latency * threads / o.work.unwrap_or(self.work(&b)).max(LEAST);
-            self.felt.add(now, HEARD_LIFE, slowdown.min(SLOWEST) / SLOW);
+            self.felt.add(now, HEARD_LIFE, (slowdown / SLOW).min(2.0));
         }
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
             if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
@@ -435,7 +439,8 @@
     fn kind_load(&self, now: f64, e: EngineId) -> f64 {
         let kind = |e: &Engine| e.line.map(|l| l.kind);
         let own = kind(&self.engines[e]);
-        let like = (0..self.engines.len()).filter(|o| kind(&self.engines[*o]) == own && self.engines[*o].ready());
+        let like =
+            (0..self.engines.len()).filter(|o| kind(&self.engines[*o]) == own && self.engines[*o].ready());
         let cores: f64 = like.map(|o| self.able_cores(now, o)).sum();
         self.kinds.get(&own.unwrap_or(0)).map_or(0.0, |k| k.sum(now, KIND_LIFE)) / cores.max(LEAST)
     }
