--- a/src/control.rs
+++ b/src/control.rs
@@ -183,6 +183,18 @@
         self.told.add(now, HEARD_LIFE, marks);
     }
 
+    /// Takes an answer's word on load, where a report says less. Guards against engines that look idle because
+    /// all they hold stands still.
+    fn feel(&mut self, now: f64, engine: EngineId, marks: f64) {
+        self.felt.add(now, HEARD_LIFE, marks);
+        let pool = self.pool(now);
+        let level = self.level(now, pool, engine);
+        let e = &mut self.engines[engine];
+        if marks > level {
+            (e.level, e.level_at, e.threads_then) = ((level + marks) / 2.0, now, e.threads);
+        }
+    }
+
     /// Marks at which the pool is held to run, by reports or by how slow answers are.
     fn pool(&self, now: f64) -> f64 {
         let mean = |l: &Level| l.mean(now, HEARD_LIFE, IDLE_GUESS);
@@ -340,7 +352,9 @@
             self.ran.0 += o.latency * threads;
             self.ran.1 += o.latency;
             let slowdown = o.latency * threads / o.work.unwrap_or(self.work(&b)).max(LEAST);
-            self.felt.add(now, HEARD_LIFE, (slowdown / SLOW).min(2.0));
+            self.feel(now, sent.engine, (slowdown / SLOW).min(2.0));
+        } else if o.end == End::Full {
+            self.feel(now, sent.engine, 2.0);
         }
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
             if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
