--- a/src/control.rs
+++ b/src/control.rs
@@ -191,7 +191,8 @@
         let level = self.level(now, pool, engine);
         let e = &mut self.engines[engine];
         if marks > level {
-            (e.level, e.level_at, e.threads_then) = ((level + marks) / 2.0, now, e.threads);
+            let since = (e.threads - e.threads_then) / (e.cores * MARK);
+            (e.level, e.level_at) = (level.max(((level + marks) / 2.0).min(0.99)) - since, now);
         }
     }
 
