--- a/src/control.rs
+++ b/src/control.rs
@@ -66,7 +66,9 @@
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
 /// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
-const COLD_PART: f64 = 0.5;
+const COLD_PART: f64 = 0.4;
+/// Part of a cold engine's whole budget that one batch may be: few large ones by chance add up to too much.
+const COLD_LUMP: f64 = 0.07;
 /// Share of cores that a pool keeps busy under load; what the backlog is held against.
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
@@ -701,9 +703,13 @@
     fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
         let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0) else { return true };
         let e = &self.engines[engine];
+        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
         let known = e.line.and_then(|l| l.came_up).map_or(0.0, |at| now - at.max(self.born));
-        e.work_sent + work <= rate * (known + c.window) + e.lot * work
+        let part = rate * (known + c.window);
+        // The mean over lots, if each gateway picks the largest batch that its lot lets through, is this many parts.
+        let picked = 1.0 + (lump / part.max(LEAST)).ln().max(0.0);
+        work <= lump && e.work_sent + work <= part / picked + e.lot * work
     }
 
     // ---- 4: shedding ----
