--- a/src/control.rs
+++ b/src/control.rs
@@ -66,9 +66,9 @@
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
 /// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.6;
 /// Part of a cold engine's whole budget that one batch may be: few large ones by chance add up to too much.
-const COLD_LUMP: f64 = 0.07;
+const COLD_LUMP: f64 = 0.1;
 /// Share of cores that a pool keeps busy under load; what the backlog is held against.
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
