--- a/src/control.rs
+++ b/src/control.rs
@@ -14,7 +14,7 @@
 
 use crate::api::*;
 pub use crate::state::Control;
-use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Level, Queue, Sent, Stage};
+use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Kind, Learned, Queue, Sent, Stage};
 use std::collections::BTreeSet;
 
 /// Threads a core that an engine is filled to; the design's figure.
@@ -36,6 +36,8 @@
 /// Seconds in which what was heard of an engine, or of the pool, loses most of its weight; an engine that was
 /// not heard for longer counts as the average, and a pool not heard of as idle.
 const HEARD_LIFE: f64 = 2.0;
+/// Most marks that answers alone make of an engine's level: they rank it, reports close it.
+const FELT_MOST: f64 = 0.99;
 /// Weight of the guess that the pool is idle against one thing heard just now.
 const IDLE_GUESS: f64 = 0.5;
 /// Seconds a busy report or a refusal as full keeps up the pressure.
@@ -184,26 +186,29 @@
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
         e.level = marks;
         e.level_at = now;
-        self.told.add(now, HEARD_LIFE, marks);
+        let kind = e.kind();
+        self.kinds.entry(kind).or_default().told.add(now, HEARD_LIFE, marks);
     }
 
     /// Takes an answer's word on load, where a report says less. Guards against engines that look idle because
     /// all they hold stands still.
     fn feel(&mut self, now: f64, engine: EngineId, marks: f64) {
-        self.felt.add(now, HEARD_LIFE, marks);
-        let pool = self.pool(now);
-        let level = self.level(now, pool, engine);
+        let kind = self.engines[engine].kind();
+        self.kinds.entry(kind).or_default().felt.add(now, HEARD_LIFE, marks);
+        let level = self.level(now, self.pool(now, kind), engine);
         let e = &mut self.engines[engine];
         if marks > level {
             let since = (e.threads - e.threads_then) / (e.cores * MARK);
-            (e.level, e.level_at) = (level.max(((level + marks) / 2.0).min(0.99)) - since, now);
+            (e.level, e.level_at) = (level.max(((level + marks) / 2.0).min(FELT_MOST)) - since, now);
         }
     }
 
-    /// Marks at which the pool is held to run, by reports or by how slow answers are.
-    fn pool(&self, now: f64) -> f64 {
-        let mean = |l: &Level| l.mean(now, HEARD_LIFE, IDLE_GUESS);
-        let (told, felt) = (mean(&self.told), mean(&self.felt));
+    /// Marks at which engines of a kind are held to run, by reports or by how slow answers are. Where no
+    /// utilisation is told, what reports tell counts under pressure only.
+    fn pool(&self, now: f64, kind: usize) -> f64 {
+        let Some(k) = self.kinds.get(&kind) else { return 0.0 };
+        let (told, felt) =
+            (k.told.mean(now, HEARD_LIFE, IDLE_GUESS), k.felt.mean(now, HEARD_LIFE, IDLE_GUESS));
         if felt >= 1.0 || self.tells_cores {
             told.max(felt)
         } else {
@@ -211,21 +216,31 @@
         }
     }
 
-    /// Marks at which an engine is held to run: as heard, fading to the pool's mean.
+    /// Marks at which an engine is held to run: as heard, fading to the mean of its kind.
     fn level(&self, now: f64, pool: f64, e: EngineId) -> f64 {
         let e = &self.engines[e];
         let since = (e.threads - e.threads_then) / (e.cores * MARK);
         pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
     }
 
-    /// Our threads, in marks of our slice of the whole pool, where the pool is at its mark or over. Guards
+    /// Cores of a kind, our threads there, and the work a core that we sent there lately.
+    fn of_kind(&self, now: f64, kind: usize) -> (f64, f64, f64) {
+        let like = |e: &EngineId| self.engines[*e].ready() && self.engines[*e].kind() == kind;
+        let like = (0..self.engines.len()).filter(like);
+        let add = |(cores, threads), e| (cores + self.able_cores(now, e), threads + self.engines[e].threads);
+        let (cores, threads) = like.fold((LEAST, 0.0), add);
+        let sent = self.kinds.get(&kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
+        (cores, threads, sent / cores)
+    }
+
+    /// Our threads, in marks of our slice of a whole kind, where the kind is at its mark or over. Guards
     /// against many gateways that each start little and together too much: a slice of one engine is then less
     /// than a batch and binds nothing.
-    fn shared(&self, now: f64, pool: f64, b: &Batch) -> f64 {
+    fn shared(&self, now: f64, kind: usize, b: &Batch) -> f64 {
         let threads = self.s.groups[b.group].threads;
-        let ready = (0..self.engines.len()).filter(|e| self.engines[*e].ready());
-        let cores: f64 = ready.map(|e| self.able_cores(now, e)).sum();
-        let ours = (self.running + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let (cores, out, _) = self.of_kind(now, kind);
+        let pool = self.pool(now, kind);
+        let ours = (out + threads) / (cores * MARK / self.s.gateways).max(threads);
         if pool < 1.0 {
             0.0
         } else {
@@ -436,34 +451,28 @@
         let heard: Vec<f64> =
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let pool = self.pool(now);
+        let kinds: BTreeSet<usize> = fit.iter().map(|e| self.engines[*e].kind()).collect();
+        let kinds: Vec<_> =
+            kinds.into_iter().map(|k| (k, self.pool(now, k), self.of_kind(now, k).2)).collect();
         let mut best: Option<(bool, f64, f64, f64, EngineId)> = None;
         for e in fit {
+            let kind = self.engines[e].kind();
+            let &(_, pool, sent) = kinds.iter().find(|k| k.0 == kind).expect("gathered above");
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
             let full = self.marks(now, pool, e, &b) >= 1.0 || self.stands_still(now, &b, e);
             let level = self.level(now, pool, e) + TIE * self.chance.draw();
-            let rank = (full, load + self.engines[e].failing, self.kind_load(now, e), level, e);
+            let rank = (full, load + self.engines[e].failing, sent, level, e);
             if best.is_none_or(|o| (rank.0, rank.1, rank.2, rank.3) < (o.0, o.1, o.2, o.3)) {
                 best = Some(rank);
             }
         }
         let e = best?.4;
-        let marks = self.marks(now, pool, e, &b).max(self.shared(now, pool, &b));
+        let kind = self.engines[e].kind();
+        let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, &b));
         let chance = (2.0 - marks).clamp(0.0, 1.0).powi(CURVE);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
 
-    /// Work a core that we sent lately to engines of this one's kind. Guards against filling the kind that other
-    /// service groups are bound to, where engines tie at none of ours.
-    fn kind_load(&self, now: f64, e: EngineId) -> f64 {
-        let kind = |e: &Engine| e.line.map(|l| l.kind);
-        let own = kind(&self.engines[e]);
-        let like =
-            (0..self.engines.len()).filter(|o| kind(&self.engines[*o]) == own && self.engines[*o].ready());
-        let cores: f64 = like.map(|o| self.able_cores(now, o)).sum();
-        self.kinds.get(&own.unwrap_or(0)).map_or(0.0, |k| k.sum(now, KIND_LIFE)) / cores.max(LEAST)
-    }
-
     fn load(&self, now: f64, e: EngineId) -> f64 {
         self.engines[e].threads / self.able_cores(now, e)
     }
@@ -483,7 +492,8 @@
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
         let slow = e.report.utilisation.is_none() && e.slowdown > SLOW || ours > FLOODED;
-        let pressed = self.felt.mean(now, HEARD_LIFE, IDLE_GUESS) >= 1.0 || e.pressed_until > now || slow;
+        let felt = |k: &Kind| k.felt.mean(now, HEARD_LIFE, IDLE_GUESS);
+        let pressed = self.kinds.get(&e.kind()).map_or(0.0, felt) >= 1.0 || e.pressed_until > now || slow;
         let told = if e.report.utilisation.is_none() && !pressed { 0.0 } else { told };
         let by_threads = if told < 1.0 && !slow && e.pressed_until <= now { told } else { told.max(ours) };
         let need = self.need(b);
@@ -508,9 +518,8 @@
         let q = &mut self.queues[b.tenant];
         q.running += 1;
         q.start += self.g * c.threads;
-        let kind = self.engines[engine].line.map_or(0, |l| l.kind);
         let work = self.work(&b);
-        self.kinds.entry(kind).or_default().add(now, KIND_LIFE, work);
+        self.kinds.entry(self.engines[engine].kind()).or_default().sent.add(now, KIND_LIFE, work);
         let e = &mut self.engines[engine];
         e.holds(c.threads, need);
         e.work_sent += work;
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,12 +27,8 @@
     pub(crate) look: bool,
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
-    /// What reports told of load, and what answers let feel of it, over the pool.
-    pub(crate) told: Level,
-    pub(crate) felt: Level,
     pub(crate) tells_cores: bool,
-    /// Work sent by kind of engine.
-    pub(crate) kinds: BTreeMap<usize, Level>,
+    pub(crate) kinds: BTreeMap<usize, Kind>,
     /// Thread-seconds and seconds that dispatches were out.
     pub(crate) ran: (f64, f64),
     pub(crate) taken_at: Window,
@@ -145,6 +141,14 @@
     pub slowdown: f64,
 }
 
+/// A kind of engine: what reports told of its load, what answers let feel of it, work that we sent there.
+#[derive(Default)]
+pub struct Kind {
+    pub told: Level,
+    pub felt: Level,
+    pub sent: Level,
+}
+
 /// An average over what was heard lately.
 #[derive(Default)]
 pub struct Level {
@@ -229,6 +233,10 @@
 }
 
 impl Engine {
+    pub fn kind(&self) -> usize {
+        self.line.map_or(0, |l| l.kind)
+    }
+
     pub fn ready(&self) -> bool {
         self.line.is_some_and(|l| l.condition == Condition::Ready)
     }
