A dispatch out for four times its bare work is felt before it times out

Heavy batches time out after 12 to 20 s, so a jam was felt that late. Also guards against engines that hang. Harm: without estimates a batch of many times the usual counts once as slow.

--- a/src/control.rs
+++ b/src/control.rs
@@ -47,6 +47,9 @@
 const FLOODED: f64 = 2.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
+/// Marks at which an answer counts at most, and as which a dispatch counts, once, when it has been out for so
+/// long; a jam is then felt before its time-outs, and one batch that stood still closes no gate.
+const OVERDUE: f64 = 2.0;
 /// Share of disks, and batches a core waiting for memory, at which a report is busy.
 const USED_UP: f64 = 0.95;
 const WAITING_BUSY: f64 = 0.1;
@@ -371,10 +374,14 @@
         if matches!(o.end, End::Returned | End::TimedOut) {
             self.ran.0 += o.latency * threads;
             self.ran.1 += o.latency;
-            let slowdown = o.latency * threads / o.work.unwrap_or(self.work(&b)).max(LEAST);
-            self.feel(now, sent.engine, (slowdown / SLOW).min(2.0));
-        } else if o.end == End::Full {
-            self.feel(now, sent.engine, 2.0);
+        }
+        let slowdown = o.latency * threads / o.work.unwrap_or(self.work(&b)).max(LEAST);
+        match o.end {
+            End::Full => self.feel(now, sent.engine, OVERDUE),
+            End::Returned | End::TimedOut if !sent.overdue => {
+                self.feel(now, sent.engine, (slowdown / SLOW).min(OVERDUE));
+            }
+            _ => {}
         }
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
             if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
@@ -511,7 +518,7 @@
         }
         h.stage = Stage::Out;
         h.dispatches += 1;
-        h.out = Some(Sent { engine, at: now, heard: now, memory: need });
+        h.out = Some(Sent { engine, at: now, heard: now, memory: need, overdue: false });
         let (b, time_out) = (h.b, h.limit - now);
         let c = &self.s.groups[b.group];
         self.running += c.threads;
@@ -679,7 +686,19 @@
         let quiet = if self.s.notes_every > 0.0 { QUIET * self.s.notes_every } else { f64::INFINITY };
         let lost = |s: &Sent| now - s.heard > quiet || self.engines[s.engine].lost(s.at);
         let out = self.batches.iter().filter(|(_, h)| h.out.as_ref().is_some_and(lost));
+        let overdue = |h: &InHand| {
+            let Some(s) = h.out.filter(|s| !s.overdue) else { return None };
+            let due = OVERDUE * SLOW * self.work(&h.b) / self.s.groups[h.b.group].threads;
+            (now - s.at > due).then_some((h.b.id, s.engine))
+        };
+        let overdue: Vec<_> = self.batches.values().filter_map(overdue).collect();
         let lost: Vec<BatchId> = out.map(|(id, _)| *id).collect();
+        for (id, engine) in overdue {
+            if let Some(s) = self.batches.get_mut(&id).and_then(|h| h.out.as_mut()) {
+                s.overdue = true;
+            }
+            self.feel(now, engine, OVERDUE);
+        }
         lost.into_iter().for_each(|id| self.recall(now, id));
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,6 +89,8 @@
     /// When it was sent, or a note of it came last.
     pub heard: f64,
     pub memory: f64,
+    /// Already counted as slow.
+    pub overdue: bool,
 }
 
 #[derive(Default)]
