--- a/src/control.rs
+++ b/src/control.rs
@@ -226,14 +226,19 @@
         pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
     }
 
-    /// Cores of a kind, our threads there, and the work a core that we sent there lately.
-    fn of_kind(&self, now: f64, kind: usize) -> (f64, f64, f64) {
+    /// Cores and memory of a kind, our threads and memory there, and the work a core that we sent there lately.
+    fn of_kind(&self, now: f64, kind: usize) -> ([f64; 4], f64) {
         let like = |e: &EngineId| self.engines[*e].ready() && self.engines[*e].kind() == kind;
         let like = (0..self.engines.len()).filter(like);
-        let add = |(cores, threads), e| (cores + self.able_cores(now, e), threads + self.engines[e].threads);
-        let (cores, threads) = like.fold((LEAST, 0.0), add);
+        let mut sums = [LEAST, 0.0, 0.0, 0.0];
+        for e in like {
+            let cores = self.able_cores(now, e);
+            let e = &self.engines[e];
+            let adds = [cores, e.threads, e.memory.unwrap_or(f64::INFINITY), e.memory_used];
+            sums.iter_mut().zip(adds).for_each(|(sum, add)| *sum += add);
+        }
         let sent = self.kinds.get(&kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
-        (cores, threads, sent / cores)
+        (sums, sent / sums[0])
     }
 
     /// Our threads, in marks of our slice of a whole kind, where the kind is at its mark or over. Guards
@@ -241,13 +246,14 @@
     /// than a batch and binds nothing.
     fn shared(&self, now: f64, kind: usize, b: &Batch) -> f64 {
         let threads = self.s.groups[b.group].threads;
-        let (cores, out, _) = self.of_kind(now, kind);
-        let pool = self.pool(now, kind);
-        let ours = (out + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let ([cores, out, memory, used], _) = self.of_kind(now, kind);
+        let (pool, need) = (self.pool(now, kind), self.need(b));
+        let by_threads = (out + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let by_memory = (used + need) / (memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
         if pool < 1.0 {
-            0.0
+            by_memory / FLOODED
         } else {
-            (pool + ours) / 2.0
+            (pool + by_threads.max(by_memory)) / 2.0
         }
     }
 
@@ -460,7 +466,7 @@
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let kinds: BTreeSet<usize> = fit.iter().map(|e| self.engines[*e].kind()).collect();
         let kinds: Vec<_> =
-            kinds.into_iter().map(|k| (k, self.pool(now, k), self.of_kind(now, k).2)).collect();
+            kinds.into_iter().map(|k| (k, self.pool(now, k), self.of_kind(now, k).1)).collect();
         let mut best: Option<(bool, f64, f64, f64, EngineId)> = None;
         for e in fit {
             let kind = self.engines[e].kind();
