--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,8 @@
 const MARK: f64 = 1.5;
 /// Share of an engine's memory that stands for the mark: other gateways' parts are uneven, needs are guesses.
 const MEMORY_MARK: f64 = 0.7;
+/// Slices of memory that one gateway may fill while nothing is pressed: gateways are uneven.
+const UNEVEN: f64 = 1.2;
 /// Share of cores busy that stands for the mark: threads also read and write, and reports lag.
 const BUSY_AT_MARK: f64 = 0.9;
 /// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
@@ -251,7 +253,7 @@
         let by_threads = (out + threads) / (cores * MARK / self.s.gateways).max(threads);
         let by_memory = (used + need) / (memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
         if pool < 1.0 {
-            by_memory / FLOODED
+            by_memory / UNEVEN
         } else {
             (pool + by_threads.max(by_memory)) / 2.0
         }
