--- a/src/control.rs
+++ b/src/control.rs
@@ -34,7 +34,7 @@
 /// Seconds between probes of an engine: reports age by half of it, and each probe has a price.
 const PROBE_EVERY: f64 = 1.5;
 /// Probes that each batch taken pays for. Guards against a cost that grows as gateways x engines.
-const PROBES: f64 = 0.1;
+const PROBES: f64 = 0.05;
 /// Seconds in which what was heard of an engine, or of the pool, loses most of its weight; an engine that was
 /// not heard for longer counts as the average, and a pool not heard of as idle.
 const HEARD_LIFE: f64 = 2.0;
