--- a/src/control.rs
+++ b/src/control.rs
@@ -26,7 +26,7 @@
 /// Share of cores busy that stands for the mark: threads also read and write, and reports lag.
 const BUSY_AT_MARK: f64 = 0.9;
 /// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
-const CURVE: i32 = 8;
+const CURVE: f64 = 8.0;
 /// Seconds until a batch redraws, drawn evenly; short against any response goal.
 const REDRAW: (f64, f64) = (0.02, 0.06);
 /// Seconds between periodic looks: shedding and probing follow trouble within a fraction of a second.
@@ -135,6 +135,9 @@
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let limit = now + b.left.max(0.0);
         self.taken_at.add(now, 1.0);
+        self.taken += 1;
+        let weight = LEARN.max(1.0 / f64::from(self.taken));
+        self.usual += weight * (self.work(&b) - self.usual);
         self.may_ask = (self.may_ask + PROBES).min(self.engines.len() as f64);
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
@@ -484,7 +487,8 @@
         let e = best?.4;
         let kind = self.engines[e].kind();
         let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, &b));
-        let chance = (2.0 - marks).clamp(0.0, 1.0).powi(CURVE);
+        let size = (self.work(&b) / self.usual.max(LEAST)).min(1.0);
+        let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,9 @@
     pub(crate) subscribe: bool,
     /// What waits is to be looked over once nothing more can leave.
     pub(crate) look: bool,
+    /// Batches taken, and their usual work.
+    pub(crate) taken: u32,
+    pub(crate) usual: f64,
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
     pub(crate) tells_cores: bool,
