--- a/src/control.rs
+++ b/src/control.rs
@@ -27,6 +27,9 @@
 const BUSY_AT_MARK: f64 = 0.9;
 /// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
 const CURVE: f64 = 8.0;
+/// Times the usual work up to which a batch makes the curve steeper; lighter ones make it flatter. The light
+/// ones cost little and earn more for it, and need not wait behind what the heavy ones fill.
+const HEAVIEST: f64 = 3.0;
 /// Seconds until a batch redraws, drawn evenly; short against any response goal.
 const REDRAW: (f64, f64) = (0.02, 0.06);
 /// Seconds between periodic looks: shedding and probing follow trouble within a fraction of a second.
@@ -258,7 +261,7 @@
         if pool < 1.0 {
             by_memory / UNEVEN
         } else {
-            (pool + by_threads.max(by_memory)) / 2.0
+            pool.max((pool + by_threads.max(by_memory)) / 2.0)
         }
     }
 
@@ -487,7 +490,7 @@
         let e = best?.4;
         let kind = self.engines[e].kind();
         let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, &b));
-        let size = (self.work(&b) / self.usual.max(LEAST)).min(1.0);
+        let size = (self.work(&b) / self.usual.max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
