--- a/src/control.rs
+++ b/src/control.rs
@@ -261,7 +261,7 @@
         if pool < 1.0 {
             by_memory / UNEVEN
         } else {
-            pool.max((pool + by_threads.max(by_memory)) / 2.0)
+            (pool + by_threads.max(by_memory)) / 2.0
         }
     }
 
@@ -702,7 +702,7 @@
         let lost = |s: &Sent| now - s.heard > quiet || self.engines[s.engine].lost(s.at);
         let out = self.batches.iter().filter(|(_, h)| h.out.as_ref().is_some_and(lost));
         let overdue = |h: &InHand| {
-            let Some(s) = h.out.filter(|s| !s.overdue) else { return None };
+            let s = h.out.filter(|s| !s.overdue)?;
             let due = OVERDUE * SLOW * self.work(&h.b) / self.s.groups[h.b.group].threads;
             (now - s.at > due).then_some((h.b.id, s.engine))
         };
@@ -796,15 +796,18 @@
         let window = self.s.further.map_or(0.0, |f| f.window) + 1.0;
         self.taken_at.forget(now - window);
         self.further_at.forget(now - window);
-        let probing = self.s.may_probe && self.s.reports == Reports::WithProbes;
-        for (i, e) in self.engines.iter_mut().enumerate() {
+        let all = self.s.reports == Reports::WithProbes;
+        let wanted = |e: &Engine| e.ready() && e.probe_at <= now && (all || !e.heard) && self.s.may_probe;
+        let wanted = self.engines.iter().enumerate().filter(|(_, e)| wanted(e));
+        let mut wanted: Vec<_> = wanted.map(|(i, e)| (micros(e.probe_at), i)).collect();
+        wanted.sort_unstable();
+        for (_, i) in wanted.into_iter().take(self.may_ask as usize) {
+            self.may_ask -= 1.0;
+            self.engines[i].probe_at = now + PROBE_EVERY;
+            self.probes.push_back(i);
+        }
+        for e in self.engines.iter_mut() {
             e.locks.retain(|(_, until)| *until > now);
-            let wanted = probing || (self.s.may_probe && !e.heard);
-            if wanted && e.probe_at <= now && e.ready() && self.may_ask >= 1.0 {
-                self.may_ask -= 1.0;
-                e.probe_at = now + PROBE_EVERY;
-                self.probes.push_back(i);
-            }
         }
         self.watch(now);
         self.look = true;
