An engine's pressure is folded into its level

Busy reports, refusals as full and slow answers already raise the level; the pressed time and the engine's own slowdown go.

--- a/src/control.rs
+++ b/src/control.rs
@@ -45,8 +45,6 @@
 const FELT_MOST: f64 = 0.99;
 /// Weight of the guess that the pool is idle against one thing heard just now.
 const IDLE_GUESS: f64 = 0.5;
-/// Seconds a busy report or a refusal as full keeps up the pressure.
-const PRESSURE_LIFE: f64 = 1.0;
 /// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it:
 /// cores that idle while all wait for disks, or the one engine that has not yet told that it is slow.
 const FLOODED: f64 = 2.0;
@@ -69,9 +67,7 @@
 const REST: (f64, f64) = (0.5, 8.0);
 /// Weight of one answer in learned averages: the last fifty or so count.
 const LEARN: f64 = 0.02;
-/// Weight of one answer in an engine's own slowdown: the last ten or so, to see a jam within a second; and
-/// the most that one answer counts, so that a single batch that stood still does not mark an engine.
-const ENGINE_LEARN: f64 = 0.1;
+/// Most times its bare work that one answer counts as, so that a single batch that stood still tells little.
 const SLOWEST: f64 = 20.0;
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
@@ -187,9 +183,6 @@
         (e.heard, e.report, e.threads_then) = (true, report, e.threads);
         let waiting = report.waiting.map_or(0.0, |w| w / (WAITING_BUSY * e.cores));
         let disks = report.disks.map_or(0.0, |share| share / USED_UP);
-        if waiting >= 1.0 || disks >= 1.0 {
-            e.pressed_until = now + PRESSURE_LIFE;
-        }
         let (thread_seconds, seconds) = self.ran;
         let threads = report.held.map_or(0.0, |n| n * thread_seconds / seconds.max(LEAST));
         self.tells_cores = report.utilisation.is_some();
@@ -513,11 +506,10 @@
         let told = self.level(now, pool, e);
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
-        let slow = e.report.utilisation.is_none() && e.slowdown > SLOW || ours > FLOODED;
         let felt = |k: &Kind| k.felt.mean(now, HEARD_LIFE, IDLE_GUESS);
-        let pressed = self.kinds.get(&e.kind()).map_or(0.0, felt) >= 1.0 || e.pressed_until > now || slow;
+        let pressed = self.kinds.get(&e.kind()).map_or(0.0, felt) >= 1.0;
         let told = if e.report.utilisation.is_none() && !pressed { 0.0 } else { told };
-        let by_threads = if told < 1.0 && !slow && e.pressed_until <= now { told } else { told.max(ours) };
+        let by_threads = if told < 1.0 && ours <= FLOODED { told } else { told.max(ours) };
         let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
         let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
@@ -669,10 +661,9 @@
                 if e.failing < FAILING / 2.0 {
                     e.rest = REST.0;
                 }
-                self.learn(b, sent.engine, o);
+                self.learn(b, o);
             }
             End::Full => {
-                e.pressed_until = now + PRESSURE_LIFE;
                 e.rests_until = e.rests_until.max(now + REDRAW.1);
             }
             // A time-out or a dispatch taken back tells of the engine only where it has answered nothing
@@ -815,7 +806,7 @@
 
     // ---- 5: learning ----
 
-    fn learn(&mut self, b: &Batch, engine: EngineId, o: &Outcome) {
+    fn learn(&mut self, b: &Batch, o: &Outcome) {
         let c = &self.s.groups[b.group];
         let l = &mut self.learned[b.group];
         l.answers += 1;
@@ -829,8 +820,6 @@
         }
         let slowdown = (o.latency * c.threads / work).clamp(1.0, SLOWEST);
         l.slowdown += weight * (slowdown - l.slowdown);
-        let e = &mut self.engines[engine];
-        e.slowdown += ENGINE_LEARN * (slowdown - e.slowdown);
     }
 
     /// Work of a batch in seconds on one thread: its estimate corrected by what answers told, or the usual.
@@ -852,7 +841,7 @@
 
 /// An engine of which only the size is known.
 fn unheard(cores: f64, memory: Option<f64>) -> Engine {
-    Engine { cores, memory, slowdown: 1.0, rest: REST.0, ..Engine::default() }
+    Engine { cores, memory, rest: REST.0, ..Engine::default() }
 }
 
 /// Not resting; one that has just rested takes one batch at a time until it does well.
--- a/src/state.rs
+++ b/src/state.rs
@@ -223,8 +223,6 @@
     pub level: f64,
     pub level_at: f64,
     pub threads_then: f64,
-    pub pressed_until: f64,
-    pub slowdown: f64,
     pub failing: f64,
     pub last_good: f64,
     pub rests_until: f64,
