Known locks go; kinds keep their own sums; shorter text

The slices and levels of a kind are a mechanism, so one had to go: engines where a load was known to hold the data set no longer come last (readers that stand still are taken back as before).

--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -3,7 +3,7 @@
 use crate::frame::{Address, Read, Reader, Reply};
 use crate::link::Entry;
 use crate::settings::{self, Decoded};
-use garnetwall::api::{Batch, Condition, End, Listed, Next, Note, Outcome, Place, Report, Wait};
+use garnetwall::api::{Answer, Batch, Condition, End, Listed, Next, Note, Outcome, Place, Report, Wait};
 use garnetwall::control::Control;
 use std::collections::BTreeMap;
 
@@ -32,7 +32,7 @@
     next_id: u32,
     wake: Option<f64>,
     /// Answers owed on outcomes of this round, in their order.
-    owed: Vec<(u32, Next)>,
+    owed: Vec<(u32, Answer)>,
 }
 
 fn positive(v: f64) -> Option<f64> {
@@ -199,7 +199,7 @@
         }
         match next {
             Next::Nothing => i.let_go(id),
-            answer => i.owed.push((id, answer)),
+            Next::Over(answer) => i.owed.push((id, answer)),
         }
         Ok(())
     }
@@ -260,12 +260,8 @@
 
     /// Asks the module until it wants to wait, then sets the one timer that wakes it.
     pub fn act(&mut self, who: u16, clock: f64, reply: &mut Reply) {
-        for (id, next) in std::mem::take(&mut self.owed) {
-            match next {
-                Next::Nothing => {}
-                Next::PushBack { come_back } => self.push_back(who, id, come_back, reply),
-                Next::Error => self.error(who, id, reply),
-            }
+        for (id, answer) in std::mem::take(&mut self.owed) {
+            self.answer(who, id, answer, reply);
         }
         for _ in 0..CALLS {
             match self.control.wait(clock) {
@@ -300,8 +296,7 @@
     fn ask(&mut self, who: u16, id: u32, clock: f64, reply: &mut Reply) {
         match self.control.place(clock, id) {
             Place::NotYet => {}
-            Place::PushBack { come_back } => self.push_back(who, id, come_back, reply),
-            Place::Error => self.error(who, id, reply),
+            Place::Over(answer) => self.answer(who, id, answer, reply),
             Place::To { engine, time_out, memory } => {
                 let Some(b) = self.in_hand.get_mut(&id) else {
                     return;
@@ -321,18 +316,16 @@
         }
     }
 
-    fn push_back(&mut self, who: u16, id: u32, come_back: Option<f64>, reply: &mut Reply) {
+    fn answer(&mut self, who: u16, id: u32, answer: Answer, reply: &mut Reply) {
         if let Some(b) = self.in_hand.get(&id) {
-            let body = reply.record(who, 2);
-            body.extend(b.wire.to_be_bytes());
-            body.extend((come_back.unwrap_or(0.0) * 1000.0).to_be_bytes());
-        }
-        self.close(id);
-    }
-
-    fn error(&mut self, who: u16, id: u32, reply: &mut Reply) {
-        if let Some(b) = self.in_hand.get(&id) {
-            reply.record(who, 3).extend(b.wire.to_be_bytes());
+            match answer {
+                Answer::PushBack { come_back } => {
+                    let body = reply.record(who, 2);
+                    body.extend(b.wire.to_be_bytes());
+                    body.extend((come_back.unwrap_or(0.0) * 1000.0).to_be_bytes());
+                }
+                Answer::Error => reply.record(who, 3).extend(b.wire.to_be_bytes()),
+            }
         }
         self.close(id);
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -162,8 +162,7 @@
 pub enum Place {
     To { engine: EngineId, time_out: f64, memory: Option<f64> },
     NotYet,
-    PushBack { come_back: Option<f64> },
-    Error,
+    Over(Answer),
 }
 
 /// What to do after an outcome.
@@ -171,9 +170,13 @@
 pub enum Next {
     /// Nothing is owed, or the batch waits for another dispatch.
     Nothing,
-    PushBack {
-        come_back: Option<f64>,
-    },
+    Over(Answer),
+}
+
+/// A final answer; a client that is pushed back may be told when to come back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    PushBack { come_back: Option<f64> },
     Error,
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,12 +10,12 @@
 //!  3. cold care: a started engine counts with the part of its cores that it can use, and has a work budget;
 //!  4. shedding: waiting batches that cannot be answered in time, least utility for the work first;
 //!  5. learning: work, memory and slowdown a service group, which set estimates and grants;
-//!  6. locks: readers keep off engines where a load is known to hold what they read.
+//!  6. levels: what reports and answers tell of engines and of whole kinds, and our slice of a kind.
 
 use crate::api::*;
 pub use crate::state::Control;
-use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Kind, Learned, Queue, Sent, Stage};
-use std::collections::BTreeSet;
+use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Kind, Learned, Level, Queue, Sent, Stage};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Threads a core that an engine is filled to; the design's figure.
 const MARK: f64 = 1.5;
@@ -27,8 +27,7 @@
 const BUSY_AT_MARK: f64 = 0.9;
 /// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
 const CURVE: f64 = 8.0;
-/// Times the usual work up to which a batch makes the curve steeper; lighter ones make it flatter. The light
-/// ones cost little and earn more for it, and need not wait behind what the heavy ones fill.
+/// Times the usual work up to which a batch makes the curve steeper; light ones cost little, need not wait.
 const HEAVIEST: f64 = 3.0;
 /// Seconds until a batch redraws, drawn evenly; short against any response goal.
 const REDRAW: (f64, f64) = (0.02, 0.06);
@@ -38,20 +37,17 @@
 const PROBE_EVERY: f64 = 1.5;
 /// Probes that each batch taken pays for. Guards against a cost that grows as gateways x engines.
 const PROBES: f64 = 0.05;
-/// Seconds in which what was heard of an engine, or of the pool, loses most of its weight; an engine that was
-/// not heard for longer counts as the average, and a pool not heard of as idle.
+/// Seconds in which what was heard fades: an engine to the mean of its kind, a kind to idle.
 const HEARD_LIFE: f64 = 2.0;
 /// Most marks that answers alone make of an engine's level: they rank it, reports close it.
 const FELT_MOST: f64 = 0.99;
 /// Weight of the guess that the pool is idle against one thing heard just now.
 const IDLE_GUESS: f64 = 0.5;
-/// Marks of our own threads that are pressure by themselves. Guards against reports that do not show it:
-/// cores that idle while all wait for disks, or the one engine that has not yet told that it is slow.
+/// Marks of our own threads that are pressure by themselves: cores may idle while all wait for disks.
 const FLOODED: f64 = 2.0;
 /// Latency over bare work beyond which an engine is under pressure.
 const SLOW: f64 = 2.0;
-/// Marks at which an answer counts at most, and as which a dispatch counts, once, when it has been out for so
-/// long; a jam is then felt before its time-outs, and one batch that stood still closes no gate.
+/// Marks that an answer counts as at most, and an overdue dispatch counts as, once; one alone closes no gate.
 const OVERDUE: f64 = 2.0;
 /// Share of disks, and batches a core waiting for memory, at which a report is busy.
 const USED_UP: f64 = 0.95;
@@ -59,15 +55,14 @@
 /// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
 const FAIL_WEIGHT: f64 = 0.3;
 const GOOD_WEIGHT: f64 = 0.15;
-/// Failing share from which an engine rests, if it is this many times the pool's mean: where all fail alike,
-/// or many fail in part, resting them would lose more than it saves.
+/// Failing share from which an engine rests, if so many times the pool's mean: all alike means none rests.
 const FAILING: f64 = 0.75;
 const APART: f64 = 2.0;
 /// Seconds of an engine's first and longest rest, doubled in between.
 const REST: (f64, f64) = (0.5, 8.0);
 /// Weight of one answer in learned averages: the last fifty or so count.
 const LEARN: f64 = 0.02;
-/// Most times its bare work that one answer counts as, so that a single batch that stood still tells little.
+/// Most times its bare work that one answer counts as: one batch that stood still tells little.
 const SLOWEST: f64 = 20.0;
 /// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
 const FIRST_GUESS: f64 = 0.1;
@@ -79,17 +74,13 @@
 const YIELD: f64 = 0.85;
 /// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
 const SLACK_USE: f64 = 0.4;
-/// For a batch without an estimate: its usual service times this must fit in the goal, divided by it in the time
-/// limit. Usual work is a mean: a few long batches carry it, and most are shorter.
+/// Without an estimate the usual service times this must fit in the goal, and divided by it in the limit.
 const UNSURE: f64 = 1.5;
-/// Part of its goal, and of its group's limit, that a batch's service is taken to need at most. Guards
-/// against pushing all of a group back on the word of a jam that is over, or of a first guess, which no
-/// answer would then correct.
+/// Part of its goal and limit that a service is taken to need at most, so that no group shuts itself out.
 const MOST: f64 = 0.9;
 /// Seconds taken as left to a batch whose goal has passed: better work goes first.
 const LATE_SLACK: f64 = 0.2;
-/// Part of the fixed goal after which a client is told to come back: late enough for the queue to have moved,
-/// early enough for an answer that still counts.
+/// Part of the fixed goal after which to come back: the queue has moved, an answer still counts.
 const COME_BACK: f64 = 0.4;
 /// Seconds kept clear of a limit or window for travel and the caller's tick.
 const MARGIN: f64 = 0.02;
@@ -98,14 +89,12 @@
 /// Grant over the estimate until answers tell, and how far one answer moves it.
 const GRANT_FIRST: f64 = 2.0;
 const GRANT_STEP: f64 = 0.05;
-/// Least seconds, and least cores, ever divided by or waited for: keeps odd settings out of the arithmetic.
+/// Least seconds, cores or work ever divided by or waited for, against odd settings.
 const LEAST: f64 = 1e-3;
-/// Threads a core within which engines are drawn by lot.
+/// Marks within which engines' levels are drawn by lot, so that gateways which heard the same part.
 const TIE: f64 = 0.3;
 /// Seconds in which work sent to a kind of engine loses most of its weight: many batches of a slow gateway.
 const KIND_LIFE: f64 = 20.0;
-/// Seconds that a load reported to hold a data set is taken to go on: some of a load's usual time.
-const LOCK_LIFE: f64 = 2.0;
 /// Notes missed, where engines send them, after which a dispatch is taken as lost.
 const QUIET: f64 = 2.5;
 impl Control {
@@ -158,8 +147,8 @@
             }
         }
         for l in lines {
-            let cores = self.cores(l.kind);
-            let memory = self.s.kind_memory.get(l.kind).copied().flatten();
+            let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
+            let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
             while self.engines.len() <= l.engine {
                 self.engines.push(unheard(cores, memory));
             }
@@ -172,6 +161,11 @@
                 e.lot = self.chance.draw();
             }
         }
+        self.kinds.values_mut().for_each(|k| (k.cores, k.memory) = (0.0, 0.0));
+        for e in self.engines.iter().filter(|e| e.ready()) {
+            let k = self.kinds.entry(e.kind()).or_default();
+            (k.cores, k.memory) = (k.cores + e.cores, k.memory + e.memory.unwrap_or(0.0));
+        }
     }
 
     pub fn list_failed(&mut self) {
@@ -188,10 +182,8 @@
         self.tells_cores = report.utilisation.is_some();
         let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
-        e.level = marks;
-        e.level_at = now;
-        let kind = e.kind();
-        self.kinds.entry(kind).or_default().told.add(now, HEARD_LIFE, marks);
+        (e.level, e.level_at) = (marks, now);
+        self.kinds.entry(e.kind()).or_default().told.add(now, HEARD_LIFE, marks);
     }
 
     /// Takes an answer's word on load, where a report says less. Guards against engines that look idle because
@@ -211,8 +203,8 @@
     /// utilisation is told, what reports tell counts under pressure only.
     fn pool(&self, now: f64, kind: usize) -> f64 {
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
-        let (told, felt) =
-            (k.told.mean(now, HEARD_LIFE, IDLE_GUESS), k.felt.mean(now, HEARD_LIFE, IDLE_GUESS));
+        let mean = |l: &Level| l.mean(now, HEARD_LIFE, IDLE_GUESS);
+        let (told, felt) = (mean(&k.told), mean(&k.felt));
         if felt >= 1.0 || self.tells_cores {
             told.max(felt)
         } else {
@@ -227,30 +219,15 @@
         pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
     }
 
-    /// Cores and memory of a kind, our threads and memory there, and the work a core that we sent there lately.
-    fn of_kind(&self, now: f64, kind: usize) -> ([f64; 4], f64) {
-        let like = |e: &EngineId| self.engines[*e].ready() && self.engines[*e].kind() == kind;
-        let like = (0..self.engines.len()).filter(like);
-        let mut sums = [LEAST, 0.0, 0.0, 0.0];
-        for e in like {
-            let cores = self.able_cores(now, e);
-            let e = &self.engines[e];
-            let adds = [cores, e.threads, e.memory.unwrap_or(f64::INFINITY), e.memory_used];
-            sums.iter_mut().zip(adds).for_each(|(sum, add)| *sum += add);
-        }
-        let sent = self.kinds.get(&kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
-        (sums, sent / sums[0])
-    }
-
-    /// Our threads, in marks of our slice of a whole kind, where the kind is at its mark or over. Guards
-    /// against many gateways that each start little and together too much: a slice of one engine is then less
-    /// than a batch and binds nothing.
+    /// Our threads and memory in marks of our slice of a whole kind, threads where the kind is at its mark or
+    /// over. Guards against many gateways that each start little and together too much: a slice of one engine is
+    /// then less than a batch and binds nothing.
     fn shared(&self, now: f64, kind: usize, b: &Batch) -> f64 {
-        let threads = self.s.groups[b.group].threads;
-        let ([cores, out, memory, used], _) = self.of_kind(now, kind);
-        let (pool, need) = (self.pool(now, kind), self.need(b));
-        let by_threads = (out + threads) / (cores * MARK / self.s.gateways).max(threads);
-        let by_memory = (used + need) / (memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
+        let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
+        let Some(k) = self.kinds.get(&kind) else { return 0.0 };
+        let by_threads = (k.threads + threads) / (k.cores * MARK / self.s.gateways).max(threads);
+        let slice = (k.memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
+        let by_memory = if k.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
         if pool < 1.0 {
             by_memory / UNEVEN
         } else {
@@ -270,12 +247,9 @@
         let Some(h) = self.batches.get_mut(&id).filter(|h| h.dispatches == dispatch + 1) else { return };
         let Some(sent) = h.out.as_mut() else { return };
         sent.heard = now;
-        let (engine, data_set) = (sent.engine, h.b.data_set);
-        if note != Note::WaitsForLoad {
-            return;
+        if note == Note::WaitsForLoad {
+            self.recall(now, id);
         }
-        self.engines[engine].locks.push((data_set, now + LOCK_LIFE));
-        self.recall(now, id);
     }
 
     /// Takes back a dispatch that stands still where the batch may run again elsewhere.
@@ -289,10 +263,8 @@
 
     pub fn client_gone(&mut self, now: f64, id: BatchId) {
         self.advance(now);
-        if let Some(h) = self.batches.get(&id) {
-            if h.out.is_some() && self.s.may_cancel {
-                self.cancels.push_back((id, h.dispatches - 1));
-            }
+        if let Some(h) = self.batches.get(&id).filter(|h| h.out.is_some() && self.s.may_cancel) {
+            self.cancels.push_back((id, h.dispatches - 1));
         }
         self.end(now, id);
     }
@@ -308,11 +280,7 @@
                 Due::Tick => self.tick(now),
                 Due::Redraw => {}
                 Due::Rested(key) => self.release(now, key),
-                Due::Limit(id) => {
-                    if self.batches.get(&id).is_some_and(|h| matches!(h.stage, Stage::Held | Stage::Queued)) {
-                        self.give_up(id);
-                    }
-                }
+                Due::Limit(id) => self.give_up(id),
             }
         }
         if std::mem::take(&mut self.subscribe) {
@@ -338,8 +306,8 @@
         self.advance(now);
         let Some(h) = self.batches.get(&id) else { return Place::NotYet };
         match h.stage {
-            Stage::GivenUp => self.give_back(now, id),
-            Stage::Queued if self.hopeless(now, h) => self.give_back(now, id),
+            Stage::GivenUp => Place::Over(self.answer(now, id)),
+            Stage::Queued if self.hopeless(now, h) => Place::Over(self.answer(now, id)),
             Stage::Queued => match self.choose(now, id) {
                 Some(engine) => self.send(now, id, engine),
                 None => self.redraw(now, id),
@@ -355,13 +323,6 @@
         density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
     }
 
-    fn give_back(&mut self, now: f64, id: BatchId) -> Place {
-        match self.answer(now, id) {
-            Next::PushBack { come_back } => Place::PushBack { come_back },
-            _ => Place::Error,
-        }
-    }
-
     /// What to do after this outcome.
     pub fn after(&mut self, now: f64, id: BatchId, o: Outcome) -> Next {
         self.advance(now);
@@ -374,22 +335,9 @@
         q.start -= (self.g - (now - sent.at)) * threads;
         let e = &mut self.engines[sent.engine];
         e.lets_go(threads, sent.memory);
-        if self.s.groups[b.group].is_load {
-            e.unlock(b.data_set);
-        }
+        let k = self.kinds.entry(e.kind()).or_default();
+        (k.threads, k.memory_used) = (k.threads - threads, k.memory_used - sent.memory);
         self.judge(now, &b, sent, &o);
-        if matches!(o.end, End::Returned | End::TimedOut) {
-            self.ran.0 += o.latency * threads;
-            self.ran.1 += o.latency;
-        }
-        let slowdown = o.latency * threads / o.work.unwrap_or(self.work(&b)).max(LEAST);
-        match o.end {
-            End::Full => self.feel(now, sent.engine, OVERDUE),
-            End::Returned | End::TimedOut if !sent.overdue => {
-                self.feel(now, sent.engine, (slowdown / SLOW).min(OVERDUE));
-            }
-            _ => {}
-        }
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
             if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
                 self.keys.entry(key).or_default().rests_until = now + self.s.key_rest + MARGIN;
@@ -404,7 +352,7 @@
             return Next::Nothing;
         }
         if o.end == End::Moot || !self.may_go_again(now, id) {
-            return self.answer(now, id);
+            return Next::Over(self.answer(now, id));
         }
         self.enqueue(id);
         Next::Nothing
@@ -465,15 +413,15 @@
         let heard: Vec<f64> =
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let kinds: BTreeSet<usize> = fit.iter().map(|e| self.engines[*e].kind()).collect();
-        let kinds: Vec<_> =
-            kinds.into_iter().map(|k| (k, self.pool(now, k), self.of_kind(now, k).1)).collect();
+        let view = |(k, kind): (&usize, &Kind)| {
+            (*k, (self.pool(now, *k), kind.sent.sum(now, KIND_LIFE) / kind.cores.max(LEAST)))
+        };
+        let kinds: BTreeMap<usize, (f64, f64)> = self.kinds.iter().map(view).collect();
         let mut best: Option<(bool, f64, f64, f64, EngineId)> = None;
         for e in fit {
-            let kind = self.engines[e].kind();
-            let &(_, pool, sent) = kinds.iter().find(|k| k.0 == kind).expect("gathered above");
+            let (pool, sent) = kinds.get(&self.engines[e].kind()).copied().unwrap_or_default();
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
-            let full = self.marks(now, pool, e, &b) >= 1.0 || self.stands_still(now, &b, e);
+            let full = self.marks(now, pool, e, &b) >= 1.0;
             let level = self.level(now, pool, e) + TIE * self.chance.draw();
             let rank = (full, load + self.engines[e].failing, sent, level, e);
             if best.is_none_or(|o| (rank.0, rank.1, rank.2, rank.3) < (o.0, o.1, o.2, o.3)) {
@@ -492,12 +440,6 @@
         self.engines[e].threads / self.able_cores(now, e)
     }
 
-    /// A load on the batch's data set would hold it still there.
-    fn stands_still(&self, now: f64, b: &Batch, e: EngineId) -> bool {
-        let c = &self.s.groups[b.group];
-        (c.is_load || c.waits_for_loads) && self.engines[e].locked(b.data_set, now)
-    }
-
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against
     /// our slice, and by the memory of ours, which guards against spilling and paging.
     fn marks(&self, now: f64, pool: f64, e: EngineId, b: &Batch) -> f64 {
@@ -506,9 +448,7 @@
         let told = self.level(now, pool, e);
         let e = &self.engines[e];
         let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
-        let felt = |k: &Kind| k.felt.mean(now, HEARD_LIFE, IDLE_GUESS);
-        let pressed = self.kinds.get(&e.kind()).map_or(0.0, felt) >= 1.0;
-        let told = if e.report.utilisation.is_none() && !pressed { 0.0 } else { told };
+        let told = if !self.tells_cores && pool < 1.0 { 0.0 } else { told };
         let by_threads = if told < 1.0 && ours <= FLOODED { told } else { told.max(ours) };
         let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
@@ -533,13 +473,12 @@
         q.running += 1;
         q.start += self.g * c.threads;
         let work = self.work(&b);
-        self.kinds.entry(self.engines[engine].kind()).or_default().sent.add(now, KIND_LIFE, work);
         let e = &mut self.engines[engine];
+        let k = self.kinds.entry(e.kind()).or_default();
+        k.sent.add(now, KIND_LIFE, work);
+        (k.threads, k.memory_used) = (k.threads + c.threads, k.memory_used + need);
         e.holds(c.threads, need);
         e.work_sent += work;
-        if c.is_load {
-            e.locks.push((b.data_set, f64::INFINITY));
-        }
         let memory = self.grant(&b, engine);
         Place::To { engine, time_out, memory }
     }
@@ -574,15 +513,11 @@
     }
 
     fn in_scope(&self, h: &InHand, engine: EngineId) -> bool {
-        let (Some(first), Effect::Referenced { scope, .. }) =
-            (h.may_have_run, self.s.groups[h.b.group].effect)
-        else {
-            return true;
-        };
+        let Effect::Referenced { scope, .. } = self.s.groups[h.b.group].effect else { return true };
         let place = |e: EngineId| {
             self.engines[e].line.map(|l| (l.zone, if scope == Scope::Cell { l.cell } else { 0 }))
         };
-        scope == Scope::Everywhere || place(first.engine) == place(engine)
+        h.may_have_run.is_none_or(|first| scope == Scope::Everywhere || place(first.engine) == place(engine))
     }
 
     fn further_left(&self, now: f64) -> bool {
@@ -592,7 +527,7 @@
     }
 
     /// The final answer the rules allow: pushed back where trying again is harmless, else errored.
-    fn answer(&mut self, now: f64, id: BatchId) -> Next {
+    fn answer(&mut self, now: f64, id: BatchId) -> Answer {
         let h = &self.batches[&id];
         let ServiceGroup { effect, goal, .. } = self.s.groups[h.b.group];
         let everywhere = matches!(effect, Effect::Referenced { scope: Scope::Everywhere, .. });
@@ -600,9 +535,9 @@
         self.end(now, id);
         let come_back = self.s.names_return.then_some(self.s.longest_return.min(goal * COME_BACK));
         if harmless {
-            Next::PushBack { come_back }
+            Answer::PushBack { come_back }
         } else {
-            Next::Error
+            Answer::Error
         }
     }
 
@@ -633,41 +568,47 @@
             return;
         }
         match k.line.front().copied() {
-            None => {
-                self.keys.remove(&key);
-            }
+            None => drop(self.keys.remove(&key)),
             Some(id) if self.batches[&id].stage == Stage::Held => self.enqueue(id),
             Some(_) => {}
         }
     }
 
     fn give_up(&mut self, id: BatchId) {
-        self.unqueue(id);
-        if let Some(h) = self.batches.get_mut(&id) {
+        let waits = |h: &&mut InHand| matches!(h.stage, Stage::Held | Stage::Queued);
+        if let Some(h) = self.batches.get_mut(&id).filter(waits) {
             h.stage = Stage::GivenUp;
             self.give_ups.push_back(id);
+            self.unqueue(id);
         }
     }
 
     // ---- 2: health ----
 
     fn judge(&mut self, now: f64, b: &Batch, sent: Sent, o: &Outcome) {
+        let threads = self.s.groups[b.group].threads;
+        let slowdown = o.latency * threads / o.work.unwrap_or(self.work(b)).max(LEAST);
+        if matches!(o.end, End::Returned | End::TimedOut) {
+            self.ran = (self.ran.0 + o.latency * threads, self.ran.1 + o.latency);
+            if !sent.overdue {
+                self.feel(now, sent.engine, (slowdown / SLOW).min(OVERDUE));
+            }
+        }
         let e = &mut self.engines[sent.engine];
         e.heard = true;
         match o.end {
             End::Returned => {
-                e.last_good = now;
-                e.failing *= 1.0 - GOOD_WEIGHT;
+                (e.last_good, e.failing) = (now, e.failing * (1.0 - GOOD_WEIGHT));
                 if e.failing < FAILING / 2.0 {
                     e.rest = REST.0;
                 }
-                self.learn(b, o);
+                self.learn(b, o, slowdown);
             }
             End::Full => {
                 e.rests_until = e.rests_until.max(now + REDRAW.1);
+                self.feel(now, sent.engine, OVERDUE);
             }
-            // A time-out or a dispatch taken back tells of the engine only where it has answered nothing
-            // since.
+            // A time-out or a dispatch taken back tells only where the engine has answered nothing since.
             End::TimedOut | End::Withdrawn if e.last_good >= sent.at => {}
             End::Moot => {}
             _ => self.failed(now, sent.engine),
@@ -690,32 +631,21 @@
     /// dispatches, to an engine that hangs, is cut off or drops some of what it takes. They are taken back.
     fn watch(&mut self, now: f64) {
         let quiet = if self.s.notes_every > 0.0 { QUIET * self.s.notes_every } else { f64::INFINITY };
-        let lost = |s: &Sent| now - s.heard > quiet || self.engines[s.engine].lost(s.at);
-        let out = self.batches.iter().filter(|(_, h)| h.out.as_ref().is_some_and(lost));
-        let overdue = |h: &InHand| {
-            let s = h.out.filter(|s| !s.overdue)?;
-            let due = OVERDUE * SLOW * self.work(&h.b) / self.s.groups[h.b.group].threads;
-            (now - s.at > due).then_some((h.b.id, s.engine))
-        };
-        let overdue: Vec<_> = self.batches.values().filter_map(overdue).collect();
-        let lost: Vec<BatchId> = out.map(|(id, _)| *id).collect();
-        for (id, engine) in overdue {
-            if let Some(s) = self.batches.get_mut(&id).and_then(|h| h.out.as_mut()) {
-                s.overdue = true;
+        let out: Vec<_> = self.batches.values().filter_map(|h| h.out.map(|s| (h.b, s))).collect();
+        for (b, s) in out {
+            let due = OVERDUE * SLOW * self.work(&b) / self.s.groups[b.group].threads;
+            if !s.overdue && now - s.at > due {
+                self.feel(now, s.engine, OVERDUE);
+                self.batches.entry(b.id).and_modify(|h| h.out = Some(Sent { overdue: true, ..s }));
+            }
+            if now - s.heard > quiet || self.engines[s.engine].lost(s.at) {
+                self.recall(now, b.id);
             }
-            self.feel(now, engine, OVERDUE);
         }
-        lost.into_iter().for_each(|id| self.recall(now, id));
     }
 
     // ---- 3: cold care ----
 
-    fn cores(&self, kind: usize) -> f64 {
-        let known: Vec<f64> = self.s.kind_cores.iter().flatten().copied().collect();
-        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-        self.s.kind_cores.get(kind).copied().flatten().unwrap_or(mean).max(1.0)
-    }
-
     /// Share of its capacity that an engine has: from the told start share, evenly up until told warm.
     fn able(&self, now: f64, engine: EngineId) -> f64 {
         let came_up = self.engines[engine].line.and_then(|l| l.came_up);
@@ -797,16 +727,13 @@
             self.engines[i].probe_at = now + PROBE_EVERY;
             self.probes.push_back(i);
         }
-        for e in self.engines.iter_mut() {
-            e.locks.retain(|(_, until)| *until > now);
-        }
         self.watch(now);
         self.look = true;
     }
 
     // ---- 5: learning ----
 
-    fn learn(&mut self, b: &Batch, o: &Outcome) {
+    fn learn(&mut self, b: &Batch, o: &Outcome, slowdown: f64) {
         let c = &self.s.groups[b.group];
         let l = &mut self.learned[b.group];
         l.answers += 1;
@@ -818,8 +745,7 @@
             let covered = b.memory.is_none_or(|estimate| told <= estimate * l.grant);
             l.grant *= 1.0 + GRANT_STEP * (GRANT_COVERS - if covered { 1.0 } else { 0.0 });
         }
-        let slowdown = (o.latency * c.threads / work).clamp(1.0, SLOWEST);
-        l.slowdown += weight * (slowdown - l.slowdown);
+        l.slowdown += weight * (slowdown.clamp(1.0, SLOWEST) - l.slowdown);
     }
 
     /// Work of a batch in seconds on one thread: its estimate corrected by what answers told, or the usual.
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,6 +152,12 @@
     pub told: Level,
     pub felt: Level,
     pub sent: Level,
+    /// Of its engines that are ready.
+    pub cores: f64,
+    pub memory: f64,
+    /// Of ours out there.
+    pub threads: f64,
+    pub memory_used: f64,
 }
 
 /// An average over what was heard lately.
@@ -231,8 +237,6 @@
     /// Work sent since it started, and the lot drawn then, for the cold budget.
     pub work_sent: f64,
     pub lot: f64,
-    /// Data sets that loads hold there, and until when that is taken to last.
-    pub locks: Vec<(u32, f64)>,
 }
 
 impl Engine {
@@ -267,17 +271,6 @@
         self.batches -= 1;
         self.memory_used -= memory;
     }
-
-    pub fn locked(&self, data_set: u32, now: f64) -> bool {
-        self.locks.iter().any(|(d, until)| *d == data_set && *until > now)
-    }
-
-    /// One of our loads has ended.
-    pub fn unlock(&mut self, data_set: u32) {
-        if let Some(at) = self.locks.iter().position(|l| *l == (data_set, f64::INFINITY)) {
-            self.locks.swap_remove(at);
-        }
-    }
 }
 
 #[derive(Default)]
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -142,8 +142,8 @@
         let o = Outcome { engine, dispatch: n as u32, end, latency, closed: r.over, work, memory: None };
         match self.c.after(self.now, id, o) {
             Next::Nothing => {}
-            Next::PushBack { .. } => self.answered(id, true),
-            Next::Error => self.answered(id, false),
+            Next::Over(Answer::PushBack { .. }) => self.answered(id, true),
+            Next::Over(Answer::Error) => self.answered(id, false),
         }
     }
 
@@ -245,8 +245,8 @@
     fn ask(&mut self, id: BatchId) {
         match self.c.place(self.now, id) {
             Place::NotYet => {}
-            Place::PushBack { .. } => self.answered(id, true),
-            Place::Error => self.answered(id, false),
+            Place::Over(Answer::PushBack { .. }) => self.answered(id, true),
+            Place::Over(Answer::Error) => self.answered(id, false),
             Place::To { engine, time_out, .. } => {
                 self.check_dispatch(id, engine);
                 let r = &mut self.records[id as usize];
