Failing shares fade in time; one length of rest; probes in a function of their own

A gateway hears of an engine every few seconds to a quarter minute, so one failure kept an engine last for good. Kept as sound with few answers, and shorter.

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,8 +39,6 @@
 const PROBES: f64 = 0.05;
 /// Seconds in which what was heard fades: an engine to the mean of its kind, a kind to idle.
 const HEARD_LIFE: f64 = 2.0;
-/// Most marks that answers alone make of an engine's level: they rank it, reports close it.
-const FELT_MOST: f64 = 0.99;
 /// Weight of the guess that the pool is idle against one thing heard just now.
 const IDLE_GUESS: f64 = 0.5;
 /// Marks of our own threads that are pressure by themselves: cores may idle while all wait for disks.
@@ -58,8 +56,9 @@
 /// Failing share from which an engine rests, if so many times the pool's mean: all alike means none rests.
 const FAILING: f64 = 0.75;
 const APART: f64 = 2.0;
-/// Seconds of an engine's first and longest rest, doubled in between.
-const REST: (f64, f64) = (0.5, 8.0);
+/// Seconds in which a failing share fades where no answers come, and that an engine rests.
+const FAIL_LIFE: f64 = 8.0;
+const REST: f64 = 2.0;
 /// Weight of one answer in learned averages: the last fifty or so count.
 const LEARN: f64 = 0.02;
 /// Most times its bare work that one answer counts as: one batch that stood still tells little.
@@ -93,7 +92,7 @@
 const LEAST: f64 = 1e-3;
 /// Marks within which engines' levels are drawn by lot, so that gateways which heard the same part.
 const TIE: f64 = 0.3;
-/// Seconds in which work sent to a kind of engine loses most of its weight: many batches of a slow gateway.
+/// Seconds in which work sent to a kind of engine fades: many batches of a slow gateway.
 const KIND_LIFE: f64 = 20.0;
 /// Notes missed, where engines send them, after which a dispatch is taken as lost.
 const QUIET: f64 = 2.5;
@@ -123,9 +122,7 @@
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let limit = now + b.left.max(0.0);
         self.taken_at.add(now, 1.0);
-        self.taken += 1;
-        let weight = LEARN.max(1.0 / f64::from(self.taken));
-        self.usual += weight * (self.work(&b) - self.usual);
+        self.usual.add(now, KIND_LIFE, self.learned[b.group].work.guess(b.cost));
         self.may_ask = (self.may_ask + PROBES).min(self.engines.len() as f64);
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
@@ -174,7 +171,7 @@
 
     pub fn report(&mut self, now: f64, engine: EngineId, report: Report) {
         let Some(e) = self.engines.get_mut(engine) else { return };
-        (e.heard, e.report, e.threads_then) = (true, report, e.threads);
+        (e.heard, e.threads_then) = (true, e.threads);
         let waiting = report.waiting.map_or(0.0, |w| w / (WAITING_BUSY * e.cores));
         let disks = report.disks.map_or(0.0, |share| share / USED_UP);
         let (thread_seconds, seconds) = self.ran;
@@ -186,8 +183,7 @@
         self.kinds.entry(e.kind()).or_default().told.add(now, HEARD_LIFE, marks);
     }
 
-    /// Takes an answer's word on load, where a report says less. Guards against engines that look idle because
-    /// all they hold stands still.
+    /// Takes an answer's word on load. Guards against engines that look idle as all they hold stands still.
     fn feel(&mut self, now: f64, engine: EngineId, marks: f64) {
         let kind = self.engines[engine].kind();
         self.kinds.entry(kind).or_default().felt.add(now, HEARD_LIFE, marks);
@@ -195,7 +191,7 @@
         let e = &mut self.engines[engine];
         if marks > level {
             let since = (e.threads - e.threads_then) / (e.cores * MARK);
-            (e.level, e.level_at) = (level.max(((level + marks) / 2.0).min(FELT_MOST)) - since, now);
+            (e.level, e.level_at) = ((level + marks) / 2.0 - since, now);
         }
     }
 
@@ -219,9 +215,8 @@
         pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
     }
 
-    /// Our threads and memory in marks of our slice of a whole kind, threads where the kind is at its mark or
-    /// over. Guards against many gateways that each start little and together too much: a slice of one engine is
-    /// then less than a batch and binds nothing.
+    /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many gateways
+    /// that each start little and together too much: their slice of one engine is under a batch, binds nothing.
     fn shared(&self, now: f64, kind: usize, b: &Batch) -> f64 {
         let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
@@ -423,7 +418,7 @@
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
             let full = self.marks(now, pool, e, &b) >= 1.0;
             let level = self.level(now, pool, e) + TIE * self.chance.draw();
-            let rank = (full, load + self.engines[e].failing, sent, level, e);
+            let rank = (full, load + failing(&self.engines[e], now), sent, level, e);
             if best.is_none_or(|o| (rank.0, rank.1, rank.2, rank.3) < (o.0, o.1, o.2, o.3)) {
                 best = Some(rank);
             }
@@ -431,7 +426,7 @@
         let e = best?.4;
         let kind = self.engines[e].kind();
         let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, &b));
-        let size = (self.work(&b) / self.usual.max(LEAST)).min(HEAVIEST);
+        let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
     }
@@ -599,9 +594,6 @@
         match o.end {
             End::Returned => {
                 (e.last_good, e.failing) = (now, e.failing * (1.0 - GOOD_WEIGHT));
-                if e.failing < FAILING / 2.0 {
-                    e.rest = REST.0;
-                }
                 self.learn(b, o, slowdown);
             }
             End::Full => {
@@ -617,13 +609,13 @@
 
     /// Guards against engines that fail quickly, are dead or silent. Where all fail alike none rests.
     fn failed(&mut self, now: f64, engine: EngineId) {
-        let others: Vec<f64> = self.engines.iter().filter(|e| e.ready()).map(|e| e.failing).collect();
+        let others: Vec<f64> = self.engines.iter().filter(|e| e.ready()).map(|e| failing(e, now)).collect();
         let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
         let e = &mut self.engines[engine];
-        e.failing += (1.0 - e.failing) * FAIL_WEIGHT;
+        let before = failing(e, now);
+        (e.failing, e.failed_at) = (before + (1.0 - before) * FAIL_WEIGHT, now);
         if e.failing > FAILING && e.failing > APART * mean && e.rests_until <= now {
-            e.rests_until = now + e.rest;
-            e.rest = (e.rest * 2.0).min(REST.1);
+            e.rests_until = now + REST;
         }
     }
 
@@ -661,9 +653,9 @@
         (self.engines[engine].cores * self.able(now, engine)).max(LEAST)
     }
 
-    /// Keeps our part of a cold engine's work budget, which grows with the time since it started, as the engine
-    /// does. Where our part is under one batch a lot drawn for each engine decides whether we send it early: over
-    /// all gateways the sum is the same, and a cold engine is neither starved nor pushed over.
+    /// Keeps our part of a cold engine's work budget, which grows with the time since it started. Where the part
+    /// is under one batch a lot drawn for each engine decides who sends it one: the sum stays the same, and a
+    /// cold engine is neither starved nor pushed over.
     fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
         let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0) else { return true };
         let e = &self.engines[engine];
@@ -671,7 +663,7 @@
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
         let known = e.line.and_then(|l| l.came_up).map_or(0.0, |at| now - at.max(self.born));
         let part = rate * (known + c.window);
-        // The mean over lots, if each gateway picks the largest batch that its lot lets through, is this many parts.
+        // Gateways that pick the largest batch their lot lets through send this many parts on the mean.
         let picked = 1.0 + (lump / part.max(LEAST)).ln().max(0.0);
         work <= lump && e.work_sent + work <= part / picked + e.lot * work
     }
@@ -691,9 +683,8 @@
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
-    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any
-    /// lack of capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would
-    /// fit.
+    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack of
+    /// capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
     fn shed(&mut self, now: f64) {
         let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
@@ -717,18 +708,23 @@
         let window = self.s.further.map_or(0.0, |f| f.window) + 1.0;
         self.taken_at.forget(now - window);
         self.further_at.forget(now - window);
+        self.probe(now);
+        self.watch(now);
+        self.look = true;
+    }
+
+    /// Asks engines that were asked longest ago, as far as batches have paid: those not heard of, and all where
+    /// reports come with probes only.
+    fn probe(&mut self, now: f64) {
         let all = self.s.reports == Reports::WithProbes;
-        let wanted = |e: &Engine| e.ready() && e.probe_at <= now && (all || !e.heard) && self.s.may_probe;
-        let wanted = self.engines.iter().enumerate().filter(|(_, e)| wanted(e));
-        let mut wanted: Vec<_> = wanted.map(|(i, e)| (micros(e.probe_at), i)).collect();
-        wanted.sort_unstable();
-        for (_, i) in wanted.into_iter().take(self.may_ask as usize) {
+        while self.may_ask >= 1.0 && self.s.may_probe {
+            let due = |e: &&mut Engine| e.ready() && e.probe_at <= now && (all || !e.heard);
+            let due = self.engines.iter_mut().enumerate().filter(|(_, e)| due(e));
+            let Some((i, e)) = due.min_by(|a, b| a.1.probe_at.total_cmp(&b.1.probe_at)) else { return };
+            e.probe_at = now + PROBE_EVERY;
             self.may_ask -= 1.0;
-            self.engines[i].probe_at = now + PROBE_EVERY;
             self.probes.push_back(i);
         }
-        self.watch(now);
-        self.look = true;
     }
 
     // ---- 5: learning ----
@@ -767,10 +763,15 @@
 
 /// An engine of which only the size is known.
 fn unheard(cores: f64, memory: Option<f64>) -> Engine {
-    Engine { cores, memory, rest: REST.0, ..Engine::default() }
+    Engine { cores, memory, ..Engine::default() }
+}
+
+/// An engine's failing share. It fades, so that one few answers come from is not kept off for good.
+fn failing(e: &Engine, now: f64) -> f64 {
+    e.failing * (-(now - e.failed_at).max(0.0) / FAIL_LIFE).exp()
 }
 
 /// Not resting; one that has just rested takes one batch at a time until it does well.
 fn fit(e: &Engine, now: f64) -> bool {
-    e.rests_until <= now && (e.failing <= FAILING || e.batches == 0)
+    e.rests_until <= now && (failing(e, now) <= FAILING || e.batches == 0)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decision module remembers: plain records and their bookkeeping. Nothing here decides.
 
-use crate::api::{Batch, BatchId, Condition, EngineId, Listed, Report, Settings};
+use crate::api::{Batch, BatchId, Condition, EngineId, Listed, Settings};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One gateway's whole memory.
@@ -25,9 +25,8 @@
     pub(crate) subscribe: bool,
     /// What waits is to be looked over once nothing more can leave.
     pub(crate) look: bool,
-    /// Batches taken, and their usual work.
-    pub(crate) taken: u32,
-    pub(crate) usual: f64,
+    /// Work of the batches taken lately.
+    pub(crate) usual: Level,
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
     pub(crate) tells_cores: bool,
@@ -225,14 +224,13 @@
     pub batches: u32,
     pub memory_used: f64,
     pub heard: bool,
-    pub report: Report,
     pub level: f64,
     pub level_at: f64,
     pub threads_then: f64,
     pub failing: f64,
     pub last_good: f64,
     pub rests_until: f64,
-    pub rest: f64,
+    pub failed_at: f64,
     pub probe_at: f64,
     /// Work sent since it started, and the lot drawn then, for the cold budget.
     pub work_sent: f64,
