--- a/src/control.rs
+++ b/src/control.rs
@@ -17,85 +17,49 @@
 use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Kind, Learned, Level, Queue, Sent, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Threads a core that an engine is filled to; the design's figure.
-const MARK: f64 = 1.5;
-/// Share of an engine's memory that stands for the mark: other gateways' parts are uneven, needs are guesses.
-const MEMORY_MARK: f64 = 0.7;
-/// Slices of memory that one gateway may fill while nothing is pressed: gateways are uneven.
-const UNEVEN: f64 = 1.2;
-/// Share of cores busy that stands for the mark: threads also read and write, and reports lag.
-const BUSY_AT_MARK: f64 = 0.9;
-/// Power of the chance's fall between one and two marks; steep, since work done falls beyond the knee.
-const CURVE: f64 = 8.0;
-/// Times the usual work up to which a batch makes the curve steeper; light ones cost little, need not wait.
-const HEAVIEST: f64 = 3.0;
-/// Seconds until a batch redraws, drawn evenly; short against any response goal.
-const REDRAW: (f64, f64) = (0.02, 0.06);
-/// Seconds between periodic looks: shedding and probing follow trouble within a fraction of a second.
-const TICK: f64 = 0.1;
-/// Seconds between probes of an engine: reports age by half of it, and each probe has a price.
-const PROBE_EVERY: f64 = 1.5;
-/// Probes that each batch taken pays for. Guards against a cost that grows as gateways x engines.
-const PROBES: f64 = 0.05;
-/// Seconds in which what was heard fades: an engine to the mean of its kind, a kind to idle.
-const HEARD_LIFE: f64 = 2.0;
-/// Weight of the guess that the pool is idle against one thing heard just now.
-const IDLE_GUESS: f64 = 0.5;
-/// Marks of our own threads that are pressure by themselves: cores may idle while all wait for disks.
-const FLOODED: f64 = 2.0;
-/// Latency over bare work beyond which an engine is under pressure.
-const SLOW: f64 = 2.0;
-/// Marks that an answer counts as at most, and an overdue dispatch counts as, once; one alone closes no gate.
-const OVERDUE: f64 = 2.0;
-/// Share of disks, and batches a core waiting for memory, at which a report is busy.
-const USED_UP: f64 = 0.95;
-const WAITING_BUSY: f64 = 0.1;
-/// Weight of a failed and of a good dispatch in an engine's failing share; bad news counts double.
-const FAIL_WEIGHT: f64 = 0.3;
-const GOOD_WEIGHT: f64 = 0.15;
-/// Failing share from which an engine rests, if so many times the pool's mean: all alike means none rests.
-const FAILING: f64 = 0.75;
-const APART: f64 = 2.0;
-/// Seconds in which a failing share fades where no answers come, and that an engine rests.
-const FAIL_LIFE: f64 = 8.0;
-const REST: f64 = 2.0;
-/// Weight of one answer in learned averages: the last fifty or so count.
-const LEARN: f64 = 0.02;
-/// Most times its bare work that one answer counts as: one batch that stood still tells little.
-const SLOWEST: f64 = 20.0;
-/// Share of the time limit taken as usual work until answers tell; on the high side, for cold budgets.
-const FIRST_GUESS: f64 = 0.1;
-/// Part of a cold engine's budget that we use; the rest is for chance and uneven gateways.
-const COLD_PART: f64 = 0.6;
-/// Part of a cold engine's whole budget that one batch may be: few large ones by chance add up to too much.
-const COLD_LUMP: f64 = 0.1;
-/// Share of cores that a pool keeps busy under load; what the backlog is held against.
-const YIELD: f64 = 0.85;
-/// Part of the time left to a batch's goal that the work ahead of it may take: both are guesses.
-const SLACK_USE: f64 = 0.4;
-/// Without an estimate the usual service times this must fit in the goal, and divided by it in the limit.
-const UNSURE: f64 = 1.5;
-/// Part of its goal and limit that a service is taken to need at most, so that no group shuts itself out.
-const MOST: f64 = 0.9;
-/// Seconds taken as left to a batch whose goal has passed: better work goes first.
-const LATE_SLACK: f64 = 0.2;
-/// Part of the fixed goal after which to come back: the queue has moved, an answer still counts.
-const COME_BACK: f64 = 0.4;
-/// Seconds kept clear of a limit or window for travel and the caller's tick.
-const MARGIN: f64 = 0.02;
-/// Grants cover this share of a group's batches; a spill costs far more than spare memory.
-const GRANT_COVERS: f64 = 0.85;
-/// Grant over the estimate until answers tell, and how far one answer moves it.
-const GRANT_FIRST: f64 = 2.0;
-const GRANT_STEP: f64 = 0.05;
-/// Least seconds, cores or work ever divided by or waited for, against odd settings.
-const LEAST: f64 = 1e-3;
-/// Marks within which engines' levels are drawn by lot, so that gateways which heard the same part.
-const TIE: f64 = 0.3;
-/// Seconds in which work sent to a kind of engine fades: many batches of a slow gateway.
-const KIND_LIFE: f64 = 20.0;
-/// Notes missed, where engines send them, after which a dispatch is taken as lost.
-const QUIET: f64 = 2.5;
+// Each with its unit and the reason for its size.
+const MARK: f64 = 1.5; // threads a core that an engine is filled to; the design's figure
+const MEMORY_MARK: f64 = 0.7; // share of memory that stands for the mark; gateways are uneven, needs guesses
+const UNEVEN: f64 = 1.2; // slices of memory a gateway may fill while nothing is pressed; gateways are uneven
+const BUSY_AT_MARK: f64 = 0.9; // share of cores busy that stands for the mark; threads also read and write
+const CURVE: f64 = 8.0; // power of the chance's fall past the mark; steep, as work done falls past the knee
+const HEAVIEST: f64 = 3.0; // times the usual work up to which the curve steepens; light batches need not wait
+const REDRAW: (f64, f64) = (0.02, 0.06); // seconds until a redraw, drawn evenly; short against any goal
+const TICK: f64 = 0.1; // seconds between periodic looks; trouble is followed within a fraction of a second
+const PROBE_EVERY: f64 = 1.5; // seconds between probes of an engine; reports age by half, probes have a price
+const PROBES: f64 = 0.05; // probes that a batch pays for; else their cost grows as gateways x engines
+const HEARD_LIFE: f64 = 2.0; // seconds in which what was heard fades, an engine to its kind, a kind to idle
+const KIND_LIFE: f64 = 20.0; // seconds in which work sent to a kind fades; many batches of a slow gateway
+const IDLE_GUESS: f64 = 0.5; // weight of the guess that a kind is idle; half a thing heard just now
+const TIE: f64 = 0.3; // marks within which levels are drawn by lot; gateways that heard the same must part
+const FLOODED: f64 = 2.0; // marks of our own threads that are pressure alone; cores idle while disks are full
+const SLOW: f64 = 2.0; // latency over bare work at the mark; threads share cores and wait for disks
+const OVERDUE: f64 = 2.0; // marks an answer counts at most, an overdue dispatch once; one closes no gate
+const USED_UP: f64 = 0.95; // share of disks busy at the mark; reports are noisy
+const WAITING_BUSY: f64 = 0.1; // batches a core waiting for memory at the mark; any line is a bad sign
+const FAIL_WEIGHT: f64 = 0.3; // of a failed dispatch in a failing share; three in a row are nearly sure
+const GOOD_WEIGHT: f64 = 0.15; // of a good one; bad news counts double
+const FAILING: f64 = 0.75; // failing share from which an engine rests; one that fails in part still serves
+const APART: f64 = 2.0; // times the pool's mean that it must be; where all fail alike resting loses more
+const FAIL_LIFE: f64 = 8.0; // seconds in which a failing share fades; answers from it may be rare
+const REST: f64 = 2.0; // seconds that an engine rests; about the shortest trouble
+const LEARN: f64 = 0.02; // weight of one answer in learned averages; the last fifty or so count
+const SLOWEST: f64 = 20.0; // times its bare work one answer counts at most; one that stood still tells little
+const FIRST_GUESS: f64 = 0.1; // share of the limit taken as usual work at first; high, for cold budgets
+const COLD_PART: f64 = 0.6; // part of a cold budget that we use; the rest is for chance, uneven gateways
+const COLD_LUMP: f64 = 0.1; // part of a cold budget one batch may be; few large ones add up by chance
+const YIELD: f64 = 0.85; // share of cores that a pool keeps busy under load; what backlog is held against
+const SLACK_USE: f64 = 0.4; // part of the time to a goal that work ahead may take; both are guesses
+const MOST: f64 = 0.9; // part of goal and limit a service needs at most; no group may shut itself out
+const LATE_SLACK: f64 = 0.2; // seconds left to a batch past its goal; better work goes first
+const COME_BACK: f64 = 0.4; // part of the goal after which to come back; an answer then still counts
+const MARGIN: f64 = 0.02; // seconds kept clear of a limit or window; travel and the caller's tick
+const GRANT_COVERS: f64 = 0.85; // share of batches that grants cover; a spill costs more than spare memory
+const GRANT_FIRST: f64 = 2.0; // grant over the estimate until answers tell; estimates may lie low
+const GRANT_STEP: f64 = 0.05; // part by which one answer moves it; some twenty settle it
+const QUIET: f64 = 2.5; // notes missed after which a dispatch is lost; one may be late, two hardly
+const LEAST: f64 = 1e-3; // seconds, cores or work ever divided by or waited for; against odd settings
+
 impl Control {
     pub fn new(s: Settings, seed: u64, now: f64) -> Self {
         let work = |c: &ServiceGroup| Guess { usual: c.limit * FIRST_GUESS, ..Guess::default() };
@@ -215,8 +179,8 @@
         pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
     }
 
-    /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many gateways
-    /// that each start little and together too much: their slice of one engine is under a batch, binds nothing.
+    /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many
+    /// gateways that each start little, together too much: a slice of one engine is less than a batch.
     fn shared(&self, now: f64, kind: usize, b: &Batch) -> f64 {
         let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
@@ -412,18 +376,18 @@
             (*k, (self.pool(now, *k), kind.sent.sum(now, KIND_LIFE) / kind.cores.max(LEAST)))
         };
         let kinds: BTreeMap<usize, (f64, f64)> = self.kinds.iter().map(view).collect();
-        let mut best: Option<(bool, f64, f64, f64, EngineId)> = None;
+        let mut best: Option<([f64; 4], EngineId)> = None;
         for e in fit {
             let (pool, sent) = kinds.get(&self.engines[e].kind()).copied().unwrap_or_default();
             let load = if self.engines[e].heard { self.load(now, e) } else { average };
-            let full = self.marks(now, pool, e, &b) >= 1.0;
+            let full = u8::from(self.marks(now, pool, e, &b) >= 1.0);
             let level = self.level(now, pool, e) + TIE * self.chance.draw();
-            let rank = (full, load + failing(&self.engines[e], now), sent, level, e);
-            if best.is_none_or(|o| (rank.0, rank.1, rank.2, rank.3) < (o.0, o.1, o.2, o.3)) {
-                best = Some(rank);
+            let rank = [f64::from(full), load + failing(&self.engines[e], now), sent, level];
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, e));
             }
         }
-        let e = best?.4;
+        let e = best?.1;
         let kind = self.engines[e].kind();
         let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, &b));
         let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
@@ -641,23 +605,19 @@
     /// Share of its capacity that an engine has: from the told start share, evenly up until told warm.
     fn able(&self, now: f64, engine: EngineId) -> f64 {
         let came_up = self.engines[engine].line.and_then(|l| l.came_up);
-        match (came_up, self.s.cold) {
-            (Some(at), Some(c)) if c.warm_after > 0.0 && now - at < c.warm_after => {
-                c.starts_at + (1.0 - c.starts_at) * ((now - at) / c.warm_after).max(0.0)
-            }
-            _ => 1.0,
-        }
+        let (Some(at), Some(c)) = (came_up, self.s.cold) else { return 1.0 };
+        c.starts_at + (1.0 - c.starts_at) * ((now - at) / c.warm_after.max(LEAST)).clamp(0.0, 1.0)
     }
 
     fn able_cores(&self, now: f64, engine: EngineId) -> f64 {
         (self.engines[engine].cores * self.able(now, engine)).max(LEAST)
     }
 
-    /// Keeps our part of a cold engine's work budget, which grows with the time since it started. Where the part
-    /// is under one batch a lot drawn for each engine decides who sends it one: the sum stays the same, and a
-    /// cold engine is neither starved nor pushed over.
+    /// Keeps our part of a cold engine's work budget, which grows with the time since it started. Where the
+    /// part is under one batch a lot drawn for each engine decides who sends it one: the sum stays the same,
+    /// and a cold engine is neither starved nor pushed over.
     fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
-        let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0) else { return true };
+        let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0 - LEAST) else { return true };
         let e = &self.engines[engine];
         let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
@@ -675,16 +635,15 @@
         let c = &self.s.groups[h.b.group];
         let alone = self.work(&h.b) / c.threads;
         let service = (alone * self.learned[h.b.group].slowdown).min(c.limit * MOST);
-        let unsure = if h.b.cost.is_some() { 1.0 } else { UNSURE };
         let goal = c.goal + c.goal_stretch * alone;
-        let in_goal = h.taken + goal - (unsure * service).min(goal * MOST) - now;
+        let in_goal = h.taken + goal - service.min(goal * MOST) - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
-        let wait = slack.min(h.limit - service / unsure - now) * SLACK_USE;
+        let wait = slack.min(h.limit - service - now) * SLACK_USE;
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
-    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any lack of
-    /// capacity: jumps, floods, lost or slow engines. Harm: estimates far too high shed what would fit.
+    /// Gives up what cannot be answered in time behind the better work that waits too. Guards against any
+    /// lack of capacity: jumps, floods, lost engines. Harm: estimates far too high shed what would fit.
     fn shed(&mut self, now: f64) {
         let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
@@ -713,8 +672,8 @@
         self.look = true;
     }
 
-    /// Asks engines that were asked longest ago, as far as batches have paid: those not heard of, and all where
-    /// reports come with probes only.
+    /// Asks engines that were asked longest ago, as far as batches have paid: those not heard of, and all
+    /// where reports come with probes only.
     fn probe(&mut self, now: f64) {
         let all = self.s.reports == Reports::WithProbes;
         while self.may_ask >= 1.0 && self.s.may_probe {
