--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 const TICK: f64 = 0.1; // seconds between periodic looks; trouble is followed within a fraction of a second
 const PROBE_EVERY: f64 = 1.5; // seconds between probes of an engine; reports age by half, probes have a price
 const PROBES: f64 = 0.05; // probes that a batch pays for; else their cost grows as gateways x engines
-const HEARD_LIFE: f64 = 2.0; // seconds in which what was heard fades, an engine to its kind, a kind to idle
+const HEARD_LIFE: f64 = 2.0; // seconds in which what was heard of a kind fades; a jam comes that fast
 const KIND_LIFE: f64 = 20.0; // seconds in which work sent to a kind fades; many batches of a slow gateway
 const IDLE_GUESS: f64 = 0.5; // weight of the guess that a kind is idle; half a thing heard just now
 const TIE: f64 = 0.3; // marks within which levels are drawn by lot; gateways that heard the same must part
@@ -41,7 +41,7 @@
 const GOOD_WEIGHT: f64 = 0.15; // of a good one; bad news counts double
 const FAILING: f64 = 0.75; // failing share from which an engine rests; one that fails in part still serves
 const APART: f64 = 2.0; // times the pool's mean that it must be; where all fail alike resting loses more
-const FAIL_LIFE: f64 = 8.0; // seconds in which a failing share fades; answers from it may be rare
+const FAIL_LIFE: f64 = 8.0; // seconds in which an engine's failing share and level fade; answers are rare
 const REST: f64 = 2.0; // seconds that an engine rests; about the shortest trouble
 const LEARN: f64 = 0.02; // weight of one answer in learned averages; the last fifty or so count
 const SLOWEST: f64 = 20.0; // times its bare work one answer counts at most; one that stood still tells little
@@ -143,11 +143,12 @@
         self.tells_cores = report.utilisation.is_some();
         let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
-        (e.level, e.level_at) = (marks, now);
+        (e.level, e.level_at, e.told_at) = (marks, now, now);
         self.kinds.entry(e.kind()).or_default().told.add(now, HEARD_LIFE, marks);
     }
 
-    /// Takes an answer's word on load. Guards against engines that look idle as all they hold stands still.
+    /// Takes an answer's word on load; while a report is fresh it ranks the engine but does not close it.
+    /// Guards against engines that look idle because all that they hold stands still.
     fn feel(&mut self, now: f64, engine: EngineId, marks: f64) {
         let kind = self.engines[engine].kind();
         self.kinds.entry(kind).or_default().felt.add(now, HEARD_LIFE, marks);
@@ -155,7 +156,8 @@
         let e = &mut self.engines[engine];
         if marks > level {
             let since = (e.threads - e.threads_then) / (e.cores * MARK);
-            (e.level, e.level_at) = ((level + marks) / 2.0 - since, now);
+            let most = if now - e.told_at < HEARD_LIFE { level.max(1.0 - LEAST) } else { OVERDUE };
+            (e.level, e.level_at) = (((level + marks) / 2.0).min(most) - since, now);
         }
     }
 
@@ -176,7 +178,7 @@
     fn level(&self, now: f64, pool: f64, e: EngineId) -> f64 {
         let e = &self.engines[e];
         let since = (e.threads - e.threads_then) / (e.cores * MARK);
-        pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / HEARD_LIFE).exp()
+        pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / FAIL_LIFE).exp()
     }
 
     /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many
--- a/src/state.rs
+++ b/src/state.rs
@@ -226,6 +226,7 @@
     pub heard: bool,
     pub level: f64,
     pub level_at: f64,
+    pub told_at: f64,
     pub threads_then: f64,
     pub failing: f64,
     pub last_good: f64,
