A report better than an engine's level counts half

An engine whose batches stand still or page tells of idle cores, and each such report wiped out what slow answers had told.

--- a/src/control.rs
+++ b/src/control.rs
@@ -143,8 +143,10 @@
         self.tells_cores = report.utilisation.is_some();
         let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
-        (e.level, e.level_at, e.told_at) = (marks, now, now);
         self.kinds.entry(e.kind()).or_default().told.add(now, HEARD_LIFE, marks);
+        let level = self.level(now, self.pool(now, self.engines[engine].kind()), engine);
+        let e = &mut self.engines[engine];
+        (e.level, e.level_at, e.told_at) = (marks.max((marks + level) / 2.0), now, now);
     }
 
     /// Takes an answer's word on load; while a report is fresh it ranks the engine but does not close it.
