Few gateways by lot send a cold engine up to one large batch's work each

In place of dividing parts by what picking adds: the sum over gateways is the same whatever they pick, so two fifths of the budget are really used where it was a quarter of six tenths.

--- a/src/control.rs
+++ b/src/control.rs
@@ -46,8 +46,8 @@
 const LEARN: f64 = 0.02; // weight of one answer in learned averages; the last fifty or so count
 const SLOWEST: f64 = 20.0; // times its bare work one answer counts at most; one that stood still tells little
 const FIRST_GUESS: f64 = 0.1; // share of the limit taken as usual work at first; high, for cold budgets
-const COLD_PART: f64 = 0.6; // part of a cold budget that we use; the rest is for chance, uneven gateways
-const COLD_LUMP: f64 = 0.1; // part of a cold budget one batch may be; few large ones add up by chance
+const COLD_PART: f64 = 0.4; // part of a cold budget that we use; the rest is for chance, uneven gateways
+const COLD_LUMP: f64 = 0.07; // part of a cold budget one batch may be; few large ones add up by chance
 const YIELD: f64 = 0.85; // share of cores that a pool keeps busy under load; what backlog is held against
 const SLACK_USE: f64 = 0.4; // part of the time to a goal that work ahead may take; both are guesses
 const MOST: f64 = 0.9; // part of goal and limit a service needs at most; no group may shut itself out
@@ -618,8 +618,8 @@
     }
 
     /// Keeps our part of a cold engine's work budget, which grows with the time since it started. Where the
-    /// part is under one batch a lot drawn for each engine decides who sends it one: the sum stays the same,
-    /// and a cold engine is neither starved nor pushed over.
+    /// part is under the largest batch, lots drawn for each engine decide which few gateways send up to that
+    /// one: the sum stays the same, and a cold engine is neither starved nor pushed over.
     fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
         let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0 - LEAST) else { return true };
         let e = &self.engines[engine];
@@ -627,9 +627,7 @@
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
         let known = e.line.and_then(|l| l.came_up).map_or(0.0, |at| now - at.max(self.born));
         let part = rate * (known + c.window);
-        // Gateways that pick the largest batch their lot lets through send this many parts on the mean.
-        let picked = 1.0 + (lump / part.max(LEAST)).ln().max(0.0);
-        work <= lump && e.work_sent + work <= part / picked + e.lot * work
+        e.lot * lump < part && work <= lump && e.work_sent + work <= part.max(lump)
     }
 
     // ---- 4: shedding ----
