--- a/src/control.rs
+++ b/src/control.rs
@@ -14,7 +14,7 @@
 
 use crate::api::*;
 pub use crate::state::Control;
-use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Kind, Learned, Level, Queue, Sent, Stage};
+use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Level, Queue, Sent, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 
 // Each with its unit and the reason for its size.
@@ -46,8 +46,8 @@
 const LEARN: f64 = 0.02; // weight of one answer in learned averages; the last fifty or so count
 const SLOWEST: f64 = 20.0; // times its bare work one answer counts at most; one that stood still tells little
 const FIRST_GUESS: f64 = 0.1; // share of the limit taken as usual work at first; high, for cold budgets
-const COLD_PART: f64 = 0.4; // part of a cold budget that we use; the rest is for chance, uneven gateways
-const COLD_LUMP: f64 = 0.07; // part of a cold budget one batch may be; few large ones add up by chance
+const COLD_PART: f64 = 0.6; // part of a cold budget that we use; the rest is for chance, uneven gateways
+const COLD_LUMP: f64 = 0.1; // part of a cold budget one batch may be; few large ones add up by chance
 const YIELD: f64 = 0.85; // share of cores that a pool keeps busy under load; what backlog is held against
 const SLACK_USE: f64 = 0.4; // part of the time to a goal that work ahead may take; both are guesses
 const MOST: f64 = 0.9; // part of goal and limit a service needs at most; no group may shut itself out
@@ -185,11 +185,12 @@
 
     /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many
     /// gateways that each start little, together too much: a slice of one engine is less than a batch.
-    fn shared(&self, now: f64, kind: usize, b: &Batch) -> f64 {
+    fn shared(&self, now: f64, kind: usize, cores: f64, b: &Batch) -> f64 {
         let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
-        let by_threads = (k.threads + threads) / (k.cores * MARK / self.s.gateways).max(threads);
-        let slice = (k.memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
+        let by_threads = (k.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let memory = k.memory * cores / k.cores.max(LEAST);
+        let slice = (memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
         let by_memory = if k.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
         if pool < 1.0 {
             by_memory / UNEVEN
@@ -350,8 +351,7 @@
             let id = q.head(now)?;
             Some((q.start + self.g * self.s.groups[self.batches[&id].b.group].threads, id))
         };
-        let heads = self.queues.iter().filter_map(head);
-        heads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
+        self.queues.iter().filter_map(head).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
     fn redraw(&mut self, now: f64, id: BatchId) -> Place {
@@ -376,10 +376,12 @@
         let heard: Vec<f64> =
             fit.iter().filter(|e| self.engines[**e].heard).map(|e| self.load(now, *e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let view = |(k, kind): (&usize, &Kind)| {
-            (*k, (self.pool(now, *k), kind.sent.sum(now, KIND_LIFE) / kind.cores.max(LEAST)))
-        };
-        let kinds: BTreeMap<usize, (f64, f64)> = self.kinds.iter().map(view).collect();
+        let mut cores: BTreeMap<usize, f64> = BTreeMap::new();
+        fit.iter()
+            .for_each(|e| *cores.entry(self.engines[*e].kind()).or_default() += self.able_cores(now, *e));
+        let sent = |k: &usize| self.kinds.get(k).map_or(0.0, |kind| kind.sent.sum(now, KIND_LIFE));
+        let view = |(k, cores): (&usize, &f64)| (*k, (self.pool(now, *k), sent(k) / cores));
+        let kinds: BTreeMap<usize, (f64, f64)> = cores.iter().map(view).collect();
         let mut best: Option<([f64; 4], EngineId)> = None;
         for e in fit {
             let (pool, sent) = kinds.get(&self.engines[e].kind()).copied().unwrap_or_default();
@@ -393,7 +395,8 @@
         }
         let e = best?.1;
         let kind = self.engines[e].kind();
-        let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, &b));
+        let marks =
+            self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, cores[&kind], &b));
         let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
@@ -626,7 +629,7 @@
         let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
         let known = e.line.and_then(|l| l.came_up).map_or(0.0, |at| now - at.max(self.born));
-        let part = rate * (known + c.window);
+        let part = rate * (known + c.window / 2.0);
         e.lot * lump < part && work <= lump && e.work_sent + work <= part.max(lump)
     }
 
