--- a/src/control.rs
+++ b/src/control.rs
@@ -51,6 +51,7 @@
 const YIELD: f64 = 0.85; // share of cores that a pool keeps busy under load; what backlog is held against
 const SLACK_USE: f64 = 0.4; // part of the time to a goal that work ahead may take; both are guesses
 const MOST: f64 = 0.9; // part of goal and limit a service needs at most; no group may shut itself out
+const UNSURE: f64 = 0.65; // part of the usual service a limit must hold without estimate; most are short
 const LATE_SLACK: f64 = 0.2; // seconds left to a batch past its goal; better work goes first
 const COME_BACK: f64 = 0.4; // part of the goal after which to come back; an answer then still counts
 const MARGIN: f64 = 0.02; // seconds kept clear of a limit or window; travel and the caller's tick
@@ -270,12 +271,11 @@
         self.advance(now);
         let Some(h) = self.batches.get(&id) else { return Place::NotYet };
         match h.stage {
-            Stage::GivenUp => Place::Over(self.answer(now, id)),
-            Stage::Queued if self.hopeless(now, h) => Place::Over(self.answer(now, id)),
-            Stage::Queued => match self.choose(now, id) {
+            Stage::Queued if !self.hopeless(now, h) => match self.choose(now, id) {
                 Some(engine) => self.send(now, id, engine),
                 None => self.redraw(now, id),
             },
+            Stage::Queued | Stage::GivenUp => Place::Over(self.answer(now, id)),
             _ => Place::NotYet,
         }
     }
@@ -426,9 +426,7 @@
         self.unqueue(id);
         let need = self.need(&self.batches[&id].b);
         let h = self.batches.get_mut(&id).expect("checked by the caller");
-        if h.dispatches > 0 {
-            self.further_at.add(now, 1.0);
-        }
+        self.further_at.add(now, f64::from(h.dispatches.min(1)));
         h.stage = Stage::Out;
         h.dispatches += 1;
         h.out = Some(Sent { engine, at: now, heard: now, memory: need, overdue: false });
@@ -643,7 +641,8 @@
         let goal = c.goal + c.goal_stretch * alone;
         let in_goal = h.taken + goal - service.min(goal * MOST) - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
-        let wait = slack.min(h.limit - service - now) * SLACK_USE;
+        let least = service * if h.b.cost.is_some() { 1.0 } else { UNSURE };
+        let wait = slack.min(h.limit - least - now) * SLACK_USE;
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
