--- a/src/control.rs
+++ b/src/control.rs
@@ -554,7 +554,7 @@
         let slowdown = o.latency * threads / o.work.unwrap_or(self.work(b)).max(LEAST);
         if matches!(o.end, End::Returned | End::TimedOut) {
             self.ran = (self.ran.0 + o.latency * threads, self.ran.1 + o.latency);
-            if !sent.overdue {
+            if !sent.overdue && o.end == End::Returned {
                 self.feel(now, sent.engine, (slowdown / SLOW).min(OVERDUE));
             }
         }
