--- a/src/control.rs
+++ b/src/control.rs
@@ -396,7 +396,8 @@
         }
         let e = best?.1;
         let kind = self.engines[e].kind();
-        let marks = self.marks(now, self.pool(now, kind), e, &b);
+        let marks =
+            self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, cores[&kind], &b));
         let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
         (marks < 1.0 || self.chance.draw() < chance).then_some(e)
