--- a/src/control.rs
+++ b/src/control.rs
@@ -52,7 +52,7 @@
 const YIELD: f64 = 0.85; // share of cores that a pool keeps busy under load; what backlog is held against
 const SLACK_USE: f64 = 0.4; // part of the time to a goal that work ahead may take; both are guesses
 const MOST: f64 = 0.9; // part of goal and limit a service needs at most; no group may shut itself out
-const UNSURE: f64 = 0.65; // part of the usual service a limit must hold without estimate; most are short
+const UNSURE: f64 = 1.5; // times the usual service, for goals; divided by it, for limits; most are short
 const LATE_SLACK: f64 = 0.2; // seconds left to a batch past its goal; better work goes first
 const COME_BACK: f64 = 0.4; // part of the goal after which to come back; an answer then still counts
 const MARGIN: f64 = 0.02; // seconds kept clear of a limit or window; travel and the caller's tick
@@ -103,24 +103,21 @@
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
         if whole {
-            for line in self.engines.iter_mut().filter_map(|e| e.line.as_mut()) {
-                line.condition = Condition::Gone;
-            }
+            let old = self.engines.iter_mut().filter_map(|e| e.line.as_mut());
+            old.for_each(|line| line.condition = Condition::Gone);
         }
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
             let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
-            while self.engines.len() <= l.engine {
-                self.engines.push(unheard(cores, memory));
-            }
+            let known = self.engines.len().max(l.engine + 1);
+            self.engines.resize_with(known, || unheard(cores, memory));
             let e = &mut self.engines[l.engine];
-            let restarted = e.line.is_none() || e.line.is_some_and(|old| old.came_up != l.came_up);
-            (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
-            if restarted {
+            if e.line.is_none_or(|old| old.came_up != l.came_up) {
                 // The same engine came back empty: nothing learned of its last life holds.
                 e.forget(unheard(cores, memory));
                 e.lot = self.chance.draw();
             }
+            (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
         }
         self.kinds.values_mut().for_each(|k| (k.cores, k.memory) = (0.0, 0.0));
         for e in self.engines.iter().filter(|e| e.ready()) {
@@ -233,8 +230,6 @@
         self.end(now, id);
     }
 
-    // ---- The three calls ----
-
     /// How long to wait, or what is due now.
     pub fn wait(&mut self, now: f64) -> Wait {
         self.advance(now);
@@ -279,8 +274,7 @@
         }
     }
 
-    /// No answer that earns anything can come in time, or the rules have come to forbid the further dispatch
-    /// it waits for.
+    /// No answer that earns anything can come in time, or the rules now forbid the dispatch it waits for.
     fn hopeless(&self, now: f64, h: &InHand) -> bool {
         let (density, wait) = self.prospect(now, h);
         density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
@@ -326,10 +320,8 @@
     /// The virtual clock runs at our running threads over the busy queues.
     fn advance(&mut self, now: f64) {
         self.woke = if now - self.clock_at > STOOD { now } else { self.woke };
-        let busy = self.queues.iter().filter(|q| q.busy()).count();
-        if busy > 0 {
-            self.clock += (now - self.clock_at).max(0.0) * self.running / busy as f64;
-        }
+        let busy = self.queues.iter().filter(|q| q.busy()).count().max(1);
+        self.clock += (now - self.clock_at).max(0.0) * self.running / busy as f64;
         self.clock_at = self.clock_at.max(now);
     }
 
@@ -593,7 +585,8 @@
         let quiet = if self.s.notes_every > 0.0 { QUIET * self.s.notes_every } else { f64::INFINITY };
         let out: Vec<_> = self.batches.values().filter_map(|h| h.out.map(|s| (h.b, s))).collect();
         for (b, s) in out {
-            let due = OVERDUE * SLOW * self.work(&b) / self.s.groups[b.group].threads;
+            // Without an estimate only what five times the usual does not explain.
+            let due = OVERDUE * SLOW * unsure(&b).powi(4) * self.work(&b) / self.s.groups[b.group].threads;
             if !s.overdue && now - s.at.max(self.woke) > due {
                 self.feel(now, s.engine, OVERDUE);
                 self.batches.entry(b.id).and_modify(|h| h.out = Some(Sent { overdue: true, ..s }));
@@ -637,11 +630,10 @@
         let c = &self.s.groups[h.b.group];
         let alone = self.work(&h.b) / c.threads;
         let service = (alone * self.learned[h.b.group].slowdown).min(c.limit * MOST);
-        let goal = c.goal + c.goal_stretch * alone;
-        let in_goal = h.taken + goal - service.min(goal * MOST) - now;
+        let (goal, unsure) = (c.goal + c.goal_stretch * alone, unsure(&h.b));
+        let in_goal = h.taken + goal - (unsure * service).min(goal * MOST) - now;
         let (earns, slack) = if in_goal >= 0.0 { (1.0, in_goal) } else { (c.late_share, LATE_SLACK) };
-        let least = service * if h.b.cost.is_some() { 1.0 } else { UNSURE };
-        let wait = slack.min(h.limit - least - now) * SLACK_USE;
+        let wait = slack.min(h.limit - service / unsure - now) * SLACK_USE;
         (c.utility * earns / (alone * c.threads).max(LEAST), wait)
     }
 
@@ -723,11 +715,19 @@
     }
 }
 
-/// An engine of which only the size is known.
 fn unheard(cores: f64, memory: Option<f64>) -> Engine {
     Engine { cores, memory, ..Engine::default() }
 }
 
+/// What a batch without an estimate may take more, or less, than its usual work.
+fn unsure(b: &Batch) -> f64 {
+    if b.cost.is_some() {
+        1.0
+    } else {
+        UNSURE
+    }
+}
+
 /// An engine's failing share. It fades, so that one few answers come from is not kept off for good.
 fn failing(e: &Engine, now: f64) -> f64 {
     e.failing * (-(now - e.failed_at).max(0.0) / FAIL_LIFE).exp()
