--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,6 @@
 use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Level, Queue, Sent, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 
-// Each with its unit and the reason for its size.
 const MARK: f64 = 1.5; // threads a core that an engine is filled to; the design's figure
 const MEMORY_MARK: f64 = 0.7; // share of memory that stands for the mark; gateways are uneven, needs guesses
 const UNEVEN: f64 = 1.2; // slices of memory a gateway may fill while nothing is pressed; gateways are uneven
@@ -38,8 +37,7 @@
 const OVERDUE: f64 = 2.0; // marks an answer counts at most, an overdue dispatch once; one closes no gate
 const USED_UP: f64 = 0.95; // share of disks busy at the mark; reports are noisy
 const WAITING_BUSY: f64 = 0.1; // batches a core waiting for memory at the mark; any line is a bad sign
-const FAIL_WEIGHT: f64 = 0.3; // of a failed dispatch in a failing share; three in a row are nearly sure
-const GOOD_WEIGHT: f64 = 0.15; // of a good one; bad news counts double
+const FAIL_WEIGHT: f64 = 0.3; // of a failed dispatch in a failing share; a good one's is half of it
 const FAILING: f64 = 0.75; // failing share from which an engine rests; one that fails in part still serves
 const APART: f64 = 2.0; // times the pool's mean that it must be; where all fail alike resting loses more
 const FAIL_LIFE: f64 = 8.0; // seconds in which an engine's failing share and level fade; answers are rare
@@ -113,7 +111,6 @@
             self.engines.resize_with(known, || unheard(cores, memory));
             let e = &mut self.engines[l.engine];
             if e.line.is_none_or(|old| old.came_up != l.came_up) {
-                // The same engine came back empty: nothing learned of its last life holds.
                 e.forget(unheard(cores, memory));
                 e.lot = self.chance.draw();
             }
@@ -374,10 +371,15 @@
         let sent = |k: &usize| self.kinds.get(k).map_or(0.0, |kind| kind.sent.sum(now, KIND_LIFE));
         let view = |(k, cores): (&usize, &f64)| (*k, (self.pool(now, *k), sent(k) / cores));
         let kinds: BTreeMap<usize, (f64, f64)> = cores.iter().map(view).collect();
+        // Where a load of ours holds the data set the batch would stand still.
+        let loads = |c: &ServiceGroup| c.is_load || c.waits_for_loads;
+        let holds = |h: &&InHand| h.b.data_set == b.data_set && self.s.groups[h.b.group].is_load;
+        let held = self.batches.values().filter(holds).filter(|_| loads(&self.s.groups[b.group]));
+        let held: Vec<EngineId> = held.filter_map(|h| h.out.map(|s| s.engine)).collect();
         let mut best: Option<([f64; 4], EngineId)> = None;
         for e in fit {
             let (pool, sent) = kinds.get(&self.engines[e].kind()).copied().unwrap_or_default();
-            let full = u8::from(self.marks(now, pool, e, &b) >= 1.0);
+            let full = u8::from(held.contains(&e) || self.marks(now, pool, e, &b) >= 1.0);
             let level = self.level(now, pool, e) + TIE * self.chance.draw();
             let ours = self.engines[e].threads / self.able_cores(now, e);
             let load = if self.engines[e].heard { ours } else { average };
@@ -553,7 +555,7 @@
         e.heard = true;
         match o.end {
             End::Returned => {
-                (e.last_good, e.failing) = (now, e.failing * (1.0 - GOOD_WEIGHT));
+                (e.last_good, e.failing) = (now, e.failing * (1.0 - FAIL_WEIGHT / 2.0));
                 self.learn(b, o, slowdown);
             }
             End::Full => {
@@ -585,7 +587,6 @@
         let quiet = if self.s.notes_every > 0.0 { QUIET * self.s.notes_every } else { f64::INFINITY };
         let out: Vec<_> = self.batches.values().filter_map(|h| h.out.map(|s| (h.b, s))).collect();
         for (b, s) in out {
-            // Without an estimate only what five times the usual does not explain.
             let due = OVERDUE * SLOW * unsure(&b).powi(4) * self.work(&b) / self.s.groups[b.group].threads;
             if !s.overdue && now - s.at.max(self.woke) > due {
                 self.feel(now, s.engine, OVERDUE);
@@ -719,7 +720,6 @@
     Engine { cores, memory, ..Engine::default() }
 }
 
-/// What a batch without an estimate may take more, or less, than its usual work.
 fn unsure(b: &Batch) -> f64 {
     if b.cost.is_some() {
         1.0
