--- a/src/control.rs
+++ b/src/control.rs
@@ -337,7 +337,8 @@
     /// The head with the smallest virtual finish, of queues whose head does not wait to redraw.
     fn head(&self, now: f64) -> Option<BatchId> {
         let head = |q: &Queue| {
-            let id = q.head(now)?;
+            let ready = q.lines.iter().zip(&q.stalled).filter(|(_, until)| micros(**until) <= micros(now));
+            let id = ready.filter_map(|(line, _)| line.front().copied()).min()?;
             Some((q.start + self.g * self.s.groups[self.batches[&id].b.group].threads, id))
         };
         self.queues.iter().filter_map(head).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
@@ -562,7 +563,6 @@
                 e.rests_until = e.rests_until.max(now + REDRAW.1);
                 self.feel(now, sent.engine, OVERDUE);
             }
-            // A time-out or a dispatch taken back tells only where the engine has answered nothing since.
             End::TimedOut | End::Withdrawn if e.last_good >= sent.at => {}
             End::Moot => {}
             _ => self.failed(now, sent.engine),
@@ -592,7 +592,8 @@
                 self.feel(now, s.engine, OVERDUE);
                 self.batches.entry(b.id).and_modify(|h| h.out = Some(Sent { overdue: true, ..s }));
             }
-            if now - s.heard.max(self.woke) > quiet || self.engines[s.engine].lost(s.at) {
+            let came_up = self.engines[s.engine].line.and_then(|l| l.came_up);
+            if now - s.heard.max(self.woke) > quiet || came_up.is_some_and(|up| up > s.at) {
                 self.recall(now, b.id);
             }
         }
@@ -661,8 +662,7 @@
     fn tick(&mut self, now: f64) {
         self.due.insert((micros(now + TICK), Due::Tick));
         let window = self.s.further.map_or(0.0, |f| f.window) + 1.0;
-        self.taken_at.forget(now - window);
-        self.further_at.forget(now - window);
+        [&mut self.taken_at, &mut self.further_at].into_iter().for_each(|w| w.forget(now - window));
         self.probe(now);
         self.watch(now);
         self.look = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,14 +123,6 @@
         }
     }
 
-    /// The oldest batch whose line does not wait to redraw.
-    pub fn head(&self, now: f64) -> Option<BatchId> {
-        let ready = |(line, stalled): (&VecDeque<BatchId>, &f64)| {
-            line.front().filter(|_| micros(*stalled) <= micros(now)).copied()
-        };
-        self.lines.iter().zip(&self.stalled).filter_map(ready).min()
-    }
-
     pub fn busy(&self) -> bool {
         self.running > 0 || self.lines.iter().any(|l| !l.is_empty())
     }
@@ -256,11 +248,6 @@
         self.memory_used = old.memory_used;
     }
 
-    /// Whether a dispatch sent then went down with the process, which has started since.
-    pub fn lost(&self, sent: f64) -> bool {
-        self.line.and_then(|l| l.came_up).is_some_and(|at| at > sent)
-    }
-
     pub fn holds(&mut self, threads: f64, memory: f64) {
         self.threads += threads;
         self.batches += 1;
