--- a/src/control.rs
+++ b/src/control.rs
@@ -84,7 +84,12 @@
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let limit = now + b.left.max(0.0);
         self.taken_at.add(now, 1.0);
-        self.usual.add(now, KIND_LIFE, self.learned[b.group].work.guess(b.cost));
+        let work = self.work(&b);
+        self.usual.add(now, KIND_LIFE, work);
+        // Bound batches count for their kind when they come: it must not look free because they are shed.
+        for k in self.s.groups[b.group].kinds.iter().flatten() {
+            self.kinds.entry(*k as usize).or_default().sent.add(now, KIND_LIFE, work);
+        }
         self.may_ask = (self.may_ask + PROBES).min(self.engines.len() as f64);
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
@@ -312,8 +317,6 @@
         Next::Nothing
     }
 
-    // ---- The design's queues ----
-
     /// The virtual clock runs at our running threads over the busy queues.
     fn advance(&mut self, now: f64) {
         self.woke = if now - self.clock_at > STOOD { now } else { self.woke };
@@ -431,7 +434,7 @@
         let work = self.work(&b);
         let e = &mut self.engines[engine];
         let k = self.kinds.entry(e.kind()).or_default();
-        k.sent.add(now, KIND_LIFE, work);
+        k.sent.add(now, KIND_LIFE, if c.kinds.is_none() { work } else { 0.0 });
         (k.threads, k.memory_used) = (k.threads + c.threads, k.memory_used + need);
         e.holds(c.threads, need);
         e.work_sent += work;
@@ -470,9 +473,8 @@
 
     fn in_scope(&self, h: &InHand, engine: EngineId) -> bool {
         let Effect::Referenced { scope, .. } = self.s.groups[h.b.group].effect else { return true };
-        let place = |e: EngineId| {
-            self.engines[e].line.map(|l| (l.zone, if scope == Scope::Cell { l.cell } else { 0 }))
-        };
+        let cell = u32::from(scope == Scope::Cell);
+        let place = |e: EngineId| self.engines[e].line.map(|l| (l.zone, l.cell * cell));
         h.may_have_run.is_none_or(|first| scope == Scope::Everywhere || place(first.engine) == place(engine))
     }
 
@@ -601,24 +603,21 @@
 
     // ---- 3: cold care ----
 
-    /// Share of its capacity that an engine has: from the told start share, evenly up until told warm.
-    fn able(&self, now: f64, engine: EngineId) -> f64 {
-        let came_up = self.engines[engine].line.and_then(|l| l.came_up);
-        let (Some(at), Some(c)) = (came_up, self.s.cold) else { return 1.0 };
-        c.starts_at + (1.0 - c.starts_at) * ((now - at) / c.warm_after.max(LEAST)).clamp(0.0, 1.0)
-    }
-
+    /// Cores that an engine can use: from the told start share, evenly up until told warm.
     fn able_cores(&self, now: f64, engine: EngineId) -> f64 {
-        (self.engines[engine].cores * self.able(now, engine)).max(LEAST)
+        let e = &self.engines[engine];
+        let (Some(at), Some(c)) = (e.line.and_then(|l| l.came_up), self.s.cold) else { return e.cores };
+        let warmed = ((now - at) / c.warm_after.max(LEAST)).clamp(0.0, 1.0);
+        (e.cores * (c.starts_at + (1.0 - c.starts_at) * warmed)).max(LEAST)
     }
 
     /// Keeps our part of a cold engine's work budget, which grows with the time since it started. Where the
     /// part is under the largest batch, lots drawn for each engine decide which few gateways send up to that
     /// one: the sum stays the same, and a cold engine is neither starved nor pushed over.
     fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
-        let (Some(c), true) = (self.s.cold, self.able(now, engine) < 1.0 - LEAST) else { return true };
-        let e = &self.engines[engine];
-        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
+        let (e, able) = (&self.engines[engine], self.able_cores(now, engine));
+        let (Some(c), true) = (self.s.cold, able < e.cores - LEAST) else { return true };
+        let lump = COLD_LUMP * c.multiple * c.window * able;
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
         let known = e.line.and_then(|l| l.came_up).map_or(0.0, |at| now - at.max(self.born));
         let part = rate * (known + c.window / 2.0);
@@ -685,11 +684,10 @@
     // ---- 5: learning ----
 
     fn learn(&mut self, b: &Batch, o: &Outcome, slowdown: f64) {
-        let c = &self.s.groups[b.group];
         let l = &mut self.learned[b.group];
         l.answers += 1;
         let weight = LEARN.max(1.0 / f64::from(l.answers));
-        let work = o.work.unwrap_or(o.latency * c.threads).max(LEAST);
+        let work = o.work.unwrap_or(o.latency * self.s.groups[b.group].threads).max(LEAST);
         l.work.learn(weight, work, b.cost);
         if let Some(told) = o.memory {
             l.memory.learn(weight, told, b.memory);
