--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -2,9 +2,9 @@
 
 use crate::frame::{Address, Read, Reader, Reply};
 use crate::link::Entry;
-use crate::settings::{self, Decoded};
 use garnetwall::api::{Answer, Batch, Condition, End, Listed, Next, Note, Outcome, Place, Report, Wait};
 use garnetwall::control::Control;
+use garnetwall_settings::{decode, Decoded, Flat};
 use std::collections::BTreeMap;
 
 /// The wire names a priority with every grant; the module sets none, and this is what holds where none is
@@ -45,7 +45,7 @@
 
 impl Instance {
     pub fn new(seed: u64, text: &str, clock: f64) -> Result<Self, String> {
-        let Decoded { settings, fields } = settings::decode(text)?;
+        let Decoded { settings, fields, .. } = decode(&Flat::from_text(text)?)?;
         Ok(Instance {
             groups: settings.groups.len(),
             control: Control::new(settings, seed, clock),
@@ -240,22 +240,7 @@
     }
 
     fn report(&self, values: &[f64]) -> Option<Report> {
-        if values.is_empty() {
-            return None;
-        }
-        let mut report = Report::default();
-        for (name, value) in self.fields.iter().zip(values) {
-            let value = share(*value);
-            match name.as_str() {
-                "load_share" => report.utilisation = value,
-                "depth" => report.waiting = value,
-                "concurrent" => report.held = value,
-                "x0" => report.memory = value,
-                "x1" => report.disks = value,
-                _ => {}
-            }
-        }
-        Some(report)
+        garnetwall_settings::report(self.fields.iter().map(String::as_str).zip(values.iter().copied()))
     }
 
     /// Asks the module until it wants to wait, then sets the one timer that wakes it.
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -4,7 +4,6 @@
 mod frame;
 mod instance;
 mod link;
-mod settings;
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/gateway/src/changes.rs
@@ -0,0 +1,190 @@
+//! The change log: numbered events about the list of engines, applied once and in order.
+
+use crate::desk::Desk;
+use crate::engines::Engines;
+use bytes::Bytes;
+use garnetwall::api::Condition;
+use garnetwall_settings::Names;
+use http_body_util::BodyExt;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Protocol: the path of the log and the field that names the last event had.
+const PATH: &str = "/changes";
+pub const LAST_EVENT: &str = "last-event-id";
+/// Protocol: a comment comes each second; two and a half without one are a silent stream.
+const SILENT: Duration = Duration::from_millis(2500);
+/// More than any list in one event; what is longer is no event.
+const LONGEST_EVENT: usize = 4 << 20;
+
+/// One numbered change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    pub number: u64,
+    /// The whole list, or only what has changed.
+    pub whole: bool,
+    pub lines: Vec<EngineLine>,
+}
+
+/// An engine as the log has it; `came_up` is in Unix seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineLine {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: u32,
+    pub kind: usize,
+    pub cell: u32,
+    pub came_up: Option<f64>,
+    pub condition: Condition,
+}
+
+/// Decodes an event, or says what is wrong with it.
+pub fn event(json: &Value, names: &Names) -> Result<Event, String> {
+    let number = json.get("seq").and_then(Value::as_u64).ok_or("seq: a number expected")?;
+    let Some(fleet) = json.get("fleet") else {
+        return Ok(Event { number, whole: false, lines: Vec::new() });
+    };
+    let whole = fleet.get("full").and_then(Value::as_bool).ok_or("fleet.full: true or false expected")?;
+    let lines = fleet.get("servers").and_then(Value::as_array).ok_or("fleet.servers: a list expected")?;
+    let line = |(i, one): (usize, &Value)| {
+        engine_line(one, names).map_err(|what| format!("fleet.servers.{i}.{what}"))
+    };
+    Ok(Event { number, whole, lines: lines.iter().enumerate().map(line).collect::<Result<_, _>>()? })
+}
+
+fn engine_line(json: &Value, names: &Names) -> Result<EngineLine, String> {
+    let text =
+        |key: &str| json.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key}: a text expected"));
+    let number = |key: &str| match json.get(key) {
+        None | Some(Value::Null) => Ok(0),
+        Some(value) => value.as_u64().ok_or_else(|| format!("{key}: a number expected")),
+    };
+    let index = |key: &str, names: &[String]| match json.get(key) {
+        None | Some(Value::Null) => Ok(0),
+        Some(Value::String(name)) => names
+            .iter()
+            .position(|n| *n == name.replace([' ', ','], "_"))
+            .ok_or_else(|| format!("{key}: '{name}' is not in the settings")),
+        Some(other) => Err(format!("{key}: {other} is no name")),
+    };
+    let condition = match text("state")? {
+        "SERVING" => Condition::Ready,
+        "DRAINING" => Condition::Draining,
+        "DELETED" => Condition::Gone,
+        other => return Err(format!("state: '{other}' is unknown")),
+    };
+    Ok(EngineLine {
+        id: text("id")?.to_string(),
+        address: text("addr")?.parse().map_err(|_| "addr: an address with its port expected".to_string())?,
+        zone: index("zone", &names.zones)? as u32,
+        kind: index("kind", &names.kinds)?,
+        cell: u32::try_from(number("cell")?).map_err(|_| "cell: too large".to_string())?,
+        came_up: Some(number("started_ms")?).filter(|ms| *ms != 0).map(|ms| ms as f64 / 1000.0),
+        condition,
+    })
+}
+
+/// Server-sent events out of the bytes of a stream.
+#[derive(Default)]
+pub struct Stream {
+    rest: Vec<u8>,
+    data: Vec<u8>,
+}
+
+impl Stream {
+    /// Takes bytes in and gives the data of the events that are now whole; an error where one is too long.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Vec<u8>>, String> {
+        self.rest.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.rest.drain(..=end).collect();
+            let line = line.strip_suffix(b"\n").unwrap_or(&line);
+            self.line(line.strip_suffix(b"\r").unwrap_or(line), &mut events);
+        }
+        if self.rest.len() + self.data.len() > LONGEST_EVENT {
+            return Err("an event is too long".into());
+        }
+        Ok(events)
+    }
+
+    fn line(&mut self, line: &[u8], events: &mut Vec<Vec<u8>>) {
+        if line.is_empty() {
+            if !self.data.is_empty() {
+                events.push(std::mem::take(&mut self.data));
+            }
+        } else if let Some(value) = line.strip_prefix(b"data:") {
+            if !self.data.is_empty() {
+                self.data.push(b'\n');
+            }
+            self.data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+        }
+    }
+}
+
+/// Follows the log: where it is and how far it has been applied.
+pub struct Follower {
+    pub log: SocketAddr,
+    pub last: u64,
+    pub names: Names,
+    pub engines: Arc<Engines>,
+    pub desk: Arc<Desk>,
+    /// The number of the event that was malformed last: it is passed over when it comes again.
+    pub malformed: Option<u64>,
+}
+
+impl Follower {
+    /// Reads the log for as long as the gateway runs, with a fresh connection after every fault.
+    pub async fn follow(mut self, pause: Duration) {
+        loop {
+            match self.one_connection().await {
+                Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
+                Err(fault) => tracing::warn!(%fault, last = self.last, "change log lost"),
+            }
+            sleep(pause).await;
+        }
+    }
+
+    async fn one_connection(&mut self) -> Result<(), String> {
+        let answer = timeout(SILENT, self.engines.open_log(self.log, PATH, LAST_EVENT, self.last));
+        let mut body = answer.await.map_err(|_| "no answer")??;
+        tracing::info!(last = self.last, "change log connected");
+        let mut stream = Stream::default();
+        loop {
+            let Some(frame) = timeout(SILENT, body.frame()).await.map_err(|_| "silent")? else {
+                return Ok(());
+            };
+            let bytes = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_else(|_| Bytes::new());
+            for data in stream.feed(&bytes)? {
+                self.apply(&data)?;
+            }
+        }
+    }
+
+    fn apply(&mut self, data: &[u8]) -> Result<(), String> {
+        let expected = self.last + 1;
+        let json: Value = serde_json::from_slice(data).unwrap_or(Value::Null);
+        match event(&json, &self.names) {
+            Ok(event) if event.number < expected => Ok(()),
+            Ok(event) if event.number > expected && !event.whole => {
+                Err(format!("event {} came where {expected} was due", event.number))
+            }
+            Ok(event) => {
+                self.last = event.number;
+                self.desk.listed(&self.engines.listed(&event), event.whole);
+                Ok(())
+            }
+            Err(what) if self.malformed == Some(expected) => {
+                tracing::warn!(event = expected, what, "event passed over");
+                self.last = expected;
+                Ok(())
+            }
+            Err(what) => {
+                self.malformed = Some(expected);
+                Err(format!("event {expected}: {what}"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/cli.rs
@@ -0,0 +1,94 @@
+//! The command line.
+
+use crate::config;
+use crate::gateway::Gateway;
+use pico_args::Arguments;
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+use tracing_subscriber::EnvFilter;
+
+const HELP: &str = "\
+garnetwall: admission control for batches on a pool of engines
+
+Usage: garnetwall COMMAND [--config FILE]
+
+Commands:
+  serve         run a gateway until SIGTERM or SIGINT
+  check-config  read and check the configuration, and say what is wrong
+  version       print the version
+  help          print this text
+
+Options:
+  --config FILE  the configuration; otherwise the file that PROXY_CONFIG names
+
+Environment: PROXY_NAME and PROXY_LISTEN go before the file's name and listen;
+GARNETWALL_LOG sets the level of the log on standard error (info).
+";
+
+/// Runs the command that the arguments name.
+pub fn main() -> ExitCode {
+    match command(Arguments::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("garnetwall: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command(mut arguments: Arguments) -> Result<(), String> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let name = arguments.subcommand().map_err(|e| e.to_string())?;
+    let file: Option<String> = arguments.opt_value_from_str("--config").map_err(|e| e.to_string())?;
+    if let Some(left) = arguments.finish().first() {
+        return Err(format!("unknown argument {left:?}; see garnetwall help"));
+    }
+    match name.as_deref() {
+        Some("serve") => serve(file),
+        Some("check-config") => {
+            let config = read(file)?;
+            println!(
+                "configuration of {} is good: {} listens on {}",
+                config.name, config.name, config.listen
+            );
+            Ok(())
+        }
+        Some("version") => {
+            println!("garnetwall {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some("help") => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(format!("unknown command '{other}'; see garnetwall help")),
+        None => Err("a command expected; see garnetwall help".into()),
+    }
+}
+
+fn read(file: Option<String>) -> Result<config::Config, String> {
+    config::read(file, |name| std::env::var(name).ok()).map_err(|e| e.to_string())
+}
+
+fn serve(file: Option<String>) -> Result<(), String> {
+    let filter = EnvFilter::try_from_env("GARNETWALL_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    let config = read(file)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    runtime.block_on(async {
+        let listen = config.listen;
+        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+        let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+        let stop = async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        Gateway::new(config).run(stop).await.map_err(|e| format!("listen {listen}: {e}"))
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,130 @@
+//! The one place where configuration is read, checked and given defaults. Every fault names its key.
+
+use crate::changes::{self, Event};
+use garnetwall_settings::{decode, Decoded, Flat};
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Names the file that holds the configuration.
+pub const FILE_VARIABLE: &str = "PROXY_CONFIG";
+const NAME_VARIABLE: &str = "PROXY_NAME";
+const LISTEN_VARIABLE: &str = "PROXY_LISTEN";
+
+/// Where no limit is told, the usual one of a process.
+const USUAL_SOCKETS: u64 = 1024;
+/// A gateway with fewer descriptors could not hold one batch.
+const FEWEST_SOCKETS: u64 = 64;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub changelog: SocketAddr,
+    /// The number of the last change known at the start, and the changes up to it.
+    pub last_known: u64,
+    pub known: Vec<Event>,
+    pub decoded: Decoded,
+}
+
+/// What is wrong, with the key it is under and what was expected.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError(pub String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+type Checked<T> = Result<T, ConfigError>;
+
+fn fault<T>(key: &str, expected: &str) -> Checked<T> {
+    Err(ConfigError(format!("configuration {key}: {expected}")))
+}
+
+/// Reads the file that is named on the command line or in the environment.
+pub fn read(file: Option<String>, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
+    let Some(file) = file.or_else(|| variable(FILE_VARIABLE)) else {
+        return Err(ConfigError(format!("{FILE_VARIABLE}: not set, the path of the configuration expected")));
+    };
+    let text = std::fs::read(&file).map_err(|e| ConfigError(format!("{FILE_VARIABLE}: {file}: {e}")))?;
+    let json: Value = match serde_json::from_slice(&text) {
+        Ok(json) => json,
+        Err(e) => return Err(ConfigError(format!("{FILE_VARIABLE}: {file}: not JSON: {e}"))),
+    };
+    check(&json, variable)
+}
+
+fn check(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
+    if !json.is_object() {
+        return fault("file", "an object expected");
+    }
+    let listen = match variable(LISTEN_VARIABLE) {
+        Some(word) => address(LISTEN_VARIABLE, &word)?,
+        None => address("listen", text(json, "listen")?)?,
+    };
+    let seed = text(json, "seed")?;
+    let Ok(seed) = u64::from_str_radix(seed, 16) else {
+        return fault("seed", &format!("'{seed}': up to 16 hex digits expected"));
+    };
+    let flat = json.get("settings").map_or_else(|| fault("settings", "missing, an object expected"), Ok)?;
+    let named = |what: String| ConfigError(format!("configuration {what}"));
+    let decoded = decode(&Flat::from_json(flat).map_err(named)?).map_err(named)?;
+    if decoded.settings.groups.is_empty() {
+        return fault("settings.categories", "at least one service group expected");
+    }
+    let (last_known, known) = known(json.get("known").unwrap_or(&Value::Null), &decoded)?;
+    Ok(Config {
+        name: variable(NAME_VARIABLE).map_or_else(|| text(json, "name").map(String::from), Ok)?,
+        listen,
+        seed,
+        sockets: sockets(json)?,
+        changelog: address("changelog", text(json, "changelog")?)?,
+        last_known,
+        known,
+        decoded,
+    })
+}
+
+fn text<'a>(json: &'a Value, key: &str) -> Checked<&'a str> {
+    match json.get(key) {
+        Some(Value::String(word)) if !word.is_empty() => Ok(word),
+        Some(other) => fault(key, &format!("{other}: a text expected")),
+        None => fault(key, "missing, a text expected"),
+    }
+}
+
+fn address(key: &str, word: &str) -> Checked<SocketAddr> {
+    match word.parse::<SocketAddr>() {
+        Ok(address) if address.port() != 0 => Ok(address),
+        _ => fault(key, &format!("'{word}': an address with its port expected")),
+    }
+}
+
+fn sockets(json: &Value) -> Checked<usize> {
+    let told = json.get("limits").and_then(|limits| limits.get("sockets"));
+    let told = told.map_or(Some(USUAL_SOCKETS), Value::as_u64).filter(|n| *n >= FEWEST_SOCKETS);
+    let told = told.and_then(|n| usize::try_from(n).ok());
+    told.map_or_else(|| fault("limits.sockets", &format!("a number from {FEWEST_SOCKETS} up expected")), Ok)
+}
+
+fn known(json: &Value, decoded: &Decoded) -> Checked<(u64, Vec<Event>)> {
+    if json.is_null() {
+        return Ok((0, Vec::new()));
+    }
+    let Some(last) = json.get("seq").and_then(Value::as_u64) else {
+        return fault("known.seq", "the number of a change expected");
+    };
+    let Some(results) = json.get("results").and_then(Value::as_array) else {
+        return fault("known.results", "a list of changes expected");
+    };
+    let event = |(i, one): (usize, &Value)| {
+        changes::event(one, &decoded.names).or_else(|what| fault(&format!("known.results.{i}"), &what))
+    };
+    Ok((last, results.iter().enumerate().map(event).collect::<Checked<_>>()?))
+}
--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,323 @@
+//! The desk: the decision module behind one lock, its one timer, and the batches in hand. It hands facts in
+//! and orders out, and decides nothing.
+
+use crate::clock::Clock;
+use bytes::Bytes;
+use garnetwall::api::{Answer, Batch, BatchId, End, EngineId, Listed, Next, Outcome, Place, Report, Wait};
+use garnetwall::control::Control;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep_until, Instant};
+
+/// What a batch's task is to do next.
+#[derive(Debug)]
+pub enum Order {
+    Go {
+        engine: EngineId,
+        time_out: f64,
+    },
+    TakeBack {
+        dispatch: u32,
+    },
+    Over(Answer),
+    /// The client has gone: no answer is owed.
+    Gone,
+}
+
+/// The one final answer of a batch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    Returned(Bytes),
+    PushedBack { come_back: Option<f64> },
+    Errored,
+}
+
+impl From<Answer> for Final {
+    fn from(answer: Answer) -> Self {
+        match answer {
+            Answer::PushBack { come_back } => Final::PushedBack { come_back },
+            Answer::Error => Final::Errored,
+        }
+    }
+}
+
+/// A batch as it comes, before it has its number.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub job: u64,
+    pub group: usize,
+    pub tenant: usize,
+    pub key: Option<u64>,
+    /// When the client gives up.
+    pub limit: f64,
+    pub data_set: u32,
+}
+
+/// What became of a call that brought a batch.
+pub enum Taken {
+    New {
+        id: BatchId,
+        orders: UnboundedReceiver<Order>,
+        waiter: Waiter,
+    },
+    /// The batch of this id is in hand already.
+    Joined(Waiter),
+    /// The batch of this id is over already.
+    Over,
+}
+
+pub struct Desk {
+    clock: Clock,
+    seats: Mutex<Seats>,
+    earlier: Notify,
+    probes: UnboundedSender<EngineId>,
+    in_hand: watch::Sender<usize>,
+    /// How long an id that is over is remembered.
+    remembered: f64,
+}
+
+struct Seats {
+    control: Control,
+    next: BatchId,
+    jobs: HashMap<u64, Job>,
+    in_hand: HashMap<BatchId, InHand>,
+    over: VecDeque<(f64, u64)>,
+    wake: f64,
+}
+
+enum Job {
+    InHand(BatchId),
+    Over,
+}
+
+/// A batch in hand, until it is over and every dispatch has its outcome.
+struct InHand {
+    job: u64,
+    orders: UnboundedSender<Order>,
+    answer: watch::Sender<Option<Final>>,
+    waiters: usize,
+}
+
+impl InHand {
+    fn order(&self, order: Order) {
+        // A task that no longer listens has nothing out and owes nothing.
+        let _ = self.orders.send(order);
+    }
+
+    fn is_over(&self) -> bool {
+        self.answer.borrow().is_some()
+    }
+}
+
+impl Desk {
+    /// A desk, and the engines that the module wants to have probed.
+    pub fn new(control: Control, clock: Clock, remembered: f64) -> (Self, UnboundedReceiver<EngineId>) {
+        let (probes, wanted) = unbounded_channel();
+        let seats = Seats {
+            control,
+            next: 0,
+            jobs: HashMap::new(),
+            in_hand: HashMap::new(),
+            over: VecDeque::new(),
+            wake: clock.now(),
+        };
+        let (in_hand, _) = watch::channel(0);
+        let seats = Mutex::new(seats);
+        (Desk { clock, seats, earlier: Notify::new(), probes, in_hand, remembered }, wanted)
+    }
+
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    fn seats(&self) -> MutexGuard<'_, Seats> {
+        self.seats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands a fact to the module, then asks it what is due until it wants to wait.
+    fn fact<T>(&self, tell: impl FnOnce(&mut Seats, f64) -> T) -> T {
+        let now = self.clock.now();
+        let mut seats = self.seats();
+        let told = tell(&mut seats, now);
+        let armed = seats.wake;
+        loop {
+            match seats.control.wait(now) {
+                Wait::Ask(id) => seats.ask(now, id),
+                Wait::Probe(engine) => drop(self.probes.send(engine)),
+                // The change log is followed at all times.
+                Wait::Subscribe => {}
+                Wait::Cancel(id, dispatch) => seats.order(id, Order::TakeBack { dispatch }),
+                Wait::For(span) => {
+                    seats.wake = now + span;
+                    break;
+                }
+            }
+        }
+        if seats.wake < armed {
+            self.earlier.notify_one();
+        }
+        told
+    }
+
+    /// Wakes the module when it wants to be woken, for as long as the gateway runs.
+    pub async fn keep_time(&self) {
+        loop {
+            let wake = Instant::from_std(self.clock.instant(self.seats().wake));
+            tokio::select! {
+                () = sleep_until(wake) => self.fact(|_, _| ()),
+                () = self.earlier.notified() => {}
+            }
+        }
+    }
+
+    pub fn listed(&self, lines: &[Listed], whole: bool) {
+        self.fact(|seats, _| seats.control.listed(lines, whole));
+    }
+
+    pub fn probed(&self, engine: EngineId, end: End, report: Option<Report>) {
+        self.fact(|seats, now| {
+            seats.control.probed(now, engine, end);
+            if let Some(report) = report {
+                seats.control.report(now, engine, report);
+            }
+        });
+    }
+
+    /// Takes a batch, or finds the one that has its id.
+    pub fn take(self: &Arc<Self>, a: Arrival) -> Taken {
+        self.fact(|seats, now| {
+            seats.forget_over(now);
+            match seats.jobs.get(&a.job) {
+                Some(Job::Over) => return Taken::Over,
+                Some(&Job::InHand(id)) => return self.join(seats, id),
+                None => {}
+            }
+            let id = seats.next;
+            seats.next = id.wrapping_add(1);
+            let (sender, orders) = unbounded_channel();
+            let (answer, receiver) = watch::channel(None);
+            seats.jobs.insert(a.job, Job::InHand(id));
+            seats.in_hand.insert(id, InHand { job: a.job, orders: sender, answer, waiters: 1 });
+            self.in_hand.send_replace(seats.in_hand.len());
+            let (group, tenant, key, data_set) = (a.group, a.tenant, a.key, a.data_set);
+            let left = a.limit - now;
+            let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set };
+            seats.control.take(now, b);
+            Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver } }
+        })
+    }
+
+    fn join(self: &Arc<Self>, seats: &mut Seats, id: BatchId) -> Taken {
+        let Some(b) = seats.in_hand.get_mut(&id) else { return Taken::Over };
+        b.waiters += 1;
+        Taken::Joined(Waiter { desk: self.clone(), id, answer: b.answer.subscribe() })
+    }
+
+    /// What follows an outcome.
+    pub fn after(&self, id: BatchId, outcome: Outcome, report: Option<Report>) -> Next {
+        self.fact(|seats, now| {
+            if let Some(report) = report {
+                seats.control.report(now, outcome.engine, report);
+            }
+            let closed = outcome.closed || seats.in_hand.get(&id).is_none_or(InHand::is_over);
+            seats.control.after(now, id, Outcome { closed, ..outcome })
+        })
+    }
+
+    /// Gives a batch its final answer; only the first counts.
+    pub fn answer(&self, id: BatchId, last: Final) {
+        if let Some(b) = self.seats().in_hand.get(&id).filter(|b| !b.is_over()) {
+            b.answer.send_replace(Some(last));
+        }
+    }
+
+    /// Lets a batch go: it is over and every dispatch has its outcome.
+    pub fn let_go(&self, id: BatchId) {
+        let mut seats = self.seats();
+        if let Some(b) = seats.in_hand.remove(&id) {
+            seats.jobs.insert(b.job, Job::Over);
+            seats.over.push_back((self.clock.now() + self.remembered, b.job));
+        }
+        self.in_hand.send_replace(seats.in_hand.len());
+    }
+
+    /// The client of this id withdraws it; whether it was in hand.
+    pub fn withdraw(&self, job: u64) -> bool {
+        self.fact(|seats, now| match seats.jobs.get(&job) {
+            Some(&Job::InHand(id)) => {
+                seats.gone(now, id);
+                true
+            }
+            _ => false,
+        })
+    }
+
+    /// Until nothing is in hand.
+    pub async fn emptied(&self) {
+        // It fails only with the sender gone, which this desk holds.
+        let _ = self.in_hand.subscribe().wait_for(|n| *n == 0).await;
+    }
+
+    fn left(&self, id: BatchId) {
+        self.fact(|seats, now| {
+            let Some(b) = seats.in_hand.get_mut(&id) else { return };
+            b.waiters -= 1;
+            if b.waiters == 0 {
+                seats.gone(now, id);
+            }
+        });
+    }
+}
+
+impl Seats {
+    fn order(&self, id: BatchId, order: Order) {
+        if let Some(b) = self.in_hand.get(&id) {
+            b.order(order);
+        }
+    }
+
+    fn ask(&mut self, now: f64, id: BatchId) {
+        match self.control.place(now, id) {
+            Place::NotYet => {}
+            Place::Over(answer) => self.order(id, Order::Over(answer)),
+            Place::To { engine, time_out, .. } => self.order(id, Order::Go { engine, time_out }),
+        }
+    }
+
+    /// Nobody waits for this batch any more; whoever still asks for it finds it errored.
+    fn gone(&mut self, now: f64, id: BatchId) {
+        let Some(b) = self.in_hand.get(&id).filter(|b| !b.is_over()) else { return };
+        b.answer.send_replace(Some(Final::Errored));
+        b.order(Order::Gone);
+        self.control.client_gone(now, id);
+    }
+
+    fn forget_over(&mut self, now: f64) {
+        while let Some((_, job)) = self.over.front().copied().filter(|(until, _)| *until < now) {
+            self.over.pop_front();
+            self.jobs.remove(&job);
+        }
+    }
+}
+
+/// A client that waits for a batch; dropped before the answer, it has gone.
+pub struct Waiter {
+    desk: Arc<Desk>,
+    id: BatchId,
+    answer: watch::Receiver<Option<Final>>,
+}
+
+impl Waiter {
+    pub async fn answer(mut self) -> Final {
+        let last = self.answer.wait_for(Option::is_some).await;
+        last.ok().and_then(|last| last.clone()).unwrap_or(Final::Errored)
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        self.desk.left(self.id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,145 @@
+//! The gateway as one object: its phases from start to exit, and what runs in each.
+
+use crate::changes::Follower;
+use crate::clock::{span, Clock};
+use crate::config::Config;
+use crate::desk::Desk;
+use crate::engines::Engines;
+use crate::front::{self, Front};
+use crate::sockets::Budget;
+use garnetwall::api::EngineId;
+use garnetwall::control::Control;
+use hyper_util::server::graceful::GracefulShutdown;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Protocol: after SIGTERM clients go on coming for this long.
+const GOES_ON: Duration = Duration::from_millis(700);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not bound yet, or no engine list yet.
+    Starting,
+    Serving,
+    /// Asked to stop: takes on what still comes, then answers all in hand.
+    Draining,
+    Stopped,
+}
+
+/// One gateway.
+pub struct Gateway {
+    config: Config,
+    phase: watch::Sender<Phase>,
+    budget: Budget,
+    engines: Arc<Engines>,
+    desk: Arc<Desk>,
+    probes: UnboundedReceiver<EngineId>,
+}
+
+impl Gateway {
+    pub fn new(config: Config) -> Self {
+        let clock = Clock::start();
+        let budget = Budget::of(config.sockets);
+        let settings = &config.decoded.settings;
+        let longest = settings.groups.iter().map(|g| g.limit).fold(0.0, f64::max);
+        let control = Control::new(settings.clone(), config.seed, clock.now());
+        let (desk, probes) = Desk::new(control, clock, longest);
+        let engines = Arc::new(Engines::new(config.decoded.network, &budget));
+        Gateway {
+            phase: watch::Sender::new(Phase::Starting),
+            budget,
+            engines,
+            desk: Arc::new(desk),
+            probes,
+            config,
+        }
+    }
+
+    fn enter(&self, phase: Phase) {
+        tracing::info!(gateway = self.config.name, ?phase, "phase");
+        self.phase.send_replace(phase);
+    }
+
+    /// Runs from start to exit; `stop` asks it to drain.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) -> io::Result<()> {
+        let listener = bind(self.config.listen)?;
+        self.start();
+        let front = Front {
+            desk: self.desk.clone(),
+            engines: self.engines.clone(),
+            decoded: self.config.decoded.clone(),
+            phase: self.phase.subscribe(),
+        };
+        let router = front::router(Arc::new(front));
+        let open = GracefulShutdown::new();
+        self.enter(Phase::Serving);
+        tokio::select! {
+            () = front::accept(&listener, &router, &self.budget.clients, &open) => {}
+            () = stop => {}
+        }
+        self.enter(Phase::Draining);
+        // It ends with the time alone: accepting does not.
+        let _ = timeout(GOES_ON, front::accept(&listener, &router, &self.budget.clients, &open)).await;
+        drop(listener);
+        open.shutdown().await;
+        self.desk.emptied().await;
+        self.enter(Phase::Stopped);
+        Ok(())
+    }
+
+    /// The list known at the start, and the tasks that run beside the front.
+    fn start(&mut self) {
+        for event in &self.config.known {
+            self.desk.listed(&self.engines.listed(event), event.whole);
+        }
+        let follower = Follower {
+            log: self.config.changelog,
+            last: self.config.last_known,
+            names: self.config.decoded.names.clone(),
+            engines: self.engines.clone(),
+            desk: self.desk.clone(),
+            malformed: None,
+        };
+        tokio::spawn(follower.follow(span(self.config.decoded.network.dial)));
+        let desk = self.desk.clone();
+        tokio::spawn(async move { desk.keep_time().await });
+        let (_, nothing) = tokio::sync::mpsc::unbounded_channel();
+        let wanted = std::mem::replace(&mut self.probes, nothing);
+        tokio::spawn(probe(wanted, self.engines.clone(), self.desk.clone()));
+    }
+}
+
+/// Probes the engines that the module wants to have probed, each in a task of its own.
+async fn probe(mut wanted: UnboundedReceiver<EngineId>, engines: Arc<Engines>, desk: Arc<Desk>) {
+    while let Some(engine) = wanted.recv().await {
+        let (engines, desk) = (engines.clone(), desk.clone());
+        tokio::spawn(async move {
+            let (end, report) = engines.probe(engine).await;
+            desk.probed(engine, end, report);
+        });
+    }
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A gateway killed outright starts again under its address at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// For embedding: a moment that never comes.
+pub async fn never() {
+    loop {
+        sleep(Duration::from_secs(3600)).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,16 @@
+//! The garnetwall gateway: takes batches over HTTP, asks the decision module, and runs them on engines.
+//!
+//! Embed it with [`config::Config`] and [`gateway::Gateway`]; `src/main.rs` does no more.
+
+pub mod changes;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod desk;
+pub mod engines;
+pub mod front;
+pub mod gateway;
+pub mod life;
+pub mod rows;
+pub mod sockets;
+pub mod statement;
--- /dev/null
+++ b/crates/gateway/src/rows.rs
@@ -0,0 +1,87 @@
+//! Pages of a result into the rows of one JSON answer, unchanged and in order.
+
+use bytes::Bytes;
+
+/// Protocol: columns of every row.
+const COLUMNS: usize = 3;
+/// Protocol: bytes of one page, and of a whole result.
+pub const PAGE: usize = 6_000;
+pub const RESULT: usize = 48_000;
+pub const PAGES: usize = RESULT / PAGE * 2;
+
+/// The body of a whole answer; says what is wrong where a page holds no whole rows.
+pub fn answer(pages: &[Bytes]) -> Result<Bytes, String> {
+    let bytes: usize = pages.iter().map(Bytes::len).sum();
+    if bytes > RESULT {
+        return Err(format!("{bytes} bytes of result"));
+    }
+    let mut out = Vec::with_capacity(bytes + bytes / 4 + 64);
+    out.extend_from_slice(b"{\"data\":[");
+    let mut first = true;
+    for page in pages {
+        let text = std::str::from_utf8(page).map_err(|_| "a page is not UTF-8".to_string())?;
+        let mut rest = text;
+        while let Some((row, later)) = rest.split_once('\n') {
+            if !first {
+                out.push(b',');
+            }
+            first = false;
+            write_row(&mut out, row)?;
+            rest = later;
+        }
+        if !rest.is_empty() {
+            return Err("a page ends within a row".into());
+        }
+    }
+    out.extend_from_slice(b"]}");
+    Ok(out.into())
+}
+
+fn write_row(out: &mut Vec<u8>, row: &str) -> Result<(), String> {
+    out.push(b'[');
+    let mut columns = 0;
+    for column in row.split('\t') {
+        if columns > 0 {
+            out.push(b',');
+        }
+        columns += 1;
+        serde_json::to_writer(&mut *out, column).map_err(|e| e.to_string())?;
+    }
+    out.push(b']');
+    if columns == COLUMNS {
+        Ok(())
+    } else {
+        Err(format!("a row of {columns} columns"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rows(pages: &[&str]) -> Result<Vec<Vec<String>>, String> {
+        let pages: Vec<Bytes> = pages.iter().map(|p| Bytes::copy_from_slice(p.as_bytes())).collect();
+        let json: serde_json::Value = serde_json::from_slice(&answer(&pages)?).expect("JSON");
+        Ok(serde_json::from_value(json["data"].clone()).expect("rows of texts"))
+    }
+
+    #[test]
+    fn rows_come_out_unchanged_and_in_order() {
+        assert_eq!(rows(&[""]).unwrap(), Vec::<Vec<String>>::new());
+        let odd = ["quote\"", "back\\slash", "\u{1}\r\u{7f} é 漢"];
+        let page = format!("a\t\t\n{}\n", odd.join("\t"));
+        assert_eq!(
+            rows(&[&page, "x\ty\tz\n"]).unwrap(),
+            vec![vec!["a", "", ""], odd.to_vec(), vec!["x", "y", "z"]]
+        );
+    }
+
+    #[test]
+    fn what_is_no_whole_row_is_an_error_never_a_row() {
+        for page in ["a\tb\n", "a\tb\tc\td\n", "a\tb\tc", "\n"] {
+            assert!(rows(&[page]).is_err(), "{page:?}");
+        }
+        assert!(answer(&[Bytes::from_static(&[0xff, b'\t', b'\t', b'\n'])]).is_err());
+        assert!(answer(&[Bytes::from(vec![b'a'; RESULT + 1])]).is_err());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sockets.rs
@@ -0,0 +1,112 @@
+//! Descriptors: the budget, and the stream that holds a part of it for as long as it is open.
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{Connected, Connection};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Instant;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Descriptors kept back: standard streams, the listener, the runtime's own, the change log.
+const OWN: usize = 24;
+
+/// Parts of the told limit that may be open at once.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    pub clients: Arc<Semaphore>,
+    pub engines: Arc<Semaphore>,
+}
+
+impl Budget {
+    /// A third for clients, as the protocol has it; the rest, less our own, for engines.
+    pub fn of(limit: usize) -> Self {
+        let clients = (limit / 3).max(1);
+        let engines = limit.saturating_sub(clients + OWN).max(1);
+        Budget { clients: Arc::new(Semaphore::new(clients)), engines: Arc::new(Semaphore::new(engines)) }
+    }
+}
+
+/// When something was last read from a connection.
+#[derive(Clone, Debug)]
+pub struct LastRead(Arc<Mutex<Instant>>);
+
+impl LastRead {
+    pub fn at(&self) -> Instant {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+}
+
+/// A TCP stream with its part of the budget; it stamps what it reads before anything parses it.
+#[derive(Debug)]
+pub struct Line {
+    io: TokioIo<TcpStream>,
+    read: LastRead,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Line {
+    pub fn new(stream: TcpStream, permit: OwnedSemaphorePermit) -> Self {
+        if let Err(fault) = stream.set_nodelay(true) {
+            tracing::debug!(%fault, "no-delay not set");
+        }
+        Line {
+            io: TokioIo::new(stream),
+            read: LastRead(Arc::new(Mutex::new(Instant::now()))),
+            _permit: permit,
+        }
+    }
+
+    pub fn last_read(&self) -> LastRead {
+        self.read.clone()
+    }
+}
+
+impl Read for Line {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        let end = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(end, Poll::Ready(Ok(()))) {
+            self.read.set();
+        }
+        end
+    }
+}
+
+impl Write for Line {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+}
+
+impl Connection for Line {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/flat.rs
@@ -0,0 +1,149 @@
+//! Settings as a map from path to word, whichever form they came in.
+
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Settings by their paths: `categories.0.name`, with the length of a list of objects under `.count`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Flat(BTreeMap<String, String>);
+
+impl Flat {
+    /// From `path=value` lines.
+    pub fn from_text(text: &str) -> Result<Self, String> {
+        let mut map = BTreeMap::new();
+        for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+            let pair = line.split_once('=');
+            let (path, value) = pair.ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
+            map.insert(path.trim().to_string(), value.trim().to_string());
+        }
+        Ok(Flat(map))
+    }
+
+    /// From nested JSON under the same names.
+    pub fn from_json(settings: &Value) -> Result<Self, String> {
+        let mut flat = Flat::default();
+        if !settings.is_object() {
+            return Err("settings: an object expected".into());
+        }
+        flat.put("", settings)?;
+        Ok(flat)
+    }
+
+    fn put(&mut self, path: &str, value: &Value) -> Result<(), String> {
+        let under = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+        match value {
+            Value::Null => {}
+            Value::Object(fields) => {
+                for (key, field) in fields {
+                    self.put(&under(key), field)?;
+                }
+            }
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(under("count"), items.len().to_string());
+                for (i, item) in items.iter().enumerate() {
+                    if !item.is_object() {
+                        return Err(format!("settings {}: an object expected", under(&i.to_string())));
+                    }
+                    self.put(&under(&i.to_string()), item)?;
+                }
+            }
+            Value::Array(items) => {
+                let words = items.iter().map(|item| word(path, item));
+                self.0.insert(path.to_string(), words.collect::<Result<Vec<_>, _>>()?.join(","));
+            }
+            plain => drop(self.0.insert(path.to_string(), word(path, plain)?)),
+        }
+        Ok(())
+    }
+
+    pub(crate) fn has(&self, path: &str) -> bool {
+        self.0.contains_key(path)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn word(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(String::as_str).filter(|v| !v.is_empty())
+    }
+
+    pub(crate) fn number(&self, path: &str) -> Result<Option<f64>, String> {
+        let Some(word) = self.word(path) else {
+            return Ok(None);
+        };
+        match word.parse::<f64>() {
+            Ok(v) if v.is_finite() => Ok(Some(v)),
+            _ => Err(format!("settings {path}: '{word}' is not a number")),
+        }
+    }
+
+    pub(crate) fn number_or(&self, path: &str, absent: f64) -> Result<f64, String> {
+        Ok(self.number(path)?.unwrap_or(absent))
+    }
+
+    pub(crate) fn seconds(&self, path: &str) -> Result<Option<f64>, String> {
+        Ok(self.number(path)?.map(|ms| ms / 1000.0))
+    }
+
+    pub(crate) fn seconds_or(&self, path: &str, absent: f64) -> Result<f64, String> {
+        Ok(self.seconds(path)?.unwrap_or(absent))
+    }
+
+    pub(crate) fn flag(&self, path: &str) -> Result<bool, String> {
+        match self.word(path) {
+            None | Some("false") | Some("0") => Ok(false),
+            Some("true") | Some("1") => Ok(true),
+            Some(other) => Err(format!("settings {path}: '{other}' is neither true nor false")),
+        }
+    }
+
+    pub(crate) fn list(&self, path: &str) -> Vec<&str> {
+        self.word(path).map(|v| v.split(',').collect()).unwrap_or_default()
+    }
+
+    /// Positive numbers of a list; anything else in it stands as unknown.
+    pub(crate) fn sizes(&self, path: &str) -> Vec<Option<f64>> {
+        let size = |v: &str| v.parse::<f64>().ok().filter(|n| n.is_finite() && *n > 0.0);
+        self.list(path).into_iter().map(size).collect()
+    }
+
+    /// Indices, or names of a list that they index.
+    pub(crate) fn indices(&self, path: &str, names: &[String]) -> Result<Option<Vec<u32>>, String> {
+        if !self.has(path) {
+            return Ok(None);
+        }
+        let named = |v: &str| names.iter().position(|n| n == v).map(|i| i as u32);
+        let one = |v: &str| v.parse().ok().or_else(|| named(v)).ok_or_else(|| wrong_index(path, v));
+        self.list(path).into_iter().map(one).collect::<Result<_, _>>().map(Some)
+    }
+
+    /// How many items a list of objects says it has; more than it can hold in this text is malformed.
+    pub(crate) fn count(&self, path: &str) -> Result<usize, String> {
+        let said = self.number_or(&format!("{path}.count"), 0.0)?;
+        if said < 0.0 || said.fract() != 0.0 || said > self.len() as f64 {
+            return Err(format!("settings {path}.count: {said} is not a possible count"));
+        }
+        Ok(said as usize)
+    }
+
+    /// The names of a list of objects.
+    pub(crate) fn names(&self, path: &str) -> Result<Vec<String>, String> {
+        let name = |i| self.word(&format!("{path}.{i}.name")).unwrap_or_default().to_string();
+        Ok((0..self.count(path)?).map(name).collect())
+    }
+}
+
+fn wrong_index(path: &str, word: &str) -> String {
+    format!("settings {path}: '{word}' is not an index")
+}
+
+/// A plain value as the text form has it, with spaces and commas as underscores.
+fn word(path: &str, value: &Value) -> Result<String, String> {
+    match value {
+        Value::String(s) => Ok(s.replace([' ', ','], "_")),
+        Value::Number(n) => Ok(n.to_string()),
+        Value::Bool(b) => Ok(b.to_string()),
+        _ => Err(format!("settings {path}: a plain value expected")),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,152 @@
+//! The named settings of a gateway, as flat text (`path=value` lines) or as nested JSON under the same names,
+//! decoded into the module's plain values; and the fields of an engine's report into a `Report`.
+//! Every error names the key that is at fault.
+
+mod flat;
+
+pub use flat::Flat;
+use garnetwall::api::{ColdRule, Effect, FurtherBudget, Report, Reports, Scope, ServiceGroup, Settings};
+
+/// What one set of settings says.
+#[derive(Clone, Debug)]
+pub struct Decoded {
+    pub settings: Settings,
+    pub names: Names,
+    pub network: Network,
+    /// Names of the report's values, in wire order.
+    pub fields: Vec<String>,
+}
+
+/// Names that index the module's lists.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    pub groups: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// What only the network code needs, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Network {
+    /// A connection that is not up by then counts as never made.
+    pub dial: f64,
+    /// Engines close idle connections after this.
+    pub idle: f64,
+}
+
+/// Where the settings name no such time.
+const USUAL_DIAL: f64 = 0.25;
+const USUAL_IDLE: f64 = 15.0;
+
+/// What an engine said of itself, by the names of its report; `None` where it named nothing.
+pub fn report<'a>(values: impl IntoIterator<Item = (&'a str, f64)>) -> Option<Report> {
+    let mut report = None;
+    for (name, value) in values {
+        let report = report.get_or_insert_with(Report::default);
+        let value = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+        match name {
+            "load_share" | "util" => report.utilisation = value,
+            "depth" | "queue" => report.waiting = value,
+            "concurrent" | "inflight" => report.held = value,
+            "x0" => report.memory = value,
+            "x1" => report.disks = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+pub fn decode(t: &Flat) -> Result<Decoded, String> {
+    let words = |path: &str| t.list(path).into_iter().map(String::from).collect::<Vec<_>>();
+    let names = Names {
+        groups: t.names("categories")?,
+        tenants: t.names("tenants")?,
+        zones: words("zones"),
+        kinds: words("kinds"),
+    };
+    let groups = 0..t.count("categories")?;
+    let groups = groups.map(|i| group(t, i, &names)).collect::<Result<Vec<_>, _>>()?;
+    let tenants = t.count("tenants")?;
+    let further = match t.seconds("rules.extra-window")? {
+        None => None,
+        Some(window) => Some(FurtherBudget {
+            floor: t.number_or("rules.extra-floor", 0.0)?,
+            per_batch: t.number_or("rules.extra-per-request", 0.0)?,
+            window,
+        }),
+    };
+    let cold = match (t.number("rules.fall-multiple")?, t.seconds("rules.fall")?) {
+        (Some(multiple), Some(window)) => Some(ColdRule {
+            starts_at: t.number_or("rules.cold-from", 0.0)?,
+            warm_after: t.seconds_or("rules.warm-after", 0.0)?,
+            multiple,
+            window,
+        }),
+        _ => None,
+    };
+    let reports = match t.word("telemetry.how") {
+        Some("inline") => Reports::WithAnswers,
+        Some("on_probe") => Reports::WithProbes,
+        _ => Reports::Never,
+    };
+    let settings = Settings {
+        groups,
+        tenants,
+        gateways: t.number_or("balancers", 1.0)?.max(1.0),
+        kind_cores: t.sizes("domain.kind-cores"),
+        kind_memory: t.sizes("domain.kind-memory-mb"),
+        largest_grant: t.number_or("domain.largest-share", 1.0)?,
+        grants: t.flag("domain.grants-count")?,
+        reports,
+        may_probe: t.flag("allowed.may-probe")?,
+        may_cancel: t.flag("allowed.cancelling")?,
+        names_return: t.flag("allowed.retry-after")?,
+        longest_return: t.seconds_or("allowed.max-retry-after", 0.0)?,
+        max_dispatches: t.number_or("allowed.max-attempts", 1.0)?.max(1.0) as u32,
+        list_on_request: t.word("registry-mode") == Some("on_request"),
+        further,
+        cold,
+        notes_every: t.seconds_or("domain.progress", 0.0)?,
+        key_rest: t.seconds_or("rules.order-pause", 0.0)?,
+    };
+    let network = Network {
+        dial: t.seconds_or("allowed.dial-timeout", USUAL_DIAL)?,
+        idle: t.seconds_or("allowed.idle-close", USUAL_IDLE)?,
+    };
+    Ok(Decoded { settings, names, network, fields: words("telemetry.fields") })
+}
+
+fn group(t: &Flat, i: usize, names: &Names) -> Result<ServiceGroup, String> {
+    let at = |key: &str| format!("categories.{i}.{key}");
+    let scope = match t.word(&at("key-scope")) {
+        Some("all") => Scope::Everywhere,
+        Some("zone") => Scope::Zone,
+        _ => Scope::Cell,
+    };
+    let effect = match t.word(&at("semantics")) {
+        Some("retryable") => Effect::Repeatable,
+        Some("dedup") => Effect::Referenced { scope, window: t.seconds_or(&at("dedup-window"), 0.0)? },
+        Some("fragile") => Effect::OnceOnly,
+        other => return Err(format!("settings {}: unknown kind {other:?}", at("semantics"))),
+    };
+    let nth = |path: &str| t.list(path).get(i).copied();
+    let limit = t.seconds_or(&at("give-up"), 0.0)?;
+    Ok(ServiceGroup {
+        goal: t.seconds_or(&at("goal-time"), limit)?,
+        goal_stretch: t.number_or(&at("aim-stretch"), 0.0)?,
+        limit,
+        utility: t.number_or(&at("worth"), 1.0)?,
+        late_share: t.number_or(&at("late-share"), 0.0)?,
+        effect,
+        in_order: t.flag(&at("one-at-a-time"))?,
+        zones: t.indices(&at("zones-only"), &names.zones)?,
+        kinds: t.indices(&at("allowed-on"), &names.kinds)?,
+        threads: nth("domain.parallelism").and_then(|v| v.parse().ok()).filter(|v| *v >= 1.0).unwrap_or(1.0),
+        is_load: nth("domain.loads") == Some("true"),
+        waits_for_loads: nth("domain.waits-for-loads") == Some("true"),
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,57 @@
+//! Both forms of the same settings, and what is said of wrong ones.
+
+use crate::{decode, report, Flat};
+use serde_json::json;
+
+const TEXT: &str = "allowed.dial-timeout=250.0\nallowed.max-attempts=4\nallowed.cancelling=true\n\
+    categories.count=2\ncategories.0.name=lookup\ncategories.0.semantics=retryable\n\
+    categories.0.give-up=5000.0\ncategories.1.name=sale_load\ncategories.1.semantics=fragile\n\
+    categories.1.one-at-a-time=true\ncategories.1.allowed-on=1\ndomain.kind-cores=8,16\n\
+    domain.parallelism=1,4\nkinds=small,large\nrules.fall=2000.0\nrules.fall-multiple=2.5\n\
+    telemetry.fields=depth,load_share\ntelemetry.how=on_probe\ntenants.count=1\ntenants.0.name=acme\n";
+
+#[test]
+fn text_and_json_give_equal_values() {
+    let json = json!({
+        "allowed": {"dial-timeout": 250.0, "max-attempts": 4, "cancelling": true},
+        "categories": [
+            {"name": "lookup", "semantics": "retryable", "give-up": 5000.0},
+            {"name": "sale load", "semantics": "fragile", "one-at-a-time": true, "allowed-on": ["large"]},
+        ],
+        "domain": {"kind-cores": [8, 16], "parallelism": [1, 4]},
+        "kinds": ["small", "large"],
+        "rules": {"fall": 2000.0, "fall-multiple": 2.5, "extra-floor": null},
+        "telemetry": {"fields": ["depth", "load_share"], "how": "on_probe"},
+        "tenants": [{"name": "acme"}],
+    });
+    let text = decode(&Flat::from_text(TEXT).unwrap()).unwrap();
+    let json = decode(&Flat::from_json(&json).unwrap()).unwrap();
+    assert_eq!(format!("{text:?}"), format!("{json:?}"));
+    assert_eq!(text.settings.groups[1].kinds, Some(vec![1]));
+    assert_eq!(text.names.groups, ["lookup", "sale_load"]);
+}
+
+#[test]
+fn errors_name_the_key() {
+    let wrong = [
+        (json!({"categories": [{"semantics": "odd"}]}), "categories.0.semantics"),
+        (json!({"categories": [{"semantics": "fragile", "give-up": "soon"}]}), "categories.0.give-up"),
+        (json!({"categories": [{"semantics": "fragile", "allowed-on": ["no"]}]}), "categories.0.allowed-on"),
+        (json!({"categories": [{}, 3]}), "categories.1"),
+        (json!({"allowed": {"cancelling": "perhaps"}}), "allowed.cancelling"),
+        (json!({"kinds": [["x"]]}), "kinds"),
+        (json!([]), "settings: an object"),
+    ];
+    for (settings, key) in wrong {
+        let end = Flat::from_json(&settings).and_then(|flat| decode(&flat).map(drop));
+        let what = end.expect_err(key);
+        assert!(what.contains(key), "{key}: {what}");
+    }
+}
+
+#[test]
+fn a_report_takes_the_named_values_and_passes_over_absurd_ones() {
+    let told = report([("queue", 3.0), ("util", f64::NAN), ("other", 1.0)]).unwrap();
+    assert_eq!((told.waiting, told.utilisation, told.held), (Some(3.0), None, None));
+    assert!(report([]).is_none());
+}
