--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -200,7 +200,9 @@
             let (sender, orders) = unbounded_channel();
             let (answer, receiver) = watch::channel(None);
             seats.jobs.insert(a.job, Job::InHand(id));
-            seats.in_hand.insert(id, InHand { job: a.job, orders: sender, answer, waiters: 1, limit: a.limit });
+            seats
+                .in_hand
+                .insert(id, InHand { job: a.job, orders: sender, answer, waiters: 1, limit: a.limit });
             self.in_hand.send_replace(seats.in_hand.len());
             let (group, tenant, key, data_set) = (a.group, a.tenant, a.key, a.data_set);
             let left = a.limit - now;
