--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -188,3 +188,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Stream;
+
+    #[test]
+    fn events_come_whole_however_their_bytes_are_cut() {
+        let text = ": hello\r\n\nid: 4\ndata: {\"a\":\ndata:1}\n\n:\n\ndata: x\r\n\r\ndata: unfinished\n";
+        for size in 1..text.len() {
+            let mut stream = Stream::default();
+            let fed = text.as_bytes().chunks(size).flat_map(|part| stream.feed(part).unwrap());
+            assert_eq!(
+                fed.collect::<Vec<_>>(),
+                [b"{\"a\":\n1}".to_vec(), b"x".to_vec()],
+                "in parts of {size}"
+            );
+        }
+    }
+}
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -74,6 +74,7 @@
     earlier: Notify,
     probes: UnboundedSender<EngineId>,
     in_hand: watch::Sender<usize>,
+    ends: watch::Sender<Option<f64>>,
     /// How long an id that is over is remembered.
     remembered: f64,
 }
@@ -124,9 +125,9 @@
             over: VecDeque::new(),
             wake: clock.now(),
         };
-        let (in_hand, _) = watch::channel(0);
+        let (in_hand, ends) = (watch::Sender::new(0), watch::Sender::new(None));
         let seats = Mutex::new(seats);
-        (Desk { clock, seats, earlier: Notify::new(), probes, in_hand, remembered }, wanted)
+        (Desk { clock, seats, earlier: Notify::new(), probes, in_hand, ends, remembered }, wanted)
     }
 
     pub fn clock(&self) -> Clock {
@@ -205,7 +206,7 @@
                 .insert(id, InHand { job: a.job, orders: sender, answer, waiters: 1, limit: a.limit });
             self.in_hand.send_replace(seats.in_hand.len());
             let (group, tenant, key, data_set) = (a.group, a.tenant, a.key, a.data_set);
-            let left = a.limit - now;
+            let left = self.ends.borrow().map_or(a.limit, |at| a.limit.min(at)) - now;
             let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set };
             seats.control.take(now, b);
             Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver } }
@@ -257,6 +258,19 @@
         })
     }
 
+    /// The gateway ends then: everything in hand, and what still comes, is to be answered before.
+    pub fn ends(&self, at: f64) {
+        self.fact(|seats, _| seats.control.ends(at));
+        self.ends.send_replace(Some(at));
+    }
+
+    /// Until the gateway ends.
+    pub async fn ended(&self) {
+        // It fails only with the sender gone, which this desk holds.
+        let at = self.ends.subscribe().wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        sleep_until(Instant::from_std(self.clock.instant(at.unwrap_or_default()))).await;
+    }
+
     /// Until nothing is in hand.
     pub async fn emptied(&self) {
         // It fails only with the sender gone, which this desk holds.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,14 +14,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{timeout, timeout_at};
 
 /// Protocol: after SIGTERM clients go on coming for this long.
 const GOES_ON: Duration = Duration::from_millis(700);
+/// Protocol: SIGKILL comes no sooner than the longest limit, 3 s at most, and 0.7 s after SIGTERM.
+const LONGEST_STAY: f64 = 3.0;
+/// Kept clear of that in seconds, for answers to be written and read.
+const ANSWERS_OUT: f64 = 0.2;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -43,6 +47,8 @@
     engines: Arc<Engines>,
     desk: Arc<Desk>,
     probes: UnboundedReceiver<EngineId>,
+    /// The longest time limit of any service group, in seconds.
+    longest: f64,
 }
 
 impl Gateway {
@@ -63,6 +69,7 @@
             desk: Arc::new(desk),
             probes,
             config,
+            longest,
         }
     }
 
@@ -90,11 +97,20 @@
             () = stop => {}
         }
         self.enter(Phase::Draining);
+        let stay = GOES_ON + span(self.longest.min(LONGEST_STAY) - ANSWERS_OUT);
+        let end = Instant::now() + stay;
+        self.desk.ends(self.desk.clock().at(end));
         // It ends with the time alone: accepting does not.
         let _ = timeout(GOES_ON, front::accept(&listener, &router, &self.budget.clients, &open)).await;
         drop(listener);
-        open.shutdown().await;
-        self.desk.emptied().await;
+        // A client that does not read its answer keeps nothing up, and no engine that does not answer DELETE.
+        let last = async {
+            open.shutdown().await;
+            self.desk.emptied().await;
+        };
+        if timeout_at((end + span(ANSWERS_OUT / 2.0)).into(), last).await.is_err() {
+            tracing::warn!("stopped with calls still open");
+        }
         self.enter(Phase::Stopped);
         Ok(())
     }
@@ -139,10 +155,3 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
-
-/// For embedding: a moment that never comes.
-pub async fn never() {
-    loop {
-        sleep(Duration::from_secs(3600)).await;
-    }
-}
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -58,7 +58,13 @@
         let engines = self.engines.clone();
         let call = self.call.clone();
         let running = engines.dispatch(target, &call, time_out);
-        let too_late = sleep(span(time_out));
+        let desk = self.desk.clone();
+        let too_late = async {
+            tokio::select! {
+                () = sleep(span(time_out)) => {}
+                () = desk.ended() => {}
+            }
+        };
         tokio::pin!(running, too_late);
         let mut gone = false;
         loop {
--- /dev/null
+++ b/crates/gateway/tests/sockets.rs
@@ -0,0 +1,653 @@
+//! The program over sockets: started as in service, between raw clients, a stand-in engine and a stand-in
+//! change log. A comment in the statement tells the engine how to behave.
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const ROWS: &str = "a\tb\"\\\t\u{1} é\nc\t\t漢\n";
+const ROWS_AS_JSON: [[&str; 3]; 2] = [["a", "b\"\\", "\u{1} é"], ["c", "", "漢"]];
+
+struct Message {
+    first: String,
+    fields: HashMap<String, String>,
+    body: Vec<u8>,
+}
+
+/// One HTTP message, or none where the connection ends first.
+fn read_message(reader: &mut impl BufRead) -> Option<Message> {
+    let mut line = || {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0).map(|_| line.trim_end().to_string())
+    };
+    let first = line()?;
+    let mut fields = HashMap::new();
+    loop {
+        let text = line()?;
+        let Some((name, value)) = text.split_once(':') else { break };
+        fields.insert(name.to_ascii_lowercase(), value.trim().to_string());
+    }
+    let length = fields.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Message { first, fields, body })
+}
+
+/// A statement, when it was started, and how many times.
+type Started = (String, Instant, u32);
+
+/// An engine that keeps to the protocol but for what a statement's comment asks of it, as in `/* slow */`.
+#[derive(Clone)]
+struct Engine {
+    address: SocketAddr,
+    /// Calls as they came: method, path, and the statement of a start.
+    calls: Arc<Mutex<Vec<String>>>,
+    started: Arc<Mutex<HashMap<String, Started>>>,
+}
+
+impl Engine {
+    fn start() -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let engine = Engine { address, calls: Arc::default(), started: Arc::default() };
+        let shared = engine.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = shared.clone();
+                spawn(move || engine.serve(stream));
+            }
+        });
+        engine
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(call) = read_message(&mut reader) {
+            let mut words = call.first.split(' ');
+            let (method, path) = (words.next().unwrap(), words.next().unwrap().to_string());
+            let body = String::from_utf8_lossy(&call.body).into_owned();
+            self.calls.lock().unwrap().push(format!("{method} {path} {body}").trim_end().into());
+            let id = match method {
+                "POST" => call.fields["x-trace"].clone(),
+                _ => path.split('/').nth(2).unwrap_or_default().to_string(),
+            };
+            let mut started = self.started.lock().unwrap();
+            if method == "POST" {
+                let times = started.get(&id).map_or(0, |s| s.2) + 1;
+                started.insert(id.clone(), (body, Instant::now(), times));
+            }
+            let known = started.get(&id).cloned();
+            drop(started);
+            let Some(answer) = answer(method, &path, known) else { return };
+            if (&stream).write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn calls(&self, start: &str) -> usize {
+        self.calls.lock().unwrap().iter().filter(|call| call.starts_with(start)).count()
+    }
+}
+
+fn http(status: &str, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// What the engine answers; none closes the connection.
+fn answer(method: &str, path: &str, known: Option<Started>) -> Option<String> {
+    if path == "/stats" {
+        return Some(http("200 OK", "X-Stats: queue:0;util:0.1\r\n", ""));
+    }
+    if method == "DELETE" {
+        return Some(http("204 No Content", "", ""));
+    }
+    let Some((statement, since, times)) = known else {
+        return Some(http("500 Oops", "", ""));
+    };
+    let asks = |word: &str| statement.contains(&format!("/* {word} */"));
+    let page = path.rsplit('/').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+    if method == "POST" && asks("full once") && times == 1 {
+        return Some(http("503 Full", "X-Declined: 1\r\n", ""));
+    }
+    if asks("error") {
+        return Some(http("500 Oops", "", ""));
+    }
+    if method == "POST" && asks("reset") {
+        return None;
+    }
+    if asks("silent") {
+        sleep(Duration::from_secs(5));
+        return None;
+    }
+    if asks("slow") && since.elapsed() < Duration::from_millis(900) {
+        sleep(Duration::from_millis(250));
+        return Some(http("202 Not yet", "", ""));
+    }
+    let end = "Query-Cost: 12\r\nQuery-Need: 64\r\n";
+    Some(match page {
+        _ if asks("empty") => http("200 OK", &format!("Result-Pages: 1\r\n{end}"), ""),
+        _ if asks("no count") => http("200 OK", end, ROWS),
+        _ if asks("huge") => http("200 OK", &format!("Result-Pages: 1\r\n{end}"), &"x\ty\tz\n".repeat(2000)),
+        0 if asks("pages") || asks("lost page") => http("200 OK", &format!("Result-Pages: 3\r\n{end}"), ROWS),
+        0 => http("200 OK", &format!("Result-Pages: 1\r\n{end}"), ROWS),
+        2 if asks("lost page") => http("500 Oops", "", ""),
+        n => http("200 OK", &format!("Result-Page: {n}\r\n"), &format!("p{n}\t\t\n")),
+    })
+}
+
+/// A change log that tells its events to whoever connects, and ends its streams on demand.
+#[derive(Clone)]
+struct ChangeLog {
+    address: SocketAddr,
+    events: Arc<Mutex<Vec<String>>>,
+    /// The number that each reader said it had last.
+    readers: Arc<Mutex<Vec<usize>>>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl ChangeLog {
+    fn start() -> ChangeLog {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let log =
+            ChangeLog { address, events: Arc::default(), readers: Arc::default(), streams: Arc::default() };
+        let shared = log.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let log = shared.clone();
+                spawn(move || log.serve(stream));
+            }
+        });
+        log
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let call = read_message(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+        let mut told: usize = call.fields["last-event-id"].parse().unwrap();
+        self.readers.lock().unwrap().push(told);
+        self.streams.lock().unwrap().push(stream.try_clone().unwrap());
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+        let mut out = head.to_string();
+        while (&stream).write_all(out.as_bytes()).is_ok() {
+            out = ":\n\n".into();
+            for event in self.events.lock().unwrap().iter().skip(told) {
+                told += 1;
+                out += &format!("id: {told}\ndata: {event}\n\n");
+            }
+            sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn tell(&self, event: Value) {
+        self.events.lock().unwrap().push(event.to_string());
+    }
+
+    fn hang_up(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn line(id: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"id": id, "addr": address.to_string(), "zone": "east", "kind": "std", "cell": 0, "state": state,
+        "weight": 1, "started_ms": 0})
+}
+
+fn change(number: u64, whole: bool, servers: &[Value]) -> Value {
+    json!({"seq": number, "fleet": {"version": number, "full": whole, "servers": servers}})
+}
+
+/// The program with its surroundings; killed when dropped.
+struct Service {
+    engine: Engine,
+    log: ChangeLog,
+    config: Value,
+    address: SocketAddr,
+    child: Child,
+}
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+fn group(name: &str, semantics: &str, limit: f64) -> Value {
+    json!({"name": name, "semantics": semantics, "give-up": limit, "goal-time": limit / 2.0, "worth": 1.0,
+        "late-share": 0.5, "one-at-a-time": name == "load"})
+}
+
+/// An address of its own for each test and run, outside the ports that the machine hands out.
+fn free_address() -> SocketAddr {
+    let (run, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let parts = [127, 64 + run % 128, run / 128 % 256, number as u32 % 254 + 1].map(|part| part as u8);
+    SocketAddr::from((parts, 4100))
+}
+
+fn config(engine: SocketAddr, log: SocketAddr) -> Value {
+    json!({"name": "n0", "listen": free_address().to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "changelog": log.to_string(),
+        "known": {"seq": 0, "results": [change(0, true, &[line("s-1", engine, "SERVING")])]},
+        "settings": {
+            "allowed": {"dial-timeout": 250.0, "idle-close": 30000.0, "cancelling": true, "max-attempts": 2,
+                "retry-after": true, "max-retry-after": 1000.0, "may-probe": true, "open-cap": 20000},
+            "categories": [group("report", "retryable", 3000.0), group("load", "fragile", 3000.0)],
+            "domain": {"kind-cores": [64], "parallelism": [1, 1], "loads": [false, false]},
+            "kinds": ["std"], "zones": ["east"], "rules": {"order-pause": 200.0},
+            "telemetry": {"fields": ["depth", "load_share"], "how": "on_probe"},
+            "tenants": [{"name": "acme"}]}})
+}
+
+fn file(config: &Value) -> std::path::PathBuf {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+        .join(format!("config-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    path
+}
+
+fn program(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_garnetwall"));
+    command.args(arguments);
+    for name in ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN"] {
+        command.env_remove(name);
+    }
+    command
+}
+
+fn serve(config: &Value) -> Child {
+    program(&["serve"]).env("PROXY_CONFIG", file(config)).stderr(Stdio::null()).spawn().unwrap()
+}
+
+impl Service {
+    fn start() -> Service {
+        Service::with(|_| {})
+    }
+
+    fn with(change: impl Fn(&mut Value)) -> Service {
+        Service::by(change, serve)
+    }
+
+    fn by(change: impl Fn(&mut Value), serve: impl Fn(&Value) -> Child) -> Service {
+        let (engine, log) = (Engine::start(), ChangeLog::start());
+        let mut config = config(engine.address, log.address);
+        change(&mut config);
+        let address = config["listen"].as_str().unwrap().parse().unwrap();
+        let child = serve(&config);
+        let service = Service { engine, log, config, address, child };
+        service.healthy();
+        service
+    }
+
+    fn healthy(&self) {
+        for _ in 0..500 {
+            if let Some(answer) =
+                TcpStream::connect(self.address).ok().and_then(|s| call(s, "GET /healthz", "", ""))
+            {
+                assert_eq!(answer.first, "HTTP/1.1 200 OK");
+                return;
+            }
+            sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway never became healthy");
+    }
+
+    fn open(&self) -> TcpStream {
+        TcpStream::connect(self.address).unwrap()
+    }
+
+    /// One batch on a connection of its own.
+    fn batch(&self, group: &str, statement: &str) -> Answer {
+        let id = new_id();
+        self.batch_of(&id, group, 3000, statement)
+    }
+
+    fn batch_of(&self, id: &str, group: &str, allowed: u32, statement: &str) -> Answer {
+        let answer = call(self.open(), &format!("POST /v1/{group}"), &fields(id, allowed), statement);
+        Answer::of(answer.expect("an answer"))
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[derive(Debug, PartialEq)]
+struct Answer {
+    status: u16,
+    json: Value,
+    come_back: Option<u64>,
+}
+
+impl Answer {
+    fn of(m: Message) -> Answer {
+        let status = m.first.split(' ').nth(1).unwrap().parse().unwrap();
+        let json = serde_json::from_slice(&m.body).unwrap_or(Value::Null);
+        Answer { status, json, come_back: m.fields.get("x-wait-ms").map(|v| v.parse().unwrap()) }
+    }
+
+    fn returned(&self) -> bool {
+        self.status == 200 && self.json.get("error").is_none()
+    }
+}
+
+fn new_id() -> String {
+    format!("{:016x}", 0x9b1f_0000_0000_0000_u64 + NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+fn fields(id: &str, allowed: u32) -> String {
+    format!("X-Job-Id: {id}\r\nX-Allow-Ms: {allowed}\r\nX-Team: acme\r\n")
+}
+
+fn send(stream: &TcpStream, call: &str, fields: &str, body: &str) {
+    let text = format!(
+        "{call} HTTP/1.1\r\nHost: origin.svc\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = stream;
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+fn call(stream: TcpStream, call: &str, fields: &str, body: &str) -> Option<Message> {
+    send(&stream, call, fields, body);
+    read_message(&mut BufReader::new(stream))
+}
+
+fn until(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..400 {
+        if done() {
+            return;
+        }
+        sleep(Duration::from_millis(10));
+    }
+    panic!("never came: {what}");
+}
+
+#[test]
+fn a_batch_goes_through_unchanged_and_its_rows_come_back_whole() {
+    let s = Service::start();
+    let statement = "SELECT é FROM s_17.t /* pages */ WHERE a = 'x\\y'";
+    let answer = s.batch("report", statement);
+    let mut rows: Vec<Value> = ROWS_AS_JSON.iter().map(|row| json!(row)).collect();
+    rows.extend([json!(["p1", "", ""]), json!(["p2", "", ""])]);
+    assert_eq!((answer.status, &answer.json), (200, &json!({"data": rows})));
+    assert!(s.engine.calls.lock().unwrap().contains(&format!("POST /c {statement}")));
+    assert_eq!(s.batch("report", "SELECT 1 /* empty */").json, json!({"data": []}));
+    // Many calls on one connection.
+    let stream = s.open();
+    for _ in 0..5 {
+        let answer =
+            call(stream.try_clone().unwrap(), "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1");
+        assert_eq!(Answer::of(answer.unwrap()).json, json!({"data": ROWS_AS_JSON}));
+    }
+}
+
+#[test]
+fn what_is_no_batch_gets_a_short_4xx_and_no_dispatch() {
+    let s = Service::start();
+    let good = fields(&new_id(), 3000);
+    let cases = [
+        ("POST /v1/other", good.clone(), 400),
+        ("POST /v2/report", good.clone(), 404),
+        ("PUT /v1/report", good.clone(), 405),
+        ("POST /v1/report", good.replace("X-Team: acme", "X-Team: nobody"), 400),
+        ("POST /v1/report", good.replace("X-Team: acme\r\n", ""), 400),
+        ("POST /v1/report", format!("{good}{good}"), 400),
+        ("POST /v1/report", fields("123", 3000), 400),
+        ("POST /v1/report", fields("9b1f03aa5c7e2dzz", 3000), 400),
+        ("POST /v1/report", fields(&new_id(), 0), 400),
+        ("POST /v1/report", good.replace("3000", "soon"), 400),
+        ("POST /v1/report", format!("{good}X-Item: none\r\n"), 400),
+        ("DELETE /v1/report", good.clone(), 404),
+        ("POST /v1/report", format!("{good}X-Long: {}\r\n", "x".repeat(40_000)), 431),
+    ];
+    for (start, fields, status) in cases {
+        let answer = Answer::of(call(s.open(), start, &fields, "SELECT 1").expect(start));
+        assert_eq!(answer.status, status, "{start} {fields:.200}");
+        assert!(status == 431 || answer.json["error"].is_string(), "{start} {fields:.200}");
+    }
+    assert_eq!(s.batch("report", &"x".repeat(300_000)).status, 413);
+    assert_eq!(s.engine.calls("POST"), 0);
+}
+
+/// Each way a dispatch can fail, and what the batch's answer is then.
+#[test]
+fn every_failure_is_an_outcome_and_never_rows() {
+    let s = Service::start();
+    let sent_again = s.batch("report", "SELECT 1 /* full once */");
+    assert!(sent_again.returned(), "full never ran: {sent_again:?}");
+    for words in ["error", "lost page", "no count", "huge"] {
+        let before = s.engine.calls("POST");
+        let answer = s.batch("load", &format!("INSERT /* {words} */"));
+        assert_eq!(
+            (answer.status, s.engine.calls("POST") - before),
+            (500, 1),
+            "once-only, {words}: {answer:?}"
+        );
+    }
+    let twice = s.batch("report", "SELECT 1 /* error */");
+    assert_eq!((twice.status, &twice.json, twice.come_back), (503, &json!({"error": "Busy"}), Some(600)));
+    assert_eq!(s.engine.calls("POST /c SELECT 1 /* error */"), 2, "two dispatches are allowed");
+}
+
+#[test]
+fn a_connection_reset_after_the_start_is_asked_about_not_started_again() {
+    let s = Service::start();
+    assert!(s.batch("load", "INSERT /* reset */").returned());
+    assert_eq!(s.engine.calls("POST"), 1);
+}
+
+#[test]
+fn nobody_listening_at_an_engine_proves_that_nothing_ran() {
+    let s = Service::with(|c| {
+        let dead = free_address().to_string();
+        c["known"]["results"][0]["fleet"]["servers"][0]["addr"] = json!(dead);
+    });
+    let answer = s.batch_of(&new_id(), "load", 3000, "INSERT 1");
+    assert_eq!((answer.status, &answer.json["error"]), (503, &json!("Busy")));
+}
+
+#[test]
+fn a_silent_engine_is_answered_for_in_time_and_given_up() {
+    let s = Service::start();
+    let (id, began) = (new_id(), Instant::now());
+    let answer = s.batch_of(&id, "load", 1000, "INSERT /* silent */");
+    assert_eq!(answer.status, 500);
+    assert!(began.elapsed() < Duration::from_millis(1050), "{:?}", began.elapsed());
+    until("the DELETE", || s.engine.calls(&format!("DELETE /c/{id}")) == 1);
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_dispatch_along() {
+    let s = Service::start();
+    for how in ["closes", "deletes"] {
+        let id = new_id();
+        let stream = s.open();
+        send(&stream, "POST /v1/report", &fields(&id, 3000), "SELECT 1 /* slow */");
+        until("the start", || s.engine.started.lock().unwrap().contains_key(&id));
+        if how == "deletes" {
+            let answer = call(s.open(), "DELETE /v1/report", &fields(&id, 3000), "").unwrap();
+            assert_eq!(answer.first, "HTTP/1.1 204 No Content");
+        }
+        drop(stream);
+        until(how, || s.engine.calls(&format!("DELETE /c/{id}")) == 1);
+    }
+}
+
+#[test]
+fn a_repeated_id_joins_its_batch_and_never_makes_a_second() {
+    let s = Service::start();
+    let id = new_id();
+    let both = [(); 2].map(|()| {
+        let stream = s.open();
+        send(&stream, "POST /v1/load", &fields(&id, 3000), "INSERT /* slow */");
+        stream
+    });
+    for stream in both {
+        assert!(Answer::of(read_message(&mut BufReader::new(stream)).unwrap()).returned());
+    }
+    assert_eq!(s.batch_of(&id, "load", 3000, "INSERT /* slow */").status, 409);
+    assert_eq!(s.engine.calls("POST"), 1);
+}
+
+#[test]
+fn batches_of_a_key_run_one_at_a_time_in_the_order_they_came() {
+    let s = Service::start();
+    let streams: Vec<TcpStream> = (0..3)
+        .map(|n| {
+            let stream = s.open();
+            let fields = format!("{}X-Item: 7f3a9c21e0b4d655\r\n", fields(&new_id(), 2900));
+            send(&stream, "POST /v1/load", &fields, &format!("INSERT {n} /* {} */", ["slow", "x"][n.min(1)]));
+            sleep(Duration::from_millis(60));
+            stream
+        })
+        .collect();
+    assert_eq!(s.engine.calls("POST"), 1, "the others wait for the first");
+    for stream in streams {
+        assert!(Answer::of(read_message(&mut BufReader::new(stream)).unwrap()).returned());
+    }
+    let calls = s.engine.calls.lock().unwrap().join("\n");
+    let at = |n: usize| calls.find(&format!("POST /c INSERT {n}")).unwrap();
+    assert!(at(0) < at(1) && at(1) < at(2));
+}
+
+#[test]
+fn the_change_log_is_followed_over_faults_and_lost_connections() {
+    let s = Service::start();
+    let other = Engine::start();
+    s.log.tell(json!({"seq": 1, "fleet": {"full": false, "servers": [{"id": "s-2", "state": "ODD"}]}}));
+    s.log.tell(change(
+        2,
+        false,
+        &[line("s-1", s.engine.address, "DRAINING"), line("s-2", other.address, "SERVING")],
+    ));
+    // The malformed event is asked for again once, then passed over.
+    until("the second connection", || s.log.readers.lock().unwrap().starts_with(&[0, 0]));
+    until("the new engine", || s.batch("report", "SELECT 1").returned() && other.calls("POST") > 0);
+    let before = s.engine.calls("POST");
+    assert!(s.batch("report", "SELECT 1").returned());
+    assert_eq!(s.engine.calls("POST"), before, "nothing new to an engine that drains");
+    s.log.hang_up();
+    until("the third connection", || s.log.readers.lock().unwrap().last() == Some(&2));
+    s.log.tell(change(3, true, &[line("s-3", s.engine.address, "SERVING")]));
+    until("the whole list", || s.batch("report", "SELECT 1").returned() && s.engine.calls("POST") > before);
+    let left = other.calls("POST");
+    assert!(s.batch("report", "SELECT 1").returned());
+    assert_eq!(other.calls("POST"), left, "what a whole list does not name is gone");
+}
+
+#[test]
+fn sigterm_takes_on_what_still_comes_answers_all_and_exits() {
+    let mut s = Service::start();
+    let slow = s.open();
+    send(&slow, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1 /* slow */");
+    until("the start", || s.engine.calls("POST") == 1);
+    let began = Instant::now();
+    s.signal("TERM");
+    sleep(Duration::from_millis(300));
+    assert!(s.batch("report", "SELECT 1").returned(), "connections still come");
+    assert!(Answer::of(read_message(&mut BufReader::new(slow)).unwrap()).returned());
+    assert!(s.child.wait().unwrap().success());
+    assert!(began.elapsed() < Duration::from_millis(3700));
+}
+
+/// SIGKILL may come 3.7 s after SIGTERM, however long batches may take.
+#[test]
+fn sigterm_leaves_no_batch_unanswered_when_the_kill_may_come() {
+    let mut s = Service::with(|c| c["settings"]["categories"][1]["give-up"] = json!(20_000.0));
+    let silent = s.open();
+    send(&silent, "POST /v1/load", &fields(&new_id(), 20_000), "INSERT /* silent */");
+    until("the start", || s.engine.calls("POST") == 1);
+    let began = Instant::now();
+    s.signal("TERM");
+    assert_eq!(Answer::of(read_message(&mut BufReader::new(silent)).unwrap()).status, 500);
+    assert!(s.child.wait().unwrap().success());
+    assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
+}
+
+#[test]
+fn killed_outright_it_starts_again_under_its_address() {
+    let mut s = Service::start();
+    let open = s.open();
+    send(&open, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1 /* slow */");
+    until("the start", || s.engine.calls("POST") == 1);
+    s.signal("KILL");
+    s.child.wait().unwrap();
+    s.child = serve(&s.config);
+    s.healthy();
+    assert!(s.batch("report", "SELECT 1").returned());
+}
+
+#[test]
+fn short_of_descriptors_every_batch_still_has_its_answer() {
+    let limited = |config: &Value| {
+        let start = format!("ulimit -n 64; exec {} serve", env!("CARGO_BIN_EXE_garnetwall"));
+        let mut command = Command::new("sh");
+        command.args(["-c", &start]).env("PROXY_CONFIG", file(config)).env_remove("PROXY_LISTEN");
+        command.stderr(Stdio::null()).spawn().unwrap()
+    };
+    let s = Service::by(|c| c["limits"]["sockets"] = json!(64), limited);
+    let streams: Vec<TcpStream> = (0..60)
+        .map(|_| {
+            let stream = s.open();
+            send(&stream, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1 /* slow */");
+            stream
+        })
+        .collect();
+    for stream in streams {
+        // Connections are closed as they are answered, so that waiting ones are accepted.
+        let answer = Answer::of(read_message(&mut BufReader::new(stream)).expect("an answer"));
+        assert!(answer.returned() || answer.status == 503, "{answer:?}");
+    }
+    assert!(s.batch("report", "SELECT 1").returned(), "and it serves on");
+}
+
+fn run(arguments: &[&str], file: Option<&std::path::Path>) -> Output {
+    let mut command = program(arguments);
+    if let Some(file) = file {
+        command.env("PROXY_CONFIG", file);
+    }
+    command.output().unwrap()
+}
+
+#[test]
+fn a_faulty_configuration_is_named_by_its_key_and_nothing_is_bound() {
+    let address = free_address();
+    let faults: [(&str, Value, &str); 9] = [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/changelog", json!(null), "changelog"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/known/results/0/fleet/servers/0/state", json!("ODD"), "known.results.0"),
+        ("/settings", json!([]), "settings"),
+        ("/settings/categories", json!([]), "settings.categories"),
+        ("/settings/categories/0/give-up", json!("soon"), "categories.0.give-up"),
+        ("/name", json!(7), "name"),
+    ];
+    for (key, value, named) in faults {
+        let mut config = config(address, address);
+        *config.pointer_mut(key).unwrap() = value;
+        for command in ["check-config", "serve"] {
+            let output = run(&[command], Some(&file(&config)));
+            let said = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert!(!output.status.success() && said.contains(named), "{command} {key}: {said}");
+            assert_eq!(said.lines().count(), 1, "{said}");
+        }
+    }
+    assert!(!run(&["serve"], None).status.success());
+    assert!(run(&["check-config"], Some(&file(&config(address, address)))).status.success());
+    assert!(String::from_utf8_lossy(&run(&["version"], None).stdout).starts_with("garnetwall "));
+    assert!(!run(&["dance"], None).status.success());
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -106,10 +106,8 @@
     }
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
-        if whole {
-            let old = self.engines.iter_mut().filter_map(|e| e.line.as_mut());
-            old.for_each(|line| line.condition = Condition::Gone);
-        }
+        let old = self.engines.iter_mut().filter_map(|e| e.line.as_mut().filter(|_| whole));
+        old.for_each(|line| line.condition = Condition::Gone);
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
             let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
@@ -230,6 +228,12 @@
         self.end(now, id);
     }
 
+    /// This gateway ends then: no batch in hand has longer.
+    pub fn ends(&mut self, at: f64) {
+        self.batches.values_mut().for_each(|h| h.limit = h.limit.min(at));
+        self.due.extend(self.batches.keys().map(|id| (micros(at - MARGIN), Due::Limit(*id))));
+    }
+
     /// How long to wait, or what is due now.
     pub fn wait(&mut self, now: f64) -> Wait {
         self.advance(now);
@@ -489,13 +493,10 @@
         let ServiceGroup { effect, goal, .. } = self.s.groups[h.b.group];
         let everywhere = matches!(effect, Effect::Referenced { scope: Scope::Everywhere, .. });
         let harmless = h.may_have_run.is_none() || effect == Effect::Repeatable || everywhere;
-        self.end(now, id);
         let come_back = self.s.names_return.then_some(self.s.longest_return.min(goal * COME_BACK));
-        if harmless {
-            Answer::PushBack { come_back }
-        } else {
-            Answer::Error
-        }
+        let answer = if harmless { Answer::PushBack { come_back } } else { Answer::Error };
+        self.end(now, id);
+        answer
     }
 
     /// A batch is over for its client; it stays in hand while a dispatch is out.
