Lost connections get 50 ms to come again; engines out of reach are logged; health waits for a list

Healthy only once a list of engines is known. A write that nobody reads ends after 10 s. An engine whose calls come to nothing is logged once, and once when it answers again.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -7,9 +7,14 @@
 use garnetwall::control::Control;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// Protocol: a call that its connection lost comes again on a new one within this.
+const COMES_AGAIN: Duration = Duration::from_millis(50);
 
 /// What a batch's task is to do next.
 #[derive(Debug)]
@@ -320,7 +325,7 @@
     }
 }
 
-/// A client that waits for a batch; dropped before the answer, it has gone.
+/// A client that waits for a batch; dropped before the answer, it has gone unless it comes again at once.
 pub struct Waiter {
     desk: Arc<Desk>,
     id: BatchId,
@@ -336,6 +341,13 @@
 
 impl Drop for Waiter {
     fn drop(&mut self) {
-        self.desk.left(self.id);
+        let (desk, id) = (self.desk.clone(), self.id);
+        match Handle::try_current() {
+            Ok(runtime) if self.answer.borrow().is_none() => drop(runtime.spawn(async move {
+                sleep(COMES_AGAIN).await;
+                desk.left(id);
+            })),
+            _ => desk.left(id),
+        }
     }
 }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::error::Error;
 use std::future::Future;
 use std::io;
@@ -23,7 +23,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
 /// Protocol: news is held back this long at most.
@@ -132,12 +132,15 @@
     client: Client<Dial, Full<Bytes>>,
     dial: Duration,
     listed: Mutex<List>,
+    known: watch::Sender<bool>,
 }
 
 #[derive(Default)]
 struct List {
     ids: HashMap<String, EngineId>,
     lines: Vec<EngineLine>,
+    /// Engines whose last call came to nothing.
+    out_of_reach: HashSet<EngineId>,
 }
 
 impl Engines {
@@ -149,7 +152,7 @@
             .pool_idle_timeout(span(network.idle * IDLE_PART))
             .retry_canceled_requests(false)
             .build(connector);
-        Engines { client, dial, listed: Mutex::default() }
+        Engines { client, dial, listed: Mutex::default(), known: watch::Sender::new(false) }
     }
 
     fn list(&self) -> MutexGuard<'_, List> {
@@ -163,12 +166,19 @@
             list.lines.iter_mut().for_each(|l| l.condition = Condition::Gone);
         }
         let lines = event.lines.iter().map(|line| list.take(line)).collect();
+        self.known.send_replace(true);
         let count = |c: Condition| list.lines.iter().filter(|l| l.condition == c).count();
         let (ready, draining) = (count(Condition::Ready), count(Condition::Draining));
         tracing::info!(change = event.number, ready, draining, "engine list");
         lines
     }
 
+    /// Until a list of engines is known.
+    pub async fn known(&self) {
+        // It fails only with the sender gone, which these engines hold.
+        let _ = self.known.subscribe().wait_for(|known| *known).await;
+    }
+
     pub fn target(&self, engine: EngineId) -> Option<Target> {
         self.list().lines.get(engine).map(|line| Target { engine, address: line.address })
     }
@@ -236,7 +246,7 @@
         let mut again = false;
         loop {
             let request = request(Method::GET, target.address, &path);
-            match self.call(request, self.dial + NEWS + self.dial).await {
+            match self.call(target, request, self.dial + NEWS + self.dial).await {
                 Ok(reply) => return Ok(reply),
                 Err(Fault::Garbled) => return Err(End::Errored),
                 Err(Fault::Refused) => return Err(End::Broken),
@@ -254,20 +264,21 @@
         head.insert(ID, call.id.clone());
         head.insert(GROUP, call.group.clone());
         head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
-        self.call(request, self.dial + NEWS + self.dial).await
+        self.call(target, request, self.dial + NEWS + self.dial).await
     }
 
     /// Gives a dispatch up: it is over once that is answered, or nothing is there to answer it.
     pub async fn give_up(&self, target: Target, call: &Call) {
         let delete = request(Method::DELETE, target.address, &path(call, None));
-        if let Err(fault) = self.call(delete, self.dial + self.dial).await {
+        if let Err(fault) = self.call(target, delete, self.dial + self.dial).await {
             tracing::debug!(engine = target.engine, ?fault, "giving up was not answered");
         }
     }
 
     pub async fn probe(&self, engine: EngineId) -> (End, Option<Report>) {
         let Some(target) = self.target(engine) else { return (End::Unconnected, None) };
-        match self.call(request(Method::GET, target.address, "/stats"), self.dial + self.dial).await {
+        let stats = request(Method::GET, target.address, "/stats");
+        match self.call(target, stats, self.dial + self.dial).await {
             Ok(reply) if reply.status == StatusCode::OK => (End::Returned, reply.report()),
             Ok(reply) => (End::Errored, reply.report()),
             Err(Fault::Refused | Fault::Unconnected) => (End::Unconnected, None),
@@ -293,8 +304,29 @@
         }
     }
 
-    async fn call(&self, request: Request<Full<Bytes>>, within: Duration) -> Result<Reply, Fault> {
-        timeout(within, self.exchange(request)).await.unwrap_or(Err(Fault::Silent))
+    async fn call(
+        &self,
+        target: Target,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Reply, Fault> {
+        let answer = timeout(within, self.exchange(request)).await.unwrap_or(Err(Fault::Silent));
+        self.heard(target, answer.as_ref().err());
+        answer
+    }
+
+    /// Logs an engine that goes out of reach or comes back, once each.
+    fn heard(&self, target: Target, fault: Option<&Fault>) {
+        let Target { engine, address } = target;
+        match fault {
+            None if self.list().out_of_reach.remove(&engine) => {
+                tracing::info!(engine, %address, "engine reached again")
+            }
+            Some(fault) if self.list().out_of_reach.insert(engine) => {
+                tracing::warn!(engine, %address, ?fault, "engine out of reach");
+            }
+            _ => {}
+        }
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, Fault> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -91,9 +91,9 @@
         };
         let router = front::router(Arc::new(front));
         let open = GracefulShutdown::new();
-        self.enter(Phase::Serving);
         tokio::select! {
             () = front::accept(&listener, &router, &self.budget.clients, &open) => {}
+            () = self.serving() => {}
             () = stop => {}
         }
         self.enter(Phase::Draining);
@@ -115,6 +115,13 @@
         Ok(())
     }
 
+    /// Healthy from the first list of engines on; batches are taken before that, too.
+    async fn serving(&self) {
+        self.engines.known().await;
+        self.enter(Phase::Serving);
+        std::future::pending().await
+    }
+
     /// The list known at the start, and the tasks that run beside the front.
     fn start(&mut self) {
         for event in &self.config.known {
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -3,19 +3,25 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, Sleep};
 
 /// Descriptors kept back: standard streams, the listener, the runtime's own, the change log.
 const OWN: usize = 24;
 /// One in so many descriptors is kept for clients' connections over their third.
 const SPARE: usize = 16;
 
+/// A write that nothing is read of for this long ends the connection: far above any client's patience with
+/// its own network.
+const STALLED: Duration = Duration::from_secs(10);
+
 /// Parts of the told limit that may be open at once.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -59,6 +65,7 @@
 pub struct Line {
     io: TokioIo<TcpStream>,
     read: LastRead,
+    stalled: Option<Pin<Box<Sleep>>>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -67,16 +74,23 @@
         if let Err(fault) = stream.set_nodelay(true) {
             tracing::debug!(%fault, "no-delay not set");
         }
-        Line {
-            io: TokioIo::new(stream),
-            read: LastRead(Arc::new(Mutex::new(Instant::now()))),
-            _permit: permit,
-        }
+        let read = LastRead(Arc::new(Mutex::new(Instant::now())));
+        Line { io: TokioIo::new(stream), read, stalled: None, _permit: permit }
     }
 
     pub fn last_read(&self) -> LastRead {
         self.read.clone()
     }
+
+    /// Lets no write wait for ever.
+    fn bounded(&mut self, cx: &mut Context, end: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if end.is_ready() {
+            self.stalled = None;
+            return end;
+        }
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALLED)));
+        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl Read for Line {
@@ -91,7 +105,8 @@
 
 impl Write for Line {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        let end = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.bounded(cx, end)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -111,7 +126,8 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+        let end = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.bounded(cx, end)
     }
 }
 
