A dispatch taken back late no longer holds up its batch's answer past the limit

Found by reading life.rs against the rule on answers: Withdrawn was told once DELETE was answered or its bound of two dial times (0.5 s) was over, with no look at the limit. A test with an engine that keeps DELETE unanswered and a start time told 0.2 s before the limit: answered 0.3 s late before, in time now.

With it: a malformed event of the change log is known by its SSE id, so that an old one that comes again cannot make a good one be passed over; Starting is logged like the other phases.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -87,40 +87,53 @@
     })
 }
 
+/// One server-sent event.
+#[derive(Debug, Default, PartialEq)]
+pub struct Sent {
+    pub number: Option<u64>,
+    pub data: Vec<u8>,
+}
+
 /// Server-sent events out of the bytes of a stream.
 #[derive(Default)]
 pub struct Stream {
     rest: Vec<u8>,
-    data: Vec<u8>,
+    event: Sent,
 }
 
 impl Stream {
-    /// Takes bytes in and gives the data of the events that are now whole; an error where one is too long.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Vec<u8>>, String> {
+    /// Takes bytes in and gives the events that are now whole; an error where one is too long.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Sent>, String> {
         self.rest.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = self.rest.drain(..=end).collect();
             let line = line.strip_suffix(b"\n").unwrap_or(&line);
-            self.line(line.strip_suffix(b"\r").unwrap_or(line), &mut events);
+            events.extend(self.line(line.strip_suffix(b"\r").unwrap_or(line)));
         }
-        if self.rest.len() + self.data.len() > LONGEST_EVENT {
+        if self.rest.len() + self.event.data.len() > LONGEST_EVENT {
             return Err("an event is too long".into());
         }
         Ok(events)
     }
 
-    fn line(&mut self, line: &[u8], events: &mut Vec<Vec<u8>>) {
+    fn line(&mut self, line: &[u8]) -> Option<Sent> {
         if line.is_empty() {
-            if !self.data.is_empty() {
-                events.push(std::mem::take(&mut self.data));
-            }
-        } else if let Some(value) = line.strip_prefix(b"data:") {
-            if !self.data.is_empty() {
-                self.data.push(b'\n');
+            return Some(std::mem::take(&mut self.event)).filter(|event| !event.data.is_empty());
+        }
+        let value = |name: &[u8]| {
+            let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+            Some(value.strip_prefix(b" ").unwrap_or(value))
+        };
+        if let Some(number) = value(b"id") {
+            self.event.number = std::str::from_utf8(number).ok().and_then(|text| text.parse().ok());
+        } else if let Some(data) = value(b"data") {
+            if !self.event.data.is_empty() {
+                self.event.data.push(b'\n');
             }
-            self.data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+            self.event.data.extend_from_slice(data);
         }
+        None
     }
 }
 
@@ -157,41 +170,44 @@
                 return Ok(());
             };
             let bytes = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_else(|_| Bytes::new());
-            for data in stream.feed(&bytes)? {
-                self.apply(&data)?;
+            for sent in stream.feed(&bytes)? {
+                self.apply(&sent)?;
             }
         }
     }
 
-    fn apply(&mut self, data: &[u8]) -> Result<(), String> {
+    /// Applies an event once and in order. A malformed one ends the connection; when it comes again on the next
+    /// it is passed over.
+    fn apply(&mut self, sent: &Sent) -> Result<(), String> {
         let expected = self.last + 1;
-        let json: Value = serde_json::from_slice(data).unwrap_or(Value::Null);
-        match event(&json, &self.names) {
-            Ok(event) if event.number < expected => Ok(()),
-            Ok(event) if event.number > expected && !event.whole => {
-                Err(format!("event {} came where {expected} was due", event.number))
+        let json: Value = serde_json::from_slice(&sent.data).unwrap_or(Value::Null);
+        let event = event(&json, &self.names);
+        let number = event.as_ref().map_or(sent.number.unwrap_or(expected), |event| event.number);
+        match event {
+            _ if number < expected => {}
+            Ok(event) if number > expected && !event.whole => {
+                return Err(format!("event {number} came where {expected} was due"));
             }
             Ok(event) => {
-                self.last = event.number;
+                self.last = number;
                 self.desk.listed(&self.engines.listed(&event), event.whole);
-                Ok(())
             }
-            Err(what) if self.malformed == Some(expected) => {
-                tracing::warn!(event = expected, what, "event passed over");
-                self.last = expected;
-                Ok(())
+            Err(what) if self.malformed == Some(number) => {
+                tracing::warn!(event = number, what, "event passed over");
+                self.last = number;
             }
             Err(what) => {
-                self.malformed = Some(expected);
-                Err(format!("event {expected}: {what}"))
+                self.malformed = Some(number);
+                return Err(format!("event {number}: {what}"));
             }
         }
+        Ok(())
     }
 }
 
 #[cfg(test)]
 mod tests {
-    use super::Stream;
+    use super::{Sent, Stream};
 
     #[test]
     fn events_come_whole_however_their_bytes_are_cut() {
@@ -199,11 +215,9 @@
         for size in 1..text.len() {
             let mut stream = Stream::default();
             let fed = text.as_bytes().chunks(size).flat_map(|part| stream.feed(part).unwrap());
-            assert_eq!(
-                fed.collect::<Vec<_>>(),
-                [b"{\"a\":\n1}".to_vec(), b"x".to_vec()],
-                "in parts of {size}"
-            );
+            let first = Sent { number: Some(4), data: b"{\"a\":\n1}".to_vec() };
+            let second = Sent { number: None, data: b"x".to_vec() };
+            assert_eq!(fed.collect::<Vec<_>>(), [first, second], "in parts of {size}");
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,7 +46,8 @@
     budget: Budget,
     engines: Arc<Engines>,
     desk: Arc<Desk>,
-    probes: UnboundedReceiver<EngineId>,
+    /// Engines to probe, until the task that probes them has them.
+    probes: Option<UnboundedReceiver<EngineId>>,
     /// The longest time limit of any service group, in seconds.
     longest: f64,
 }
@@ -67,7 +68,7 @@
             budget,
             engines,
             desk: Arc::new(desk),
-            probes,
+            probes: Some(probes),
             config,
             longest,
         }
@@ -80,6 +81,7 @@
 
     /// Runs from start to exit; `stop` asks it to drain.
     pub async fn run(mut self, stop: impl Future<Output = ()>) -> io::Result<()> {
+        self.enter(Phase::Starting);
         let listener = bind(self.config.listen)?;
         self.start();
         let front = Front {
@@ -138,9 +140,9 @@
         tokio::spawn(follower.follow(span(self.config.decoded.network.dial)));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
-        let (_, nothing) = tokio::sync::mpsc::unbounded_channel();
-        let wanted = std::mem::replace(&mut self.probes, nothing);
-        tokio::spawn(probe(wanted, self.engines.clone(), self.desk.clone()));
+        if let Some(wanted) = self.probes.take() {
+            tokio::spawn(probe(wanted, self.engines.clone(), self.desk.clone()));
+        }
     }
 }
 
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 pub struct Life {
@@ -73,14 +74,17 @@
                 ended = &mut running => return (ended, gone),
                 () = &mut too_late => {
                     // The answer is due now; what may still run there is given up beside it.
-                    let (engines, call) = (engines.clone(), call.clone());
-                    tokio::spawn(async move { engines.give_up(target, &call).await });
+                    self.give_up(target);
                     return (Ended::of(End::TimedOut), gone);
                 }
                 Some(order) = self.orders.recv() => match order {
                     Order::Gone => gone = true,
                     Order::TakeBack { dispatch: which } if which == dispatch => {
-                        engines.give_up(target, &call).await;
+                        // Over once that is answered or can't be any more, but the answer is due in time.
+                        tokio::select! {
+                            _ = self.give_up(target) => {}
+                            () = &mut too_late => {}
+                        }
                         return (Ended::of(End::Withdrawn), gone);
                     }
                     // The module has one dispatch out at most, and no answer beside it.
@@ -90,6 +94,12 @@
         }
     }
 
+    /// Gives a dispatch up in a task of its own, which goes on whether or not it is waited for.
+    fn give_up(&self, target: Target) -> JoinHandle<()> {
+        let (engines, call) = (self.engines.clone(), self.call.clone());
+        tokio::spawn(async move { engines.give_up(target, &call).await })
+    }
+
     /// Tells the module the outcome and does what follows; whether the batch is over.
     fn after(&self, engine: EngineId, dispatch: u32, sent: Instant, mut ended: Ended, gone: bool) -> bool {
         let body = (ended.end == End::Returned).then(|| rows::answer(&ended.pages));
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -105,13 +105,14 @@
     if path == "/stats" {
         return Some(http("200 OK", "X-Stats: queue:0;util:0.1\r\n", ""));
     }
-    if method == "DELETE" {
-        return Some(http("204 No Content", "", ""));
-    }
     let Some((statement, since, times)) = known else {
         return Some(http("500 Oops", "", ""));
     };
     let asks = |word: &str| statement.contains(&format!("/* {word} */"));
+    if method == "DELETE" {
+        sleep(Duration::from_secs(if asks("keeps delete") { 5 } else { 0 }));
+        return Some(http("204 No Content", "", ""));
+    }
     let page = path.rsplit('/').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
     if method == "POST" && asks("full once") && times == 1 {
         return Some(http("503 Full", "X-Declined: 1\r\n", ""));
@@ -126,7 +127,7 @@
         sleep(Duration::from_secs(5));
         return None;
     }
-    if asks("slow") && since.elapsed() < Duration::from_millis(900) {
+    if asks("keeps delete") || asks("slow") && since.elapsed() < Duration::from_millis(900) {
         sleep(Duration::from_millis(250));
         return Some(http("202 Not yet", "", ""));
     }
@@ -479,6 +480,23 @@
     until("the DELETE", || s.engine.calls(&format!("DELETE /c/{id}")) == 1);
 }
 
+/// Found by reading: a dispatch taken back shortly before the limit was waited for past it.
+#[test]
+fn a_dispatch_taken_back_late_does_not_hold_up_the_answer() {
+    let s = Service::start();
+    let (stream, began) = (s.open(), Instant::now());
+    send(&stream, "POST /v1/report", &fields(&new_id(), 1000), "SELECT 1 /* keeps delete */");
+    sleep(Duration::from_millis(800));
+    // An engine told to have started after the dispatch has lost it: the module takes it back.
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let mut restarted = line("s-1", s.engine.address, "SERVING");
+    restarted["started_ms"] = json!(unix.as_millis() as u64);
+    s.log.tell(change(1, false, &[restarted]));
+    let answer = Answer::of(read_message(&mut BufReader::new(stream)).unwrap());
+    assert_eq!(answer.status, 503);
+    assert!(began.elapsed() < Duration::from_millis(1050), "{:?}", began.elapsed());
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_dispatch_along() {
     let s = Service::start();
