--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -21,7 +21,6 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use serde_json::json;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -56,17 +55,13 @@
 }
 
 impl Front {
-    fn sent(&self, key: Option<u64>, came: f64, new_connection: bool) -> f64 {
+    fn sent(&self, key: Option<u64>, came: f64) -> f64 {
         let in_hand = self.desk.in_hand();
         let mut spacing = self.spacing.lock().unwrap_or_else(PoisonError::into_inner);
-        spacing.sent(key, came, new_connection, in_hand)
+        spacing.sent(key, came, in_hand)
     }
 }
 
-/// Whether a call is the first on its connection.
-#[derive(Clone, Copy)]
-struct NewConnection(bool);
-
 pub fn router(front: Arc<Front>) -> Router {
     Router::new()
         .route("/healthz", get(health))
@@ -97,10 +92,8 @@
 
 fn serve(line: Line, router: Router, open: &GracefulShutdown) {
     let read = line.last_read();
-    let new = AtomicBool::new(true);
     let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(read.clone());
-        request.extensions_mut().insert(NewConnection(new.swap(false, Ordering::Relaxed)));
         router.clone().call(request)
     });
     let mut builder = http1::Builder::new();
@@ -127,7 +120,6 @@
     State(front): State<Arc<Front>>,
     Path(group): Path<String>,
     Extension(read): Extension<LastRead>,
-    Extension(NewConnection(new)): Extension<NewConnection>,
     head: HeaderMap,
     body: Body,
 ) -> Response {
@@ -141,7 +133,7 @@
         Ok(taken) => taken,
         Err(what) => return wrong(StatusCode::BAD_REQUEST, &what),
     };
-    arrival.limit += front.sent(arrival.key, came, new);
+    arrival.limit += front.sent(arrival.key, came);
     let waiter = match front.desk.take(arrival) {
         Taken::New { id, orders, waiter } => {
             let (desk, engines) = (front.desk.clone(), front.engines.clone());
