--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -146,15 +146,24 @@
     pub desk: Arc<Desk>,
     /// The number of the event that was malformed last: it is passed over when it comes again.
     pub malformed: Option<u64>,
+    /// Connections that came up, and whether the last fault was logged.
+    pub connections: u64,
+    pub lost: bool,
 }
 
 impl Follower {
-    /// Reads the log for as long as the gateway runs, with a fresh connection after every fault.
+    /// Reads the log for as long as the gateway runs, with a fresh connection after every fault. Faults that
+    /// follow one another with no connection between are logged once.
     pub async fn follow(mut self, pause: Duration) {
         loop {
+            let before = self.connections;
             match self.one_connection().await {
                 Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
-                Err(fault) => tracing::warn!(%fault, last = self.last, "change log lost"),
+                Err(fault) if self.connections > before || !self.lost => {
+                    tracing::warn!(%fault, last = self.last, "change log lost");
+                    self.lost = true;
+                }
+                Err(fault) => tracing::debug!(%fault, last = self.last, "change log still lost"),
             }
             sleep(pause).await;
         }
@@ -164,6 +173,7 @@
         let answer = timeout(SILENT, self.engines.open_log(self.log, PATH, LAST_EVENT, self.last));
         let mut body = answer.await.map_err(|_| "no answer")??;
         tracing::info!(last = self.last, "change log connected");
+        self.connections += 1;
         let mut stream = Stream::default();
         loop {
             let Some(frame) = timeout(SILENT, body.frame()).await.map_err(|_| "silent")? else {
