SIGHUP reads the configuration again and follows the new change log

Checked: cli.rs set up SIGTERM and SIGINT only (cli.rs, serve), and the follower of the change log had its address for good (changes.rs, Follower.log). Ruled out: the file itself, which check-config reads.

Changed: SIGHUP reads the file through config again; a faulty one is logged with its key and the old one stays. The change log's address takes effect at once, from the last number, and the old stream is dropped; other keys that differ are logged as for the next start. A test over sockets fails without it (the program dies).

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Protocol: the path of the log and the field that names the last event had.
@@ -139,7 +140,8 @@
 
 /// Follows the log: where it is and how far it has been applied.
 pub struct Follower {
-    pub log: SocketAddr,
+    /// Where the log is; a reload may name another address.
+    pub log: watch::Receiver<SocketAddr>,
     pub last: u64,
     pub names: Names,
     pub engines: Arc<Engines>,
@@ -155,9 +157,16 @@
     /// Reads the log for as long as the gateway runs, with a fresh connection after every fault. Faults that
     /// follow one another with no connection between are logged once.
     pub async fn follow(mut self, pause: Duration) {
+        let mut moves = self.log.clone();
         loop {
             let before = self.connections;
-            match self.one_connection().await {
+            let log = *moves.borrow_and_update();
+            let end = tokio::select! {
+                end = self.one_connection(log) => end,
+                // An old stream is not listened to any more; the numbers go on.
+                Ok(()) = moves.changed() => continue,
+            };
+            match end {
                 Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
                 Err(fault) if self.connections > before || !self.lost => {
                     tracing::warn!(%fault, last = self.last, "change log lost");
@@ -165,14 +174,17 @@
                 }
                 Err(fault) => tracing::debug!(%fault, last = self.last, "change log still lost"),
             }
-            sleep(pause).await;
+            tokio::select! {
+                () = sleep(pause) => {}
+                Ok(()) = moves.changed() => {}
+            }
         }
     }
 
-    async fn one_connection(&mut self) -> Result<(), String> {
-        let answer = timeout(SILENT, self.engines.open_log(self.log, PATH, LAST_EVENT, self.last));
+    async fn one_connection(&mut self, log: SocketAddr) -> Result<(), String> {
+        let answer = timeout(SILENT, self.engines.open_log(log, PATH, LAST_EVENT, self.last));
         let mut body = answer.await.map_err(|_| "no answer")??;
-        tracing::info!(last = self.last, "change log connected");
+        tracing::info!(%log, last = self.last, "change log connected");
         self.connections += 1;
         let mut stream = Stream::default();
         loop {
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -5,6 +5,7 @@
 use pico_args::Arguments;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::unbounded_channel;
 use tracing_subscriber::EnvFilter;
 
 const HELP: &str = "\
@@ -13,7 +14,7 @@
 Usage: garnetwall COMMAND [--config FILE]
 
 Commands:
-  serve         run a gateway until SIGTERM or SIGINT
+  serve         run a gateway until SIGTERM or SIGINT; SIGHUP reads the configuration again
   check-config  read and check the configuration, and say what is wrong
   version       print the version
   help          print this text
@@ -76,19 +77,29 @@
 fn serve(file: Option<String>) -> Result<(), String> {
     let filter = EnvFilter::try_from_env("GARNETWALL_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    let config = read(file)?;
+    let config = read(file.clone())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     runtime.block_on(async {
         let listen = config.listen;
         let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
         let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+        let (reload, reloads) = unbounded_channel();
+        tokio::spawn(async move {
+            while hangup.recv().await.is_some() {
+                match read(file.clone()) {
+                    Ok(config) => drop(reload.send(config)),
+                    Err(what) => tracing::error!(what, "configuration not reloaded, the old one stays"),
+                }
+            }
+        });
         let stop = async move {
             tokio::select! {
                 _ = term.recv() => {}
                 _ = int.recv() => {}
             }
         };
-        Gateway::new(config).run(stop).await.map_err(|e| format!("listen {listen}: {e}"))
+        Gateway::new(config).run(stop, reloads).await.map_err(|e| format!("listen {listen}: {e}"))
     })
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,6 +3,7 @@
 use crate::changes::{self, Event};
 use garnetwall_settings::{decode, Decoded, Flat};
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -27,6 +28,23 @@
     pub last_known: u64,
     pub known: Vec<Event>,
     pub decoded: Decoded,
+    /// The file as it was read, to tell what a later one changes.
+    pub told: Value,
+}
+
+/// Keys that need no start: `changelog` takes effect at a reload, the others are of use at a start only.
+const RELOADED: [&str; 3] = ["changelog", "known", "seed"];
+
+impl Config {
+    /// Keys that another file changes but that take effect at a start only.
+    pub fn start_only(&self, other: &Config) -> Vec<String> {
+        let (Some(old), Some(new)) = (self.told.as_object(), other.told.as_object()) else {
+            return Vec::new();
+        };
+        let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+        let changed = |key: &&String| !RELOADED.contains(&key.as_str()) && old.get(*key) != new.get(*key);
+        keys.into_iter().filter(changed).cloned().collect()
+    }
 }
 
 /// What is wrong, with the key it is under and what was expected.
@@ -57,10 +75,11 @@
         Ok(json) => json,
         Err(e) => return Err(ConfigError(format!("{FILE_VARIABLE}: {file}: not JSON: {e}"))),
     };
-    check(&json, variable)
+    check(json, variable)
 }
 
-fn check(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
+fn check(told: Value, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
+    let json = &told;
     if !json.is_object() {
         return fault("file", "an object expected");
     }
@@ -88,6 +107,7 @@
         last_known,
         known,
         decoded,
+        told,
     })
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -80,11 +80,15 @@
         self.phase.send_replace(phase);
     }
 
-    /// Runs from start to exit; `stop` asks it to drain.
-    pub async fn run(mut self, stop: impl Future<Output = ()>) -> io::Result<()> {
+    /// Runs from start to exit; `stop` asks it to drain, `reloads` brings configurations read again.
+    pub async fn run(
+        mut self,
+        stop: impl Future<Output = ()>,
+        reloads: UnboundedReceiver<Config>,
+    ) -> io::Result<()> {
         self.enter(Phase::Starting);
         let listener = bind(self.config.listen)?;
-        self.start();
+        self.start(reloads);
         let front = Front {
             desk: self.desk.clone(),
             engines: self.engines.clone(),
@@ -126,12 +130,13 @@
     }
 
     /// The list known at the start, and the tasks that run beside the front.
-    fn start(&mut self) {
+    fn start(&mut self, reloads: UnboundedReceiver<Config>) {
         for event in &self.config.known {
             self.desk.listed(&self.engines.listed(event), event.whole);
         }
+        let log = watch::Sender::new(self.config.changelog);
         let follower = Follower {
-            log: self.config.changelog,
+            log: log.subscribe(),
             last: self.config.last_known,
             names: self.config.decoded.names.clone(),
             engines: self.engines.clone(),
@@ -141,6 +146,7 @@
             lost: false,
         };
         tokio::spawn(follower.follow(span(self.config.decoded.network.dial)));
+        tokio::spawn(reload(self.config.clone(), reloads, log));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
         if let Some(wanted) = self.probes.take() {
@@ -149,6 +155,17 @@
     }
 }
 
+/// Takes configurations read again for as long as the gateway runs: the change log's address takes effect.
+async fn reload(started: Config, mut reloads: UnboundedReceiver<Config>, log: watch::Sender<SocketAddr>) {
+    while let Some(config) = reloads.recv().await {
+        for key in started.start_only(&config) {
+            tracing::warn!(key, "changed, but takes effect at the next start only");
+        }
+        tracing::info!(changelog = %config.changelog, "configuration reloaded");
+        log.send_replace(config.changelog);
+    }
+}
+
 /// Probes the engines that the module wants to have probed, each in a task of its own.
 async fn probe(mut wanted: UnboundedReceiver<EngineId>, engines: Arc<Engines>, desk: Arc<Desk>) {
     while let Some(engine) = wanted.recv().await {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -270,7 +270,11 @@
 }
 
 fn serve(config: &Value) -> Child {
-    program(&["serve"]).env("PROXY_CONFIG", file(config)).stderr(Stdio::null()).spawn().unwrap()
+    serve_from(&file(config), Stdio::null())
+}
+
+fn serve_from(file: &std::path::Path, log: Stdio) -> Child {
+    program(&["serve"]).env("PROXY_CONFIG", file).stderr(log).spawn().unwrap()
 }
 
 impl Service {
@@ -632,6 +636,44 @@
     assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
 }
 
+/// Days of new configurations crashed the gateway: SIGHUP was not handled.
+#[test]
+fn sighup_follows_the_new_change_log_and_keeps_the_old_file_where_the_new_one_is_faulty() {
+    let path = file(&Value::Null);
+    let mut s = Service::by(
+        |_| {},
+        |config| {
+            std::fs::write(&path, config.to_string()).unwrap();
+            serve_from(&path, Stdio::piped())
+        },
+    );
+    s.log.tell(change(1, false, &[]));
+    until("the first log", || s.log.readers.lock().unwrap().as_slice() == [0]);
+    let slow = s.open();
+    send(&slow, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1 /* slow */");
+    std::fs::write(&path, "{").unwrap();
+    s.signal("HUP");
+    sleep(Duration::from_millis(100));
+    let (other, new) = (Engine::start(), ChangeLog::start());
+    s.log.events.lock().unwrap().iter().for_each(|e| new.events.lock().unwrap().push(e.clone()));
+    new.tell(change(2, true, &[line("s-2", other.address, "SERVING")]));
+    s.config["changelog"] = json!(new.address.to_string());
+    s.config["limits"]["sockets"] = json!(512);
+    std::fs::write(&path, s.config.to_string()).unwrap();
+    s.signal("HUP");
+    until("the new log from the last number", || new.readers.lock().unwrap().as_slice() == [1]);
+    s.log.tell(change(2, true, &[line("s-3", free_address(), "SERVING")]));
+    until("the new engine", || s.batch("report", "SELECT 1").returned() && other.calls("POST") > 0);
+    assert!(Answer::of(read_message(&mut BufReader::new(slow)).unwrap()).returned(), "no batch notices");
+    s.signal("TERM");
+    s.signal("HUP");
+    assert!(s.child.wait().unwrap().success(), "nor does SIGHUP end one that drains");
+    let said = std::io::read_to_string(s.child.stderr.take().unwrap()).unwrap();
+    for line in ["configuration not reloaded", "key=\"limits\"", "configuration reloaded"] {
+        assert!(said.contains(line), "{line}: {said}");
+    }
+}
+
 #[test]
 fn killed_outright_it_starts_again_under_its_address() {
     let mut s = Service::start();
