Silent and idle clients give way; what is no call is refused and its connection closed

Cause: a seat was taken before accept (front.rs, accept: acquire_owned, then listener.accept), and a connection kept or silent held its seat for 10 s (IDLE as hyper's bound for a head). With all seats held, new connections waited unread in the machine's backlog while later batches of the same key came on older ones: taken out of order, and late. 'Returned' came from an id in hand joined whatever the statement was (desk.rs, join), times beyond the limit cut to it (front.rs, arrival), and bodies whose length came in two ways (hyper drops Content-Length beside Transfer-Encoding).

Changed: guests.rs knows what each connection is at; one that comes is read at once and the silent, then the longest idle, give way, never one that asks or has just come. A first call has 2 s. An id in hand is joined only with the same tenant, key, group and statement. Transfer-Encoding, empty statements and times out of range are refused; a refused body's connection is closed after its client could read the answer.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -2,6 +2,7 @@
 //! and orders out, and decides nothing.
 
 use crate::clock::Clock;
+use crate::engines::Call;
 use bytes::Bytes;
 use garnetwall::api::{Answer, Batch, BatchId, End, EngineId, Listed, Next, Outcome, Place, Report, Wait};
 use garnetwall::control::Control;
@@ -79,6 +80,8 @@
     },
     /// The batch of this id is in hand already.
     Joined(Waiter),
+    /// A batch that is not this one has this id.
+    Other,
     /// The batch of this id is over already.
     Over,
 }
@@ -111,6 +114,9 @@
 /// A batch in hand, until it is over and every dispatch has its outcome.
 struct InHand {
     job: u64,
+    tenant: usize,
+    key: Option<u64>,
+    call: Arc<Call>,
     orders: UnboundedSender<Order>,
     answer: watch::Sender<Option<Final>>,
     waiters: usize,
@@ -203,24 +209,25 @@
     }
 
     /// Takes a batch, or finds the one that has its id.
-    pub fn take(self: &Arc<Self>, a: Arrival) -> Taken {
+    pub fn take(self: &Arc<Self>, a: Arrival, call: Arc<Call>) -> Taken {
         self.fact(|seats, now| {
             seats.forget_over(now);
             match seats.jobs.get(&a.job) {
                 Some(Job::Over) => return Taken::Over,
-                Some(&Job::InHand(id)) => return self.join(seats, id),
+                Some(&Job::InHand(id)) => return self.join(seats, id, &a, &call),
                 None => {}
             }
+            let Arrival { group, tenant, key, data_set, .. } = a;
             let id = seats.next;
             seats.next = id.wrapping_add(1);
             let (sender, orders) = unbounded_channel();
             let (answer, receiver) = watch::channel(None);
             seats.jobs.insert(a.job, Job::InHand(id));
-            seats
-                .in_hand
-                .insert(id, InHand { job: a.job, orders: sender, answer, waiters: 1, limit: a.limit });
+            seats.in_hand.insert(
+                id,
+                InHand { job: a.job, tenant, key, call, orders: sender, answer, waiters: 1, limit: a.limit },
+            );
             self.in_hand.send_replace(seats.in_hand.len());
-            let (group, tenant, key, data_set) = (a.group, a.tenant, a.key, a.data_set);
             let left = self.ends.borrow().map_or(a.limit, |at| a.limit.min(at)) - now;
             let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set };
             seats.control.take(now, b);
@@ -228,8 +235,11 @@
         })
     }
 
-    fn join(self: &Arc<Self>, seats: &mut Seats, id: BatchId) -> Taken {
+    fn join(self: &Arc<Self>, seats: &mut Seats, id: BatchId, a: &Arrival, call: &Call) -> Taken {
         let Some(b) = seats.in_hand.get_mut(&id) else { return Taken::Over };
+        if (b.tenant, b.key) != (a.tenant, a.key) || *b.call != *call {
+            return Taken::Other;
+        }
         b.waiters += 1;
         Taken::Joined(Waiter { desk: self.clone(), id, answer: b.answer.subscribe() })
     }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -44,7 +44,7 @@
 const IDLE_PART: f64 = 0.5;
 
 /// What goes on to an engine unchanged.
-#[derive(Debug)]
+#[derive(Debug, PartialEq)]
 pub struct Call {
     pub id: HeaderValue,
     pub group: HeaderValue,
@@ -422,7 +422,7 @@
         let address = address.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidInput, "no address"))?;
         let dialled = timeout(self.within, async {
             let permit = self.budget.acquire_owned().await.map_err(io::Error::other)?;
-            Ok(Line::new(TcpStream::connect(address).await?, permit))
+            Ok(Line::new(TcpStream::connect(address).await?, Some(permit)))
         });
         dialled.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,28 +3,31 @@
 use crate::desk::{Arrival, Desk, Final, Taken, Waiter};
 use crate::engines::{Call, Engines};
 use crate::gateway::Phase;
+use crate::guests::{Guest, Guests};
 use crate::life::Life;
 use crate::sockets::{LastRead, Line};
 use crate::spacing::Spacing;
 use crate::statement;
 use axum::body::{to_bytes, Body};
 use axum::extract::{Path, State};
-use axum::http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE};
+use axum::http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Extension, Router};
 use garnetwall_settings::Decoded;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::Request;
-use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
+use std::future::poll_fn;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
@@ -38,8 +41,15 @@
 const DIGITS: usize = 16;
 /// Far above the protocol's 4 s after which clients close idle connections, so that no call crosses ours.
 const IDLE: Duration = Duration::from_secs(10);
+/// Protocol: a client that can't be served is owed a close within 3 s of connecting. The first call has this long
+/// to bring its head, and a statement as long as that.
+const FIRST_CALL: Duration = Duration::from_secs(2);
+/// After the last answer a client has this long to read it and close; what it sends meanwhile is read slowly.
+const PARTING: Duration = Duration::from_millis(500);
+const REST_EVERY: Duration = Duration::from_millis(20);
+const REST: usize = 4096;
 /// More than any statement; a longer one is not read to its end.
-const LONGEST_STATEMENT: usize = 1 << 18;
+const LONGEST_STATEMENT: u64 = 1 << 18;
 /// More than any head.
 const LONGEST_HEAD: usize = 16 << 10;
 /// After a fault of accepting: descriptors come back as clients leave.
@@ -75,13 +85,15 @@
 pub async fn accept(
     listener: &TcpListener,
     router: &Router,
-    clients: &Arc<Semaphore>,
-    open: &GracefulShutdown,
+    guests: &Arc<Guests>,
+    shut: &watch::Receiver<bool>,
 ) {
-    loop {
-        let Ok(permit) = clients.clone().acquire_owned().await else { return };
+    for number in 0.. {
         match listener.accept().await {
-            Ok((stream, _)) => serve(Line::new(stream, permit), router.clone(), open),
+            Ok((stream, _)) => {
+                let guest = guests.seat(number).await;
+                tokio::spawn(serve(Line::new(stream, None), router.clone(), guest, shut.clone()));
+            }
             Err(fault) => {
                 tracing::warn!(%fault, "a connection could not be accepted");
                 sleep(ACCEPT_AGAIN).await;
@@ -90,20 +102,78 @@
     }
 }
 
-fn serve(line: Line, router: Router, open: &GracefulShutdown) {
-    let read = line.last_read();
+/// Serves a connection until it ends, says nothing for too long, or is to give way.
+async fn serve(line: Line, router: Router, guest: Guest, mut shut: watch::Receiver<bool>) {
+    let (read, guest) = (line.last_read(), Arc::new(guest));
+    let asks = guest.clone();
     let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(read.clone());
-        router.clone().call(request)
+        let (asks, answer) = (asks.clone(), router.clone().call(request));
+        asks.asks();
+        Box::pin(async move {
+            let answer = answer.await;
+            asks.idles();
+            answer
+        })
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(LONGEST_HEAD);
-    let connection = open.watch(builder.serve_connection(line, service));
-    tokio::spawn(async move {
-        if let Err(fault) = connection.await {
-            tracing::debug!(%fault, "a client's connection ended");
+    let mut connection = builder.serve_connection(line, service);
+    let first_call = sleep(FIRST_CALL);
+    tokio::pin!(first_call);
+    let (mut told, mut gives_way) = (false, false);
+    loop {
+        tokio::select! {
+            end = poll_fn(|cx| connection.poll_without_shutdown(cx)) => {
+                if let Err(fault) = end {
+                    tracing::debug!(%fault, "a client's connection ended");
+                }
+                break;
+            }
+            () = guest.leave.notified() => {
+                if guest.said_nothing() {
+                    return;
+                }
+                // Its last answer may still be on its way out.
+                gives_way = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = &mut first_call, if !first_call.is_elapsed() => {
+                if guest.said_nothing() {
+                    return;
+                }
+            }
+            Ok(_) = shut.wait_for(|shut| *shut), if !told => {
+                told = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
         }
-    });
+    }
+    if gives_way {
+        return;
+    }
+    guest.leaves();
+    tokio::select! {
+        () = part(connection.into_parts().io) => {}
+        () = guest.leave.notified() => {}
+    }
+}
+
+/// Lets a client that is still sending read its answer: closed with bytes unread, the connection would be reset
+/// and the answer lost.
+async fn part(line: Line) {
+    let mut stream = TokioIo::new(line);
+    let mut rest = [0; REST];
+    let all = async {
+        if stream.shutdown().await.is_err() {
+            return;
+        }
+        while let Ok(1..) = stream.read(&mut rest).await {
+            sleep(REST_EVERY).await;
+        }
+    };
+    // Whoever goes on sending is cut off.
+    let _ = timeout(PARTING, all).await;
 }
 
 async fn health(State(front): State<Arc<Front>>) -> Response {
@@ -123,10 +193,18 @@
     head: HeaderMap,
     body: Body,
 ) -> Response {
-    let body = match timeout(IDLE, to_bytes(body, LONGEST_STATEMENT)).await {
+    if head.contains_key(TRANSFER_ENCODING) {
+        // Told in two ways, a length may hide another call in the body: only Content-Length counts.
+        return last(wrong(StatusCode::LENGTH_REQUIRED, "a statement comes with its Content-Length"));
+    }
+    let length = body.size_hint().exact().unwrap_or(u64::MAX);
+    if length > LONGEST_STATEMENT {
+        return last(wrong(StatusCode::PAYLOAD_TOO_LARGE, "statement too long"));
+    }
+    let body = match timeout(FIRST_CALL, to_bytes(body, LONGEST_STATEMENT as usize)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return wrong(StatusCode::PAYLOAD_TOO_LARGE, "statement cut off or too long"),
-        Err(_) => return wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly"),
+        Ok(Err(_)) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
+        Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
     };
     let came = front.desk.clock().at(read.at());
     let (mut arrival, call) = match arrival(&front.decoded, &group, &head, body) {
@@ -134,13 +212,15 @@
         Err(what) => return wrong(StatusCode::BAD_REQUEST, &what),
     };
     arrival.limit += front.sent(arrival.key, came);
-    let waiter = match front.desk.take(arrival) {
+    let call = Arc::new(call);
+    let waiter = match front.desk.take(arrival, call.clone()) {
         Taken::New { id, orders, waiter } => {
             let (desk, engines) = (front.desk.clone(), front.engines.clone());
-            tokio::spawn(Life { desk, engines, id, call: Arc::new(call), orders }.live());
+            tokio::spawn(Life { desk, engines, id, call, orders }.live());
             waiter
         }
         Taken::Joined(waiter) => waiter,
+        Taken::Other => return wrong(StatusCode::CONFLICT, "this id is that of another batch"),
         Taken::Over => return wrong(StatusCode::CONFLICT, "this id has had its answer"),
     };
     answer(waiter).await
@@ -170,6 +250,12 @@
     }
 }
 
+/// The last answer on its connection: what may follow is not read as a call.
+fn last(mut answer: Response) -> Response {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 /// A short answer that says what is wrong.
 fn wrong(status: StatusCode, what: &str) -> Response {
     let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -188,10 +274,14 @@
     let index = names.groups.iter().position(|g| g == group).ok_or_else(unknown)?;
     let id = field(head, ID)?;
     let job = hex(ID, id)?;
+    let most = decoded.settings.groups[index].limit * 1000.0;
     let allowed = field(head, ALLOWED)?.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
-    let allowed = allowed.filter(|ms| ms.is_finite()).ok_or_else(|| format!("{ALLOWED}: no number"))?;
-    if allowed <= 0.0 {
-        return Err(format!("{ALLOWED}: no time left"));
+    let allowed = allowed.ok_or_else(|| format!("{ALLOWED}: no number"))?;
+    if !(allowed > 0.0 && allowed <= most) {
+        return Err(format!("{ALLOWED}: more than 0 and {most} at most expected"));
+    }
+    if statement.is_empty() {
+        return Err("no statement".into());
     }
     let tenant = match head.contains_key(TENANT) || !names.tenants.is_empty() {
         true => {
@@ -204,7 +294,7 @@
         true => Some(hex(KEY, field(head, KEY)?)?),
         false => None,
     };
-    let limit = (allowed / 1000.0).min(decoded.settings.groups[index].limit);
+    let limit = allowed / 1000.0;
     let data_set = statement::data_set(&statement).unwrap_or(0);
     let group_name = HeaderValue::from_str(group).map_err(|_| unknown())?;
     let call = Call { id: id.clone(), group: group_name, statement };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,11 +6,11 @@
 use crate::desk::Desk;
 use crate::engines::Engines;
 use crate::front::{self, Front};
+use crate::guests::Guests;
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
 use garnetwall::api::{EngineId, Settings};
 use garnetwall::control::Control;
-use hyper_util::server::graceful::GracefulShutdown;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -97,9 +97,10 @@
             spacing: Mutex::new(Spacing::new(self.budget.room, self.config.decoded.network.dial)),
         };
         let router = front::router(Arc::new(front));
-        let open = GracefulShutdown::new();
+        let guests = Guests::new(self.budget.clients.clone());
+        let (shut, open) = watch::channel(false);
         tokio::select! {
-            () = front::accept(&listener, &router, &self.budget.clients, &open) => {}
+            () = front::accept(&listener, &router, &guests, &open) => {}
             () = self.serving() => {}
             () = stop => {}
         }
@@ -108,11 +109,12 @@
         let end = Instant::now() + stay;
         self.desk.ends(self.desk.clock().at(end));
         // It ends with the time alone: accepting does not.
-        let _ = timeout(GOES_ON, front::accept(&listener, &router, &self.budget.clients, &open)).await;
+        let _ = timeout(GOES_ON, front::accept(&listener, &router, &guests, &open)).await;
         drop(listener);
         // A client that does not read its answer keeps nothing up, and no engine that does not answer DELETE.
         let last = async {
-            open.shutdown().await;
+            shut.send_replace(true);
+            guests.gone().await;
             self.desk.emptied().await;
         };
         if timeout_at((end + span(ANSWERS_OUT / 2.0)).into(), last).await.is_err() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engines;
 pub mod front;
 pub mod gateway;
+pub mod guests;
 pub mod life;
 pub mod rows;
 pub mod sockets;
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -66,11 +66,12 @@
     io: TokioIo<TcpStream>,
     read: LastRead,
     stalled: Option<Pin<Box<Sleep>>>,
-    _permit: OwnedSemaphorePermit,
+    /// Its part of the budget, where no one else holds that.
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Line {
-    pub fn new(stream: TcpStream, permit: OwnedSemaphorePermit) -> Self {
+    pub fn new(stream: TcpStream, permit: Option<OwnedSemaphorePermit>) -> Self {
         if let Err(fault) = stream.set_nodelay(true) {
             tracing::debug!(%fault, "no-delay not set");
         }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -127,7 +127,8 @@
         sleep(Duration::from_secs(5));
         return None;
     }
-    if asks("keeps delete") || asks("slow") && since.elapsed() < Duration::from_millis(900) {
+    let slow = asks("slow") && since.elapsed() < Duration::from_millis(900);
+    if asks("keeps delete") || slow || asks("very slow") && since.elapsed() < Duration::from_millis(2300) {
         sleep(Duration::from_millis(250));
         return Some(http("202 Not yet", "", ""));
     }
@@ -424,6 +425,10 @@
         ("POST /v1/report", fields("9b1f03aa5c7e2dzz", 3000), 400),
         ("POST /v1/report", fields(&new_id(), 0), 400),
         ("POST /v1/report", good.replace("3000", "soon"), 400),
+        ("POST /v1/report", good.replace("3000", "NaN"), 400),
+        ("POST /v1/report", good.replace("3000", "3001"), 400),
+        ("POST /v1/report", format!("{good}Transfer-Encoding: chunked\r\n"), 411),
+        ("POST /v1/report", format!("Transfer-Encoding: chunked\r\n{good}"), 411),
         ("POST /v1/report", format!("{good}X-Item: none\r\n"), 400),
         ("DELETE /v1/report", good.clone(), 404),
         ("POST /v1/report", format!("{good}X-Long: {}\r\n", "x".repeat(40_000)), 431),
@@ -433,7 +438,9 @@
         assert_eq!(answer.status, status, "{start} {fields:.200}");
         assert!(status == 431 || answer.json["error"].is_string(), "{start} {fields:.200}");
     }
-    assert_eq!(s.batch("report", &"x".repeat(300_000)).status, 413);
+    assert_eq!(s.batch("report", "").status, 400);
+    // Read by one that is still sending, too.
+    assert_eq!(s.batch("report", &"x".repeat(3_000_000)).status, 413);
     assert_eq!(s.engine.calls("POST"), 0);
 }
 
@@ -544,6 +551,53 @@
     assert!(joined);
 }
 
+/// Days of bad clients: some had 'returned' for the id of a batch in hand and a statement of their own.
+#[test]
+fn an_id_in_hand_with_anything_else_is_refused_and_does_not_touch_the_batch() {
+    let s = Service::start();
+    let (id, stream) = (new_id(), s.open());
+    send(&stream, "POST /v1/report", &fields(&id, 3000), "SELECT 1 /* slow */");
+    until("the start", || s.engine.calls("POST") == 1);
+    assert_eq!(s.batch_of(&id, "report", 3000, "SELECT 2").status, 409);
+    assert_eq!(s.batch_of(&id, "load", 3000, "SELECT 1 /* slow */").status, 409);
+    assert!(Answer::of(read_message(&mut BufReader::new(stream)).unwrap()).returned());
+    assert_eq!(s.engine.calls("POST"), 1);
+}
+
+/// Days of new engines and of bad clients: connections kept for good and silent ones held all seats, and those
+/// that came waited unread, out of their order.
+#[test]
+fn silent_and_idle_connections_cost_those_that_ask_no_time_and_are_closed() {
+    let s = Service::start();
+    let kept: Vec<TcpStream> = (0..120)
+        .map(|_| {
+            let stream = s.open();
+            let answer =
+                call(stream.try_clone().unwrap(), "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1");
+            assert!(Answer::of(answer.unwrap()).returned());
+            stream
+        })
+        .collect();
+    let silent: Vec<TcpStream> = (0..300).map(|_| s.open()).collect();
+    let half = s.open();
+    (&half).write_all(b"POST /v1/report HTTP/1.1\r\nHost: o").unwrap();
+    let body = s.open();
+    (&body).write_all(b"POST /v1/report HTTP/1.1\r\nHost: o\r\nContent-Length: 9\r\n\r\nSEL").unwrap();
+    let began = Instant::now();
+    assert!(s.batch("report", "SELECT 1").returned());
+    assert!(began.elapsed() < Duration::from_millis(1500), "{:?}", began.elapsed());
+    let asking = s.open();
+    send(&asking, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1 /* very slow */");
+    for mut stream in silent.into_iter().chain([half, body]) {
+        stream.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+        let end = std::io::copy(&mut stream, &mut std::io::sink());
+        assert!(!end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock), "left open");
+    }
+    assert!(began.elapsed() < Duration::from_millis(3500), "{:?}", began.elapsed());
+    drop(kept);
+    assert!(Answer::of(read_message(&mut BufReader::new(asking)).expect("an answer")).returned(), "it asked");
+}
+
 #[test]
 fn batches_of_a_key_run_one_at_a_time_in_the_order_they_came() {
     let s = Service::start();
