Spoilt answers are asked for again, each dispatch on a connection of its own; memory has a budget

Read in engines.rs: an answer that can't be read ended a dispatch as errored at once (dispatch and ask, Fault::Garbled), whole rows were checked only after all pages (life.rs, after), a connection went back to a pool shared by all batches whatever came behind its answer, and idle ones held the engines' part of the budget, so that a dispatch short of a descriptor counted as one its engine failed. Indices and ids of engines were kept for good (engines.rs, List), in the module too.

Changed: a client of its own for each dispatch; an answer out of the protocol is asked for again on a fresh connection for as long as a good end can still be told (2.25 s); 500 after a lost call counts as broken, so its key rests; spoilt answers do not put an engine out of reach. limits.memory_mb bounds statements and results. Tests: seven kinds of spoilt answers over sockets, with no other batch touched; the engine list over 100 new engines.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -16,6 +16,9 @@
 const USUAL_SOCKETS: u64 = 1024;
 /// A gateway with fewer descriptors could not hold one batch.
 const FEWEST_SOCKETS: u64 = 64;
+/// Where no limit is told, and the least that the program itself needs.
+const USUAL_MEMORY_MB: u64 = 512;
+const LEAST_MEMORY_MB: u64 = 16;
 
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -23,6 +26,7 @@
     pub listen: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    pub memory_mb: usize,
     pub changelog: SocketAddr,
     /// The number of the last change known at the start, and the changes up to it.
     pub last_known: u64,
@@ -102,7 +106,8 @@
         name: variable(NAME_VARIABLE).map_or_else(|| text(json, "name").map(String::from), Ok)?,
         listen,
         seed,
-        sockets: sockets(json)?,
+        sockets: limit(json, "sockets", FEWEST_SOCKETS, USUAL_SOCKETS)?,
+        memory_mb: limit(json, "memory_mb", LEAST_MEMORY_MB, USUAL_MEMORY_MB)?,
         changelog: address("changelog", text(json, "changelog")?)?,
         last_known,
         known,
@@ -126,11 +131,11 @@
     }
 }
 
-fn sockets(json: &Value) -> Checked<usize> {
-    let told = json.get("limits").and_then(|limits| limits.get("sockets"));
-    let told = told.map_or(Some(USUAL_SOCKETS), Value::as_u64).filter(|n| *n >= FEWEST_SOCKETS);
+fn limit(json: &Value, key: &str, least: u64, usual: u64) -> Checked<usize> {
+    let told = json.get("limits").and_then(|limits| limits.get(key));
+    let told = told.map_or(Some(usual), Value::as_u64).filter(|n| *n >= least);
     let told = told.and_then(|n| usize::try_from(n).ok());
-    told.map_or_else(|| fault("limits.sockets", &format!("a number from {FEWEST_SOCKETS} up expected")), Ok)
+    told.map_or_else(|| fault(&format!("limits.{key}"), &format!("a number from {least} up expected")), Ok)
 }
 
 fn known(json: &Value, decoded: &Decoded) -> Checked<(u64, Vec<Event>)> {
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -12,8 +12,8 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
-use std::collections::{HashMap, HashSet};
+use hyper_util::rt::TokioExecutor;
+use std::collections::HashMap;
 use std::error::Error;
 use std::future::Future;
 use std::io;
@@ -24,6 +24,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Semaphore};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Protocol: news is held back this long at most.
@@ -40,8 +41,8 @@
 const THIS_PAGE: &str = "result-page";
 const WORK: &str = "query-cost";
 const MEMORY: &str = "query-need";
-/// Engines close idle connections; ours close in this part of that time, so that none crosses.
-const IDLE_PART: f64 = 0.5;
+/// More than any head of an answer; hyper-util asks for 8 KB at least.
+const LONGEST_HEAD: usize = 16 << 10;
 
 /// What goes on to an engine unchanged.
 #[derive(Debug, PartialEq)]
@@ -85,7 +86,7 @@
     Broken,
     /// No answer by the bound.
     Silent,
-    /// An answer out of the protocol.
+    /// An answer out of the protocol: spoilt on its way, for all that it tells.
     Garbled,
 }
 
@@ -113,46 +114,67 @@
 enum News {
     NotYet,
     Over(End),
-    Good,
+    /// A good end with so many pages.
+    Good(usize),
+    Garbled,
 }
 
-/// The table of outcomes: what each answer proves. An answer out of the protocol may have run.
+/// The table of outcomes: what each answer proves. What is out of the protocol proves nothing.
 fn news(reply: &Reply) -> News {
     let never_ran = reply.head.get(NEVER_RAN).is_some_and(|v| v == "1");
-    match (reply.status, never_ran) {
-        (StatusCode::OK, _) => News::Good,
-        (StatusCode::ACCEPTED, _) => News::NotYet,
-        (StatusCode::SERVICE_UNAVAILABLE, true) => News::Over(End::Full),
-        (StatusCode::GATEWAY_TIMEOUT, true) => News::Over(End::Moot),
-        _ => News::Over(End::Errored),
+    let pages =
+        reply.number(ALL_PAGES).filter(|n| n.fract() == 0.0 && (0.0..=rows::PAGES as f64).contains(n));
+    match (reply.status, never_ran, pages) {
+        (StatusCode::OK, _, Some(pages)) if rows::whole(&reply.body) => News::Good(pages as usize),
+        (StatusCode::ACCEPTED, _, _) => News::NotYet,
+        (StatusCode::SERVICE_UNAVAILABLE, true, _) => News::Over(End::Full),
+        (StatusCode::GATEWAY_TIMEOUT, true, _) => News::Over(End::Moot),
+        (StatusCode::INTERNAL_SERVER_ERROR, _, _) => News::Over(End::Errored),
+        _ => News::Garbled,
     }
 }
 
 pub struct Engines {
-    client: Client<Dial, Full<Bytes>>,
+    connector: Dial,
     dial: Duration,
     listed: Mutex<List>,
     known: watch::Sender<bool>,
 }
 
-#[derive(Default)]
 struct List {
     ids: HashMap<String, EngineId>,
-    lines: Vec<EngineLine>,
-    /// Engines whose last call came to nothing.
-    out_of_reach: HashSet<EngineId>,
+    /// By the module's index.
+    known: Vec<Known>,
+    /// An index is another engine's once its own has been gone for this long: no batch knows of it then.
+    kept: Duration,
+}
+
+struct Known {
+    line: EngineLine,
+    gone: Option<Instant>,
+    /// Its last call came to nothing.
+    out_of_reach: bool,
 }
 
 impl Engines {
-    pub fn new(network: Network, budget: &Budget) -> Self {
+    pub fn new(network: Network, budget: &Budget, longest: f64) -> Self {
         let dial = span(network.dial);
         let connector = Dial { budget: budget.engines.clone(), within: dial };
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(span(network.idle * IDLE_PART))
-            .retry_canceled_requests(false)
-            .build(connector);
-        Engines { client, dial, listed: Mutex::default(), known: watch::Sender::new(false) }
+        let kept = span(longest) + UNASKED;
+        let listed = Mutex::new(List { ids: HashMap::new(), known: Vec::new(), kept });
+        Engines { connector, dial, listed, known: watch::Sender::new(false) }
+    }
+
+    /// A client of its own for each dispatch, probe or reading of the log: what is left on its connection, or
+    /// comes there late, can reach no other batch, and nothing is kept of engines that have gone.
+    fn client(&self) -> Client<Dial, Full<Bytes>> {
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.pool_idle_timeout(None).pool_max_idle_per_host(1).http1_max_buf_size(LONGEST_HEAD);
+        builder.retry_canceled_requests(false).build(self.connector.clone())
+    }
+
+    fn way(&self, target: Target) -> Way<'_> {
+        Way { engines: self, target, client: self.client() }
     }
 
     fn list(&self) -> MutexGuard<'_, List> {
@@ -162,12 +184,13 @@
     /// Takes in a change of the list and gives it under the module's indices.
     pub fn listed(&self, event: &Event) -> Vec<Listed> {
         let mut list = self.list();
+        let now = Instant::now();
         if event.whole {
-            list.lines.iter_mut().for_each(|l| l.condition = Condition::Gone);
+            list.known.iter_mut().for_each(|known| known.goes(now));
         }
-        let lines = event.lines.iter().map(|line| list.take(line)).collect();
+        let lines = event.lines.iter().filter_map(|line| list.take(line, now)).collect();
         self.known.send_replace(true);
-        let count = |c: Condition| list.lines.iter().filter(|l| l.condition == c).count();
+        let count = |c: Condition| list.known.iter().filter(|k| k.line.condition == c).count();
         let (ready, draining) = (count(Condition::Ready), count(Condition::Draining));
         tracing::info!(change = event.number, ready, draining, "engine list");
         lines
@@ -180,97 +203,26 @@
     }
 
     pub fn target(&self, engine: EngineId) -> Option<Target> {
-        self.list().lines.get(engine).map(|line| Target { engine, address: line.address })
+        self.list().known.get(engine).map(|known| Target { engine, address: known.line.address })
     }
 
     /// Starts a dispatch and asks for it without gap until it has ended, or cannot be running any more.
     pub async fn dispatch(&self, target: Target, call: &Call, time_out: f64) -> Ended {
-        let mut asked = Instant::now();
-        let mut reply = match self.start(target, call, time_out).await {
-            Ok(reply) => Ok(reply),
+        let mut way = self.way(target);
+        let first = match way.start(call, time_out).await {
             Err(Fault::Refused | Fault::Unconnected) => return Ended::of(End::Unconnected),
-            Err(Fault::Garbled) => return Ended::of(End::Errored),
-            // It may have come whole all the same: asking tells.
-            Err(Fault::Broken | Fault::Silent) => self.ask(target, call, 0, &mut asked).await,
+            first => first,
         };
-        loop {
-            let told = match reply {
-                Ok(told) => told,
-                Err(end) => return Ended::of(end),
-            };
-            asked = Instant::now();
-            match news(&told) {
-                News::NotYet => reply = self.ask(target, call, 0, &mut asked).await,
-                News::Over(end) => return Ended { report: told.report(), ..Ended::of(end) },
-                News::Good => return self.fetch(target, call, told, asked).await,
-            }
-        }
-    }
-
-    /// The pages after the first, so that a lost one is still an outcome.
-    async fn fetch(&self, target: Target, call: &Call, first: Reply, mut asked: Instant) -> Ended {
-        let mut ended = Ended {
-            work: first.number(WORK).map(|ms| ms / 1000.0).filter(|v| *v > 0.0),
-            memory: first.number(MEMORY).filter(|v| *v > 0.0),
-            report: first.report(),
-            ..Ended::of(End::Returned)
-        };
-        let pages = first.number(ALL_PAGES).filter(|n| n.fract() == 0.0 && *n <= rows::PAGES as f64);
-        let Some(pages) = pages else {
-            tracing::warn!(engine = target.engine, "no usable number of pages");
-            return Ended { end: End::Errored, ..ended };
-        };
-        ended.pages.push(first.body);
-        for page in 1..pages as usize {
-            let end = match self.ask(target, call, page, &mut asked).await {
-                Ok(r) if r.status == StatusCode::OK && r.number(THIS_PAGE) == Some(page as f64) => {
-                    asked = Instant::now();
-                    ended.pages.push(r.body);
-                    continue;
-                }
-                Ok(r) => {
-                    tracing::warn!(engine = target.engine, page, status = r.status.as_u16(), "page lost");
-                    End::Errored
-                }
-                Err(end) => end,
-            };
-            return Ended { end, ..ended };
-        }
-        ended
-    }
-
-    /// Asks for the news of a dispatch or a page of its result, again while that can tell. The end that it
-    /// has otherwise: broken, where no process is there or it went unasked for too long.
-    async fn ask(&self, target: Target, call: &Call, page: usize, asked: &mut Instant) -> Result<Reply, End> {
-        let path = path(call, Some(page));
-        let mut again = false;
-        loop {
-            let request = request(Method::GET, target.address, &path);
-            match self.call(target, request, self.dial + NEWS + self.dial).await {
-                Ok(reply) => return Ok(reply),
-                Err(Fault::Garbled) => return Err(End::Errored),
-                Err(Fault::Refused) => return Err(End::Broken),
-                Err(_) if asked.elapsed() > NEWS + UNASKED => return Err(End::Broken),
-                Err(_) if again => sleep(self.dial).await,
-                Err(_) => again = true,
-            }
+        match way.end(call, first).await {
+            Ok((told, pages)) => way.fetch(call, told, pages).await,
+            Err(ended) => ended,
         }
     }
 
-    async fn start(&self, target: Target, call: &Call, time_out: f64) -> Result<Reply, Fault> {
-        let mut request = request(Method::POST, target.address, "/c");
-        *request.body_mut() = Full::new(call.statement.clone());
-        let head = request.headers_mut();
-        head.insert(ID, call.id.clone());
-        head.insert(GROUP, call.group.clone());
-        head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
-        self.call(target, request, self.dial + NEWS + self.dial).await
-    }
-
     /// Gives a dispatch up: it is over once that is answered, or nothing is there to answer it.
     pub async fn give_up(&self, target: Target, call: &Call) {
         let delete = request(Method::DELETE, target.address, &path(call, None));
-        if let Err(fault) = self.call(target, delete, self.dial + self.dial).await {
+        if let Err(fault) = self.way(target).call(delete, self.dial + self.dial).await {
             tracing::debug!(engine = target.engine, ?fault, "giving up was not answered");
         }
     }
@@ -278,7 +230,7 @@
     pub async fn probe(&self, engine: EngineId) -> (End, Option<Report>) {
         let Some(target) = self.target(engine) else { return (End::Unconnected, None) };
         let stats = request(Method::GET, target.address, "/stats");
-        match self.call(target, stats, self.dial + self.dial).await {
+        match self.way(target).call(stats, self.dial + self.dial).await {
             Ok(reply) if reply.status == StatusCode::OK => (End::Returned, reply.report()),
             Ok(reply) => (End::Errored, reply.report()),
             Err(Fault::Refused | Fault::Unconnected) => (End::Unconnected, None),
@@ -297,36 +249,137 @@
     ) -> Result<Incoming, String> {
         let mut request = request(Method::GET, log, path);
         request.headers_mut().insert(HeaderName::from_static(field), HeaderValue::from(last));
-        let answer = self.client.request(request).await.map_err(|e| chain(&e))?;
+        let answer = self.client().request(request).await.map_err(|e| chain(&e))?;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
             status => Err(format!("status {status}")),
         }
     }
 
-    async fn call(
-        &self,
-        target: Target,
-        request: Request<Full<Bytes>>,
-        within: Duration,
-    ) -> Result<Reply, Fault> {
-        let answer = timeout(within, self.exchange(request)).await.unwrap_or(Err(Fault::Silent));
-        self.heard(target, answer.as_ref().err());
-        answer
-    }
-
     /// Logs an engine that goes out of reach or comes back, once each.
     fn heard(&self, target: Target, fault: Option<&Fault>) {
         let Target { engine, address } = target;
-        match fault {
-            None if self.list().out_of_reach.remove(&engine) => {
-                tracing::info!(engine, %address, "engine reached again")
+        let out = match fault {
+            Some(Fault::Refused | Fault::Unconnected | Fault::Silent) => true,
+            // It was there to break off or to spoil.
+            Some(Fault::Broken | Fault::Garbled) => return,
+            None => false,
+        };
+        let mut list = self.list();
+        let Some(known) = list.known.get_mut(engine).filter(|k| k.line.address == address) else { return };
+        match (std::mem::replace(&mut known.out_of_reach, out), out) {
+            (true, false) => tracing::info!(engine, %address, "engine reached again"),
+            (false, true) => tracing::warn!(engine, %address, ?fault, "engine out of reach"),
+            _ => {}
+        }
+    }
+}
+
+/// The way of one dispatch to its engine: a connection at a time, given up with whatever was spoilt on it.
+struct Way<'a> {
+    engines: &'a Engines,
+    target: Target,
+    client: Client<Dial, Full<Bytes>>,
+}
+
+impl Way<'_> {
+    async fn start(&mut self, call: &Call, time_out: f64) -> Result<Reply, Fault> {
+        let mut request = request(Method::POST, self.target.address, "/c");
+        *request.body_mut() = Full::new(call.statement.clone());
+        let head = request.headers_mut();
+        head.insert(ID, call.id.clone());
+        head.insert(GROUP, call.group.clone());
+        head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
+        let dial = self.engines.dial;
+        self.call(request, dial + NEWS + dial).await
+    }
+
+    /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
+    /// not answered may have come whole all the same, and a good end is given again: asking tells.
+    async fn end(&mut self, call: &Call, first: Result<Reply, Fault>) -> Result<(Reply, usize), Ended> {
+        let mut asking = Asking::new();
+        let mut answer = first;
+        loop {
+            let told = match answer {
+                Ok(told) => match news(&told) {
+                    News::Good(pages) => return Ok((told, pages)),
+                    News::Over(End::Errored) => return Err(Ended::of(asking.unknown())),
+                    News::Over(end) => return Err(Ended { report: told.report(), ..Ended::of(end) }),
+                    News::NotYet => Ok(()),
+                    News::Garbled => Err(Fault::Garbled),
+                },
+                Err(fault) => Err(fault),
+            };
+            answer = self.ask_on(call, 0, &mut asking, told).await.map_err(Ended::of)?;
+        }
+    }
+
+    /// The pages after the first, so that a lost one is still an outcome.
+    async fn fetch(&mut self, call: &Call, first: Reply, pages: usize) -> Ended {
+        let mut ended = Ended {
+            work: first.number(WORK).map(|ms| ms / 1000.0).filter(|v| *v > 0.0),
+            memory: first.number(MEMORY).filter(|v| *v > 0.0),
+            report: first.report(),
+            ..Ended::of(End::Returned)
+        };
+        ended.pages.push(first.body);
+        let mut asking = Asking::new();
+        for page in 1..pages {
+            let mut told = Ok(());
+            loop {
+                told = match self.ask_on(call, page, &mut asking, told).await {
+                    Ok(Ok(r)) if r.status == StatusCode::INTERNAL_SERVER_ERROR => {
+                        tracing::debug!(engine = self.target.engine, page, "page lost");
+                        return Ended { end: End::Errored, ..ended };
+                    }
+                    Ok(Ok(r)) if r.number(THIS_PAGE) == Some(page as f64) && rows::whole(&r.body) => {
+                        ended.pages.push(r.body);
+                        break;
+                    }
+                    Ok(Ok(_)) => Err(Fault::Garbled),
+                    Ok(Err(fault)) => Err(fault),
+                    Err(end) => return Ended { end, ..ended },
+                };
             }
-            Some(fault) if self.list().out_of_reach.insert(engine) => {
-                tracing::warn!(engine, %address, ?fault, "engine out of reach");
+        }
+        ended
+    }
+
+    /// Asks for the news of a dispatch or a page of its result, after what came of the last call. The end that it
+    /// has where asking can't tell any more: no process is there, or nothing sound came for too long.
+    async fn ask_on(
+        &mut self,
+        call: &Call,
+        page: usize,
+        asking: &mut Asking,
+        told: Result<(), Fault>,
+    ) -> Result<Result<Reply, Fault>, End> {
+        let dial = self.engines.dial;
+        match told {
+            Ok(()) => asking.heard = Instant::now(),
+            Err(Fault::Refused) => return Err(End::Broken),
+            Err(fault) => {
+                self.client = self.engines.client();
+                if asking.heard.elapsed() > NEWS + UNASKED {
+                    return Err(if fault == Fault::Garbled { End::Errored } else { End::Broken });
+                }
+                asking.lost |= fault != Fault::Garbled;
+                if std::mem::replace(&mut asking.again, true) {
+                    sleep(dial).await;
+                }
             }
-            _ => {}
         }
+        asking.again &= told.is_err();
+        let request = request(Method::GET, self.target.address, &path(call, Some(page)));
+        Ok(self.call(request, dial + NEWS + dial).await)
+    }
+
+    async fn call(&mut self, request: Request<Full<Bytes>>, within: Duration) -> Result<Reply, Fault> {
+        let answer = timeout(within, self.exchange(request)).await.unwrap_or(Err(Fault::Silent));
+        self.engines.heard(self.target, answer.as_ref().err());
+        // The connection comes back to its client meanwhile, or the next call would open another.
+        yield_now().await;
+        answer
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, Fault> {
@@ -343,22 +396,71 @@
     }
 }
 
-impl List {
-    fn take(&mut self, line: &EngineLine) -> Listed {
-        let next = self.lines.len();
-        let engine = *self.ids.entry(line.id.clone()).or_insert(next);
-        match self.lines.get_mut(engine) {
-            Some(known) => *known = line.clone(),
-            None => self.lines.push(line.clone()),
+/// What asking for a dispatch has come to so far.
+struct Asking {
+    /// When something sound came last.
+    heard: Instant,
+    /// The last call came to nothing.
+    again: bool,
+    /// A call was broken off or not answered.
+    lost: bool,
+}
+
+impl Asking {
+    fn new() -> Self {
+        Asking { heard: Instant::now(), again: false, lost: false }
+    }
+
+    /// The end of a dispatch that the engine does not know or calls failed: after a call that was lost it may
+    /// never have come, or still be on its way.
+    fn unknown(&self) -> End {
+        if self.lost {
+            End::Broken
+        } else {
+            End::Errored
         }
-        Listed {
+    }
+}
+
+impl List {
+    /// Takes in a line; one of an engine that was never known and has gone says nothing.
+    fn take(&mut self, line: &EngineLine, now: Instant) -> Option<Listed> {
+        let engine = match self.ids.get(&line.id) {
+            Some(engine) => *engine,
+            None if line.condition == Condition::Gone => return None,
+            None => self.index(line, now),
+        };
+        let known = self.known.get_mut(engine)?;
+        let gone = (line.condition == Condition::Gone).then(|| known.gone.unwrap_or(now));
+        (known.line, known.gone) = (line.clone(), gone);
+        Some(Listed {
             engine,
             zone: line.zone,
             kind: line.kind,
             cell: line.cell,
             came_up: line.came_up,
             condition: line.condition,
+        })
+    }
+
+    /// An index for a new engine: that of one long gone, or the next.
+    fn index(&mut self, line: &EngineLine, now: Instant) -> EngineId {
+        let long_gone = |k: &Known| k.gone.is_some_and(|at| now - at > self.kept);
+        let engine = self.known.iter().position(long_gone).unwrap_or(self.known.len());
+        let new = Known { line: line.clone(), gone: None, out_of_reach: false };
+        match self.known.get_mut(engine) {
+            Some(old) => drop(self.ids.remove(&std::mem::replace(old, new).line.id)),
+            None => self.known.push(new),
         }
+        self.ids.insert(line.id.clone(), engine);
+        engine
+    }
+}
+
+impl Known {
+    fn goes(&mut self, now: Instant) {
+        self.line.condition = Condition::Gone;
+        self.gone.get_or_insert(now);
     }
 }
 
@@ -441,3 +543,35 @@
         Box::pin(self.clone().connect(uri))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(id: &str, condition: Condition) -> EngineLine {
+        let address = SocketAddr::from(([127, 0, 0, 1], 4100));
+        EngineLine { id: id.into(), address, zone: 0, kind: 0, cell: 0, came_up: None, condition }
+    }
+
+    /// Days on which engines come under new ids without end: what is kept does not grow with them.
+    #[test]
+    fn an_index_is_another_engines_only_once_its_own_is_long_gone() {
+        let mut list = List { ids: HashMap::new(), known: Vec::new(), kept: Duration::from_secs(20) };
+        let mut now = Instant::now();
+        let mut take = |id: &str, condition, wait: u64| {
+            now += Duration::from_secs(wait);
+            let engine = list.take(&line(id, condition), now).map(|l| l.engine);
+            (engine, list.known.len(), list.ids.len())
+        };
+        assert_eq!(take("a", Condition::Ready, 0), (Some(0), 1, 1));
+        assert_eq!(take("a", Condition::Gone, 1), (Some(0), 1, 1));
+        assert_eq!(take("never known", Condition::Gone, 1), (None, 1, 1));
+        assert_eq!(take("b", Condition::Ready, 10), (Some(1), 2, 2), "batches may still know a");
+        assert_eq!(take("a", Condition::Gone, 5), (Some(0), 2, 2), "told twice");
+        assert_eq!(take("c", Condition::Ready, 10), (Some(0), 2, 2));
+        for n in 0..100 {
+            take(&format!("d{n}"), Condition::Ready, 1);
+            assert!(take(&format!("d{n}"), Condition::Gone, 30).1 <= 4);
+        }
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,7 +27,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
@@ -62,6 +62,8 @@
     pub decoded: Decoded,
     pub phase: watch::Receiver<Phase>,
     pub spacing: Mutex<Spacing>,
+    /// Bytes of statements that may be in hand at once.
+    pub statements: Arc<Semaphore>,
 }
 
 impl Front {
@@ -201,6 +203,10 @@
     if length > LONGEST_STATEMENT {
         return last(wrong(StatusCode::PAYLOAD_TOO_LARGE, "statement too long"));
     }
+    let Ok(memory) = front.statements.clone().try_acquire_many_owned(length as u32) else {
+        // Not pushed back: the id may be that of a batch in hand.
+        return last(wrong(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
+    };
     let body = match timeout(FIRST_CALL, to_bytes(body, LONGEST_STATEMENT as usize)).await {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
@@ -216,7 +222,7 @@
     let waiter = match front.desk.take(arrival, call.clone()) {
         Taken::New { id, orders, waiter } => {
             let (desk, engines) = (front.desk.clone(), front.engines.clone());
-            tokio::spawn(Life { desk, engines, id, call, orders }.live());
+            tokio::spawn(Life { desk, engines, id, call, orders, _memory: memory }.live());
             waiter
         }
         Taken::Joined(waiter) => waiter,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,14 +56,14 @@
 impl Gateway {
     pub fn new(config: Config) -> Self {
         let clock = Clock::start();
-        let budget = Budget::of(config.sockets);
+        let budget = Budget::of(config.sockets, config.memory_mb);
         let settings = &config.decoded.settings;
         let longest = settings.groups.iter().map(|g| g.limit).fold(0.0, f64::max);
         let room = Some(settings.room.unwrap_or(f64::INFINITY).min(budget.room as f64));
         let settings = Settings { room, ..settings.clone() };
         let control = Control::new(settings, config.seed, clock.now());
         let (desk, probes) = Desk::new(control, clock, longest);
-        let engines = Arc::new(Engines::new(config.decoded.network, &budget));
+        let engines = Arc::new(Engines::new(config.decoded.network, &budget, longest));
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
             budget,
@@ -94,6 +94,7 @@
             engines: self.engines.clone(),
             decoded: self.config.decoded.clone(),
             phase: self.phase.subscribe(),
+            statements: self.budget.statements.clone(),
             spacing: Mutex::new(Spacing::new(self.budget.room, self.config.decoded.network.dial)),
         };
         let router = front::router(Arc::new(front));
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -17,6 +18,8 @@
     pub id: BatchId,
     pub call: Arc<Call>,
     pub orders: UnboundedReceiver<Order>,
+    /// The statement's part of the budget.
+    pub _memory: OwnedSemaphorePermit,
 }
 
 impl Life {
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -37,6 +37,13 @@
     Ok(out.into())
 }
 
+/// Whether a page holds whole rows: one spoilt or cut on its way does not, but by chance.
+pub fn whole(page: &[u8]) -> bool {
+    let Ok(text) = std::str::from_utf8(page) else { return false };
+    let Some(rows) = text.strip_suffix('\n') else { return text.is_empty() };
+    rows.split('\n').all(|row| row.matches('\t').count() + 1 == COLUMNS)
+}
+
 fn write_row(out: &mut Vec<u8>, row: &str) -> Result<(), String> {
     out.push(b'[');
     let mut columns = 0;
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,5 +1,6 @@
-//! Descriptors: the budget, and the stream that holds a part of it for as long as it is open.
+//! The budget of descriptors and memory, and the stream that holds a part of it for as long as it is open.
 
+use crate::rows;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
@@ -18,6 +19,13 @@
 /// One in so many descriptors is kept for clients' connections over their third.
 const SPARE: usize = 16;
 
+/// One in so many bytes of the told memory is for statements, and one in so many for results in hand; the rest is
+/// for the program, the buffers of connections and what an allocator can't give back.
+const STATEMENTS: usize = 8;
+const RESULTS: usize = 4;
+/// A result in hand: its pages, and the answer made of them.
+const RESULT: usize = 2 * rows::RESULT;
+
 /// A write that nothing is read of for this long ends the connection: far above any client's patience with
 /// its own network.
 const STALLED: Duration = Duration::from_secs(10);
@@ -27,21 +35,25 @@
 pub struct Budget {
     pub clients: Arc<Semaphore>,
     pub engines: Arc<Semaphore>,
-    /// Batches that clients' connections can hold at once.
+    /// Batches that clients' connections and the memory can hold at once.
     pub room: usize,
+    /// Bytes of statements that may be in hand at once.
+    pub statements: Arc<Semaphore>,
 }
 
 impl Budget {
     /// A third for clients, as the protocol has it, and some for those that close as others come: the machine
     /// accepts a connection whether or not we do, and what comes on it is owed an answer. The rest, less our
     /// own, for engines.
-    pub fn of(limit: usize) -> Self {
+    pub fn of(limit: usize, memory_mb: usize) -> Self {
+        let memory = memory_mb << 20;
         let clients = limit / 3 + limit / SPARE + 1;
         let engines = limit.saturating_sub(clients + OWN).max(1);
         Budget {
             clients: Arc::new(Semaphore::new(clients)),
             engines: Arc::new(Semaphore::new(engines)),
-            room: limit / 3,
+            room: (limit / 3).min(memory / RESULTS / RESULT).max(1),
+            statements: Arc::new(Semaphore::new(memory / STATEMENTS)),
         }
     }
 }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -84,7 +84,10 @@
             }
             let known = started.get(&id).cloned();
             drop(started);
+            let statement = known.as_ref().map(|k| k.0.clone()).unwrap_or_default();
+            let first = method == "POST" || !path.ends_with("/0") && self.calls(&format!("GET {path}")) == 1;
             let Some(answer) = answer(method, &path, known) else { return };
+            let answer = if first { spoilt(&statement, answer) } else { answer };
             if (&stream).write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -100,6 +103,23 @@
     format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// How an answer comes out of a network that spoils it, as the statement's comment asks.
+fn spoilt(statement: &str, answer: String) -> String {
+    let spoil = statement.split_once("/* spoilt ").and_then(|(_, rest)| rest.split_once(" */"));
+    match spoil.map(|(how, _)| how) {
+        Some("noise") => "\u{1}\u{2} no head at all\r\n\r\n".into(),
+        Some("endless head") => format!("HTTP/1.1 200 OK\r\nX-Long: {}", "x".repeat(1 << 20)),
+        Some("length") => answer.replace("Content-Length: ", "Content-Length: 9"),
+        Some("gigabytes") => {
+            answer.replace("Content-Length: ", "Content-Length: 30000000") + &"a\t\t\n".repeat(9999)
+        }
+        Some("rows") => answer.replace('\t', "#"),
+        Some("1xx ahead") => format!("HTTP/1.1 103 Early Hints\r\n\r\n{answer}"),
+        Some("surplus") => format!("{answer}{}", http("200 OK", "Result-Pages: 1\r\n", "of\tanother\t\n")),
+        _ => answer,
+    }
+}
+
 /// What the engine answers; none closes the connection.
 fn answer(method: &str, path: &str, known: Option<Started>) -> Option<String> {
     if path == "/stats" {
@@ -471,6 +491,26 @@
     assert_eq!(s.engine.calls("POST"), 1);
 }
 
+/// Days of spoilt answers: a good end is given again when asked, and is asked for before the batch is given up.
+#[test]
+fn a_spoilt_answer_is_asked_for_again_and_reaches_no_other_batch() {
+    let s = Service::start();
+    let rows = |kind: &str| {
+        let pages = [json!(["p1", "", ""]), json!(["p2", "", ""])];
+        let first = ROWS_AS_JSON.iter().map(|row| json!(row));
+        let rows: Vec<Value> = first.chain(pages.into_iter().filter(|_| kind == "pages")).collect();
+        json!({ "data": rows })
+    };
+    for spoil in ["noise", "endless head", "length", "gigabytes", "rows", "1xx ahead", "surplus"] {
+        for kind in ["pages", "one"] {
+            let answer = s.batch("load", &format!("INSERT /* {kind} */ /* spoilt {spoil} */"));
+            assert_eq!((answer.status, answer.json), (200, rows(kind)), "{spoil}, {kind}");
+            assert_eq!(s.batch("report", "SELECT 1").json, rows("one"), "after {spoil}");
+        }
+    }
+    assert_eq!(s.engine.calls("POST"), 28, "no batch was sent twice");
+}
+
 #[test]
 fn nobody_listening_at_an_engine_proves_that_nothing_ran() {
     let s = Service::with(|c| {
--- a/src/control.rs
+++ b/src/control.rs
@@ -107,15 +107,16 @@
     }
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
-        let old = self.engines.iter_mut().filter_map(|e| e.line.as_mut().filter(|_| whole));
-        old.for_each(|line| line.condition = Condition::Gone);
+        let named = |e: EngineId| !whole || lines.iter().any(|l| l.engine == e);
+        let old = self.engines.iter_mut().enumerate().filter(|(i, _)| !named(*i));
+        old.filter_map(|(_, e)| e.line.as_mut()).for_each(|line| line.condition = Condition::Gone);
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
             let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
             let known = self.engines.len().max(l.engine + 1);
             self.engines.resize_with(known, || unheard(cores, memory));
             let e = &mut self.engines[l.engine];
-            if e.line.is_none_or(|old| old.came_up != l.came_up) {
+            if e.line.is_none_or(|old| old.came_up != l.came_up || old.condition == Condition::Gone) {
                 e.forget(unheard(cores, memory));
                 e.lot = self.chance.draw();
             }
