--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,8 +100,10 @@
         let router = front::router(Arc::new(front));
         let guests = Guests::new(self.budget.clients.clone());
         let (shut, open) = watch::channel(false);
+        // One for both phases: a connection that waits for its seat is in its hands.
+        let mut accepting = Box::pin(front::accept(&listener, &router, &guests, &open));
         tokio::select! {
-            () = front::accept(&listener, &router, &guests, &open) => {}
+            () = &mut accepting => {}
             () = self.serving() => {}
             () = stop => {}
         }
@@ -110,7 +112,8 @@
         let end = Instant::now() + stay;
         self.desk.ends(self.desk.clock().at(end));
         // It ends with the time alone: accepting does not.
-        let _ = timeout(GOES_ON, front::accept(&listener, &router, &guests, &open)).await;
+        let _ = timeout(GOES_ON, &mut accepting).await;
+        drop(accepting);
         drop(listener);
         // A client that does not read its answer keeps nothing up, and no engine that does not answer DELETE.
         let last = async {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -816,11 +816,12 @@
 #[test]
 fn a_faulty_configuration_is_named_by_its_key_and_nothing_is_bound() {
     let address = free_address();
-    let faults: [(&str, Value, &str); 9] = [
+    let faults: [(&str, Value, &str); 10] = [
         ("/listen", json!("nowhere"), "listen"),
         ("/seed", json!("xyz"), "seed"),
         ("/changelog", json!(null), "changelog"),
         ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
         ("/known/results/0/fleet/servers/0/state", json!("ODD"), "known.results.0"),
         ("/settings", json!([]), "settings"),
         ("/settings/categories", json!([]), "settings.categories"),
--- a/src/control.rs
+++ b/src/control.rs
@@ -113,10 +113,10 @@
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
             let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
-            let known = self.engines.len().max(l.engine + 1);
-            self.engines.resize_with(known, || unheard(cores, memory));
+            self.engines.resize_with(self.engines.len().max(l.engine + 1), || unheard(cores, memory));
             let e = &mut self.engines[l.engine];
-            if e.line.is_none_or(|old| old.came_up != l.came_up || old.condition == Condition::Gone) {
+            let another = |old: Listed| old.condition == Condition::Gone && l.came_up.is_none();
+            if e.line.is_none_or(|old| old.came_up != l.came_up || another(old)) {
                 e.forget(unheard(cores, memory));
                 e.lot = self.chance.draw();
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -214,6 +214,24 @@
     assert!(failed < 8, "{failed} dispatches to the failing engine");
 }
 
+/// An index is another engine's once its own has gone: that one's rest is not the new one's.
+#[test]
+fn an_engine_at_the_index_of_a_gone_one_inherits_nothing() {
+    let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 2);
+    for _ in 0..30 {
+        let id = w.take(0, 0, None, 4.0);
+        w.pump();
+        let end = if w.sent_to(id) == [0] { End::Errored } else { End::Returned };
+        w.outcome(id, end);
+    }
+    w.relist(0, Condition::Gone, None);
+    w.relist(0, Condition::Ready, None);
+    w.relist(1, Condition::Draining, None);
+    let id = w.take(0, 0, None, 4.0);
+    w.pump();
+    assert_eq!(w.sent_to(id), [0]);
+}
+
 /// Found on an incident: clients with little time left were served past it, which wasted the work.
 #[test]
 fn what_its_time_limit_cannot_hold_is_pushed_back() {
