A ledger knows every dispatch not proved over; the answer goes at once, the key waits

Change: crates/ledger, without I/O, says what each fact proves and until when a dispatch may run; the gateway's way to an engine lets the last call for news end and gives up on the same connection; refused is no proof while the engine drains. The module gets in_doubt: what is answered now, while the dispatch stays out and holds its key.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -255,6 +255,11 @@
         })
     }
 
+    /// What is answered for a dispatch whose end is not known; it stays out until `after`.
+    pub fn in_doubt(&self, id: BatchId, outcome: Outcome) -> Next {
+        self.fact(|seats, now| seats.control.in_doubt(now, id, outcome))
+    }
+
     /// Gives a batch its final answer; only the first counts.
     pub fn answer(&self, id: BatchId, last: Final) {
         if let Some(b) = self.seats().in_hand.get(&id).filter(|b| !b.is_over()) {
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -7,6 +7,8 @@
 use crate::sockets::{Budget, Line};
 use bytes::Bytes;
 use garnetwall::api::{Condition, End, EngineId, Listed, Report};
+use garnetwall_ledger as ledger;
+use garnetwall_ledger::{Asking, Bounds, Connection, DispatchId, Fact, Ledger, Lost, Next, Step};
 use garnetwall_settings::Network;
 use http::header::HOST;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
@@ -72,6 +74,17 @@
     }
 }
 
+/// What is still wanted of a dispatch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// Its answer.
+    Answer,
+    /// That it is given up, or else its answer if that comes first.
+    Back,
+    /// That it is given up: its batch has its answer.
+    Over,
+}
+
 /// How a call came to nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -87,6 +100,16 @@
     Garbled,
 }
 
+impl Fault {
+    fn lost(self) -> Lost {
+        match self {
+            Fault::Refused => Lost::Refused,
+            Fault::Unconnected | Fault::Broken | Fault::Silent => Lost::OnItsWay,
+            Fault::Garbled => Lost::Spoilt,
+        }
+    }
+}
+
 struct Reply {
     status: StatusCode,
     head: HeaderMap,
@@ -136,6 +159,9 @@
     dial: Duration,
     listed: Mutex<List>,
     known: watch::Sender<bool>,
+    ledger: Mutex<Ledger>,
+    bounds: Bounds,
+    began: Instant,
 }
 
 struct List {
@@ -158,11 +184,42 @@
         let dial = span(network.dial);
         let kept = span(longest) + UNASKED;
         let listed = Mutex::new(List { ids: HashMap::new(), known: Vec::new(), kept });
-        Engines { budget: budget.engines.clone(), dial, listed, known: watch::Sender::new(false) }
+        let bounds = Bounds { news: NEWS, unasked: UNASKED, pause: LONGER };
+        Engines {
+            budget: budget.engines.clone(),
+            dial,
+            listed,
+            known: watch::Sender::new(false),
+            ledger: Mutex::new(Ledger::new(bounds)),
+            bounds,
+            began: Instant::now(),
+        }
     }
 
     fn way(&self, target: Target) -> Way<'_> {
-        Way { engines: self, target, sender: None, silent: false }
+        Way { engines: self, target, dispatch: None, sender: None, connection: 0, silent: false }
+    }
+
+    /// The ledger's time.
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the list says of the process that a dispatch was sent to.
+    fn standing(&self, target: Target) -> ledger::Listed {
+        let list = self.list();
+        let there = |k: &Known| k.line.address == target.address && k.line.condition != Condition::Gone;
+        let another = list.known.iter().enumerate().any(|(engine, k)| engine != target.engine && there(k));
+        match list.known.get(target.engine) {
+            _ if another => ledger::Listed::TakenOver,
+            Some(known) if there(known) && known.line.condition == Condition::Ready => ledger::Listed::Ready,
+            Some(known) if there(known) => ledger::Listed::Draining,
+            _ => ledger::Listed::Gone,
+        }
     }
 
     /// Opens a connection within the budget and the settings' time.
@@ -212,46 +269,28 @@
         self.list().known.get(engine).map(|known| Target { engine, address: known.line.address })
     }
 
-    /// Starts a dispatch and asks for it without gap until it has ended, or cannot be running any more.
-    pub async fn dispatch(&self, target: Target, call: &Call, time_out: f64) -> Ended {
-        let mut way = self.way(target);
-        let first = match way.start(call, time_out).await {
-            Err(Fault::Refused | Fault::Unconnected) => return Ended::of(End::Unconnected),
-            first => first,
-        };
-        match way.end(call, first).await {
-            Ok((told, pages)) => way.fetch(call, told, pages).await,
-            Err(ended) => {
-                if ended.end == End::Broken {
-                    // It may run on for 2 s unasked, and the next of its key would pass it.
-                    self.give_up(target, call).await;
-                }
-                ended
-            }
-        }
-    }
-
-    /// Gives a dispatch up: it is over once that is answered, or nothing is there to answer it. A call that was
-    /// broken off may not have come, so it is made again while the engine may still run the dispatch.
-    pub async fn give_up(&self, target: Target, call: &Call) {
-        let (mut way, began) = (self.way(target), Instant::now());
-        while began.elapsed() < UNASKED {
-            let delete = request(Method::DELETE, target.address, &path(call, None));
-            match way.call(delete, self.dial + self.dial).await {
-                Ok(_) => return,
-                Err(fault @ (Fault::Refused | Fault::Unconnected)) => {
-                    tracing::debug!(engine = target.engine, ?fault, "nothing there to give up");
-                    return;
-                }
-                Err(Fault::Broken | Fault::Garbled | Fault::Silent) => sleep(LONGER).await,
-            }
-        }
+    /// Starts a dispatch and asks for it without gap until it is over: it has ended, or can't be running any more.
+    /// Where asking can't tell any more, or nobody wants to know, it is given up, which may take until the
+    /// ledger's bound; how it looks until then goes to `doubt`.
+    pub async fn dispatch(
+        &self,
+        target: Target,
+        call: &Call,
+        time_out: f64,
+        wishes: watch::Receiver<Wish>,
+        doubt: watch::Sender<Option<End>>,
+    ) -> Ended {
+        let id = self.ledger().open(self.now(), target.engine);
+        let mut way = Way { dispatch: Some(id), ..self.way(target) };
+        let over = way.live(call, time_out, wishes, doubt).await;
+        self.ledger().close(id);
+        over
     }
 
     pub async fn probe(&self, engine: EngineId) -> (End, Option<Report>) {
         let Some(target) = self.target(engine) else { return (End::Unconnected, None) };
         let stats = request(Method::GET, target.address, "/stats");
-        match self.way(target).call(stats, self.dial + self.dial).await {
+        match self.way(target).call(stats, self.dial + self.dial, false).await {
             Ok(reply) if reply.status == StatusCode::OK => (End::Returned, reply.report()),
             Ok(reply) => (End::Errored, reply.report()),
             Err(Fault::Refused | Fault::Unconnected) => (End::Unconnected, None),
@@ -305,20 +344,64 @@
 struct Way<'a> {
     engines: &'a Engines,
     target: Target,
+    /// None for a probe.
+    dispatch: Option<DispatchId>,
     sender: Option<Sender>,
+    /// The number of the connection that is up, or was last.
+    connection: Connection,
     /// The last call was not answered: the next is given more time, in case the engine is only slow.
     silent: bool,
 }
 
+/// How asking for a dispatch ends.
+enum Told {
+    /// A good end: the answer that tells so, and its number of pages.
+    Good(Reply, usize),
+    Over(Ended),
+    /// Asking can't tell any more.
+    InDoubt,
+    /// Nobody waits for the answer any more.
+    Unwanted,
+}
+
 impl Way<'_> {
-    async fn start(&mut self, call: &Call, time_out: f64) -> Result<Reply, Fault> {
+    async fn live(
+        &mut self,
+        call: &Call,
+        time_out: f64,
+        mut wishes: watch::Receiver<Wish>,
+        doubt: watch::Sender<Option<End>>,
+    ) -> Ended {
+        let told = self.end(call, time_out, &mut wishes).await;
+        let end = match told {
+            Told::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
+            Told::Good(first, pages) => return self.fetch(call, first, pages).await,
+            Told::Over(ended) => return ended,
+            Told::InDoubt => {
+                doubt.send_replace(Some(End::Broken));
+                self.give_up(call).await;
+                End::Broken
+            }
+            Told::Unwanted => match self.give_up(call).await {
+                ledger::Proof::NeverCame => End::Unconnected,
+                _ => End::Withdrawn,
+            },
+        };
+        Ended::of(end)
+    }
+
+    fn starting(&self, call: &Call, time_out: f64) -> Request<Full<Bytes>> {
         let mut request = request(Method::POST, self.target.address, "/c");
         *request.body_mut() = Full::new(call.statement.clone());
         let head = request.headers_mut();
         head.insert(ID, call.id.clone());
         head.insert(GROUP, call.group.clone());
         head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
-        self.call(request, self.patience()).await
+        request
+    }
+
+    fn asking(&self, call: &Call, page: usize) -> Request<Full<Bytes>> {
+        request(Method::GET, self.target.address, &path(call, Some(page)))
     }
 
     /// How long news may take once a connection is up.
@@ -326,26 +409,89 @@
         NEWS + if self.silent { self.engines.dial * 2 } else { LONGER }
     }
 
+    fn tell(&self, fact: Fact) {
+        if let Some(id) = self.dispatch {
+            self.engines.ledger().tell(self.engines.now(), id, fact);
+        }
+    }
+
+    fn asked_on(&self) -> Asking {
+        Asking::new(self.engines.now(), self.engines.bounds, self.engines.dial)
+    }
+
     /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
     /// not answered may have come whole all the same, and a good end is given again: asking tells.
-    async fn end(&mut self, call: &Call, first: Result<Reply, Fault>) -> Result<(Reply, usize), Ended> {
-        let mut asking = Asking::new();
-        let mut answer = first;
+    async fn end(&mut self, call: &Call, time_out: f64, wishes: &mut watch::Receiver<Wish>) -> Told {
+        let mut asking = self.asked_on();
+        let mut next = self.starting(call, time_out);
+        let mut started = false;
         loop {
+            let Some(answer) = self.wanted(next, wishes).await else { return Told::Unwanted };
+            let never_came = matches!(answer, Err(Fault::Refused | Fault::Unconnected)) && !started;
+            started = true;
+            if never_came {
+                self.tell(Fact::NeverCame);
+                return Told::Over(Ended::of(End::Unconnected));
+            }
             let told = match answer {
-                Ok(told) => match news(&told) {
-                    News::Good(pages) => return Ok((told, pages)),
-                    News::Over(End::Errored) => return Err(Ended::of(asking.unknown())),
-                    News::Over(end) => return Err(Ended { report: told.report(), ..Ended::of(end) }),
-                    News::NotYet => Ok(()),
+                Ok(reply) => match news(&reply) {
+                    News::Good(pages) => {
+                        self.tell(Fact::Ended);
+                        return Told::Good(reply, pages);
+                    }
+                    News::Over(End::Errored) if asking.may_be_on_its_way() => return Told::InDoubt,
+                    News::Over(end) => {
+                        self.tell(Fact::Ended);
+                        return Told::Over(Ended { report: reply.report(), ..Ended::of(end) });
+                    }
+                    News::NotYet => {
+                        self.tell(Fact::Runs(self.connection));
+                        Ok(())
+                    }
                     News::Garbled => Err(Fault::Garbled),
                 },
                 Err(fault) => Err(fault),
             };
-            answer = self.ask_on(call, 0, &mut asking, told).await.map_err(Ended::of)?;
+            if *wishes.borrow() != Wish::Answer {
+                self.drop_after(told);
+                return Told::Unwanted;
+            }
+            if !self.ask_on(&mut asking, told).await {
+                return Told::InDoubt;
+            }
+            next = self.asking(call, 0);
         }
     }
 
+    /// One call, which is let end for as long as news is held back where nobody waits for it any more; none where
+    /// it has not ended then.
+    async fn wanted(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        wishes: &mut watch::Receiver<Wish>,
+    ) -> Option<Result<Reply, Fault>> {
+        let within = self.patience();
+        // It fails only with who wished gone, who waits for this.
+        let unwanted = async {
+            let _ = wishes.wait_for(|wish| *wish != Wish::Answer).await;
+        };
+        let answer = {
+            let calling = self.call(request, within, true);
+            tokio::pin!(calling);
+            tokio::select! {
+                biased;
+                answer = &mut calling => Some(answer),
+                () = unwanted => timeout(NEWS, calling).await.ok(),
+            }
+        };
+        if answer.is_none() {
+            // Whatever comes there yet would be taken for the next call's answer.
+            self.sender = None;
+            self.tell(Fact::Useless(self.connection));
+        }
+        answer
+    }
+
     /// The pages after the first, so that a lost one is still an outcome.
     async fn fetch(&mut self, call: &Call, first: Reply, pages: usize) -> Ended {
         let mut ended = Ended {
@@ -355,69 +501,144 @@
             ..Ended::of(End::Returned)
         };
         ended.pages.push(first.body);
-        let mut asking = Asking::new();
+        let mut asking = self.asked_on();
         for page in 1..pages {
             let mut told = Ok(());
             loop {
-                told = match self.ask_on(call, page, &mut asking, told).await {
-                    Ok(Ok(r)) if r.status == StatusCode::INTERNAL_SERVER_ERROR => {
+                if !self.ask_on(&mut asking, told).await {
+                    return Ended { end: End::Broken, ..ended };
+                }
+                told = match self.call(self.asking(call, page), self.patience(), true).await {
+                    Ok(r) if r.status == StatusCode::INTERNAL_SERVER_ERROR => {
                         tracing::debug!(engine = self.target.engine, page, "page lost");
                         return Ended { end: End::Errored, ..ended };
                     }
-                    Ok(Ok(r)) if r.number(THIS_PAGE) == Some(page as f64) && rows::whole(&r.body) => {
+                    Ok(r) if r.number(THIS_PAGE) == Some(page as f64) && rows::whole(&r.body) => {
                         ended.pages.push(r.body);
                         break;
                     }
-                    Ok(Ok(_)) => Err(Fault::Garbled),
-                    Ok(Err(fault)) => Err(fault),
-                    Err(end) => return Ended { end, ..ended },
+                    Ok(_) => Err(Fault::Garbled),
+                    Err(fault) => Err(fault),
                 };
             }
         }
         ended
     }
 
-    /// Asks for the news of a dispatch or a page of its result, after what came of the last call. The end that it
-    /// has where asking can't tell any more: no process is there, or nothing sound came for too long.
-    async fn ask_on(
-        &mut self,
-        call: &Call,
-        page: usize,
-        asking: &mut Asking,
-        told: Result<(), Fault>,
-    ) -> Result<Result<Reply, Fault>, End> {
-        match told {
-            Ok(()) => asking.heard = Instant::now(),
-            Err(Fault::Refused) => return Err(End::Broken),
-            Err(fault) => {
-                self.sender = None;
-                if asking.heard.elapsed() > NEWS + UNASKED {
-                    return Err(End::Broken);
+    /// After what came of the last call, waits until asking may go on; whether it may.
+    async fn ask_on(&mut self, asking: &mut Asking, told: Result<(), Fault>) -> bool {
+        let now = self.engines.now();
+        let step = match told {
+            Ok(()) => asking.heard(now),
+            Err(fault) => asking.lost(now, fault.lost()),
+        };
+        self.drop_after(told);
+        match step {
+            Step::Ask(after) => {
+                if !after.is_zero() {
+                    sleep(after).await;
                 }
-                asking.lost |= fault != Fault::Garbled;
-                if std::mem::replace(&mut asking.again, true) {
-                    sleep(self.engines.dial).await;
+                true
+            }
+            Step::Stop => false,
+        }
+    }
+
+    /// A connection that something spoilt came over is of no further use.
+    fn drop_after(&mut self, told: Result<(), Fault>) {
+        if told == Err(Fault::Garbled) {
+            self.sender = None;
+            self.tell(Fact::Useless(self.connection));
+        }
+    }
+
+    /// Has the engine give the dispatch up, on the connection that it was asked on as long as that is of use;
+    /// until it is proved that it does not run any more.
+    async fn give_up(&mut self, call: &Call) -> ledger::Proof {
+        let Some(id) = self.dispatch else { return ledger::Proof::NeverCame };
+        let engine = self.target.engine;
+        loop {
+            let listed = self.engines.standing(self.target);
+            let next = self.engines.ledger().next(self.engines.now(), id, listed);
+            match next {
+                Next::Over(proof) => {
+                    tracing::debug!(engine, id = path(call, None), ?proof, "given up");
+                    return proof;
+                }
+                Next::Wait(span) => sleep(span).await,
+                Next::GiveUp(left) => {
+                    let delete = request(Method::DELETE, self.target.address, &path(call, None));
+                    let within = left.min(self.engines.dial * 2);
+                    match self.call(delete, within, false).await {
+                        // An engine that does not know it says so by the second.
+                        Ok(r)
+                            if [StatusCode::NO_CONTENT, StatusCode::INTERNAL_SERVER_ERROR]
+                                .contains(&r.status) =>
+                        {
+                            self.tell(Fact::GivenUp(self.connection, self.engines.standing(self.target)));
+                        }
+                        Ok(_) => {
+                            self.drop_after(Err(Fault::Garbled));
+                            self.tell(Fact::Missed);
+                        }
+                        Err(fault) => {
+                            tracing::debug!(
+                                engine,
+                                id = path(call, None),
+                                ?fault,
+                                ?listed,
+                                "not given up yet"
+                            );
+                            if fault != Fault::Refused {
+                                self.tell(Fact::Missed);
+                            }
+                        }
+                    }
                 }
             }
         }
-        asking.again &= told.is_err();
-        let request = request(Method::GET, self.target.address, &path(call, Some(page)));
-        Ok(self.call(request, self.patience()).await)
     }
 
-    /// One call, on a connection that is up or comes up within its own bound.
-    async fn call(&mut self, request: Request<Full<Bytes>>, within: Duration) -> Result<Reply, Fault> {
-        let answer = self.bounded(request, within).await;
+    /// One call, on a connection that is up or comes up within its own bound. `asks` for one that keeps its dispatch
+    /// running.
+    async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        asks: bool,
+    ) -> Result<Reply, Fault> {
+        let answer = self.bounded(request, within, asks).await;
         self.silent = matches!(answer, Err(Fault::Silent));
         self.engines.heard(self.target, answer.as_ref().err());
+        match answer {
+            Err(Fault::Refused) => self.tell(Fact::Refused),
+            Err(Fault::Broken) => self.tell(Fact::Reset(self.connection)),
+            Err(Fault::Silent | Fault::Garbled) => self.tell(Fact::Useless(self.connection)),
+            Err(Fault::Unconnected) | Ok(_) => {}
+        }
         answer
     }
 
-    async fn bounded(&mut self, request: Request<Full<Bytes>>, within: Duration) -> Result<Reply, Fault> {
-        let mut sender = match self.sender.take().filter(|s| !s.is_closed()) {
+    async fn bounded(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        asks: bool,
+    ) -> Result<Reply, Fault> {
+        let up = self.sender.take();
+        if up.as_ref().is_some_and(|sender| sender.is_closed()) {
+            self.tell(Fact::Reset(self.connection));
+        }
+        let mut sender = match up.filter(|s| !s.is_closed()) {
             Some(sender) => sender,
-            None => self.engines.connect(self.target.address).await?,
+            None => {
+                self.connection += 1;
+                self.engines.connect(self.target.address).await?
+            }
         };
+        if asks {
+            self.tell(Fact::Asked);
+        }
         let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
         self.sender = answer.is_ok().then_some(sender);
         answer
@@ -436,32 +657,6 @@
     Ok(Reply { status: head.status, head: head.headers, body: body.to_bytes() })
 }
 
-/// What asking for a dispatch has come to so far.
-struct Asking {
-    /// When something sound came last.
-    heard: Instant,
-    /// The last call came to nothing.
-    again: bool,
-    /// A call was broken off or not answered.
-    lost: bool,
-}
-
-impl Asking {
-    fn new() -> Self {
-        Asking { heard: Instant::now(), again: false, lost: false }
-    }
-
-    /// The end of a dispatch that the engine does not know or calls failed: after a call that was lost it may
-    /// never have come, or still be on its way.
-    fn unknown(&self) -> End {
-        if self.lost {
-            End::Broken
-        } else {
-            End::Errored
-        }
-    }
-}
-
 impl List {
     /// Takes in a line; one of an engine that was never known and has gone says nothing.
     fn take(&mut self, line: &EngineLine, now: Instant) -> Option<Listed> {
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -2,14 +2,13 @@
 
 use crate::clock::span;
 use crate::desk::{Desk, Final, Order};
-use crate::engines::{Call, Ended, Engines, Target};
+use crate::engines::{Call, Ended, Engines, Target, Wish};
 use crate::rows;
 use garnetwall::api::{BatchId, End, EngineId, Next, Outcome};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::JoinHandle;
+use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::time::sleep;
 
 pub struct Life {
@@ -49,20 +48,20 @@
 
     /// One dispatch until its outcome; whether the batch is over then.
     async fn dispatch(&mut self, engine: EngineId, dispatch: u32, time_out: f64) -> bool {
-        let sent = Instant::now();
+        let out = Out { engine, dispatch, sent: Instant::now() };
         let Some(target) = self.engines.target(engine) else {
-            return self.after(engine, dispatch, sent, Ended::of(End::Unconnected), false);
+            return self.after(out, Ended::of(End::Unconnected), false);
         };
-        let (ended, gone) = self.run(target, dispatch, time_out).await;
-        self.after(engine, dispatch, sent, ended, gone)
+        let (ended, answered) = self.run(target, out, time_out).await;
+        self.after(out, ended, answered)
     }
 
-    /// Runs a dispatch until it ends, times out or is taken back; whether the client went meanwhile.
-    async fn run(&mut self, target: Target, dispatch: u32, time_out: f64) -> (Ended, bool) {
-        let engines = self.engines.clone();
-        let call = self.call.clone();
-        let running = engines.dispatch(target, &call, time_out);
-        let desk = self.desk.clone();
+    /// Runs a dispatch until it is over, which may be later than its batch's answer; whether none is owed any more.
+    async fn run(&mut self, target: Target, out: Out, time_out: f64) -> (Ended, bool) {
+        let (engines, call, desk) = (self.engines.clone(), self.call.clone(), self.desk.clone());
+        let (wish, wishes) = watch::channel(Wish::Answer);
+        let (doubt, mut doubts) = watch::channel(None);
+        let running = engines.dispatch(target, &call, time_out, wishes, doubt);
         let too_late = async {
             tokio::select! {
                 () = sleep(span(time_out)) => {}
@@ -70,25 +69,35 @@
             }
         };
         tokio::pin!(running, too_late);
-        let mut gone = false;
+        let mut answered = false;
+        let mut late = None;
         loop {
             tokio::select! {
                 biased;
-                ended = &mut running => return (ended, gone),
-                () = &mut too_late => {
+                ended = &mut running => {
+                    let end = late.unwrap_or(ended.end);
+                    return (Ended { end, ..ended }, answered);
+                }
+                () = &mut too_late, if late.is_none() => {
                     // The answer is due now; what may still run there is given up beside it.
-                    self.give_up(target);
-                    return (Ended::of(End::TimedOut), gone);
+                    late = Some(End::TimedOut);
+                    wish.send_replace(Wish::Over);
+                    answered |= self.in_doubt(out, End::TimedOut);
+                }
+                Ok(()) = doubts.changed() => {
+                    if let Some(end) = *doubts.borrow_and_update() {
+                        answered |= self.in_doubt(out, end);
+                    }
                 }
                 Some(order) = self.orders.recv() => match order {
-                    Order::Gone => gone = true,
-                    Order::TakeBack { dispatch: which } if which == dispatch => {
-                        // Over once that is answered or can't be any more, but the answer is due in time.
-                        tokio::select! {
-                            _ = self.give_up(target) => {}
-                            () = &mut too_late => {}
-                        }
-                        return (Ended::of(End::Withdrawn), gone);
+                    Order::Gone => answered = true,
+                    Order::TakeBack { dispatch } if dispatch == out.dispatch => {
+                        let wanted = if answered { Wish::Over } else { Wish::Back };
+                        wish.send_if_modified(|w| {
+                            let first = *w == Wish::Answer;
+                            *w = if first { wanted } else { *w };
+                            first
+                        });
                     }
                     // The module has one dispatch out at most, and no answer beside it.
                     Order::TakeBack { .. } | Order::Go { .. } | Order::Over(_) => {}
@@ -97,35 +106,53 @@
         }
     }
 
-    /// Gives a dispatch up in a task of its own, which goes on whether or not it is waited for.
-    fn give_up(&self, target: Target) -> JoinHandle<()> {
-        let (engines, call) = (self.engines.clone(), self.call.clone());
-        tokio::spawn(async move { engines.give_up(target, &call).await })
+    /// Tells the module of a dispatch whose end is not known, and answers if it wants so; whether it did.
+    fn in_doubt(&self, out: Out, end: End) -> bool {
+        let Next::Over(answer) = self.desk.in_doubt(self.id, out.outcome(&Ended::of(end), false)) else {
+            return false;
+        };
+        self.desk.answer(self.id, answer.into());
+        true
     }
 
     /// Tells the module the outcome and does what follows; whether the batch is over.
-    fn after(&self, engine: EngineId, dispatch: u32, sent: Instant, mut ended: Ended, gone: bool) -> bool {
+    fn after(&self, out: Out, mut ended: Ended, answered: bool) -> bool {
         let body = (ended.end == End::Returned).then(|| rows::answer(&ended.pages));
         if let Some(Err(what)) = &body {
-            tracing::warn!(engine, what, "result out of the protocol");
+            tracing::warn!(engine = out.engine, what, "result out of the protocol");
             ended = Ended { report: ended.report, ..Ended::of(End::Errored) };
         }
-        let outcome = Outcome {
-            engine,
-            dispatch,
-            end: ended.end,
-            latency: sent.elapsed().as_secs_f64(),
-            closed: gone || ended.end == End::Returned,
-            work: ended.work,
-            memory: ended.memory,
-        };
+        let outcome = out.outcome(&ended, answered);
+        let Out { engine, dispatch, .. } = out;
         tracing::debug!(batch = self.id, engine, dispatch, end = ?ended.end, latency = outcome.latency, "outcome");
         let next = self.desk.after(self.id, outcome, ended.report);
         match (body, next) {
             (Some(Ok(body)), _) => self.desk.answer(self.id, Final::Returned(body)),
             (_, Next::Over(answer)) => self.desk.answer(self.id, answer.into()),
-            (_, Next::Nothing) => return gone,
+            (_, Next::Nothing) => return answered,
         }
         true
     }
 }
+
+/// A dispatch that is out.
+#[derive(Clone, Copy)]
+struct Out {
+    engine: EngineId,
+    dispatch: u32,
+    sent: Instant,
+}
+
+impl Out {
+    fn outcome(&self, ended: &Ended, answered: bool) -> Outcome {
+        Outcome {
+            engine: self.engine,
+            dispatch: self.dispatch,
+            end: ended.end,
+            latency: self.sent.elapsed().as_secs_f64(),
+            closed: answered || ended.end == End::Returned,
+            work: ended.work,
+            memory: ended.memory,
+        }
+    }
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -538,9 +538,9 @@
 fn a_dispatch_whose_end_is_not_known_is_given_up_before_it_counts_as_over() {
     let s = Service::start();
     assert_eq!(s.batch("load", "INSERT /* reset */ /* forgets */").status, 500);
-    assert_eq!((s.engine.calls("POST"), s.engine.calls("DELETE")), (1, 1));
+    until("the DELETE", || (s.engine.calls("POST"), s.engine.calls("DELETE")) == (1, 1));
     assert_eq!(s.batch("load", "INSERT /* reset */ /* forgets */ /* loses delete */").status, 500);
-    assert_eq!((s.engine.calls("POST"), s.engine.calls("DELETE")), (2, 3), "asked again");
+    until("the DELETE asked again", || (s.engine.calls("POST"), s.engine.calls("DELETE")) == (2, 3));
 }
 
 #[test]
--- /dev/null
+++ b/crates/ledger/src/asking.rs
@@ -0,0 +1,68 @@
+//! How an engine is asked on for the news of a dispatch, or a page of its result, after what came of a call.
+
+use crate::Bounds;
+use std::time::Duration;
+
+/// How a call came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// Nobody listens there: asking can't tell any more.
+    Refused,
+    /// Broken off, not answered in time, or no connection came up: it may not have come.
+    OnItsWay,
+    /// Answered by what can't be read: it came, and its answer was spoilt on its way.
+    Spoilt,
+}
+
+/// What follows a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Ask again after this span; after a call that was lost, on a fresh connection.
+    Ask(Duration),
+    /// Asking can't tell any more.
+    Stop,
+}
+
+/// What asking has come to so far.
+#[derive(Debug)]
+pub struct Asking {
+    bounds: Bounds,
+    /// Before the second try in a row, and each further one.
+    pause: Duration,
+    /// When something sound came last.
+    heard: Duration,
+    /// The last call came to nothing.
+    again: bool,
+    lost: bool,
+}
+
+impl Asking {
+    /// `pause` is waited for before the second try in a row that follows a loss.
+    pub fn new(now: Duration, bounds: Bounds, pause: Duration) -> Self {
+        Asking { bounds, pause, heard: now, again: false, lost: false }
+    }
+
+    /// A sound answer that is no end.
+    pub fn heard(&mut self, now: Duration) -> Step {
+        (self.heard, self.again) = (now, false);
+        Step::Ask(Duration::ZERO)
+    }
+
+    /// A call that came to nothing.
+    pub fn lost(&mut self, now: Duration, how: Lost) -> Step {
+        self.lost |= how == Lost::OnItsWay;
+        let too_long = now.saturating_sub(self.heard) > self.bounds.news + self.bounds.unasked;
+        if how == Lost::Refused || too_long {
+            return Step::Stop;
+        }
+        match std::mem::replace(&mut self.again, true) {
+            true => Step::Ask(self.pause),
+            false => Step::Ask(Duration::ZERO),
+        }
+    }
+
+    /// Whether an engine that does not know the dispatch may never have had it, or have it still on its way.
+    pub fn may_be_on_its_way(&self) -> bool {
+        self.lost
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -286,6 +286,23 @@
         density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
     }
 
+    /// What is answered now for a dispatch whose end is not known and may not be known in time. It stays out, its
+    /// batch in hand and its key held, until `after` tells that it does not run any more.
+    pub fn in_doubt(&mut self, now: f64, id: BatchId, o: Outcome) -> Next {
+        self.advance(now);
+        let Some(h) = self.batches.get_mut(&id) else { return Next::Nothing };
+        let (b, stage, Some(sent)) = (h.b, h.stage, h.out) else { return Next::Nothing };
+        h.out = Some(Sent { judged: true, ..sent });
+        h.may_have_run.get_or_insert(sent);
+        if !sent.judged {
+            self.judge(now, &b, sent, &o);
+        }
+        if stage == Stage::Ended || self.may_go_again(now, id) {
+            return Next::Nothing;
+        }
+        Next::Over(self.answer(now, id))
+    }
+
     /// What to do after this outcome.
     pub fn after(&mut self, now: f64, id: BatchId, o: Outcome) -> Next {
         self.advance(now);
@@ -300,7 +317,9 @@
         e.lets_go(threads, sent.memory);
         let k = self.kinds.entry(e.kind()).or_default();
         (k.threads, k.memory_used) = (k.threads - threads, k.memory_used - sent.memory);
-        self.judge(now, &b, sent, &o);
+        if !sent.judged {
+            self.judge(now, &b, sent, &o);
+        }
         if matches!(o.end, End::TimedOut | End::Broken | End::Withdrawn) {
             if let Some(key) = b.key.filter(|_| self.s.groups[b.group].in_order) {
                 self.keys.entry(key).or_default().rests_until = now + self.s.key_rest + MARGIN;
@@ -427,7 +446,7 @@
         self.further_at.add(now, f64::from(h.dispatches.min(1)));
         h.stage = Stage::Out;
         h.dispatches += 1;
-        h.out = Some(Sent { engine, at: now, heard: now, memory: need, overdue: false });
+        h.out = Some(Sent { engine, at: now, heard: now, memory: need, overdue: false, judged: false });
         let (b, time_out) = (h.b, h.limit - now);
         let c = &self.s.groups[b.group];
         self.running += c.threads;
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,6 +95,8 @@
     pub memory: f64,
     /// Already counted as slow.
     pub overdue: bool,
+    /// Its engine's health was judged by it while its end was not known.
+    pub judged: bool,
 }
 
 #[derive(Default)]
