Socket tests of order: engines that drain, die, are replaced or spoil answers; 500 needs its process

Need: each hard case of a dispatch of unknown end, caused in truth, with a record of when each dispatch was really out.

A 500 counts as the end only from the process that has the dispatch (Fact::Failed). crates/plan is begun beside it and not yet in the workspace.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -376,6 +376,12 @@
         let end = match told {
             Told::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
             Told::Good(first, pages) => return self.fetch(call, first, pages).await,
+            // Who told so may be another process.
+            Told::Over(ended) if ended.end == End::Errored && self.may_run() => {
+                doubt.send_replace(Some(End::Errored));
+                self.give_up(call).await;
+                return ended;
+            }
             Told::Over(ended) => return ended,
             Told::InDoubt => {
                 doubt.send_replace(Some(End::Broken));
@@ -415,6 +421,11 @@
         }
     }
 
+    /// Whether it is not proved that the dispatch does not run any more.
+    fn may_run(&self) -> bool {
+        self.dispatch.is_some_and(|id| self.engines.ledger().may_run_until(id).is_some())
+    }
+
     fn asked_on(&self) -> Asking {
         Asking::new(self.engines.now(), self.engines.bounds, self.engines.dial)
     }
@@ -427,9 +438,8 @@
         let mut started = false;
         loop {
             let Some(answer) = self.wanted(next, wishes).await else { return Told::Unwanted };
-            let never_came = matches!(answer, Err(Fault::Refused | Fault::Unconnected)) && !started;
-            started = true;
-            if never_came {
+            let first = !std::mem::replace(&mut started, true);
+            if first && matches!(answer, Err(Fault::Refused | Fault::Unconnected)) {
                 self.tell(Fact::NeverCame);
                 return Told::Over(Ended::of(End::Unconnected));
             }
@@ -440,6 +450,10 @@
                         return Told::Good(reply, pages);
                     }
                     News::Over(End::Errored) if asking.may_be_on_its_way() => return Told::InDoubt,
+                    News::Over(End::Errored) if !first => {
+                        self.tell(Fact::Failed(self.connection, self.engines.standing(self.target)));
+                        return Told::Over(Ended { report: reply.report(), ..Ended::of(End::Errored) });
+                    }
                     News::Over(end) => {
                         self.tell(Fact::Ended);
                         return Told::Over(Ended { report: reply.report(), ..Ended::of(end) });
--- /dev/null
+++ b/crates/gateway/tests/helper/mod.rs
@@ -0,0 +1,426 @@
+//! What the tests over sockets share: raw clients, a stand-in engine and a stand-in change log, and the program
+//! started between them as in service. A comment in the statement tells the engine how to behave.
+
+#![allow(dead_code)] // Each test program uses a part.
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+pub const ROWS: &str = "a\tb\"\\\t\u{1} é\nc\t\t漢\n";
+pub const ROWS_AS_JSON: [[&str; 3]; 2] = [["a", "b\"\\", "\u{1} é"], ["c", "", "漢"]];
+
+pub struct Message {
+    pub first: String,
+    pub fields: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// One HTTP message, or none where the connection ends first.
+pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
+    let mut line = || {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0).map(|_| line.trim_end().to_string())
+    };
+    let first = line()?;
+    let mut fields = HashMap::new();
+    loop {
+        let text = line()?;
+        let Some((name, value)) = text.split_once(':') else { break };
+        fields.insert(name.to_ascii_lowercase(), value.trim().to_string());
+    }
+    let length = fields.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Message { first, fields, body })
+}
+
+/// A statement, when it was started, and how many times.
+pub type Started = (String, Instant, u32);
+
+/// An engine that keeps to the protocol but for what a statement's comment asks of it, as in `/* slow */`.
+#[derive(Clone)]
+pub struct Engine {
+    pub address: SocketAddr,
+    /// Calls as they came: method, path, and the statement of a start.
+    pub calls: Arc<Mutex<Vec<String>>>,
+    pub started: Arc<Mutex<HashMap<String, Started>>>,
+}
+
+impl Engine {
+    pub fn start() -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let engine = Engine { address, calls: Arc::default(), started: Arc::default() };
+        let shared = engine.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = shared.clone();
+                spawn(move || engine.serve(stream));
+            }
+        });
+        engine
+    }
+
+    pub fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(call) = read_message(&mut reader) {
+            let mut words = call.first.split(' ');
+            let (method, path) = (words.next().unwrap(), words.next().unwrap().to_string());
+            let body = String::from_utf8_lossy(&call.body).into_owned();
+            self.calls.lock().unwrap().push(format!("{method} {path} {body}").trim_end().into());
+            let id = match method {
+                "POST" => call.fields["x-trace"].clone(),
+                _ => path.split('/').nth(2).unwrap_or_default().to_string(),
+            };
+            let mut started = self.started.lock().unwrap();
+            if method == "POST" {
+                let times = started.get(&id).map_or(0, |s| s.2) + 1;
+                started.insert(id.clone(), (body, Instant::now(), times));
+            }
+            let known = started.get(&id).cloned();
+            drop(started);
+            let statement = known.as_ref().map(|k| k.0.clone()).unwrap_or_default();
+            let first = method == "POST" || !path.ends_with("/0") && self.calls(&format!("GET {path}")) == 1;
+            if method == "DELETE"
+                && statement.contains("loses delete")
+                && self.calls(&format!("DELETE {path}")) == 1
+            {
+                return;
+            }
+            let Some(answer) = answer(method, &path, known) else { return };
+            let answer = if first { spoilt(&statement, answer) } else { answer };
+            if (&stream).write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn calls(&self, start: &str) -> usize {
+        self.calls.lock().unwrap().iter().filter(|call| call.starts_with(start)).count()
+    }
+}
+
+pub fn http(status: &str, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// How an answer comes out of a network that spoils it, as the statement's comment asks.
+pub fn spoilt(statement: &str, answer: String) -> String {
+    let spoil = statement.split_once("/* spoilt ").and_then(|(_, rest)| rest.split_once(" */"));
+    match spoil.map(|(how, _)| how) {
+        Some("noise") => "\u{1}\u{2} no head at all\r\n\r\n".into(),
+        Some("endless head") => format!("HTTP/1.1 200 OK\r\nX-Long: {}", "x".repeat(1 << 20)),
+        Some("length") => answer.replace("Content-Length: ", "Content-Length: 9"),
+        Some("gigabytes") => {
+            answer.replace("Content-Length: ", "Content-Length: 30000000") + &"a\t\t\n".repeat(9999)
+        }
+        Some("rows") => answer.replace('\t', "#"),
+        Some("1xx ahead") => format!("HTTP/1.1 103 Early Hints\r\n\r\n{answer}"),
+        Some("surplus") => format!("{answer}{}", http("200 OK", "Result-Pages: 1\r\n", "of\tanother\t\n")),
+        _ => answer,
+    }
+}
+
+/// What the engine answers; none closes the connection.
+pub fn answer(method: &str, path: &str, known: Option<Started>) -> Option<String> {
+    if path == "/stats" {
+        return Some(http("200 OK", "X-Stats: queue:0;util:0.1\r\n", ""));
+    }
+    let Some((statement, since, times)) = known else {
+        return Some(http("500 Oops", "", ""));
+    };
+    let asks = |word: &str| statement.contains(&format!("/* {word} */"));
+    if method == "DELETE" {
+        sleep(Duration::from_secs(if asks("keeps delete") { 5 } else { 0 }));
+        return Some(http("204 No Content", "", ""));
+    }
+    let page = path.rsplit('/').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+    if method == "POST" && asks("full once") && times == 1 {
+        return Some(http("503 Full", "X-Declined: 1\r\n", ""));
+    }
+    if asks("error") {
+        return Some(http("500 Oops", "", ""));
+    }
+    if method == "POST" && asks("reset") {
+        return None;
+    }
+    if method == "GET" && asks("forgets") {
+        return Some(http("500 Oops", "", ""));
+    }
+    if method == "POST" && asks("late") {
+        sleep(Duration::from_secs(2));
+    }
+    if asks("silent") {
+        sleep(Duration::from_secs(5));
+        return None;
+    }
+    let slow = asks("slow") && since.elapsed() < Duration::from_millis(900);
+    if asks("keeps delete") || slow || asks("very slow") && since.elapsed() < Duration::from_millis(2300) {
+        sleep(Duration::from_millis(250));
+        return Some(http("202 Not yet", "", ""));
+    }
+    let end = "Query-Cost: 12\r\nQuery-Need: 64\r\n";
+    Some(match page {
+        _ if asks("empty") => http("200 OK", &format!("Result-Pages: 1\r\n{end}"), ""),
+        _ if asks("no count") => http("200 OK", end, ROWS),
+        _ if asks("huge") => http("200 OK", &format!("Result-Pages: 1\r\n{end}"), &"x\ty\tz\n".repeat(2000)),
+        0 if asks("pages") || asks("lost page") => http("200 OK", &format!("Result-Pages: 3\r\n{end}"), ROWS),
+        0 => http("200 OK", &format!("Result-Pages: 1\r\n{end}"), ROWS),
+        2 if asks("lost page") => http("500 Oops", "", ""),
+        n => http("200 OK", &format!("Result-Page: {n}\r\n"), &format!("p{n}\t\t\n")),
+    })
+}
+
+/// A change log that tells its events to whoever connects, and ends its streams on demand.
+#[derive(Clone)]
+pub struct ChangeLog {
+    pub address: SocketAddr,
+    pub events: Arc<Mutex<Vec<String>>>,
+    /// The number that each reader said it had last.
+    pub readers: Arc<Mutex<Vec<usize>>>,
+    pub streams: Arc<Mutex<Vec<TcpStream>>>,
+    pub mute: Arc<AtomicBool>,
+}
+
+impl ChangeLog {
+    pub fn start() -> ChangeLog {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let log = ChangeLog {
+            address,
+            events: Arc::default(),
+            readers: Arc::default(),
+            streams: Arc::default(),
+            mute: Arc::default(),
+        };
+        let shared = log.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let log = shared.clone();
+                spawn(move || log.serve(stream));
+            }
+        });
+        log
+    }
+
+    pub fn serve(&self, stream: TcpStream) {
+        let call = read_message(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+        let mut told: usize = call.fields["last-event-id"].parse().unwrap();
+        self.readers.lock().unwrap().push(told);
+        self.streams.lock().unwrap().push(stream.try_clone().unwrap());
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+        let mut out = head.to_string();
+        while (&stream).write_all(out.as_bytes()).is_ok() {
+            out = ":\n\n".into();
+            for event in self.events.lock().unwrap().iter().skip(told) {
+                told += 1;
+                out += &format!("id: {told}\ndata: {event}\n\n");
+            }
+            sleep(Duration::from_millis(20));
+            while self.mute.load(Ordering::Relaxed) {
+                sleep(Duration::from_millis(20));
+            }
+        }
+    }
+
+    pub fn tell(&self, event: Value) {
+        self.events.lock().unwrap().push(event.to_string());
+    }
+
+    pub fn hang_up(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+pub fn line(id: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"id": id, "addr": address.to_string(), "zone": "east", "kind": "std", "cell": 0, "state": state,
+        "weight": 1, "started_ms": 0})
+}
+
+pub fn change(number: u64, whole: bool, servers: &[Value]) -> Value {
+    json!({"seq": number, "fleet": {"version": number, "full": whole, "servers": servers}})
+}
+
+/// The program with its surroundings; killed when dropped.
+pub struct Service {
+    pub engine: Engine,
+    pub log: ChangeLog,
+    pub config: Value,
+    pub address: SocketAddr,
+    pub child: Child,
+}
+
+pub static NEXT: AtomicU64 = AtomicU64::new(1);
+
+pub fn group(name: &str, semantics: &str, limit: f64) -> Value {
+    json!({"name": name, "semantics": semantics, "give-up": limit, "goal-time": limit / 2.0, "worth": 1.0,
+        "late-share": 0.5, "one-at-a-time": name == "load"})
+}
+
+/// An address of its own for each test and run, outside the ports that the machine hands out.
+pub fn free_address() -> SocketAddr {
+    let (run, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let parts = [127, 64 + run % 128, run / 128 % 256, number as u32 % 254 + 1].map(|part| part as u8);
+    SocketAddr::from((parts, 4100))
+}
+
+pub fn config(engine: SocketAddr, log: SocketAddr) -> Value {
+    json!({"name": "n0", "listen": free_address().to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "changelog": log.to_string(),
+        "known": {"seq": 0, "results": [change(0, true, &[line("s-1", engine, "SERVING")])]},
+        "settings": {
+            "allowed": {"dial-timeout": 250.0, "idle-close": 30000.0, "cancelling": true, "max-attempts": 2,
+                "retry-after": true, "max-retry-after": 1000.0, "may-probe": true, "open-cap": 20000},
+            "categories": [group("report", "retryable", 3000.0), group("load", "fragile", 3000.0)],
+            "domain": {"kind-cores": [64], "parallelism": [1, 1], "loads": [false, false]},
+            "kinds": ["std"], "zones": ["east"], "rules": {"order-pause": 200.0},
+            "telemetry": {"fields": ["depth", "load_share"], "how": "on_probe"},
+            "tenants": [{"name": "acme"}]}})
+}
+
+pub fn file(config: &Value) -> std::path::PathBuf {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+        .join(format!("config-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    path
+}
+
+pub fn program(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_garnetwall"));
+    command.args(arguments);
+    for name in ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN"] {
+        command.env_remove(name);
+    }
+    command
+}
+
+pub fn serve(config: &Value) -> Child {
+    serve_from(&file(config), Stdio::null())
+}
+
+pub fn serve_from(file: &std::path::Path, log: Stdio) -> Child {
+    program(&["serve"]).env("PROXY_CONFIG", file).stderr(log).spawn().unwrap()
+}
+
+impl Service {
+    pub fn start() -> Service {
+        Service::with(|_| {})
+    }
+
+    pub fn with(change: impl Fn(&mut Value)) -> Service {
+        Service::by(change, serve)
+    }
+
+    pub fn by(change: impl Fn(&mut Value), serve: impl Fn(&Value) -> Child) -> Service {
+        let (engine, log) = (Engine::start(), ChangeLog::start());
+        let mut config = config(engine.address, log.address);
+        change(&mut config);
+        let address = config["listen"].as_str().unwrap().parse().unwrap();
+        let child = serve(&config);
+        let service = Service { engine, log, config, address, child };
+        service.healthy();
+        service
+    }
+
+    pub fn healthy(&self) {
+        for _ in 0..500 {
+            if let Some(answer) =
+                TcpStream::connect(self.address).ok().and_then(|s| call(s, "GET /healthz", "", ""))
+            {
+                if answer.first == "HTTP/1.1 200 OK" {
+                    return;
+                }
+            }
+            sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway never became healthy");
+    }
+
+    pub fn open(&self) -> TcpStream {
+        TcpStream::connect(self.address).unwrap()
+    }
+
+    /// One batch on a connection of its own.
+    pub fn batch(&self, group: &str, statement: &str) -> Answer {
+        let id = new_id();
+        self.batch_of(&id, group, 3000, statement)
+    }
+
+    pub fn batch_of(&self, id: &str, group: &str, allowed: u32, statement: &str) -> Answer {
+        let answer = call(self.open(), &format!("POST /v1/{group}"), &fields(id, allowed), statement);
+        Answer::of(answer.expect("an answer"))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub json: Value,
+    pub come_back: Option<u64>,
+}
+
+impl Answer {
+    pub fn of(m: Message) -> Answer {
+        let status = m.first.split(' ').nth(1).unwrap().parse().unwrap();
+        let json = serde_json::from_slice(&m.body).unwrap_or(Value::Null);
+        Answer { status, json, come_back: m.fields.get("x-wait-ms").map(|v| v.parse().unwrap()) }
+    }
+
+    pub fn returned(&self) -> bool {
+        self.status == 200 && self.json.get("error").is_none()
+    }
+}
+
+pub fn new_id() -> String {
+    format!("{:016x}", 0x9b1f_0000_0000_0000_u64 + NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+pub fn fields(id: &str, allowed: u32) -> String {
+    format!("X-Job-Id: {id}\r\nX-Allow-Ms: {allowed}\r\nX-Team: acme\r\n")
+}
+
+pub fn send(stream: &TcpStream, call: &str, fields: &str, body: &str) {
+    let text = format!(
+        "{call} HTTP/1.1\r\nHost: origin.svc\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = stream;
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+pub fn call(stream: TcpStream, call: &str, fields: &str, body: &str) -> Option<Message> {
+    send(&stream, call, fields, body);
+    read_message(&mut BufReader::new(stream))
+}
+
+pub fn until(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..400 {
+        if done() {
+            return;
+        }
+        sleep(Duration::from_millis(10));
+    }
+    panic!("never came: {what}");
+}
--- /dev/null
+++ b/crates/gateway/tests/order.rs
@@ -0,0 +1,443 @@
+//! The order of a key where a dispatch's end is not known: engines that record when each dispatch was really out,
+//! and the faults of days in service caused in truth. No two dispatches of a key overlap, every batch has one
+//! answer in its time, and the key is not held longer than the bound.
+
+mod helper;
+
+use helper::*;
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const KEY: &str = "X-Item: 7f3a9c21e0b4d655\r\n";
+/// The protocol's: a dispatch that nobody asks for ends after this.
+const UNASKED: Duration = Duration::from_secs(2);
+/// The protocol's: news is held back this long.
+const NEWS: Duration = Duration::from_millis(250);
+/// The rest of a key that the configuration of these tests tells.
+const REST: Duration = Duration::from_millis(200);
+/// For a busy machine.
+const SLACK: Duration = Duration::from_millis(400);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// One dispatch as it really was.
+#[derive(Clone, Debug)]
+struct Dispatch {
+    id: String,
+    statement: String,
+    came: Instant,
+    runs: Duration,
+    /// When its last call for news ended.
+    asked: Instant,
+    asking: bool,
+    over: Option<Instant>,
+}
+
+impl Dispatch {
+    fn end(&self) -> Option<Instant> {
+        let unasked = (!self.asking).then_some(self.asked + UNASKED);
+        let ends = [Some(self.came + self.runs), self.over, unasked];
+        ends.into_iter().flatten().min().filter(|at| *at <= Instant::now())
+    }
+
+    fn asks(&self, word: &str) -> bool {
+        self.statement.contains(&format!("/* {word} */"))
+    }
+}
+
+#[derive(Default)]
+struct State {
+    dispatches: Vec<Dispatch>,
+    connections: Vec<TcpStream>,
+    deletes: usize,
+    news: usize,
+    refuses: bool,
+}
+
+/// A process of an engine: it keeps to the protocol but for what a statement's comment asks, and can be made to
+/// refuse new connections while it runs on, or to die.
+#[derive(Clone)]
+struct Process {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Process {
+    fn start() -> Process {
+        Process::at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    fn at(address: SocketAddr) -> Process {
+        let listener = (0..100)
+            .find_map(|_| TcpListener::bind(address).map_err(|_| sleep(ms(10))).ok())
+            .expect("the address is free");
+        let process = Process { address: listener.local_addr().unwrap(), state: Arc::default() };
+        let shared = process.clone();
+        listener.set_nonblocking(true).unwrap();
+        spawn(move || {
+            while !shared.state().refuses {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        stream.set_nonblocking(false).unwrap();
+                        shared.state().connections.push(stream.try_clone().unwrap());
+                        let process = shared.clone();
+                        spawn(move || process.serve(stream));
+                    }
+                    Err(_) => sleep(ms(1)),
+                }
+            }
+        });
+        process
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// No new connection comes up; what is open goes on.
+    fn refuses(&self) {
+        self.state().refuses = true;
+        until("nobody listens", || TcpStream::connect(self.address).is_err());
+    }
+
+    /// The process ends, and all that it runs.
+    fn dies(&self) {
+        self.refuses();
+        let mut state = self.state();
+        let now = Instant::now();
+        state.dispatches.iter_mut().for_each(|d| d.over = Some(d.end().unwrap_or(now)));
+        state.connections.drain(..).for_each(|c| drop(c.shutdown(Shutdown::Both)));
+    }
+
+    /// The network breaks every connection that is open; the process runs on.
+    fn loses_connections(&self) {
+        self.state().connections.drain(..).for_each(|c| drop(c.shutdown(Shutdown::Both)));
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(call) = read_message(&mut reader) {
+            let mut words = call.first.split(' ');
+            let (method, path) = (words.next().unwrap(), words.next().unwrap().to_string());
+            if path == "/stats" {
+                let _ = (&stream).write_all(http("200 OK", "X-Stats: queue:0;util:0.1\r\n", "").as_bytes());
+                continue;
+            }
+            let id = match method {
+                "POST" => call.fields["x-trace"].clone(),
+                _ => path.split('/').nth(2).unwrap_or_default().to_string(),
+            };
+            let answer = match method {
+                "DELETE" => self.delete(&id),
+                _ => {
+                    if method == "POST" {
+                        self.begin(&id, &String::from_utf8_lossy(&call.body));
+                    }
+                    self.news(&id)
+                }
+            };
+            let Some(answer) = answer else {
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            };
+            if (&stream).write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn begin(&self, id: &str, statement: &str) {
+        let runs = statement.split_once("/* runs ").and_then(|(_, rest)| rest.split(' ').next());
+        let runs = ms(runs.and_then(|n| n.parse().ok()).unwrap_or(0));
+        let now = Instant::now();
+        let (id, statement) = (id.to_string(), statement.to_string());
+        let new = Dispatch { id, statement, came: now, runs, asked: now, asking: false, over: None };
+        self.state().dispatches.push(new);
+    }
+
+    fn news(&self, id: &str) -> Option<String> {
+        let until = Instant::now() + NEWS;
+        loop {
+            let mut state = self.state();
+            let Some(d) = state.dispatches.iter_mut().find(|d| d.id == id) else {
+                return Some(http("500 Oops", "", ""));
+            };
+            let (over, now) = (d.end(), Instant::now());
+            (d.asking, d.asked) = (over.is_none() && now < until, now);
+            if over.is_some() || now >= until {
+                let (d, good) = (d.clone(), over.is_some() && d.over.is_none());
+                state.news += 1;
+                if d.asks("second news spoilt") && state.news == 2 {
+                    return Some("\u{1}\u{2} no head at all\r\n\r\n".into());
+                }
+                return Some(match (over, good) {
+                    (None, _) => http("202 Not yet", "", ""),
+                    (Some(_), true) => http("200 OK", "Result-Pages: 1\r\n", ROWS),
+                    (Some(_), false) => http("500 Oops", "", ""),
+                });
+            }
+            drop(state);
+            sleep(ms(2));
+        }
+    }
+
+    fn delete(&self, id: &str) -> Option<String> {
+        let mut state = self.state();
+        state.deletes += 1;
+        let first = state.deletes == 1;
+        let d = state.dispatches.iter_mut().find(|d| d.id == id);
+        if let Some(d) = d {
+            if first && d.asks("delete reset") {
+                return None;
+            }
+            if first && d.asks("delete spoilt") {
+                return Some("\u{1}\u{2} no head at all\r\n\r\n".into());
+            }
+            if first && d.asks("delete silent") {
+                drop(state);
+                sleep(ms(1500));
+                return None;
+            }
+            d.over = Some(d.end().unwrap_or_else(Instant::now));
+        }
+        Some(http("204 No Content", "", ""))
+    }
+
+    fn dispatches(&self) -> Vec<Dispatch> {
+        self.state().dispatches.clone()
+    }
+}
+
+/// A gateway with two engines: the first batches go to `first`, as `second` is listed only by `hands_over`.
+struct Play {
+    service: Service,
+    first: Process,
+    second: Process,
+}
+
+/// What came of a batch, and when.
+struct Answered {
+    after: Duration,
+    answer: Option<Answer>,
+}
+
+impl Play {
+    fn start() -> Play {
+        Play::with_limit(3000.0)
+    }
+
+    /// With a limit longer than the bound, so that who waits behind a dispatch of unknown end is still sent.
+    fn long() -> Play {
+        Play::with_limit(8000.0)
+    }
+
+    fn with_limit(limit: f64) -> Play {
+        let (first, second) = (Process::start(), Process::start());
+        let at = first.address;
+        let service = Service::with(|config| {
+            config["known"]["results"][0]["fleet"]["servers"][0]["addr"] = json!(at.to_string());
+            config["settings"]["categories"][1]["give-up"] = json!(limit);
+        });
+        Play { service, first, second }
+    }
+
+    /// The first engine drains; the second is there for what comes.
+    fn hands_over(&self) {
+        let lines = [self.line("DRAINING"), line("s-2", self.second.address, "SERVING")];
+        self.service.log.tell(change(1, false, &lines));
+    }
+
+    fn line(&self, state: &str) -> Value {
+        line("s-1", self.first.address, state)
+    }
+
+    /// Sends a keyed, once-only batch; its answer comes through the handle.
+    fn load(&self, allowed: u32, statement: &str) -> (TcpStream, std::thread::JoinHandle<Answered>) {
+        let stream = self.service.open();
+        let fields = format!("{}{KEY}", fields(&new_id(), allowed));
+        let began = Instant::now();
+        send(&stream, "POST /v1/load", &fields, statement);
+        let reading = stream.try_clone().unwrap();
+        let answer = spawn(move || {
+            let message = read_message(&mut BufReader::new(reading));
+            Answered { after: began.elapsed(), answer: message.map(Answer::of) }
+        });
+        (stream, answer)
+    }
+
+    fn until_sent(&self) {
+        until("the first start", || !self.first.dispatches().is_empty());
+    }
+
+    /// Waits for the second batch of the key and checks that none overlapped; how long after the first was really
+    /// over it was sent.
+    fn order_is_kept(&self) -> Duration {
+        let all = || [self.first.dispatches(), self.second.dispatches()].concat();
+        until("the second start", || all().len() == 2);
+        sleep(ms(20));
+        let mut all = all();
+        all.sort_by_key(|d| d.came);
+        let end = all[0].end().unwrap_or_else(|| panic!("both out at once: {all:#?}"));
+        assert!(end <= all[1].came, "overlap of {:?}: {all:#?}", end - all[1].came);
+        all[1].came - end
+    }
+}
+
+fn answered_in(limit: u64, what: std::thread::JoinHandle<Answered>) -> Answer {
+    let answered = what.join().unwrap();
+    assert!(answered.after < ms(limit), "{:?}", answered.after);
+    answered.answer.expect("an answer")
+}
+
+/// The recorded day rc98ea0: the limit passes while the engine drains, refuses new connections and runs on.
+#[test]
+fn a_time_out_at_a_draining_engine_is_given_up_on_the_connection_that_is_up() {
+    let p = Play::start();
+    let (_a, first) = p.load(1000, "INSERT 1 /* runs 6000 */");
+    p.until_sent();
+    p.first.refuses();
+    p.hands_over();
+    sleep(ms(100));
+    let (_b, second) = p.load(3000, "INSERT 2 /* runs 10 */");
+    assert_eq!(answered_in(1050, first).status, 500);
+    assert!(p.order_is_kept() < REST + SLACK, "a proof, not the bound");
+    assert!(answered_in(3050, second).returned());
+}
+
+/// The connection goes with a spoilt answer, no other comes up, the dispatch runs on unasked: only the bound is left.
+#[test]
+fn a_spoilt_answer_of_a_draining_engine_is_errored_at_once_and_the_key_waits_for_the_bound() {
+    let p = Play::long();
+    let (_a, first) = p.load(3000, "INSERT 1 /* runs 8000 */ /* second news spoilt */");
+    p.until_sent();
+    p.first.refuses();
+    p.hands_over();
+    let (_b, second) = p.load(7000, "INSERT 2 /* runs 10 */");
+    assert_eq!(answered_in(900, first).status, 500, "given up, so answered at once");
+    let held = p.order_is_kept();
+    assert!(held < NEWS + REST + SLACK, "held {held:?} past the end");
+    assert!(answered_in(7050, second).returned());
+}
+
+/// Another process answers at the address: what it says proves nothing of the first.
+#[test]
+fn a_process_that_took_the_address_over_proves_nothing() {
+    let p = Play::long();
+    let (_a, first) = p.load(3000, "INSERT 1 /* runs 8000 */ /* second news spoilt */");
+    p.until_sent();
+    p.first.refuses();
+    let other = Process::at(p.first.address);
+    let lines = [p.line("DELETED"), line("s-2", p.second.address, "SERVING")];
+    p.service.log.tell(change(1, false, &[&lines[..], &[line("s-3", other.address, "DRAINING")]].concat()));
+    let (_b, second) = p.load(7000, "INSERT 2 /* runs 10 */");
+    assert_eq!(answered_in(900, first).status, 500);
+    p.order_is_kept();
+    assert!(other.dispatches().is_empty());
+    answered_in(7050, second);
+}
+
+#[test]
+fn a_give_up_that_is_reset_spoilt_or_silent_is_made_again() {
+    for how in ["reset", "spoilt", "silent"] {
+        let p = Play::start();
+        let (_a, first) = p.load(700, &format!("INSERT 1 /* runs 6000 */ /* delete {how} */"));
+        p.until_sent();
+        let (_b, second) = p.load(3000, "INSERT 2 /* runs 10 */");
+        assert_eq!(answered_in(750, first).status, 500, "{how}");
+        // Silent: the call is waited for twice the dial time.
+        assert!(p.order_is_kept() < REST + SLACK, "{how}");
+        assert!(answered_in(3050, second).returned(), "{how}");
+        assert_eq!(p.first.state().deletes, 2, "{how}");
+    }
+}
+
+/// The client withdraws its batch in the instant in which its limit passes.
+#[test]
+fn a_time_out_and_a_cancel_at_once_are_one_end() {
+    for early in [0, 5, 10, 20] {
+        let p = Play::start();
+        let id = new_id();
+        let stream = p.service.open();
+        send(&stream, "POST /v1/load", &format!("{}{KEY}", fields(&id, 600)), "INSERT 1 /* runs 6000 */");
+        let sent = Instant::now();
+        p.until_sent();
+        let (_b, second) = p.load(3000, "INSERT 2 /* runs 10 */");
+        // The gateway takes a keyed batch to have been sent up to 0.25 s earlier than it came.
+        sleep((ms(350 - early)).saturating_sub(sent.elapsed()));
+        let withdrawn = call(p.service.open(), "DELETE /v1/load", &fields(&id, 600), "").unwrap();
+        assert!(["HTTP/1.1 204 No Content", "HTTP/1.1 404 Not Found"].contains(&withdrawn.first.as_str()));
+        assert!(p.order_is_kept() < REST + SLACK, "{early}");
+        assert_eq!(p.first.state().deletes, 1, "one give-up");
+        assert!(answered_in(3050, second).returned());
+    }
+}
+
+/// A client that has gone holds its key for as long as its dispatch may run.
+#[test]
+fn a_client_that_leaves_holds_its_key_until_its_dispatch_is_over() {
+    let p = Play::long();
+    let (stream, _first) = p.load(3000, "INSERT 1 /* runs 8000 */ /* second news spoilt */");
+    p.until_sent();
+    p.first.refuses();
+    p.hands_over();
+    sleep(ms(150));
+    stream.shutdown(Shutdown::Both).unwrap();
+    let (_b, second) = p.load(7000, "INSERT 2 /* runs 10 */");
+    p.order_is_kept();
+    answered_in(7050, second);
+}
+
+/// A process that dies resets what it has and refuses: its dispatches are over, and the key waits for no bound.
+#[test]
+fn a_process_that_died_is_a_proof() {
+    let p = Play::start();
+    let (_a, first) = p.load(3000, "INSERT 1 /* runs 8000 */");
+    p.until_sent();
+    sleep(NEWS + ms(50));
+    p.service.log.tell(change(1, false, &[line("s-2", p.second.address, "SERVING")]));
+    p.first.dies();
+    let (_b, second) = p.load(3000, "INSERT 2 /* runs 10 */");
+    assert_eq!(answered_in(900, first).status, 500);
+    assert!(p.order_is_kept() < REST + SLACK);
+    assert!(answered_in(3050, second).returned());
+}
+
+/// The same sight while the process runs on: the network reset the connection, and the engine drains.
+#[test]
+fn a_reset_at_a_draining_engine_is_no_proof() {
+    let p = Play::long();
+    let (_a, first) = p.load(3000, "INSERT 1 /* runs 8000 */");
+    p.until_sent();
+    sleep(NEWS + ms(50));
+    p.first.refuses();
+    p.hands_over();
+    sleep(ms(100));
+    p.first.loses_connections();
+    let (_b, second) = p.load(7000, "INSERT 2 /* runs 10 */");
+    assert_eq!(answered_in(1200, first).status, 500);
+    assert!(p.order_is_kept() < NEWS + REST + SLACK);
+    answered_in(7050, second);
+}
+
+/// SIGTERM with a dispatch whose end is not known: every answer still comes in time, and the program ends.
+#[test]
+fn sigterm_with_a_dispatch_of_unknown_end_answers_all_in_time() {
+    let mut p = Play::start();
+    let (_a, first) = p.load(3000, "INSERT 1 /* runs 8000 */ /* second news spoilt */");
+    p.until_sent();
+    p.first.refuses();
+    p.hands_over();
+    let (_b, second) = p.load(3000, "INSERT 2 /* runs 10 */");
+    let began = Instant::now();
+    p.service.signal("TERM");
+    assert_eq!(answered_in(900, first).status, 500);
+    answered_in(3050, second);
+    assert!(p.service.child.wait().unwrap().success());
+    assert!(began.elapsed() < ms(3700), "{:?}", began.elapsed());
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -56,6 +56,8 @@
     Runs(Connection),
     /// The engine has told its end, or that it never ran.
     Ended,
+    /// Asked for news, who listens there said that it failed, or that it does not know it.
+    Failed(Connection, Listed),
     /// No connection came up for the start: nothing can have come.
     NeverCame,
     /// A call to give it up was answered on this connection.
@@ -175,6 +177,8 @@
             }
             Fact::Ended => entry.over = Some(Proof::Ended),
             Fact::NeverCame => entry.over = Some(Proof::NeverCame),
+            Fact::Failed(on, listed) if entry.reaches(on, listed) => entry.over = Some(Proof::Ended),
+            Fact::Failed(..) => {}
             Fact::GivenUp(on, listed) if entry.reaches(on, listed) => entry.over = Some(Proof::GivenUp),
             Fact::GivenUp(..) | Fact::Missed => entry.missed = Some(now),
             Fact::Reset(on) if entry.known == Some(on) => {
--- a/crates/ledger/src/tests.rs
+++ b/crates/ledger/src/tests.rs
@@ -31,6 +31,7 @@
         1 => Just(Fact::Ended),
         1 => Just(Fact::NeverCame),
         2 => (on.clone(), listed()).prop_map(|(on, l)| Fact::GivenUp(on, l)),
+        1 => (on.clone(), listed()).prop_map(|(on, l)| Fact::Failed(on, l)),
         3 => on.clone().prop_map(Fact::Reset),
         2 => on.prop_map(Fact::Useless),
         2 => Just(Fact::Refused),
@@ -117,6 +118,8 @@
         let proof = match fact {
             Fact::Ended => Some(Proof::Ended),
             Fact::NeverCame => Some(Proof::NeverCame),
+            Fact::Failed(on, _) if h.known(place).0 == Some(on) => Some(Proof::Ended),
+            Fact::Failed(_, Listed::Ready | Listed::Draining) if !refused => Some(Proof::Ended),
             Fact::GivenUp(on, _) if h.known(place).0 == Some(on) => Some(Proof::GivenUp),
             Fact::GivenUp(_, Listed::Ready | Listed::Draining) if !refused => Some(Proof::GivenUp),
             _ => None,
--- /dev/null
+++ b/crates/plan/src/schema.rs
@@ -0,0 +1,193 @@
+//! The table of block kinds. Checker, formatter, diff and the docs all read it; a subsystem that puts its block into
+//! the language adds it here.
+
+use crate::quantity::Kind;
+use std::fmt::Write;
+
+/// What stands behind the name of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// Nothing.
+    Flag,
+    /// One value.
+    One(Kind),
+    /// One value or several with commas between; the entry may stand more than once.
+    List(Kind),
+    /// Names of blocks of this kind, as a list.
+    Refs(&'static str),
+    /// Names that the platform's settings know, as a list.
+    Outer(Outer),
+    /// One name that the settings know.
+    OneOuter(Outer),
+    /// One of these words.
+    Choice(&'static [&'static str]),
+    /// Some of these words, as a list.
+    Words(&'static [&'static str]),
+    /// A rate and, behind `burst`, an amount of this kind.
+    Bucket(Kind, Kind),
+    /// `repeatable`, `once-only`, or `referenced` with a scope and a time.
+    Effect,
+}
+
+/// Names that are not the plan's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outer {
+    Group,
+    Tenant,
+    Kind,
+    Zone,
+}
+
+impl Outer {
+    pub fn is(self) -> &'static str {
+        match self {
+            Outer::Group => "service group",
+            Outer::Tenant => "tenant",
+            Outer::Kind => "kind",
+            Outer::Zone => "zone",
+        }
+    }
+}
+
+/// A kind of entry.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EntryKind {
+    pub name: &'static str,
+    pub shape: Shape,
+    pub about: &'static str,
+    /// What may stand behind the name.
+    pub example: &'static str,
+}
+
+/// A kind of block.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BlockKind {
+    pub name: &'static str,
+    pub about: &'static str,
+    /// Its name is one that the settings know; otherwise it is the plan's own.
+    pub outer: Option<Outer>,
+    pub entries: &'static [EntryKind],
+}
+
+impl BlockKind {
+    pub fn entry(&self, name: &str) -> Option<&'static EntryKind> {
+        self.entries.iter().find(|e| e.name == name)
+    }
+}
+
+const fn entry(name: &'static str, shape: Shape, example: &'static str, about: &'static str) -> EntryKind {
+    EntryKind { name, shape, about, example }
+}
+
+/// Words of `per`.
+pub const SCOPES: &[&str] = &["group", "tenant", "client"];
+/// Words of `order`.
+pub const ORDERS: &[&str] = &["key", "none"];
+/// Words of `key` in a route.
+pub const KEYS: &[&str] = &["given", "none"];
+/// Words of `effect`.
+pub const EFFECTS: &[&str] = &["repeatable", "referenced", "once-only"];
+/// Scopes of `effect referenced`.
+pub const REFERENCED: &[&str] = &["everywhere", "zone", "cell"];
+
+/// All kinds of blocks.
+pub const BLOCKS: &[BlockKind] = &[
+    BlockKind {
+        name: "addresses",
+        about: "A set of addresses of clients or engines.",
+        outer: None,
+        entries: &[
+            entry("net", Shape::List(Kind::Network), "10.1.0.0/16, 2001:db8::/32", "networks and single addresses in the set"),
+            entry("of", Shape::Refs("addresses"), "houses, partners", "other sets that are in it"),
+            entry("except", Shape::List(Kind::Network), "10.1.9.0/24", "networks that are not in it, whatever else says"),
+        ],
+    },
+    BlockKind {
+        name: "pool",
+        about: "A set of engines: those that fit every entry of the first five, and those of other pools, less some.",
+        outer: None,
+        entries: &[
+            entry("all", Shape::Flag, "", "every engine"),
+            entry("zone", Shape::Outer(Outer::Zone), "maribor, tezno", "engines in one of these zones"),
+            entry("kind", Shape::Outer(Outer::Kind), "engine-8", "engines of one of these kinds"),
+            entry("id", Shape::List(Kind::Pattern), "s-0*, s-1*", "engines whose id fits one of these patterns"),
+            entry("address", Shape::Refs("addresses"), "racks", "engines at an address of one of these sets"),
+            entry("union", Shape::Refs("pool"), "big, spare", "the engines of these pools, too"),
+            entry("except", Shape::Refs("pool"), "cellar", "never the engines of these pools"),
+        ],
+    },
+    BlockKind {
+        name: "group",
+        about: "Rules of a service group. They narrow what the settings allow, and never widen it.",
+        outer: Some(Outer::Group),
+        entries: &[
+            entry("goal", Shape::One(Kind::Time), "1s", "response goal; at most the time limit"),
+            entry("limit", Shape::One(Kind::Time), "5s", "time limit; at most that of the settings"),
+            entry("pools", Shape::Refs("pool"), "big", "its batches never leave these pools, whatever a route says"),
+            entry("order", Shape::Choice(ORDERS), "key", "whether batches of one key run one at a time, in order"),
+            entry("effect", Shape::Effect, "referenced zone 30s", "whether a batch that may have run may run again"),
+            entry("further", Shape::One(Kind::Share), "10%", "further dispatches in a minute, as a share of its batches, 1 at least"),
+            entry("statement", Shape::One(Kind::Size), "64KiB", "the largest statement"),
+        ],
+    },
+    BlockKind {
+        name: "tenant",
+        about: "Limits of one tenant.",
+        outer: Some(Outer::Tenant),
+        entries: &[
+            entry("share", Shape::One(Kind::Share), "30%", "the most of this gateway's room for batches that it may hold"),
+            entry("in-hand", Shape::One(Kind::Count), "200", "batches in hand at this gateway"),
+            entry("rate", Shape::Bucket(Kind::Rate, Kind::Count), "50/s burst 100", "batches taken over time"),
+            entry("bytes", Shape::Bucket(Kind::Flow, Kind::Size), "1MiB/s burst 4MiB", "bytes of statements over time"),
+        ],
+    },
+    BlockKind {
+        name: "route",
+        about: "Where batches go. Routes are tried in the order in which they stand; the first that fits decides.",
+        outer: None,
+        entries: &[
+            entry("group", Shape::Outer(Outer::Group), "lookup, report", "only batches of these service groups"),
+            entry("tenant", Shape::Outer(Outer::Tenant), "acme", "only batches of these tenants"),
+            entry("client", Shape::Refs("addresses"), "houses", "only from clients at these addresses"),
+            entry("key", Shape::Choice(KEYS), "given", "only batches with a key, or only those without"),
+            entry("data-set", Shape::List(Kind::Numbers), "17, 20..30", "only batches on these data sets"),
+            entry("hours", Shape::List(Kind::Clock), "06:00..20:00", "only at these hours of the day, UTC"),
+            entry("to", Shape::Refs("pool"), "big, small", "pools in order of preference: a later one only where no earlier one has an engine that may be used"),
+            entry("as", Shape::OneOuter(Outer::Group), "report", "the service group that they are treated as"),
+            entry("refuse", Shape::One(Kind::Text), "\"closed on sale days\"", "they are pushed back, with this reason"),
+        ],
+    },
+    BlockKind {
+        name: "limit",
+        about: "A limit on what is taken. A batch over it is pushed back at once, with a time to come back.",
+        outer: None,
+        entries: &[
+            entry("per", Shape::Words(SCOPES), "tenant, client", "one limit for each of these; without it one for all"),
+            entry("group", Shape::Outer(Outer::Group), "report", "counts only batches of these service groups"),
+            entry("tenant", Shape::Outer(Outer::Tenant), "acme", "counts only batches of these tenants"),
+            entry("client", Shape::Refs("addresses"), "houses", "counts only batches from these addresses"),
+            entry("in-hand", Shape::One(Kind::Count), "300", "batches in hand at this gateway"),
+            entry("rate", Shape::Bucket(Kind::Rate, Kind::Count), "50/s burst 100", "batches taken over time"),
+            entry("bytes", Shape::Bucket(Kind::Flow, Kind::Size), "10MiB/s burst 20MiB", "bytes of statements over time"),
+        ],
+    },
+];
+
+/// A kind of block by its name.
+pub fn block(name: &str) -> Option<&'static BlockKind> {
+    BLOCKS.iter().find(|b| b.name == name)
+}
+
+/// The table as Markdown, as docs/plan-language.md has it.
+pub fn as_markdown() -> String {
+    let mut out = String::new();
+    for block in BLOCKS {
+        // Writing to a string does not fail.
+        let _ = writeln!(out, "### `{}`\n\n{}\n\n| entry | example | meaning |\n|---|---|---|", block.name, block.about);
+        for e in block.entries {
+            let _ = writeln!(out, "| `{}` | `{}` | {} |", e.name, format!("{} {}", e.name, e.example).trim_end(), e.about);
+        }
+        out.push('\n');
+    }
+    out
+}
