--- /dev/null
+++ b/crates/plan/tests/broken.rs
@@ -0,0 +1,84 @@
+//! Broken plans, each beside the message that the checker prints for it, word for word. `BLESS=1 cargo test -p
+//! garnetwall-plan --test broken` writes the messages anew; read them before they are committed.
+
+use garnetwall_plan::compile;
+use garnetwall_plan::model::{Effect, Scope};
+use garnetwall_plan::source::{beside, Loader};
+use garnetwall_plan::{Settings, SettingsGroup};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+struct Folder(PathBuf);
+
+impl Loader for Folder {
+    fn load(&self, name: &str) -> Result<Vec<u8>, String> {
+        let path = self.0.join(name);
+        match path.is_dir() {
+            true => Err("it is a directory".into()),
+            false => std::fs::read(path).map_err(|_| "there is no such file".into()),
+        }
+    }
+
+    fn resolve(&self, from: &str, included: &str) -> String {
+        beside(from, included)
+    }
+}
+
+/// The settings that plans of a name with `settings` are checked against.
+fn settings() -> Settings {
+    let group = |name: &str, effect, in_order, kinds: Option<&str>| SettingsGroup {
+        name: name.into(),
+        goal: Duration::from_secs(1),
+        limit: Duration::from_secs(5),
+        in_order,
+        effect,
+        kinds: kinds.map(|kind| vec![kind.to_string()]),
+        zones: None,
+    };
+    let referenced = Effect::Referenced { scope: Scope::Zone, window: Duration::from_secs(30) };
+    Settings {
+        groups: vec![
+            group("lookup", Effect::Repeatable, false, None),
+            group("catalogue", referenced, false, None),
+            group("sale-load", Effect::OnceOnly, true, None),
+            group("trend-report", Effect::Repeatable, false, Some("engine-8")),
+        ],
+        tenants: vec!["acme".into(), "mura-drazbe".into()],
+        kinds: vec!["engine-8".into(), "engine-16".into()],
+        zones: vec!["maribor".into(), "tezno".into()],
+    }
+}
+
+#[test]
+fn every_broken_plan_has_its_message() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/broken");
+    let bless = std::env::var_os("BLESS").is_some();
+    let mut plans: Vec<PathBuf> = std::fs::read_dir(&folder)
+        .expect("the folder of broken plans")
+        .map(|entry| entry.expect("an entry").path())
+        .filter(|path| path.extension().is_some_and(|e| e == "plan"))
+        .collect();
+    plans.sort();
+    assert!(plans.len() >= 60, "{} broken plans", plans.len());
+    let mut wrong = Vec::new();
+    let mut seen = BTreeSet::new();
+    for path in plans {
+        let name = path.file_name().and_then(|n| n.to_str()).expect("a name").to_string();
+        let settings = name.starts_with("settings").then(settings);
+        let said = match compile(&Folder(folder.clone()), &name, settings.as_ref()) {
+            Ok(_) => "no fault\n".to_string(),
+            Err(faulty) => faulty.to_string(),
+        };
+        let expected = path.with_extension("txt");
+        if bless {
+            std::fs::write(&expected, &said).expect("the message is written");
+        }
+        seen.insert(said.lines().next().unwrap_or_default().to_string());
+        if said.starts_with("no fault") || std::fs::read_to_string(&expected).ok().as_deref() != Some(&said) {
+            wrong.push(format!("{name}:\n{said}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert!(seen.len() >= 60, "{} messages that differ", seen.len());
+}
--- /dev/null
+++ b/crates/plan/tests/generate/mod.rs
@@ -0,0 +1,223 @@
+//! Random plans that the checker accepts, over a small world, so that blocks meet, overlap and shadow one another.
+
+#![allow(dead_code)] // Each test program uses a part.
+
+use garnetwall_plan::model::{EngineFacts, Facts, Plan};
+use garnetwall_plan::source::InMemory;
+use garnetwall_plan::{compile, Compiled};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::{select, subsequence};
+use std::net::IpAddr;
+
+pub const GROUPS: [&str; 4] = ["lookup", "report", "sale-load", "trend-report"];
+pub const TENANTS: [&str; 3] = ["acme", "bravo", "mura"];
+pub const ZONES: [&str; 3] = ["maribor", "tezno", "ptuj"];
+pub const KINDS: [&str; 3] = ["engine-8", "engine-16", "engine-32"];
+const NETS: [&str; 6] =
+    ["10.0.0.0/8", "10.1.0.0/16", "10.1.2.0/24", "2001:db8::/32", "2001:db8:1::/48", "192.0.2.7"];
+const PATTERNS: [&str; 3] = ["e-0*", "e-1*", "*-a"];
+const NUMBERS: [&str; 4] = ["5", "10..20", "15..30", "0..4"];
+const HOURS: [&str; 3] = ["06:00..20:00", "22:00..04:00", "12:00..13:00"];
+
+/// Clients, data sets and minutes of which one at least is in every class that the words above can make.
+pub const CLIENTS: [&str; 7] =
+    ["10.9.0.1", "10.1.9.1", "10.1.2.3", "2001:db8:2::1", "2001:db8:1::1", "192.0.2.7", "198.51.100.1"];
+pub const DATA_SETS: [u32; 8] = [0, 5, 7, 10, 15, 21, 30, 31];
+pub const MINUTES: [u32; 7] = [0, 240, 360, 720, 780, 1200, 1320];
+const IDS: [&str; 6] = ["e-0-a", "e-0-b", "e-1-a", "e-1-b", "q-a", "q-b"];
+
+fn some(words: &'static [&'static str], most: usize) -> impl Strategy<Value = String> {
+    subsequence(words, 1..=most).prop_map(|words| words.join(", "))
+}
+
+/// An entry that is there half the time.
+fn maybe(name: &'static str, values: impl Strategy<Value = String>) -> impl Strategy<Value = String> {
+    proptest::option::of(values).prop_map(move |v| v.map_or(String::new(), |v| format!("  {name} {v}\n")))
+}
+
+fn block(kind: &'static str, name: impl Strategy<Value = String>, entries: impl Strategy<Value = Vec<String>>) -> impl Strategy<Value = String> {
+    (name, entries).prop_map(move |(name, entries)| format!("{kind} {name} {{\n{}}}\n", entries.concat()))
+}
+
+fn numbered(letter: &'static str, most: usize) -> impl Strategy<Value = String> {
+    (0..most).prop_map(move |n| format!("{letter}{n}"))
+}
+
+fn refs(letter: &'static str, most: usize) -> impl Strategy<Value = String> {
+    vec(0..most, 1..3).prop_map(move |mut list| {
+        list.dedup();
+        list.iter().map(|n| format!("{letter}{n}")).collect::<Vec<_>>().join(", ")
+    })
+}
+
+fn bucket() -> impl Strategy<Value = String> {
+    (1u32..50, 1u32..50).prop_map(|(rate, burst)| format!("{rate}/s burst {burst}"))
+}
+
+/// A block of any kind.
+pub fn any_block() -> impl Strategy<Value = String> {
+    let addresses = block(
+        "addresses",
+        numbered("a", 4),
+        (some(&NETS, 3), maybe("of", refs("a", 4)), maybe("except", some(&NETS, 2)))
+            .prop_map(|(net, of, except)| vec![format!("  net {net}\n"), of, except]),
+    );
+    let pool = block(
+        "pool",
+        numbered("p", 5),
+        (
+            maybe("zone", some(&ZONES, 2)),
+            maybe("kind", some(&KINDS, 2)),
+            maybe("id", some(&PATTERNS, 2)),
+            maybe("address", refs("a", 4)),
+            maybe("union", refs("p", 5)),
+            maybe("except", refs("p", 5)),
+        )
+            .prop_map(|(a, b, c, d, e, f)| vec![a, b, c, d, e, f]),
+    );
+    let group = block(
+        "group",
+        select(&GROUPS[..]).prop_map(str::to_string),
+        (maybe("pools", refs("p", 5)), maybe("limit", (1u32..9).prop_map(|n| format!("{n}s"))))
+            .prop_map(|(pools, limit)| vec![pools, limit, "  further 10%\n".to_string()]),
+    );
+    let tenant = block(
+        "tenant",
+        select(&TENANTS[..]).prop_map(str::to_string),
+        (maybe("in-hand", (1u32..20).prop_map(|n| n.to_string())), maybe("rate", bucket()))
+            .prop_map(|(in_hand, rate)| vec![in_hand, rate]),
+    );
+    let goes = prop_oneof![
+        4 => refs("p", 5).prop_map(|to| format!("  to {to}\n")),
+        1 => select(&GROUPS[..]).prop_map(|g| format!("  as {g}\n")),
+        1 => (refs("p", 5), select(&GROUPS[..])).prop_map(|(to, g)| format!("  to {to}\n  as {g}\n")),
+        1 => Just("  refuse \"closed\"\n".to_string()),
+    ];
+    let route = block(
+        "route",
+        numbered("r", 8),
+        (
+            maybe("group", some(&GROUPS, 3)),
+            maybe("tenant", some(&TENANTS, 2)),
+            maybe("client", refs("a", 4)),
+            maybe("key", select(&["given", "none"][..]).prop_map(str::to_string)),
+            maybe("data-set", some(&NUMBERS, 2)),
+            maybe("hours", some(&HOURS, 2)),
+            goes,
+        )
+            .prop_map(|(a, b, c, d, e, f, g)| vec![a, b, c, d, e, f, g]),
+    );
+    let limit = block(
+        "limit",
+        numbered("l", 4),
+        (
+            maybe("per", some(&["group", "tenant", "client"], 3)),
+            maybe("group", some(&GROUPS, 2)),
+            maybe("tenant", some(&TENANTS, 2)),
+            maybe("client", refs("a", 4)),
+            maybe("in-hand", (1u32..20).prop_map(|n| n.to_string())),
+            bucket().prop_map(|b| format!("  rate {b}\n")),
+        )
+            .prop_map(|(a, b, c, d, e, f)| vec![a, b, c, d, e, f]),
+    );
+    prop_oneof![2 => addresses, 3 => pool, 1 => group, 1 => tenant, 4 => route, 1 => limit]
+}
+
+/// Blocks that together are a good plan: each that would make it faulty is left out.
+pub fn settle(blocks: &[String]) -> Vec<String> {
+    let good = |blocks: &[String]| compile(&InMemory::one(blocks.concat()), "main.plan", None).is_ok();
+    let mut kept: Vec<String> = Vec::new();
+    // What refers to a block that comes later is tried again.
+    for _ in 0..2 {
+        for block in blocks {
+            if !kept.contains(block) {
+                kept.push(block.clone());
+                if !good(&kept) {
+                    kept.pop();
+                }
+            }
+        }
+    }
+    kept
+}
+
+pub fn plan_of(blocks: &[String]) -> Compiled {
+    compile(&InMemory::one(blocks.concat()), "main.plan", None).unwrap_or_else(|faulty| panic!("{faulty}"))
+}
+
+/// Blocks of a good plan.
+pub fn blocks() -> impl Strategy<Value = Vec<String>> {
+    vec(any_block(), 4..24).prop_map(|blocks| settle(&blocks))
+}
+
+/// A batch of every class that the small world has.
+pub fn batches() -> Vec<Facts<'static>> {
+    let mut all = Vec::new();
+    for group in GROUPS.into_iter().chain(["other"]) {
+        for tenant in TENANTS.into_iter().chain(["other"]) {
+            for client in CLIENTS {
+                for key in [false, true] {
+                    for data_set in DATA_SETS {
+                        for minute in MINUTES {
+                            let client: IpAddr = client.parse().expect("an address");
+                            all.push(Facts { group, tenant, client, key, data_set, minute });
+                        }
+                    }
+                }
+            }
+        }
+    }
+    all
+}
+
+/// An engine of every cell that the small world has.
+pub fn engines() -> Vec<EngineFacts<'static>> {
+    let mut all = Vec::new();
+    for zone in ZONES.into_iter().chain(["other"]) {
+        for kind in KINDS.into_iter().chain(["other"]) {
+            for id in IDS {
+                for address in CLIENTS {
+                    all.push(EngineFacts { id, zone, kind, address: address.parse().expect("an address") });
+                }
+            }
+        }
+    }
+    all
+}
+
+/// What a plan does with a batch, worked out the slow way: refused, or the group and for each preference the engines
+/// that no earlier one has.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Does {
+    Refuses(String),
+    Sends(String, Vec<Vec<usize>>),
+}
+
+/// By route (the last is none) and group.
+pub fn does(plan: &Plan, engines: &[EngineFacts]) -> Vec<Vec<Does>> {
+    let held: Vec<Vec<bool>> = engines.iter().map(|e| plan.pools_of(e)).collect();
+    let all_groups: Vec<&str> = GROUPS.into_iter().chain(["other"]).collect();
+    let one = |route: Option<&garnetwall_plan::model::Route>, group: &str| {
+        if let Some(reason) = route.and_then(|r| r.refuse.clone()) {
+            return Does::Refuses(reason);
+        }
+        let treated = route.and_then(|r| r.as_group.as_deref()).unwrap_or(group);
+        let to = route.map_or(&[][..], |r| &r.to);
+        let mut seen = vec![false; engines.len()];
+        let mut tiers = Vec::new();
+        for n in 0..to.len().max(1) {
+            let open = |e: &usize| {
+                to.get(n).is_none_or(|pool| held[*e][*pool]) && plan.bound_to(&[group, treated], &held[*e])
+            };
+            let tier: Vec<usize> = (0..engines.len()).filter(|e| !seen[*e]).filter(open).collect();
+            tier.iter().for_each(|e| seen[*e] = true);
+            if !tier.is_empty() {
+                tiers.push(tier);
+            }
+        }
+        Does::Sends(treated.to_string(), tiers)
+    };
+    let routes = plan.routes.iter().map(Some).chain([None]);
+    routes.map(|r| all_groups.iter().map(|g| one(r, g)).collect()).collect()
+}
--- /dev/null
+++ b/crates/plan/tests/meaning.rs
@@ -0,0 +1,162 @@
+//! The printed form keeps the meaning, a diff is empty exactly where two plans do the same, and nothing makes the
+//! checker panic.
+
+mod generate;
+
+use garnetwall_plan::diff::diff;
+use garnetwall_plan::format::format;
+use garnetwall_plan::model::Plan;
+use garnetwall_plan::source::InMemory;
+use garnetwall_plan::compile;
+use generate::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+/// Whether two plans send every batch of the small world alike.
+fn route_alike(a: &Plan, b: &Plan) -> bool {
+    let engines = engines();
+    let (does_a, does_b) = (does(a, &engines), does(b, &engines));
+    let group = |name: &str| GROUPS.iter().position(|g| *g == name).unwrap_or(GROUPS.len());
+    batches().iter().all(|facts| {
+        let at = |plan: &Plan| plan.routes.iter().position(|r| r.unmet(facts, &plan.addresses).is_none());
+        let (m, n) = (at(a).unwrap_or(a.routes.len()), at(b).unwrap_or(b.routes.len()));
+        does_a[m][group(facts.group)] == does_b[n][group(facts.group)]
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn the_printed_form_is_stable_and_means_the_same(blocks in blocks(), noise in vec(0usize..6, 60)) {
+        // Written carelessly: other spaces, empty lines and comments.
+        let mut noise = noise.into_iter().cycle();
+        let careless: String = blocks.concat().lines().map(|line| match noise.next().unwrap_or_default() {
+            0 => format!("{}  # why\n", line.replace(' ', "   ")),
+            1 => format!("\n\n\n{line}\n"),
+            2 => format!("# said before\n\t{line}  \n"),
+            _ => format!("{line}\n"),
+        }).collect();
+        let printed = format(&careless).expect("it can be read");
+        prop_assert_eq!(&format(&printed).expect("it can be read"), &printed, "twice is the same as once");
+        let comments = |text: &str| text.matches('#').count();
+        prop_assert_eq!(comments(&printed), comments(&careless));
+        let read = |text: &str| compile(&InMemory::one(text), "main.plan", None).expect("a good plan").plan;
+        let (a, b) = (read(&careless), read(&printed));
+        prop_assert_eq!(diff(&a, &b), vec![]);
+        let plain = plan_of(&blocks).plan;
+        prop_assert_eq!(diff(&plain, &b), vec![]);
+    }
+
+    #[test]
+    fn a_diff_is_empty_exactly_where_routing_is_alike(
+        blocks in blocks(),
+        changed in vec((any::<prop::sample::Index>(), 0usize..4, any_block()), 0..3),
+    ) {
+        let mut other = blocks.clone();
+        for (at, how, new) in &changed {
+            if other.is_empty() {
+                break;
+            }
+            let at = at.index(other.len());
+            match how {
+                0 => drop(other.remove(at)),
+                1 => other[at] = new.clone(),
+                2 => other.push(new.clone()),
+                _ => {
+                    let block = other.remove(at);
+                    other.insert(0, block);
+                }
+            }
+        }
+        let other = settle(&other);
+        let (a, b) = (plan_of(&blocks).plan, plan_of(&other).plan);
+        prop_assert_eq!(diff(&a, &a), vec![]);
+        let changes = diff(&a, &b);
+        let routing = changes.iter().any(|c| c.of == "routing");
+        prop_assert_eq!(!routing, route_alike(&a, &b), "{:?}\n--- {}\n+++ {}", changes, blocks.concat(), other.concat());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn random_bytes_are_told_apart_and_never_panic(bytes in vec(any::<u8>(), 0..400)) {
+        if let Err(faulty) = compile(&InMemory::one(bytes), "main.plan", None) {
+            prop_assert!(!faulty.to_string().is_empty());
+        }
+    }
+
+    #[test]
+    fn a_plan_with_some_bytes_changed_never_panics(
+        blocks in blocks(),
+        cuts in vec((any::<prop::sample::Index>(), prop_oneof![
+            Just("{"), Just("}"), Just("\""), Just("#"), Just("\n"), Just("="), Just("$"), Just(","), Just("\0"), Just("..")
+        ]), 1..6),
+    ) {
+        let mut text = format!("let a = 1s\n{}", blocks.concat());
+        for (at, with) in cuts {
+            let at = at.index(text.len());
+            if text.is_char_boundary(at) {
+                text.insert_str(at, with);
+            }
+        }
+        match compile(&InMemory::one(text.clone()), "main.plan", None) {
+            Err(faulty) => prop_assert!(faulty.to_string().contains("main.plan")),
+            Ok(good) => prop_assert_eq!(diff(&good.plan, &good.plan), vec![]),
+        }
+        if let Ok(printed) = format(&text) {
+            prop_assert_eq!(&format(&printed).expect("it can be read"), &printed);
+        }
+    }
+}
+
+/// What stands where matters only for routes: blocks moved, constants renamed and units changed are no change.
+#[test]
+fn what_is_written_otherwise_is_no_change() {
+    let old = "let far = 1s\npool a {\n zone maribor\n}\ngroup lookup {\n limit $far\n pools a\n}\n\
+        route x {\n group lookup\n to a\n}\nlimit l {\n rate 60/min\n}\n";
+    let new = "# moved\nlimit l {\n rate 1/s burst 1\n}\nroute y {\n group lookup\n to big\n}\nlet near = 1000ms\n\
+        group lookup {\n pools big\n limit $near\n}\npool big {\n zone maribor\n}\n";
+    let plan = |text: &str| compile(&InMemory::one(text), "main.plan", None).unwrap_or_else(|f| panic!("{f}")).plan;
+    assert_eq!(diff(&plan(old), &plan(new)), vec![]);
+    let texts = |a: &str, b: &str| -> Vec<String> { diff(&plan(a), &plan(b)).into_iter().map(|c| c.text).collect() };
+    assert_eq!(texts(old, &old.replace("far = 1s", "far = 1.5s")), ["limit of `lookup`: 1s -> 1.5s"]);
+    assert_eq!(
+        texts("tenant acme {\n in-hand 300\n}\n", "tenant acme {\n in-hand 200\n}\n"),
+        ["in-hand limit of `acme`: 300 -> 200"]
+    );
+    let reports = "pool a {\n kind engine-8\n zone tezno\n}\npool b {\n kind engine-16\n zone tezno\n}\n\
+        route r {\n group trend-report\n to a, b\n}\n";
+    assert_eq!(
+        texts(reports, &reports.replace("to a, b", "to a")),
+        ["`trend-report` may no longer use engine-16 in tezno", "group trend-report: to a, b -> to a"]
+    );
+}
+
+/// Sizes at which a careless parser gives up: a message in good time, no panic and no overflow.
+#[test]
+fn huge_and_deep_files_get_a_message() {
+    let told = |bytes: Vec<u8>| match compile(&InMemory::one(bytes), "main.plan", None) {
+        Ok(_) => String::new(),
+        Err(faulty) => faulty.to_string(),
+    };
+    let deep = "pool a {\n".repeat(10_000);
+    assert!(told(deep.into_bytes()).contains("this block is not closed"));
+    assert!(told("{".repeat(10_000).into_bytes()).contains("a block begins with its kind"));
+    let long = told(format!("pool {} {{\n all\n}}\n", "x".repeat(1 << 20)).into_bytes());
+    assert!(long.contains("is no name") && long.len() < 1000, "{} bytes", long.len());
+    let lines: String = (0..25_000).map(|n| format!("pool p{n} {{\n  zone z{}\n}}\n\n", n % 7)).collect();
+    assert_eq!(lines.lines().count(), 100_000);
+    assert_eq!(told(lines.into_bytes()), "");
+    let bombs: String = (0..60).map(|n| format!("let c{} = $c{n}, $c{n}\n", n + 1)).collect();
+    assert!(told(format!("let c0 = 1\n{bombs}route r {{\n data-set $c60\n refuse \"x\"\n}}\n").into_bytes())
+        .contains("the constant"));
+    assert!(told(vec![b'a'; 17 << 20]).contains("16777216 at most"));
+    let many: String = (0..5000).map(|n| format!("nonsense {n}\n")).collect();
+    assert!(told(many.into_bytes()).contains("and 4900 more"));
+    // A chain of pools as long as the file.
+    let chain: String = (0..10_000).map(|n| format!("pool p{n} {{\n  union p{}\n}}\n", n + 1)).collect();
+    assert_eq!(told(format!("{chain}pool p10000 {{\n  all\n}}\n").into_bytes()), "");
+}
--- /dev/null
+++ b/crates/routing/tests/model.rs
@@ -0,0 +1,74 @@
+//! Compiled routing beside the plan's own plain evaluation, over random plans.
+
+#[path = "../../plan/tests/generate/mod.rs"]
+mod generate;
+
+use garnetwall_plan::model::EngineFacts;
+use garnetwall_routing::{Batch, Engines, Names, Routing, Verdict};
+use generate::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use std::sync::Arc;
+
+fn names() -> Names {
+    let list = |names: &[&str]| names.iter().map(|n| n.to_string()).chain(["other".to_string()]).collect();
+    Names { groups: list(&GROUPS), tenants: list(&TENANTS) }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn every_batch_goes_where_the_plain_plan_sends_it(
+        blocks in blocks(),
+        listed in vec(any::<prop::sample::Index>(), 1..40),
+        gone in vec(any::<prop::sample::Index>(), 0..10),
+    ) {
+        let plan = Arc::new(plan_of(&blocks).plan);
+        let routing = Routing::new(plan.clone(), names());
+        // Engines come under indices in any order; some go.
+        let all = engines();
+        let mut here: Vec<Option<EngineFacts>> = Vec::new();
+        let mut kept = Engines::new(&routing);
+        for pick in listed {
+            let facts = all[pick.index(all.len())];
+            kept.listed(&routing, here.len(), Some(&facts));
+            here.push(Some(facts));
+        }
+        for pick in gone {
+            let engine = pick.index(here.len());
+            kept.listed(&routing, engine, None);
+            here[engine] = None;
+        }
+        let at = |names: &[String], name: &str| names.iter().position(|n| n == name).expect("a name");
+        for facts in batches().iter().step_by(7) {
+            let b = Batch {
+                group: at(&routing.names().groups, facts.group),
+                tenant: at(&routing.names().tenants, facts.tenant),
+                client: facts.client,
+                key: facts.key,
+                data_set: facts.data_set,
+                minute: facts.minute,
+                bytes: 1,
+            };
+            let plain = plan.routes.iter().position(|r| r.unmet(facts, &plan.addresses).is_none());
+            prop_assert_eq!(routing.route(&b), plain, "{:?}", facts);
+            match routing.decide(&b) {
+                Verdict::Refused { route } => prop_assert!(plan.routes[route].refuse.is_some()),
+                Verdict::TooLong { .. } => prop_assert!(false, "no plan limits statements here"),
+                Verdict::Goes { route, group, lane } => {
+                    prop_assert_eq!(route, plain);
+                    let treated = plain.and_then(|r| plan.routes[r].as_group.clone());
+                    prop_assert_eq!(&routing.names().groups[group], &treated.unwrap_or(facts.group.to_string()));
+                    let tiers = kept.tiers(&routing, lane);
+                    for (n, engine) in here.iter().enumerate() {
+                        let wanted = engine.as_ref().map(|e| plan.tiers(facts, e));
+                        for (t, tier) in tiers.iter().enumerate() {
+                            prop_assert_eq!(tier.holds(n), wanted.as_ref().is_some_and(|w| w[t]));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
