--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -168,7 +168,7 @@
         i.next_id += 1;
         i.ids.insert(wire, id);
         i.in_hand.insert(id, InHand { wire, out: 0, closed: false });
-        i.control.take(clock, Batch { id, group, tenant, key, left, cost, memory, data_set });
+        i.control.take(clock, Batch { id, group, tenant, key, left, cost, memory, data_set, lane: None });
         Ok(())
     }
 
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -1,7 +1,8 @@
 //! The command line.
 
-use crate::config;
+use crate::config::{self, Files};
 use crate::gateway::Gateway;
+use crate::plan_cli;
 use pico_args::Arguments;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
@@ -11,7 +12,7 @@
 const HELP: &str = "\
 garnetwall: admission control for batches on a pool of engines
 
-Usage: garnetwall COMMAND [--config FILE]
+Usage: garnetwall COMMAND [--config FILE] [--plan FILE]
 
 Commands:
   serve         run a gateway until SIGTERM or SIGINT; SIGHUP reads the configuration again
@@ -19,8 +20,11 @@
   version       print the version
   help          print this text
 
+Commands on plans (docs/plan.md):
+{PLAN}
 Options:
   --config FILE  the configuration; otherwise the file that PROXY_CONFIG names
+  --plan FILE    the plan; otherwise the file that GARNETWALL_PLAN names; without either there is none
 
 Environment: PROXY_NAME and PROXY_LISTEN go before the file's name and listen;
 GARNETWALL_LOG sets the level of the log on standard error (info).
@@ -28,7 +32,11 @@
 
 /// Runs the command that the arguments name.
 pub fn main() -> ExitCode {
-    match command(Arguments::from_env()) {
+    let mut arguments = Arguments::from_env();
+    if plan_cli::is_meant(&mut arguments) {
+        return plan_cli::run(arguments);
+    }
+    match command(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("garnetwall: {what}");
@@ -39,18 +47,19 @@
 
 fn command(mut arguments: Arguments) -> Result<(), String> {
     if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
+        print!("{}", help());
         return Ok(());
     }
     let name = arguments.subcommand().map_err(|e| e.to_string())?;
-    let file: Option<String> = arguments.opt_value_from_str("--config").map_err(|e| e.to_string())?;
+    let mut named = |option| arguments.opt_value_from_str(option).map_err(|e| e.to_string());
+    let files = Files { config: named("--config")?, plan: named("--plan")? };
     if let Some(left) = arguments.finish().first() {
         return Err(format!("unknown argument {left:?}; see garnetwall help"));
     }
     match name.as_deref() {
-        Some("serve") => serve(file),
+        Some("serve") => serve(files),
         Some("check-config") => {
-            let config = read(file)?;
+            let config = read(files)?;
             println!(
                 "configuration of {} is good: {} listens on {}",
                 config.name, config.name, config.listen
@@ -62,7 +71,7 @@
             Ok(())
         }
         Some("help") => {
-            print!("{HELP}");
+            print!("{}", help());
             Ok(())
         }
         Some(other) => Err(format!("unknown command '{other}'; see garnetwall help")),
@@ -70,14 +79,18 @@
     }
 }
 
-fn read(file: Option<String>) -> Result<config::Config, String> {
-    config::read(file, |name| std::env::var(name).ok()).map_err(|e| e.to_string())
+fn help() -> String {
+    HELP.replace("{PLAN}", plan_cli::HELP)
+}
+
+fn read(files: Files) -> Result<config::Config, String> {
+    config::read(files, |name| std::env::var(name).ok()).map_err(|e| e.to_string())
 }
 
-fn serve(file: Option<String>) -> Result<(), String> {
+fn serve(files: Files) -> Result<(), String> {
     let filter = EnvFilter::try_from_env("GARNETWALL_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    let config = read(file.clone())?;
+    let config = read(files.clone())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     runtime.block_on(async {
@@ -88,7 +101,7 @@
         let (reload, reloads) = unbounded_channel();
         tokio::spawn(async move {
             while hangup.recv().await.is_some() {
-                match read(file.clone()) {
+                match read(files.clone()) {
                     Ok(config) => drop(reload.send(config)),
                     Err(what) => tracing::error!(what, "configuration not reloaded, the old one stays"),
                 }
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -33,3 +33,8 @@
     const DAY: f64 = 86_400.0;
     Duration::try_from_secs_f64(seconds.clamp(0.0, DAY)).unwrap_or_default()
 }
+
+/// Minute of the day, UTC, of a time on the clock.
+pub fn minute_of_day(now: f64) -> u32 {
+    ((now / 60.0).max(0.0) as u64 % (24 * 60)) as u32
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,14 +1,19 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
 
 use crate::changes::{self, Event};
+use crate::{plan_cli, planning};
+use garnetwall_plan::Plan;
 use garnetwall_settings::{decode, Decoded, Flat};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Names the file that holds the configuration.
 pub const FILE_VARIABLE: &str = "PROXY_CONFIG";
+/// Names the file of the plan; without it there is none.
+pub const PLAN_VARIABLE: &str = "GARNETWALL_PLAN";
 const NAME_VARIABLE: &str = "PROXY_NAME";
 const LISTEN_VARIABLE: &str = "PROXY_LISTEN";
 
@@ -32,6 +37,8 @@
     pub last_known: u64,
     pub known: Vec<Event>,
     pub decoded: Decoded,
+    /// The plan, checked against the settings.
+    pub plan: Option<Arc<Plan>>,
     /// The file as it was read, to tell what a later one changes.
     pub told: Value,
 }
@@ -69,8 +76,36 @@
     Err(ConfigError(format!("configuration {key}: {expected}")))
 }
 
-/// Reads the file that is named on the command line or in the environment.
-pub fn read(file: Option<String>, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
+/// The files that a gateway is configured by, as the command line names them.
+#[derive(Clone, Debug, Default)]
+pub struct Files {
+    pub config: Option<String>,
+    pub plan: Option<String>,
+}
+
+/// Reads the files that are named on the command line or in the environment.
+pub fn read(files: Files, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
+    let plan = files.plan.or_else(|| variable(PLAN_VARIABLE));
+    let mut config = read_config(files.config, variable)?;
+    if let Some(file) = plan {
+        let settings = planning::settings(&config.decoded);
+        let compiled = garnetwall_plan::compile(&plan_cli::Disk, &file, Some(&settings));
+        let compiled = compiled.map_err(|faulty| ConfigError(format!("plan {file} is faulty\n{faulty}")))?;
+        config.plan = Some(Arc::new(compiled.plan));
+    }
+    Ok(config)
+}
+
+/// The settings of a gateway's configuration, or settings that stand alone in their file.
+pub fn settings(file: &str) -> Checked<Decoded> {
+    let text = std::fs::read(file).map_err(|e| ConfigError(format!("{file}: {e}")))?;
+    let json: Value =
+        serde_json::from_slice(&text).map_err(|e| ConfigError(format!("{file}: not JSON: {e}")))?;
+    let named = |what: String| ConfigError(format!("{file}: {what}"));
+    decode(&Flat::from_json(json.get("settings").unwrap_or(&json)).map_err(named)?).map_err(named)
+}
+
+fn read_config(file: Option<String>, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
     let Some(file) = file.or_else(|| variable(FILE_VARIABLE)) else {
         return Err(ConfigError(format!("{FILE_VARIABLE}: not set, the path of the configuration expected")));
     };
@@ -112,6 +147,7 @@
         last_known,
         known,
         decoded,
+        plan: None,
         told,
     })
 }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -1,12 +1,17 @@
 //! The desk: the decision module behind one lock, its one timer, and the batches in hand. It hands facts in
 //! and orders out, and decides nothing.
 
-use crate::clock::Clock;
-use crate::engines::Call;
+use crate::clock::{minute_of_day, Clock};
+use crate::engines::{Call, Told};
+use crate::planning::{LaneTold, Passage, Planner, Turned};
 use bytes::Bytes;
-use garnetwall::api::{Answer, Batch, BatchId, End, EngineId, Listed, Next, Outcome, Place, Report, Wait};
+use garnetwall::api::{
+    Answer, Batch, BatchId, End, EngineId, Next, Outcome, Place, Report, ServiceGroup, Wait,
+};
 use garnetwall::control::Control;
+use garnetwall_plan::Plan;
 use std::collections::{HashMap, VecDeque};
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -69,6 +74,10 @@
     /// When the client gives up.
     pub limit: f64,
     pub data_set: u32,
+    /// Where its client is.
+    pub client: IpAddr,
+    /// Of its statement.
+    pub bytes: u64,
 }
 
 /// What became of a call that brought a batch.
@@ -84,6 +93,8 @@
     Other,
     /// The batch of this id is over already.
     Over,
+    /// The plan does not let it in.
+    Turned(Turned),
 }
 
 pub struct Desk {
@@ -99,6 +110,7 @@
 
 struct Seats {
     control: Control,
+    planner: Option<Planner>,
     next: BatchId,
     jobs: HashMap<u64, Job>,
     in_hand: HashMap<BatchId, InHand>,
@@ -121,6 +133,8 @@
     answer: watch::Sender<Option<Final>>,
     waiters: usize,
     limit: f64,
+    /// What the plan let it in with.
+    passage: Option<Passage>,
 }
 
 impl InHand {
@@ -136,10 +150,16 @@
 
 impl Desk {
     /// A desk, and the engines that the module wants to have probed.
-    pub fn new(control: Control, clock: Clock, remembered: f64) -> (Self, UnboundedReceiver<EngineId>) {
+    pub fn new(
+        control: Control,
+        planner: Option<Planner>,
+        clock: Clock,
+        remembered: f64,
+    ) -> (Self, UnboundedReceiver<EngineId>) {
         let (probes, wanted) = unbounded_channel();
         let seats = Seats {
             control,
+            planner,
             next: 0,
             jobs: HashMap::new(),
             in_hand: HashMap::new(),
@@ -195,8 +215,24 @@
         }
     }
 
-    pub fn listed(&self, lines: &[Listed], whole: bool) {
-        self.fact(|seats, _| seats.control.listed(lines, whole));
+    pub fn listed(&self, lines: &[Told], whole: bool) {
+        let told: Vec<_> = lines.iter().map(|line| line.listed).collect();
+        self.fact(|seats, _| {
+            seats.control.listed(&told, whole);
+            let lanes = seats.planner.as_mut().map(|planner| planner.listed(lines, whole));
+            seats.tell(lanes.unwrap_or_default());
+        });
+    }
+
+    /// Takes up another plan, with the groups as it has them; whether there is one to take the place of.
+    pub fn replan(&self, plan: Arc<Plan>, groups: &[ServiceGroup]) -> bool {
+        self.fact(|seats, _| {
+            let Some(planner) = seats.planner.as_mut() else { return false };
+            let lanes = planner.replan(plan);
+            seats.tell(lanes);
+            seats.control.regroup(groups);
+            true
+        })
     }
 
     pub fn probed(&self, engine: EngineId, end: End, report: Option<Report>) {
@@ -217,7 +253,16 @@
                 Some(&Job::InHand(id)) => return self.join(seats, id, &a, &call),
                 None => {}
             }
+            let passage = match seats.planner.as_mut().map(|planner| planner.admit(now, &routed(now, &a))) {
+                Some(Err(turned)) => return Taken::Turned(turned),
+                Some(Ok(passage)) => Some(passage),
+                None => None,
+            };
             let Arrival { group, tenant, key, data_set, .. } = a;
+            let group = passage.as_ref().map_or(group, |p| p.group);
+            let lane = passage.as_ref().and_then(|p| p.lane);
+            let shorter = passage.as_ref().and_then(|p| p.limit).map(|limit| now + limit.as_secs_f64());
+            let limit = shorter.map_or(a.limit, |at| a.limit.min(at));
             let id = seats.next;
             seats.next = id.wrapping_add(1);
             let (sender, orders) = unbounded_channel();
@@ -225,11 +270,11 @@
             seats.jobs.insert(a.job, Job::InHand(id));
             seats.in_hand.insert(
                 id,
-                InHand { job: a.job, tenant, key, call, orders: sender, answer, waiters: 1, limit: a.limit },
+                InHand { job: a.job, tenant, key, call, orders: sender, answer, waiters: 1, limit, passage },
             );
             self.in_hand.send_replace(seats.in_hand.len());
-            let left = self.ends.borrow().map_or(a.limit, |at| a.limit.min(at)) - now;
-            let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set };
+            let left = self.ends.borrow().map_or(limit, |at| limit.min(at)) - now;
+            let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set, lane };
             seats.control.take(now, b);
             Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver } }
         })
@@ -273,7 +318,11 @@
         let mut seats = self.seats();
         if let Some(b) = seats.in_hand.remove(&id) {
             seats.jobs.insert(b.job, Job::Over);
-            seats.over.push_back((self.clock.now() + self.remembered, b.job));
+            let now = self.clock.now();
+            seats.over.push_back((now + self.remembered, b.job));
+            if let Some((planner, passage)) = seats.planner.as_mut().zip(b.passage) {
+                planner.over(now, passage);
+            }
         }
         self.in_hand.send_replace(seats.in_hand.len());
     }
@@ -323,7 +372,27 @@
     }
 }
 
+/// A batch as routing sees it.
+fn routed(now: f64, a: &Arrival) -> garnetwall_routing::Batch {
+    garnetwall_routing::Batch {
+        group: a.group,
+        tenant: a.tenant,
+        client: a.client,
+        key: a.key.is_some(),
+        data_set: a.data_set,
+        minute: minute_of_day(now),
+        bytes: a.bytes,
+    }
+}
+
 impl Seats {
+    /// Tells the module of ways that batches may go.
+    fn tell(&mut self, lanes: Vec<LaneTold>) {
+        for (lane, tiers) in lanes {
+            self.control.lane(lane, tiers);
+        }
+    }
+
     fn order(&self, id: BatchId, order: Order) {
         if let Some(b) = self.in_hand.get(&id) {
             b.order(order);
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -43,6 +43,14 @@
 /// More than any head of an answer; hyper asks for 8 KB at least.
 const LONGEST_HEAD: usize = 16 << 10;
 
+/// A line of the list under the module's index, with what only a plan asks for.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub listed: Listed,
+    pub id: String,
+    pub address: SocketAddr,
+}
+
 /// What goes on to an engine unchanged.
 #[derive(Debug, PartialEq)]
 pub struct Call {
@@ -245,7 +253,7 @@
     }
 
     /// Takes in a change of the list and gives it under the module's indices.
-    pub fn listed(&self, event: &Event) -> Vec<Listed> {
+    pub fn listed(&self, event: &Event) -> Vec<Told> {
         let mut list = self.list();
         let now = Instant::now();
         if event.whole {
@@ -354,7 +362,7 @@
 }
 
 /// How asking for a dispatch ends.
-enum Told {
+enum Heard {
     /// A good end: the answer that tells so, and its number of pages.
     Good(Reply, usize),
     Over(Ended),
@@ -374,21 +382,21 @@
     ) -> Ended {
         let told = self.end(call, time_out, &mut wishes).await;
         let end = match told {
-            Told::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
-            Told::Good(first, pages) => return self.fetch(call, first, pages).await,
+            Heard::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
+            Heard::Good(first, pages) => return self.fetch(call, first, pages).await,
             // Who told so may be another process.
-            Told::Over(ended) if ended.end == End::Errored && self.may_run() => {
+            Heard::Over(ended) if ended.end == End::Errored && self.may_run() => {
                 doubt.send_replace(Some(End::Errored));
                 self.give_up(call).await;
                 return ended;
             }
-            Told::Over(ended) => return ended,
-            Told::InDoubt => {
+            Heard::Over(ended) => return ended,
+            Heard::InDoubt => {
                 doubt.send_replace(Some(End::Broken));
                 self.give_up(call).await;
                 End::Broken
             }
-            Told::Unwanted => match self.give_up(call).await {
+            Heard::Unwanted => match self.give_up(call).await {
                 ledger::Proof::NeverCame => End::Unconnected,
                 _ => End::Withdrawn,
             },
@@ -432,31 +440,31 @@
 
     /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
     /// not answered may have come whole all the same, and a good end is given again: asking tells.
-    async fn end(&mut self, call: &Call, time_out: f64, wishes: &mut watch::Receiver<Wish>) -> Told {
+    async fn end(&mut self, call: &Call, time_out: f64, wishes: &mut watch::Receiver<Wish>) -> Heard {
         let mut asking = self.asked_on();
         let mut next = self.starting(call, time_out);
         let mut started = false;
         loop {
-            let Some(answer) = self.wanted(next, wishes).await else { return Told::Unwanted };
+            let Some(answer) = self.wanted(next, wishes).await else { return Heard::Unwanted };
             let first = !std::mem::replace(&mut started, true);
             if first && matches!(answer, Err(Fault::Refused | Fault::Unconnected)) {
                 self.tell(Fact::NeverCame);
-                return Told::Over(Ended::of(End::Unconnected));
+                return Heard::Over(Ended::of(End::Unconnected));
             }
             let told = match answer {
                 Ok(reply) => match news(&reply) {
                     News::Good(pages) => {
                         self.tell(Fact::Ended);
-                        return Told::Good(reply, pages);
+                        return Heard::Good(reply, pages);
                     }
-                    News::Over(End::Errored) if asking.may_be_on_its_way() => return Told::InDoubt,
+                    News::Over(End::Errored) if asking.may_be_on_its_way() => return Heard::InDoubt,
                     News::Over(End::Errored) if !first => {
                         self.tell(Fact::Failed(self.connection, self.engines.standing(self.target)));
-                        return Told::Over(Ended { report: reply.report(), ..Ended::of(End::Errored) });
+                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(End::Errored) });
                     }
                     News::Over(end) => {
                         self.tell(Fact::Ended);
-                        return Told::Over(Ended { report: reply.report(), ..Ended::of(end) });
+                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
                     }
                     News::NotYet => {
                         self.tell(Fact::Runs(self.connection));
@@ -468,10 +476,10 @@
             };
             if *wishes.borrow() != Wish::Answer {
                 self.drop_after(told);
-                return Told::Unwanted;
+                return Heard::Unwanted;
             }
             if !self.ask_on(&mut asking, told).await {
-                return Told::InDoubt;
+                return Heard::InDoubt;
             }
             next = self.asking(call, 0);
         }
@@ -673,7 +681,7 @@
 
 impl List {
     /// Takes in a line; one of an engine that was never known and has gone says nothing.
-    fn take(&mut self, line: &EngineLine, now: Instant) -> Option<Listed> {
+    fn take(&mut self, line: &EngineLine, now: Instant) -> Option<Told> {
         let engine = match self.ids.get(&line.id) {
             Some(engine) => *engine,
             None if line.condition == Condition::Gone => return None,
@@ -682,14 +690,15 @@
         let known = self.known.get_mut(engine)?;
         let gone = (line.condition == Condition::Gone).then(|| known.gone.unwrap_or(now));
         (known.line, known.gone) = (line.clone(), gone);
-        Some(Listed {
+        let listed = Listed {
             engine,
             zone: line.zone,
             kind: line.kind,
             cell: line.cell,
             came_up: line.came_up,
             condition: line.condition,
-        })
+        };
+        Some(Told { listed, id: line.id.clone(), address: line.address })
     }
 
     /// An index for a new engine: that of one long gone, or the next.
@@ -755,7 +764,7 @@
         let mut now = Instant::now();
         let mut take = |id: &str, condition, wait: u64| {
             now += Duration::from_secs(wait);
-            let engine = list.take(&line(id, condition), now).map(|l| l.engine);
+            let engine = list.take(&line(id, condition), now).map(|l| l.listed.engine);
             (engine, list.known.len(), list.ids.len())
         };
         assert_eq!(take("a", Condition::Ready, 0), (Some(0), 1, 1));
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
 use crate::gateway::Phase;
 use crate::guests::{Guest, Guests};
 use crate::life::Life;
+use crate::planning::Turned;
 use crate::sockets::{LastRead, Line};
 use crate::spacing::Spacing;
 use crate::statement;
@@ -23,6 +24,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use std::future::poll_fn;
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -66,6 +68,10 @@
     pub statements: Arc<Semaphore>,
 }
 
+/// Where a call came from.
+#[derive(Clone, Copy, Debug)]
+struct Client(IpAddr);
+
 impl Front {
     fn sent(&self, key: Option<u64>, came: f64) -> f64 {
         let in_hand = self.desk.in_hand();
@@ -92,9 +98,10 @@
 ) {
     for number in 0.. {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let guest = guests.seat(number).await;
-                tokio::spawn(serve(Line::new(stream, None), router.clone(), guest, shut.clone()));
+                let client = Client(peer.ip().to_canonical());
+                tokio::spawn(serve(Line::new(stream, None), client, router.clone(), guest, shut.clone()));
             }
             Err(fault) => {
                 tracing::warn!(%fault, "a connection could not be accepted");
@@ -105,11 +112,12 @@
 }
 
 /// Serves a connection until it ends, says nothing for too long, or is to give way.
-async fn serve(line: Line, router: Router, guest: Guest, mut shut: watch::Receiver<bool>) {
+async fn serve(line: Line, client: Client, router: Router, guest: Guest, mut shut: watch::Receiver<bool>) {
     let (read, guest) = (line.last_read(), Arc::new(guest));
     let asks = guest.clone();
     let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(read.clone());
+        request.extensions_mut().insert(client);
         let (asks, answer) = (asks.clone(), router.clone().call(request));
         asks.asks();
         Box::pin(async move {
@@ -192,6 +200,7 @@
     State(front): State<Arc<Front>>,
     Path(group): Path<String>,
     Extension(read): Extension<LastRead>,
+    Extension(Client(client)): Extension<Client>,
     head: HeaderMap,
     body: Body,
 ) -> Response {
@@ -213,7 +222,7 @@
         Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
     };
     let came = front.desk.clock().at(read.at());
-    let (mut arrival, call) = match arrival(&front.decoded, &group, &head, body) {
+    let (mut arrival, call) = match arrival(&front.decoded, &group, &head, client, body) {
         Ok(taken) => taken,
         Err(what) => return wrong(StatusCode::BAD_REQUEST, &what),
     };
@@ -228,6 +237,7 @@
         Taken::Joined(waiter) => waiter,
         Taken::Other => return wrong(StatusCode::CONFLICT, "this id is that of another batch"),
         Taken::Over => return wrong(StatusCode::CONFLICT, "this id has had its answer"),
+        Taken::Turned(turned) => return turned_away(&front, turned),
     };
     answer(waiter).await
 }
@@ -236,18 +246,37 @@
     let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
     match waiter.answer().await {
         Final::Returned(body) => (StatusCode::OK, [json], body).into_response(),
-        Final::PushedBack { come_back } => {
-            let body = json!({"error": "Busy"}).to_string();
-            let mut response = (StatusCode::SERVICE_UNAVAILABLE, [json], body).into_response();
-            if let Some(seconds) = come_back {
-                response.headers_mut().insert(COME_BACK, HeaderValue::from((seconds * 1000.0) as u64));
-            }
-            response
-        }
+        Final::PushedBack { come_back } => pushed_back(&json!({"error": "Busy"}), come_back),
         Final::Errored => wrong(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
     }
 }
 
+/// Trying again is harmless, after so many seconds.
+fn pushed_back(body: &serde_json::Value, come_back: Option<f64>) -> Response {
+    let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let mut response = (StatusCode::SERVICE_UNAVAILABLE, [json], body.to_string()).into_response();
+    if let Some(seconds) = come_back {
+        response.headers_mut().insert(COME_BACK, HeaderValue::from((seconds * 1000.0) as u64));
+    }
+    response
+}
+
+/// What the plan does not let in is answered at once.
+fn turned_away(front: &Front, turned: Turned) -> Response {
+    match turned {
+        Turned::TooLong { most } => {
+            last(wrong(StatusCode::PAYLOAD_TOO_LARGE, &format!("the plan allows statements of {most} bytes")))
+        }
+        Turned::Away { reason, come_back } => {
+            tracing::debug!(reason, ?come_back, "turned away");
+            let settings = &front.decoded.settings;
+            let body = json!({"error": "Busy", "reason": reason});
+            let seconds = come_back.map(|span| span.as_secs_f64().min(settings.longest_return));
+            pushed_back(&body, seconds.filter(|_| settings.names_return))
+        }
+    }
+}
+
 async fn withdraw(State(front): State<Arc<Front>>, head: HeaderMap) -> Response {
     match field(&head, ID).and_then(|id| hex(ID, id)) {
         Ok(job) if front.desk.withdraw(job) => StatusCode::NO_CONTENT.into_response(),
@@ -273,6 +302,7 @@
     decoded: &Decoded,
     group: &str,
     head: &HeaderMap,
+    client: IpAddr,
     statement: bytes::Bytes,
 ) -> Result<(Arrival, Call), String> {
     let names = &decoded.names;
@@ -303,8 +333,9 @@
     let limit = allowed / 1000.0;
     let data_set = statement::data_set(&statement).unwrap_or(0);
     let group_name = HeaderValue::from_str(group).map_err(|_| unknown())?;
+    let bytes = statement.len() as u64;
     let call = Call { id: id.clone(), group: group_name, statement };
-    Ok((Arrival { job, group: index, tenant, key, limit, data_set }, call))
+    Ok((Arrival { job, group: index, tenant, key, limit, data_set, client, bytes }, call))
 }
 
 /// The one value of a field.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::engines::Engines;
 use crate::front::{self, Front};
 use crate::guests::Guests;
+use crate::planning::{self, Planner};
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
 use garnetwall::api::{EngineId, Settings};
@@ -60,9 +61,15 @@
         let settings = &config.decoded.settings;
         let longest = settings.groups.iter().map(|g| g.limit).fold(0.0, f64::max);
         let room = Some(settings.room.unwrap_or(f64::INFINITY).min(budget.room as f64));
-        let settings = Settings { room, ..settings.clone() };
+        let plan = config.plan.clone();
+        let groups = match &plan {
+            Some(plan) => planning::narrowed(&settings.groups, &config.decoded.names.groups, plan),
+            None => settings.groups.clone(),
+        };
+        let planner = plan.map(|plan| Planner::new(&config.decoded, plan, budget.room as f64));
+        let settings = Settings { room, groups, ..settings.clone() };
         let control = Control::new(settings, config.seed, clock.now());
-        let (desk, probes) = Desk::new(control, clock, longest);
+        let (desk, probes) = Desk::new(control, planner, clock, longest);
         let engines = Arc::new(Engines::new(config.decoded.network, &budget, longest));
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
@@ -152,7 +159,7 @@
             lost: false,
         };
         tokio::spawn(follower.follow(span(self.config.decoded.network.dial)));
-        tokio::spawn(reload(self.config.clone(), reloads, log));
+        tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
         if let Some(wanted) = self.probes.take() {
@@ -161,12 +168,26 @@
     }
 }
 
-/// Takes configurations read again for as long as the gateway runs: the change log's address takes effect.
-async fn reload(started: Config, mut reloads: UnboundedReceiver<Config>, log: watch::Sender<SocketAddr>) {
+/// Takes configurations read again for as long as the gateway runs: the change log's address and the plan take effect.
+async fn reload(
+    started: Config,
+    desk: Arc<Desk>,
+    mut reloads: UnboundedReceiver<Config>,
+    log: watch::Sender<SocketAddr>,
+) {
     while let Some(config) = reloads.recv().await {
         for key in started.start_only(&config) {
             tracing::warn!(key, "changed, but takes effect at the next start only");
         }
+        if let Some(plan) = &config.plan {
+            let names = &started.decoded.names.groups;
+            let groups = planning::narrowed(&started.decoded.settings.groups, names, plan);
+            let routes = plan.routes.len();
+            match desk.replan(plan.clone(), &groups) {
+                true => tracing::info!(routes, limits = plan.limits.len(), "plan taken up"),
+                false => tracing::warn!(key = "plan", "changed, but takes effect at the next start only"),
+            }
+        }
         tracing::info!(changelog = %config.changelog, "configuration reloaded");
         log.send_replace(config.changelog);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod gateway;
 pub mod guests;
 pub mod life;
+pub mod plan_cli;
+pub mod planning;
 pub mod rows;
 pub mod sockets;
 pub mod spacing;
--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -14,7 +14,8 @@
 
 /// A file of its own for each test.
 fn written(name: &str, text: &str) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{}-{name}", std::process::id(), new_id()));
+    let path =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{}-{name}", std::process::id(), new_id()));
     std::fs::write(&path, text).unwrap();
     path
 }
@@ -129,7 +130,11 @@
     let plan = p.plan.to_str().unwrap();
     let explain = |more: &[&str]| said(&run(&[&["plan", "explain", plan, "--at", "12:00"], more].concat()));
     let report = explain(&["--group", "report"]);
-    assert!(report.contains("route `reports`") && report.contains("1. pool `two`") && report.contains("pools two"));
+    assert!(
+        report.contains("route `reports`")
+            && report.contains("1. pool `two`")
+            && report.contains("pools two")
+    );
     let load = explain(&["--group", "load"]);
     assert!(load.contains("1. pool `one`") && load.contains("2. pool `two`"), "{load}");
     assert!(load.contains("passed over: route `night-watch`") && load.contains("by its `key`"), "{load}");
@@ -221,7 +226,8 @@
     let (engine, log) = (Engine::start(), ChangeLog::start());
     let plan = written("b.plan", "pool one {\n  id s-1\n  knid std\n}\n");
     let config = file(&config(engine.address, log.address));
-    let output = program(&["serve", "--plan", plan.to_str().unwrap()]).env("PROXY_CONFIG", config).output().unwrap();
+    let output =
+        program(&["serve", "--plan", plan.to_str().unwrap()]).env("PROXY_CONFIG", config).output().unwrap();
     assert_eq!(output.status.code(), Some(1));
     let said = said(&output);
     assert!(said.contains("a pool has no entry `knid`") && said.contains("did you mean `kind`?"), "{said}");
@@ -250,7 +256,9 @@
     assert_eq!(code(&["plan", "fmt", &word(&careless)]), 0);
     assert_eq!(code(&["plan", "fmt", "--check", &word(&careless)]), 0);
     assert_eq!(std::fs::read_to_string(&careless).unwrap(), "pool a {\n  all\n}\n");
-    assert_eq!(code(&["plan", "fmt", &word(&faulty)]), 1);
+    let unread = written("unread.plan", "pool a {\n  all\n");
+    assert_eq!(code(&["plan", "fmt", &word(&unread)]), 1, "what can't be read is not touched");
+    assert_eq!(std::fs::read_to_string(&unread).unwrap(), "pool a {\n  all\n");
     let show = run(&["plan", "show", &word(&good)]);
     let json: Value = serde_json::from_slice(&show.stdout).unwrap();
     assert_eq!(json["pools"][0]["name"], json!("a"));
--- a/crates/plan/src/address.rs
+++ b/crates/plan/src/address.rs
@@ -169,7 +169,8 @@
         let v6 = (0u16..4, 0u16..4, 0u8..=128).prop_map(|(a, b, len)| {
             IpNet::new(IpAddr::from([0x2001, 0xdb8, a, 0, 0, 0, 0, b]), len).expect("a prefix").trunc()
         });
-        let ends = prop_oneof![Just("0.0.0.0/0"), Just("::/0"), Just("255.255.255.255/32"), Just("::ffff:0:0/96")];
+        let ends =
+            prop_oneof![Just("0.0.0.0/0"), Just("::/0"), Just("255.255.255.255/32"), Just("::ffff:0:0/96")];
         prop_oneof![4 => v4, 4 => v6, 1 => ends.prop_map(|n| n.parse().expect("a network"))]
     }
 
--- a/crates/plan/src/build.rs
+++ b/crates/plan/src/build.rs
@@ -51,7 +51,10 @@
 
 /// Builds a plan of checked blocks. Where there are faults the plan is not to be used.
 pub fn build(blocks: &[Checked], settings: Option<&Settings>, faults: &mut Vec<Fault>) -> Plan {
-    let mut builder = Builder { blocks, settings, faults, plan: Plan::default() };
+    let places =
+        |kind: &str| of(blocks, kind).into_iter().enumerate().map(|(n, b)| (b.name.as_str(), n)).collect();
+    let places = HashMap::from([("pool", places("pool")), ("addresses", places("addresses"))]);
+    let mut builder = Builder { blocks, places, settings, faults, plan: Plan::default() };
     builder.outer_names();
     builder.addresses();
     builder.pools();
@@ -71,8 +74,15 @@
     plan
 }
 
+/// The blocks of a kind, in their order.
+fn of<'a>(blocks: &'a [Checked], kind: &str) -> Vec<&'a Checked> {
+    blocks.iter().filter(|b| b.kind.name == kind).collect()
+}
+
 struct Builder<'a> {
     blocks: &'a [Checked],
+    /// The indices of pools and of address sets, by name.
+    places: HashMap<&'static str, HashMap<&'a str, usize>>,
     settings: Option<&'a Settings>,
     faults: &'a mut Vec<Fault>,
     plan: Plan,
@@ -108,9 +118,19 @@
     Some(Bucket { rate, burst: number(values.get(1)).unwrap_or(rate.max(1.0)) })
 }
 
-impl Builder<'_> {
-    fn of(&self, kind: &str) -> Vec<&Checked> {
-        self.blocks.iter().filter(|b| b.kind.name == kind).collect()
+impl<'a> Builder<'a> {
+    fn of(&self, kind: &str) -> Vec<&'a Checked> {
+        of(self.blocks, kind)
+    }
+
+    /// A block that says too little, unless a faulty line may be the one that is missing.
+    fn says_too_little(&mut self, block: &Checked, fault: Fault) {
+        let inside = |f: &Fault| {
+            f.span.file == block.whole.file && (block.whole.start..block.whole.end).contains(&f.span.start)
+        };
+        if !self.faults.iter().any(inside) {
+            self.faults.push(fault);
+        }
     }
 
     /// Names of groups, tenants, kinds and zones, where the settings are at hand.
@@ -141,14 +161,14 @@
 
     /// The indices of blocks of a kind that an entry names.
     fn refs(&mut self, kind: &'static str, given: Option<&Given>) -> Vec<usize> {
-        let known: HashMap<&str, usize> =
-            self.of(kind).iter().enumerate().map(|(n, b)| (b.name.as_str(), n)).collect();
+        let known = &self.places[kind];
         let mut found = Vec::new();
         for value in given.map_or(&[][..], |g| &g.values) {
             let Value::Name(name) = &value.value else { continue };
             match known.get(name.as_str()) {
                 Some(n) if found.contains(n) => {
-                    self.faults.push(Fault::new(value.span.clone(), format!("`{name}` stands twice in this list")));
+                    self.faults
+                        .push(Fault::new(value.span.clone(), format!("`{name}` stands twice in this list")));
                 }
                 Some(n) => found.push(*n),
                 None => {
@@ -163,7 +183,8 @@
 
     /// An order in which each block comes after those that it refers to; those in a loop are a fault.
     fn ordered(&mut self, kind: &str, refers: &[Vec<usize>]) -> Vec<usize> {
-        let blocks: Vec<(String, Span)> = self.of(kind).iter().map(|b| (b.name.clone(), b.span.clone())).collect();
+        let blocks: Vec<(String, Span)> =
+            self.of(kind).iter().map(|b| (b.name.clone(), b.span.clone())).collect();
         let (mut done, mut order) = (vec![false; refers.len()], Vec::new());
         for first in 0..refers.len() {
             // The way from `first` down, with how far each one's references were followed.
@@ -178,7 +199,8 @@
                 };
                 *next += 1;
                 if let Some(begins) = way.iter().position(|(n, _)| *n == other) {
-                    let mut names: Vec<&str> = way[begins..].iter().map(|(n, _)| blocks[*n].0.as_str()).collect();
+                    let mut names: Vec<&str> =
+                        way[begins..].iter().map(|(n, _)| blocks[*n].0.as_str()).collect();
                     names.push(&blocks[other].0);
                     let text = format!("`{}` refers to itself: {}", blocks[other].0, names.join(" -> "));
                     self.faults.push(Fault::new(blocks[other].1.clone(), text));
@@ -191,7 +213,7 @@
     }
 
     fn addresses(&mut self) {
-        let blocks: Vec<Checked> = self.of("addresses").into_iter().cloned().collect();
+        let blocks = self.of("addresses");
         let of: Vec<Vec<usize>> = blocks.iter().map(|b| self.refs("addresses", b.get("of"))).collect();
         let order = self.ordered("addresses", &of);
         let flat = |values: &[Spanned]| -> Spans {
@@ -210,19 +232,20 @@
         for (block, spans) in blocks.into_iter().zip(all) {
             let given = block.get("net").is_some() || block.get("of").is_some();
             if !given {
-                let fault = Fault::new(block.span.clone(), format!("the address set `{}` says nothing", block.name));
-                self.faults.push(fault.help("net 10.1.0.0/16"));
+                let fault =
+                    Fault::new(block.span.clone(), format!("the address set `{}` says nothing", block.name));
+                self.says_too_little(block, fault.help("net 10.1.0.0/16"));
             } else if spans.is_empty() && !block.values("net").is_empty() {
                 let text = format!("the address set `{}` holds no address", block.name);
                 self.faults.push(Fault::new(block.span.clone(), text));
             }
-            self.plan.addresses.push(AddressSet { name: block.name, span: block.span, spans });
+            let (name, span) = (block.name.clone(), block.span.clone());
+            self.plan.addresses.push(AddressSet { name, span, spans });
         }
     }
 
     fn pools(&mut self) {
-        let blocks: Vec<Checked> = self.of("pool").into_iter().cloned().collect();
-        for block in &blocks {
+        for block in self.of("pool") {
             let addresses = self.refs("addresses", block.get("address"));
             let union = self.refs("pool", block.get("union"));
             let except = self.refs("pool", block.get("except"));
@@ -237,10 +260,15 @@
                 union,
                 except,
             };
-            let selects = ["all", "zone", "kind", "id", "address", "union"].iter().any(|e| block.get(e).is_some());
+            let selects =
+                ["all", "zone", "kind", "id", "address", "union"].iter().any(|e| block.get(e).is_some());
             if !selects {
-                let fault = Fault::new(block.span.clone(), format!("the pool `{}` holds no engine", block.name));
-                self.faults.push(fault.help("say which it holds: `all`, `zone`, `kind`, `id`, `address` or `union`"));
+                let fault =
+                    Fault::new(block.span.clone(), format!("the pool `{}` holds no engine", block.name));
+                self.says_too_little(
+                    block,
+                    fault.help("say which it holds: `all`, `zone`, `kind`, `id`, `address` or `union`"),
+                );
             }
             self.plan.pools.push(pool);
         }
@@ -250,7 +278,7 @@
     }
 
     fn groups(&mut self) {
-        for block in self.of("group").into_iter().cloned().collect::<Vec<_>>() {
+        for block in self.of("group") {
             let pools = self.refs("pool", block.get("pools"));
             let word = |entry: &str| named(block.values(entry)).into_iter().next();
             let effect = block.values("effect");
@@ -273,34 +301,38 @@
                 effect,
                 further: number(block.one("further")),
                 statement: number(block.one("statement")).map(|n| n as u64),
-                name: block.name,
-                span: block.span,
+                name: block.name.clone(),
+                span: block.span.clone(),
             });
         }
     }
 
     fn tenants(&mut self) {
-        for block in self.of("tenant").into_iter().cloned().collect::<Vec<_>>() {
+        for block in self.of("tenant") {
             self.plan.tenants.push(Tenant {
                 share: number(block.one("share")),
                 in_hand: number(block.one("in-hand")).map(|n| n as u64),
                 rate: bucket(block.get("rate")),
                 bytes: bucket(block.get("bytes")),
-                name: block.name,
-                span: block.span,
+                name: block.name.clone(),
+                span: block.span.clone(),
             });
         }
     }
 
     fn routes(&mut self) {
-        for block in self.of("route").into_iter().cloned().collect::<Vec<_>>() {
+        for block in self.of("route") {
             let clients = self.refs("addresses", block.get("client"));
             let to = self.refs("pool", block.get("to"));
             let word = |entry: &str| named(block.values(entry)).into_iter().next();
             let says = ["to", "as", "refuse"].iter().any(|e| block.get(e).is_some());
             if !says {
-                let fault = Fault::new(block.span.clone(), format!("the route `{}` says nothing", block.name));
-                self.faults.push(fault.help("say what becomes of its batches: `to`, `as` or `refuse`"));
+                let fault =
+                    Fault::new(block.span.clone(), format!("the route `{}` says nothing", block.name));
+                self.says_too_little(
+                    block,
+                    fault.help("say what becomes of its batches: `to`, `as` or `refuse`"),
+                );
             }
             if let Some(refuse) = block.get("refuse") {
                 if let Some(other) = block.get("to").or(block.get("as")) {
@@ -327,18 +359,19 @@
                 as_group: word("as"),
                 as_span: block.get("as").map(|g| g.span.clone()),
                 refuse: word("refuse"),
-                name: block.name,
-                span: block.span,
+                name: block.name.clone(),
+                span: block.span.clone(),
             });
         }
     }
 
     fn limits(&mut self) {
-        for block in self.of("limit").into_iter().cloned().collect::<Vec<_>>() {
+        for block in self.of("limit") {
             let clients = self.refs("addresses", block.get("client"));
             if !["in-hand", "rate", "bytes"].iter().any(|e| block.get(e).is_some()) {
-                let fault = Fault::new(block.span.clone(), format!("the limit `{}` limits nothing", block.name));
-                self.faults.push(fault.help("say how much: `in-hand`, `rate` or `bytes`"));
+                let fault =
+                    Fault::new(block.span.clone(), format!("the limit `{}` limits nothing", block.name));
+                self.says_too_little(block, fault.help("say how much: `in-hand`, `rate` or `bytes`"));
             }
             let mut per: Vec<Per> = named(block.values("per"))
                 .iter()
@@ -358,8 +391,8 @@
                 in_hand: number(block.one("in-hand")).map(|n| n as u64),
                 rate: bucket(block.get("rate")),
                 bytes: bucket(block.get("bytes")),
-                name: block.name,
-                span: block.span,
+                name: block.name.clone(),
+                span: block.span.clone(),
             });
         }
     }
@@ -408,7 +441,10 @@
             }
             let Some(told) = told else { continue };
             let mut wider = |what: &str| {
-                let text = format!("a plan narrows what the settings allow; this {what} of `{}` is wider", group.name);
+                let text = format!(
+                    "a plan narrows what the settings allow; this {what} of `{}` is wider",
+                    group.name
+                );
                 self.faults.push(Fault::new(group.span.clone(), text));
             };
             if group.limit.is_some_and(|limit| limit > told.limit) {
@@ -424,7 +460,8 @@
     }
 
     fn routes(&mut self) {
-        let groups: Vec<String> = self.settings.map_or(Vec::new(), |s| s.groups.iter().map(|g| g.name.clone()).collect());
+        let groups: Vec<String> =
+            self.settings.map_or(Vec::new(), |s| s.groups.iter().map(|g| g.name.clone()).collect());
         let tenants = self.settings.map_or(&[][..], |s| &s.tenants);
         let classes = Classes::of(&[self.plan], &groups, tenants);
         let regions: Vec<Region> = self.plan.routes.iter().map(|r| classes.region(r, 0)).collect();
@@ -441,11 +478,14 @@
             if reach[n].as_ref().is_none_or(|pieces| !pieces.is_empty()) {
                 continue;
             }
-            let alone = regions[..n].iter().position(|earlier| region::difference(&regions[n], earlier).is_empty());
+            let alone =
+                regions[..n].iter().position(|earlier| region::difference(&regions[n], earlier).is_empty());
             let text = format!("the route `{}` can never match", route.name);
             let fault = Fault::new(route.span.clone(), text);
             self.faults.push(match alone {
-                Some(earlier) => fault.other(self.plan.routes[earlier].span.clone(), "this one takes all that it asks for"),
+                Some(earlier) => {
+                    fault.other(self.plan.routes[earlier].span.clone(), "this one takes all that it asks for")
+                }
                 None => fault.label("earlier routes together take all that it asks for"),
             });
         }
@@ -473,7 +513,8 @@
                 } else {
                     continue;
                 };
-                let text = format!("batches of `{}` can't be treated as `{other}`: they would {what}", from.name);
+                let text =
+                    format!("batches of `{}` can't be treated as `{other}`: they would {what}", from.name);
                 self.faults.push(Fault::new(span.clone(), text));
             }
         }
@@ -515,11 +556,17 @@
     fn leaves(&mut self, route: &Route, to_span: &Span, group: &Group, to: usize) {
         let bound: Vec<&str> = group.pools.iter().map(|p| self.plan.pools[*p].name.as_str()).collect();
         let to = &self.plan.pools[to].name;
-        let text = format!("the route `{}` may send `{}` to `{to}`, out of `{}`", route.name, group.name, bound.join("`, `"));
+        let text = format!(
+            "the route `{}` may send `{}` to `{to}`, out of `{}`",
+            route.name,
+            group.name,
+            bound.join("`, `")
+        );
         let fault = Fault::new(to_span.clone(), text).label("this leaves the binding");
         let binding = group.pools_span.clone().unwrap_or(group.span.clone());
         let fault = fault.other(binding, format!("`{}` is bound here", group.name));
-        self.faults.push(fault.help(format!("take `{}` with an earlier route, or leave `{to}` out", group.name)));
+        self.faults
+            .push(fault.help(format!("take `{}` with an earlier route, or leave `{to}` out", group.name)));
     }
 
     /// The same for kinds and zones that the settings bind a group to.
@@ -549,10 +596,13 @@
                         (_, kind) => kind.unwrap_or("engines of other kinds").to_string(),
                     };
                     let pool = &self.plan.pools[*to].name;
-                    let text =
-                        format!("the route `{}` may send `{}` to {place}, by the pool `{pool}`", route.name, group.name);
+                    let text = format!(
+                        "the route `{}` may send `{}` to {place}, by the pool `{pool}`",
+                        route.name, group.name
+                    );
                     let list = |l: &Option<Vec<String>>| l.as_ref().map(|l| l.join(", "));
-                    let only = [list(&group.kinds), list(&group.zones)].into_iter().flatten().collect::<Vec<_>>();
+                    let only =
+                        [list(&group.kinds), list(&group.zones)].into_iter().flatten().collect::<Vec<_>>();
                     let fault = Fault::new(to_span.clone(), text).label("this leaves the binding");
                     let fault = fault.help(format!(
                         "the settings bind `{}` to {}; take it with an earlier route",
@@ -569,9 +619,6 @@
     fn limits(&mut self) {
         let limits = &self.plan.limits;
         for (n, limit) in limits.iter().enumerate() {
-            for bucket in [limit.rate, limit.bytes].into_iter().flatten() {
-                self.too_small(&limit.span, &limit.name, bucket);
-            }
             for other in &limits[..n] {
                 let same = limit.per == other.per && scope_of(limit) == scope_of(other);
                 let figures = |l: &Limit| [l.in_hand.is_some(), l.rate.is_some(), l.bytes.is_some()];
@@ -587,11 +634,9 @@
             }
         }
         for tenant in &self.plan.tenants {
-            for bucket in [tenant.rate, tenant.bytes].into_iter().flatten() {
-                self.too_small(&tenant.span, &tenant.name, bucket);
-            }
             let covers = |l: &&Limit| {
-                let whole = l.per.iter().all(|p| *p == Per::Tenant) && l.groups.is_empty() && l.clients.is_empty();
+                let whole =
+                    l.per.iter().all(|p| *p == Per::Tenant) && l.groups.is_empty() && l.clients.is_empty();
                 whole && (l.tenants.is_empty() || l.tenants == [tenant.name.clone()])
             };
             for limit in limits.iter().filter(covers) {
@@ -601,7 +646,9 @@
                             "`{}` may have {own} batches in hand, but the limit `{}` holds it to {most}",
                             tenant.name, limit.name
                         );
-                        self.faults.push(Fault::new(tenant.span.clone(), text).other(limit.span.clone(), "this one"));
+                        self.faults.push(
+                            Fault::new(tenant.span.clone(), text).other(limit.span.clone(), "this one"),
+                        );
                     }
                 }
             }
@@ -614,8 +661,11 @@
             wide.is_empty() || (!narrow.is_empty() && narrow.iter().all(|n| wide.contains(n)))
         };
         let clients = wide.clients.is_empty() || wide.clients == narrow.clients;
-        let inside = within(&narrow.groups, &wide.groups) && within(&narrow.tenants, &wide.tenants) && clients;
-        if let (true, true, Some(less), Some(more)) = (inside, wide.per.is_empty(), wide.in_hand, narrow.in_hand) {
+        let inside =
+            within(&narrow.groups, &wide.groups) && within(&narrow.tenants, &wide.tenants) && clients;
+        if let (true, true, Some(less), Some(more)) =
+            (inside, wide.per.is_empty(), wide.in_hand, narrow.in_hand)
+        {
             if more > less && (scope_of(wide) != scope_of(narrow) || wide.per != narrow.per) {
                 let text = format!(
                     "the limit `{}` of {more} in hand can never bind: `{}` holds all of them to {less}",
@@ -625,13 +675,6 @@
             }
         }
     }
-
-    fn too_small(&mut self, span: &Span, name: &str, bucket: Bucket) {
-        if bucket.burst < 1.0 {
-            let text = format!("a burst of `{name}` is under one batch, so that none could ever come");
-            self.faults.push(Fault::new(span.clone(), text));
-        }
-    }
 }
 
 impl Route {
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -114,7 +114,8 @@
         let mut longer = Vec::new();
         for way in &ways {
             let earlier = || (0..n).map(|m| (way.contains(m), patterns[m].as_str()));
-            let can = !earlier().any(|(fits, other)| (fits && apart(pattern, other)) || (!fits && within(pattern, other)));
+            let can = !earlier()
+                .any(|(fits, other)| (fits && apart(pattern, other)) || (!fits && within(pattern, other)));
             let need = earlier().any(|(fits, other)| fits && within(other, pattern));
             if !need {
                 longer.push(way.clone());
--- a/crates/plan/src/check.rs
+++ b/crates/plan/src/check.rs
@@ -33,8 +33,9 @@
 pub struct Checked {
     pub kind: &'static BlockKind,
     pub name: String,
-    /// The name's place.
+    /// The name's place, and that of the whole block.
     pub span: Span,
+    pub whole: Span,
     pub entries: HashMap<&'static str, Given>,
 }
 
@@ -84,7 +85,10 @@
 impl Constants {
     fn add(&mut self, name: &Word, parts: &[Part], span: &Span, faults: &mut Vec<Fault>) {
         if !quantity::is_name(&name.text) || name.quoted {
-            faults.push(Fault::new(name.span.clone(), format!("`{}` is no name for a constant", shown(&name.text))));
+            faults.push(Fault::new(
+                name.span.clone(),
+                format!("`{}` is no name for a constant", shown(&name.text)),
+            ));
             return;
         }
         let [part] = parts else {
@@ -93,7 +97,8 @@
             return;
         };
         if let Some((_, first)) = self.known.get(&name.text) {
-            let fault = Fault::new(name.span.clone(), format!("the constant `{}` is there already", name.text));
+            let fault =
+                Fault::new(name.span.clone(), format!("the constant `{}` is there already", name.text));
             faults.push(fault.other(first.clone(), "first here"));
             return;
         }
@@ -166,8 +171,13 @@
             return None;
         }
         self.seen.insert((kind.name, name.text.clone()), name.span.clone());
-        let mut checked =
-            Checked { kind, name: name.text.clone(), span: name.span.clone(), entries: HashMap::new() };
+        let mut checked = Checked {
+            kind,
+            name: name.text.clone(),
+            span: name.span.clone(),
+            whole: block.whole.clone(),
+            entries: HashMap::new(),
+        };
         for entry in block.entries() {
             self.entry(&mut checked, &entry.name, &entry.parts, &entry.span);
         }
@@ -187,17 +197,18 @@
             block.entries.entry(kind.name).or_insert(broken);
             return;
         };
-        let is_list = matches!(
-            kind.shape,
-            Shape::List(_) | Shape::Refs(_) | Shape::Outer(_) | Shape::Words(_)
-        );
+        let is_list =
+            matches!(kind.shape, Shape::List(_) | Shape::Refs(_) | Shape::Outer(_) | Shape::Words(_));
         match block.entries.get_mut(kind.name) {
             None => {
                 block.entries.insert(kind.name, Given { span: span.clone(), values });
             }
             Some(first) if is_list => first.values.extend(values),
             Some(first) => {
-                let fault = Fault::new(span.clone(), format!("`{}` stands twice in this {}", kind.name, block.kind.name));
+                let fault = Fault::new(
+                    span.clone(),
+                    format!("`{}` stands twice in this {}", kind.name, block.kind.name),
+                );
                 self.faults.push(fault.other(first.span.clone(), "first here"));
             }
         }
@@ -262,10 +273,18 @@
 
     fn choice(&mut self, kind: &EntryKind, words: &[&'static str], put: &Put) -> Option<Spanned> {
         match words.iter().find(|w| **w == put.word.text && !put.word.quoted) {
-            Some(word) => Some(Spanned { value: Value::Name((*word).to_string()), span: put.word.span.clone() }),
+            Some(word) => {
+                Some(Spanned { value: Value::Name((*word).to_string()), span: put.word.span.clone() })
+            }
             None => {
-                let text = format!("`{}` is none of {} for `{}`", shown(&put.word.text), words.join(", "), kind.name);
-                let fault = Fault::new(put.word.span.clone(), text).near(&put.word.text, words.iter().copied());
+                let text = format!(
+                    "`{}` is none of {} for `{}`",
+                    shown(&put.word.text),
+                    words.join(", "),
+                    kind.name
+                );
+                let fault =
+                    Fault::new(put.word.span.clone(), text).near(&put.word.text, words.iter().copied());
                 self.fault_in(put, fault);
                 None
             }
@@ -282,7 +301,12 @@
         let text = match kind.example {
             "" => format!("`{}` stands alone; `{}` is too much", kind.name, shown(&put.word.text)),
             example => {
-                format!("`{}` is too much; `{}` is as in `{} {example}`", shown(&put.word.text), kind.name, kind.name)
+                format!(
+                    "`{}` is too much; `{}` is as in `{} {example}`",
+                    shown(&put.word.text),
+                    kind.name,
+                    kind.name
+                )
             }
         };
         self.faults.push(Fault::new(put.word.span.clone(), text));
@@ -317,7 +341,14 @@
     }
 
     /// `RATE` or `RATE burst AMOUNT`.
-    fn bucket(&mut self, kind: &EntryKind, name: &Word, rate: Kind, burst: Kind, put: &[Vec<Put>]) -> Option<Vec<Spanned>> {
+    fn bucket(
+        &mut self,
+        kind: &EntryKind,
+        name: &Word,
+        rate: Kind,
+        burst: Kind,
+        put: &[Vec<Put>],
+    ) -> Option<Vec<Spanned>> {
         let one = |part: &Vec<Put>| match part.as_slice() {
             [put] => Some(put.clone()),
             _ => None,
@@ -335,7 +366,8 @@
             }
             _ => {
                 let text = format!("`{}` is a rate, and perhaps `burst` with an amount", kind.name);
-                let fault = Fault::new(name.span.clone(), text).help(format!("{} {}", kind.name, kind.example));
+                let fault =
+                    Fault::new(name.span.clone(), text).help(format!("{} {}", kind.name, kind.example));
                 self.faults.push(fault);
                 None
             }
@@ -356,7 +388,10 @@
                 Some(vec![effect, scope?, window?])
             }
             ("referenced", _) => {
-                let fault = Fault::new(name.span.clone(), "`referenced` needs a scope and how long repeats are dropped");
+                let fault = Fault::new(
+                    name.span.clone(),
+                    "`referenced` needs a scope and how long repeats are dropped",
+                );
                 self.faults.push(fault.help("effect referenced zone 30s"));
                 None
             }
--- a/crates/plan/src/diff.rs
+++ b/crates/plan/src/diff.rs
@@ -105,9 +105,10 @@
         Side { plan, held: cells.as_ref().map(|cells| cells.held(plan, first_set)), reach }
     };
     let sides = [side(old, 0), side(new, old.addresses.len())];
-    let [Some(was), Some(is)] = sides.each_ref().map(|side| {
-        side.reach.iter().map(Option::as_ref).collect::<Option<Vec<&Vec<Region>>>>()
-    }) else {
+    let [Some(was), Some(is)] = sides
+        .each_ref()
+        .map(|side| side.reach.iter().map(Option::as_ref).collect::<Option<Vec<&Vec<Region>>>>())
+    else {
         let same = format!("{:?}", old.routes) == format!("{:?}", new.routes);
         if !same {
             let text = "the routes of the two are too many and too entangled to be compared".to_string();
@@ -121,10 +122,8 @@
     let mut found: BTreeMap<(usize, usize, Decision, Decision), Vec<Region>> = BTreeMap::new();
     for (m, before) in was.iter().enumerate() {
         for (n, after) in is.iter().enumerate() {
-            let meet: Vec<Region> = before
-                .iter()
-                .flat_map(|a| after.iter().filter_map(|b| region::intersection(a, b)))
-                .collect();
+            let meet: Vec<Region> =
+                before.iter().flat_map(|a| after.iter().filter_map(|b| region::intersection(a, b))).collect();
             for piece in meet {
                 for class in piece[0].ones() {
                     let name = names.iter().find(|name| classes.group(name) == class);
@@ -146,7 +145,8 @@
     set_names.extend(old.addresses.iter().chain(&new.addresses).map(|a| a.name.clone()));
     for ((m, n, a, b), regions) in found {
         let first = compare.classes.in_words(&regions[0], &set_names);
-        let more = if regions.len() > 1 { format!(" (and {} more)", regions.len() - 1) } else { String::new() };
+        let more =
+            if regions.len() > 1 { format!(" (and {} more)", regions.len() - 1) } else { String::new() };
         let was = in_words(old, old.routes.get(m), &a);
         let is = in_words(new, new.routes.get(n), &b);
         let is = if was == is { format!("{is}, with other engines") } else { is };
@@ -168,7 +168,8 @@
         Decision::Goes(group, _) => {
             let to = route.map_or(&[][..], |r| &r.to);
             let pools: Vec<&str> = to.iter().map(|p| plan.pools[*p].name.as_str()).collect();
-            let to = if pools.is_empty() { "any engine".to_string() } else { format!("to {}", pools.join(", ")) };
+            let to =
+                if pools.is_empty() { "any engine".to_string() } else { format!("to {}", pools.join(", ")) };
             match route.and_then(|r| r.as_group.as_ref()) {
                 Some(_) => format!("as {group} {to}"),
                 None => to,
@@ -207,7 +208,8 @@
             let zone = zone.map_or("other zones".to_string(), str::to_string);
             format!("`{group}` {how} use {kind} in {zone}")
         };
-        changes.extend(was.difference(&is).map(|p| Change { of: "placement", text: text(p, "may no longer") }));
+        changes
+            .extend(was.difference(&is).map(|p| Change { of: "placement", text: text(p, "may no longer") }));
         changes.extend(is.difference(&was).map(|p| Change { of: "placement", text: text(p, "may now") }));
     }
 }
@@ -253,7 +255,8 @@
 
 /// What a limit counts, without names that are the plan's own.
 fn scope(plan: &Plan, limit: &Limit) -> String {
-    let sorted = |list: &[String]| list.iter().collect::<BTreeSet<_>>().into_iter().cloned().collect::<Vec<_>>();
+    let sorted =
+        |list: &[String]| list.iter().collect::<BTreeSet<_>>().into_iter().cloned().collect::<Vec<_>>();
     let spans = limit.clients.iter().flat_map(|c| plan.addresses[*c].spans.clone()).collect();
     let spans = crate::address::union(spans);
     format!("{:?} {:?} {:?} {spans:?}", limit.per, sorted(&limit.groups), sorted(&limit.tenants))
@@ -273,7 +276,9 @@
         let text = match (was.get(name), is.get(name)) {
             (Some(a), None) => format!("`{name}` is gone: {}", limit_in_words(a)),
             (None, Some(b)) => format!("`{name}` is new: {}", limit_in_words(b)),
-            (Some(a), Some(b)) if scope(old, a) != scope(new, b) => format!("`{name}` counts other batches now"),
+            (Some(a), Some(b)) if scope(old, a) != scope(new, b) => {
+                format!("`{name}` counts other batches now")
+            }
             (Some(a), Some(b)) => format!("`{name}`: {} -> {}", limit_in_words(a), limit_in_words(b)),
             (None, None) => continue,
         };
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -48,7 +48,14 @@
             }
             for (n, pool) in route.to.iter().enumerate() {
                 let pool = &plan.pools[*pool];
-                writeln!(out, "  {}. pool `{}` ({}): {}", n + 1, pool.name, at(&pool.span), pool_in_words(plan, pool))?;
+                writeln!(
+                    out,
+                    "  {}. pool `{}` ({}): {}",
+                    n + 1,
+                    pool.name,
+                    at(&pool.span),
+                    pool_in_words(plan, pool)
+                )?;
             }
         }
     }
--- a/crates/plan/src/fault.rs
+++ b/crates/plan/src/fault.rs
@@ -59,7 +59,8 @@
     let short: String = word.chars().take(LONGEST_WORD).collect();
     let near = |name: &&str| strsim::damerau_levenshtein(&short, name) <= 1 + name.chars().count() / 4;
     let names = names.into_iter().filter(near);
-    names.min_by_key(|name| (strsim::damerau_levenshtein(&short, name), *name))
+    // Of two that are as near the longer: letters are left out more often than put in.
+    names.min_by_key(|name| (strsim::damerau_levenshtein(&short, name), std::cmp::Reverse(name.len()), *name))
 }
 
 /// A word as messages show it, cut where it is very long.
@@ -95,33 +96,34 @@
     let long = |span: &Span| {
         let Some(file) = files.get(span.file) else { return true };
         let (first, last) = (file.place(span.start).0, file.place(span.end).0);
-        last - first > 3 || (first..=last).any(|line| file.line(line).len() > LONGEST_LINE)
+        let unfit =
+            |line: &str| line.len() > LONGEST_LINE || line.contains(|c: char| c.is_control() && c != '\t');
+        last - first > 3 || (first..=last).any(|line| unfit(file.line(line)))
     };
     let mut labels = vec![label(Label::primary, &fault.span, fault.label.as_deref().unwrap_or_default())];
     labels.extend(fault.others.iter().map(|(span, text)| label(Label::secondary, span, text)));
     let diagnostic =
         Diagnostic::error().with_message(&fault.text).with_labels(labels).with_notes(notes.clone());
     let config = term::Config::default();
-    match places().any(long) {
-        false => term::emit_to_string(&config, shown_files, &diagnostic),
-        true => Ok(plain(files, fault, &notes)),
+    let mut out = String::new();
+    let shown = !places().any(long);
+    match shown && term::emit_to_string(&mut out, &config, shown_files, &diagnostic).is_ok() {
+        true => out,
+        false => plain(files, fault, &notes),
     }
-    .unwrap_or_else(|_| plain(files, fault, &notes))
 }
 
-fn label(
-    kind: fn(usize, std::ops::Range<usize>) -> Label<usize>,
-    span: &Span,
-    text: &str,
-) -> Label<usize> {
+fn label(kind: fn(usize, std::ops::Range<usize>) -> Label<usize>, span: &Span, text: &str) -> Label<usize> {
     kind(span.file.0, span.range()).with_message(text)
 }
 
-/// Without the lines, which are too long to be shown.
+/// Without the lines, which are too long to be shown or would disturb a terminal.
 fn plain(files: &Files, fault: &Fault, notes: &[String]) -> String {
     let mut out = format!("error: {}\n", fault.text);
     let others = fault.others.iter().map(|(span, text)| (span, text.as_str()));
-    for (span, text) in std::iter::once((&fault.span, fault.label.as_deref().unwrap_or_default())).chain(others) {
+    for (span, text) in
+        std::iter::once((&fault.span, fault.label.as_deref().unwrap_or_default())).chain(others)
+    {
         let Some(file) = files.get(span.file) else { continue };
         let (line, column) = file.place(span.start);
         let _ = writeln!(out, "  --> {}:{line}:{column} {text}", file.name);
--- a/crates/plan/src/format.rs
+++ b/crates/plan/src/format.rs
@@ -48,7 +48,9 @@
     }
 
     fn line(&mut self, indent: usize, text: &str, comment: &Option<String>) {
-        if std::mem::take(&mut self.gap) || (std::mem::take(&mut self.after_block) && indent == 0 && text != "}") {
+        if std::mem::take(&mut self.gap)
+            || (std::mem::take(&mut self.after_block) && indent == 0 && text != "}")
+        {
             self.text.push('\n');
         }
         self.after_block = false;
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -100,7 +100,8 @@
         id: impl Fn(&str) -> bool,
         address: impl Fn(usize) -> bool,
     ) -> bool {
-        let any = |list: &[String], fits: &dyn Fn(&str) -> bool| list.is_empty() || list.iter().any(|v| fits(v));
+        let any =
+            |list: &[String], fits: &dyn Fn(&str) -> bool| list.is_empty() || list.iter().any(|v| fits(v));
         self.selects()
             && any(&self.zones, &zone)
             && any(&self.kinds, &kind)
--- a/crates/plan/src/quantity.rs
+++ b/crates/plan/src/quantity.rs
@@ -125,8 +125,27 @@
 
 const TIMES: [(&str, f64); 6] =
     [("us", 1e-6), ("ms", 1e-3), ("s", 1.0), ("min", 60.0), ("h", 3600.0), ("d", 86_400.0)];
-const SIZES: [(&str, f64); 4] =
-    [("B", 1.0), ("KiB", 1024.0), ("MiB", 1_048_576.0), ("GiB", 1_073_741_824.0)];
+const SIZES: [(&str, f64); 4] = [("B", 1.0), ("KiB", 1024.0), ("MiB", 1_048_576.0), ("GiB", 1_073_741_824.0)];
+/// How units are often written elsewhere, and what they are here.
+const ELSEWHERE: [(&str, &str); 17] = [
+    ("sec", "s"),
+    ("secs", "s"),
+    ("second", "s"),
+    ("seconds", "s"),
+    ("msec", "ms"),
+    ("m", "min"),
+    ("mins", "min"),
+    ("minutes", "min"),
+    ("hr", "h"),
+    ("hours", "h"),
+    ("KB", "KiB"),
+    ("kB", "KiB"),
+    ("MB", "MiB"),
+    ("GB", "GiB"),
+    ("/sec", "/s"),
+    ("rps", "/s"),
+    ("percent", "%"),
+];
 /// Beyond a week nothing here makes sense, and sums stay far from overflow.
 const LONGEST: f64 = 7.0 * 86_400.0;
 const LARGEST: f64 = 1.0e15;
@@ -183,7 +202,10 @@
     match got {
         None => {
             let units = units(kind);
-            let near = crate::fault::nearest(unit, units.iter().copied()).map(|u| format!("{number}{u}"));
+            let elsewhere = ELSEWHERE.iter().find(|(other, here)| *other == unit && units.contains(here));
+            let near =
+                elsewhere.map(|(_, here)| *here).or(crate::fault::nearest(unit, units.iter().copied()));
+            let near = near.map(|u| format!("{number}{u}"));
             let wrong = Wrong::new(format!("`{}` is no unit; here {} is wanted", shown(unit), kind.wanted()));
             return Err(near.map_or(wrong.clone(), |near| wrong.help(format!("did you mean `{near}`?"))));
         }
@@ -259,7 +281,9 @@
 fn clock(word: &str) -> Result<Value, Wrong> {
     let minute = |text: &str| {
         let (hour, minute) = text.split_once(':')?;
-        let two = |t: &str| (t.len() == 2 && t.bytes().all(|b| b.is_ascii_digit())).then(|| t.parse::<u32>().ok())?;
+        let two = |t: &str| {
+            (t.len() == 2 && t.bytes().all(|b| b.is_ascii_digit())).then(|| t.parse::<u32>().ok())?
+        };
         let (hour, minute) = (two(hour)?, two(minute)?);
         (minute < 60 && hour * 60 + minute <= DAY).then_some(hour * 60 + minute)
     };
@@ -270,20 +294,28 @@
                 .help("leave the entry out for the whole day"))
         }
         Some((Some(from), Some(until))) => Ok(Value::Clock(from % DAY, until)),
-        _ => Err(Wrong::new(format!("`{}` is no span of hours; here {} is wanted", shown(word), Kind::Clock.wanted()))),
+        _ => Err(Wrong::new(format!(
+            "`{}` is no span of hours; here {} is wanted",
+            shown(word),
+            Kind::Clock.wanted()
+        ))),
     }
 }
 
 fn network(word: &str) -> Result<Value, Wrong> {
-    let wrong = || Wrong::new(format!("`{}` is no network; here {} is wanted", shown(word), Kind::Network.wanted()));
+    let wrong =
+        || Wrong::new(format!("`{}` is no network; here {} is wanted", shown(word), Kind::Network.wanted()));
     if let Ok(address) = word.parse::<IpAddr>() {
         return Ok(Value::Network(IpNet::from(address)));
     }
     let net: IpNet = word.parse().map_err(|_| wrong())?;
     match net.trunc() == net {
         true => Ok(Value::Network(net)),
-        false => Err(Wrong::new(format!("`{}` has bits set behind its prefix", shown(word)))
-            .help(format!("did you mean `{}`, or the one address `{}`?", net.trunc(), net.addr()))),
+        false => Err(Wrong::new(format!("`{}` has bits set behind its prefix", shown(word))).help(format!(
+            "did you mean `{}`, or the one address `{}`?",
+            net.trunc(),
+            net.addr()
+        ))),
     }
 }
 
@@ -291,9 +323,12 @@
     let (from, to) = word.split_once("..").unwrap_or((word, word));
     match (from.parse::<u32>(), to.parse::<u32>()) {
         (Ok(from), Ok(to)) if from <= to => Ok(Value::Numbers(from, to)),
-        (Ok(from), Ok(to)) => {
-            Err(Wrong::new(format!("`{}` runs backwards", shown(word))).help(format!("did you mean `{to}..{from}`?")))
-        }
-        _ => Err(Wrong::new(format!("`{}` is no number; here {} is wanted", shown(word), Kind::Numbers.wanted()))),
+        (Ok(from), Ok(to)) => Err(Wrong::new(format!("`{}` runs backwards", shown(word)))
+            .help(format!("did you mean `{to}..{from}`?"))),
+        _ => Err(Wrong::new(format!(
+            "`{}` is no number; here {} is wanted",
+            shown(word),
+            Kind::Numbers.wanted()
+        ))),
     }
 }
--- a/crates/plan/src/region.rs
+++ b/crates/plan/src/region.rs
@@ -66,7 +66,8 @@
         let tenant_names = routes().flat_map(|r| &r.tenants).chain(limits().flat_map(|l| &l.tenants));
         let tenant_blocks = plans.iter().flat_map(|p| p.tenants.iter().map(|t| &t.name));
         let spans: Vec<_> = plans.iter().flat_map(|p| p.addresses.iter().map(|a| a.spans.clone())).collect();
-        let numbers = routes().flat_map(|r| &r.data_sets).flat_map(|(from, to)| [Some(*from), to.checked_add(1)]);
+        let numbers =
+            routes().flat_map(|r| &r.data_sets).flat_map(|(from, to)| [Some(*from), to.checked_add(1)]);
         let minutes = routes().flat_map(|r| &r.hours).flat_map(|(from, until)| [*from, *until]);
         let cuts = |all: Vec<u32>| {
             let mut cuts = all;
@@ -179,14 +180,16 @@
         let mut words = Vec::new();
         for (d, names, what) in [(0, &self.groups, "group"), (1, &self.tenants, "tenant")] {
             if partial(d) {
-                let all: Vec<_> = region[d].ones().map(|class| names.name(class).unwrap_or("others")).collect();
+                let all: Vec<_> =
+                    region[d].ones().map(|class| names.name(class).unwrap_or("others")).collect();
                 words.push(format!("{what} {}", list(&all)));
             }
         }
         if partial(2) {
             let mut sets: Vec<String> = Vec::new();
             for class in region[2].ones() {
-                let held: Vec<_> = self.clients.members(class).ones().filter_map(|n| set_names.get(n)).collect();
+                let held: Vec<_> =
+                    self.clients.members(class).ones().filter_map(|n| set_names.get(n)).collect();
                 let name = held.first().map_or_else(|| "elsewhere".to_string(), |name| (*name).clone());
                 if !sets.contains(&name) {
                     sets.push(name);
@@ -211,8 +214,9 @@
         if partial(5) {
             let clock = |m: u32| format!("{:02}:{:02}", m / 60, m % 60);
             let end = |class: usize| self.hours.get(class + 1).copied().unwrap_or(crate::quantity::DAY);
-            let all: Vec<String> =
-                runs(&region[5]).map(|(a, b)| format!("{}..{}", clock(self.hours[a]), clock(end(b)))).collect();
+            let all: Vec<String> = runs(&region[5])
+                .map(|(a, b)| format!("{}..{}", clock(self.hours[a]), clock(end(b))))
+                .collect();
             words.push(format!("hours {}", list(&all.iter().map(String::as_str).collect::<Vec<_>>())));
         }
         match words.is_empty() {
--- a/crates/plan/src/schema.rs
+++ b/crates/plan/src/schema.rs
@@ -183,9 +183,19 @@
     let mut out = String::new();
     for block in BLOCKS {
         // Writing to a string does not fail.
-        let _ = writeln!(out, "### `{}`\n\n{}\n\n| entry | example | meaning |\n|---|---|---|", block.name, block.about);
+        let _ = writeln!(
+            out,
+            "### `{}`\n\n{}\n\n| entry | example | meaning |\n|---|---|---|",
+            block.name, block.about
+        );
         for e in block.entries {
-            let _ = writeln!(out, "| `{}` | `{}` | {} |", e.name, format!("{} {}", e.name, e.example).trim_end(), e.about);
+            let _ = writeln!(
+                out,
+                "| `{}` | `{}` | {} |",
+                e.name,
+                format!("{} {}", e.name, e.example).trim_end(),
+                e.about
+            );
         }
         out.push('\n');
     }
--- a/crates/plan/src/syntax.rs
+++ b/crates/plan/src/syntax.rs
@@ -44,8 +44,9 @@
     pub kind: Word,
     pub name: Option<Word>,
     pub lines: Vec<Line>,
-    /// The head's place.
+    /// The head's place, and that of the whole block.
     pub span: Span,
+    pub whole: Span,
     pub comment: Option<String>,
     pub close_comment: Option<String>,
 }
@@ -119,12 +120,23 @@
                 }
             }
             Rule::block => self.block(pair),
+            Rule::lost => {
+                for part in pair.into_inner() {
+                    let span = self.span(&part);
+                    match part.as_rule() {
+                        Rule::bad_head => self.fault(span, part.as_str(), None),
+                        Rule::fault => self.fault(span, part.as_str(), Some(String::new())),
+                        _ => {}
+                    }
+                }
+            }
             Rule::fault => self.fault(span, pair.as_str(), None),
             _ => {}
         }
     }
 
     fn block(&mut self, pair: Pair<Rule>) {
+        let whole = self.span(&pair);
         let mut head = None;
         let mut lines = Vec::new();
         let (mut closed, mut close_comment) = (false, None);
@@ -146,7 +158,8 @@
                     lines.push(Line::Blank(comment.map(text_of)));
                 }
                 Rule::fault => {
-                    let inside = head.as_ref().and_then(|(words, _, _)| words.first()).map(|w| w.text.clone());
+                    let inside =
+                        head.as_ref().and_then(|(words, _, _)| words.first()).map(|w| w.text.clone());
                     self.fault(span, part.as_str(), inside);
                 }
                 Rule::close => {
@@ -160,10 +173,11 @@
         let mut words = words.into_iter();
         let Some(kind) = words.next() else { return };
         if !closed {
-            let fault = Fault::new(span.clone(), "this block is not closed").help("add a line with `}` at its end");
+            let fault =
+                Fault::new(span.clone(), "this block is not closed").help("add a line with `}` at its end");
             self.tree.faults.push(fault);
         }
-        let block = Block { kind, name: words.next(), lines, span, comment, close_comment };
+        let block = Block { kind, name: words.next(), lines, span, whole, comment, close_comment };
         self.tree.items.push(Item::Block(block));
     }
 
@@ -238,6 +252,8 @@
         } else if let Some(offset) = open_quote(text) {
             Fault::new(at(offset, text.trim_end().len() - offset), "this string is not closed")
                 .help("a string ends with `\"` on its own line; within it write `\\\"` and `\\\\`")
+        } else if let Some(offset) = bad_escape(text) {
+            Fault::new(at(offset, 2), "in a string `\\` stands before `\"` or another `\\` only")
         } else if line.starts_with('}') && line.len() == 1 {
             Fault::new(span, "this `}` closes no block")
         } else if line.starts_with('}') {
@@ -255,12 +271,14 @@
         } else if line.contains(",,") || line.ends_with(',') || line.starts_with(',') {
             Fault::new(span, "a comma stands between two values")
         } else if line.contains('=') {
-            Fault::new(span, "`=` stands in constants only").help("an entry is its name and its values: `limit 20s`")
+            Fault::new(span, "`=` stands in constants only")
+                .help("an entry is its name and its values: `limit 20s`")
         } else if inside.is_some() {
             Fault::new(span, "this is no entry").help("an entry is its name and its values: `limit 20s`")
         } else {
-            Fault::new(span, "this stands in no block")
-                .help("a plan has includes, constants and blocks: `include \"...\"`, `let a = ...`, `pool big {`")
+            Fault::new(span, "this stands in no block").help(
+                "a plan has includes, constants and blocks: `include \"...\"`, `let a = ...`, `pool big {`",
+            )
         };
         self.tree.faults.push(fault);
     }
@@ -291,3 +309,18 @@
     }
     open
 }
+
+/// Where a string has a backslash before something else than a quote or another one.
+fn bad_escape(text: &str) -> Option<usize> {
+    let (mut inside, mut escaped) = (false, None);
+    for (at, c) in text.char_indices() {
+        match (inside, escaped.take()) {
+            (true, Some(before)) if !matches!(c, '"' | '\\') => return Some(before),
+            (true, Some(_)) => {}
+            (true, None) if c == '\\' => escaped = Some(at),
+            (_, None) if c == '"' => inside = !inside,
+            _ => {}
+        }
+    }
+    None
+}
--- a/crates/plan/tests/broken.rs
+++ b/crates/plan/tests/broken.rs
@@ -82,3 +82,20 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
     assert!(seen.len() >= 60, "{} messages that differ", seen.len());
 }
+
+/// The page for readers has the table that the checker reads.
+#[test]
+fn the_language_page_has_the_table_of_blocks() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/plan-language.md");
+    let text = std::fs::read_to_string(&page).expect("the page of the language");
+    let begin = "<!-- blocks: made from the table; a test compares -->\n";
+    let (before, rest) = text.split_once(begin).expect("where the table begins");
+    let (table, after) = rest.split_once("<!-- end of blocks -->").expect("where it ends");
+    let made = garnetwall_plan::schema::as_markdown();
+    if std::env::var_os("BLESS").is_some() {
+        std::fs::write(&page, format!("{before}{begin}{made}<!-- end of blocks -->{after}"))
+            .expect("written");
+    } else {
+        assert_eq!(table, made);
+    }
+}
--- a/crates/plan/tests/generate/mod.rs
+++ b/crates/plan/tests/generate/mod.rs
@@ -36,7 +36,11 @@
     proptest::option::of(values).prop_map(move |v| v.map_or(String::new(), |v| format!("  {name} {v}\n")))
 }
 
-fn block(kind: &'static str, name: impl Strategy<Value = String>, entries: impl Strategy<Value = Vec<String>>) -> impl Strategy<Value = String> {
+fn block(
+    kind: &'static str,
+    name: impl Strategy<Value = String>,
+    entries: impl Strategy<Value = Vec<String>>,
+) -> impl Strategy<Value = String> {
     (name, entries).prop_map(move |(name, entries)| format!("{kind} {name} {{\n{}}}\n", entries.concat()))
 }
 
@@ -55,48 +59,50 @@
     (1u32..50, 1u32..50).prop_map(|(rate, burst)| format!("{rate}/s burst {burst}"))
 }
 
-/// A block of any kind.
-pub fn any_block() -> impl Strategy<Value = String> {
-    let addresses = block(
-        "addresses",
-        numbered("a", 4),
-        (some(&NETS, 3), maybe("of", refs("a", 4)), maybe("except", some(&NETS, 2)))
-            .prop_map(|(net, of, except)| vec![format!("  net {net}\n"), of, except]),
-    );
-    let pool = block(
-        "pool",
-        numbered("p", 5),
-        (
-            maybe("zone", some(&ZONES, 2)),
-            maybe("kind", some(&KINDS, 2)),
-            maybe("id", some(&PATTERNS, 2)),
-            maybe("address", refs("a", 4)),
-            maybe("union", refs("p", 5)),
-            maybe("except", refs("p", 5)),
-        )
-            .prop_map(|(a, b, c, d, e, f)| vec![a, b, c, d, e, f]),
-    );
-    let group = block(
+fn addresses(name: String) -> impl Strategy<Value = String> {
+    // Sets refer to those of lower numbers, so that there are no loops.
+    let below = name[1..].parse::<usize>().unwrap_or(0);
+    let of = if below == 0 { Just(String::new()).boxed() } else { maybe("of", refs("a", below)).boxed() };
+    let entries = (some(&NETS, 3), of, maybe("except", some(&NETS, 2)))
+        .prop_map(|(net, of, except)| vec![format!("  net {net}\n"), of, except]);
+    block("addresses", Just(name), entries)
+}
+
+fn pool(name: String) -> impl Strategy<Value = String> {
+    let below = name[1..].parse::<usize>().unwrap_or(0);
+    let of =
+        |entry| if below == 0 { Just(String::new()).boxed() } else { maybe(entry, refs("p", below)).boxed() };
+    let entries = (
+        maybe("zone", some(&ZONES, 2)),
+        maybe("kind", some(&KINDS, 2)),
+        maybe("id", some(&PATTERNS, 2)),
+        prop_oneof![3 => Just(String::new()).boxed(), 1 => refs("a", 4).prop_map(|a| format!("  address {a}\n")).boxed()],
+        of("union"),
+        of("except"),
+    )
+        .prop_map(|(a, b, c, d, e, f)| vec![a, b, c, d, e, f]);
+    block("pool", Just(name), entries)
+}
+
+fn group() -> impl Strategy<Value = String> {
+    block(
         "group",
         select(&GROUPS[..]).prop_map(str::to_string),
         (maybe("pools", refs("p", 5)), maybe("limit", (1u32..9).prop_map(|n| format!("{n}s"))))
             .prop_map(|(pools, limit)| vec![pools, limit, "  further 10%\n".to_string()]),
-    );
-    let tenant = block(
-        "tenant",
-        select(&TENANTS[..]).prop_map(str::to_string),
-        (maybe("in-hand", (1u32..20).prop_map(|n| n.to_string())), maybe("rate", bucket()))
-            .prop_map(|(in_hand, rate)| vec![in_hand, rate]),
-    );
+    )
+}
+
+fn route() -> impl Strategy<Value = String> {
     let goes = prop_oneof![
         4 => refs("p", 5).prop_map(|to| format!("  to {to}\n")),
         1 => select(&GROUPS[..]).prop_map(|g| format!("  as {g}\n")),
         1 => (refs("p", 5), select(&GROUPS[..])).prop_map(|(to, g)| format!("  to {to}\n  as {g}\n")),
         1 => Just("  refuse \"closed\"\n".to_string()),
     ];
-    let route = block(
+    block(
         "route",
-        numbered("r", 8),
+        numbered("r", 12),
         (
             maybe("group", some(&GROUPS, 3)),
             maybe("tenant", some(&TENANTS, 2)),
@@ -107,6 +113,16 @@
             goes,
         )
             .prop_map(|(a, b, c, d, e, f, g)| vec![a, b, c, d, e, f, g]),
+    )
+}
+
+/// A block of any kind.
+pub fn any_block() -> impl Strategy<Value = String> {
+    let tenant = block(
+        "tenant",
+        select(&TENANTS[..]).prop_map(str::to_string),
+        (maybe("in-hand", (1u32..20).prop_map(|n| n.to_string())), maybe("rate", bucket()))
+            .prop_map(|(in_hand, rate)| vec![in_hand, rate]),
     );
     let limit = block(
         "limit",
@@ -121,7 +137,14 @@
         )
             .prop_map(|(a, b, c, d, e, f)| vec![a, b, c, d, e, f]),
     );
-    prop_oneof![2 => addresses, 3 => pool, 1 => group, 1 => tenant, 4 => route, 1 => limit]
+    prop_oneof![
+        2 => numbered("a", 4).prop_flat_map(addresses),
+        3 => numbered("p", 5).prop_flat_map(pool),
+        1 => group(),
+        1 => tenant,
+        4 => route(),
+        1 => limit
+    ]
 }
 
 /// Blocks that together are a good plan: each that would make it faulty is left out.
@@ -132,9 +155,11 @@
     for _ in 0..2 {
         for block in blocks {
             if !kept.contains(block) {
-                kept.push(block.clone());
+                // Before what may refer to it; routes keep their order.
+                let first = block.starts_with("addresses") || block.starts_with("pool");
+                kept.insert(if first { 0 } else { kept.len() }, block.clone());
                 if !good(&kept) {
-                    kept.pop();
+                    kept.remove(if first { 0 } else { kept.len() - 1 });
                 }
             }
         }
@@ -146,9 +171,12 @@
     compile(&InMemory::one(blocks.concat()), "main.plan", None).unwrap_or_else(|faulty| panic!("{faulty}"))
 }
 
-/// Blocks of a good plan.
+/// Blocks of a good plan: all sets and pools first, then what is made of them.
 pub fn blocks() -> impl Strategy<Value = Vec<String>> {
-    vec(any_block(), 4..24).prop_map(|blocks| settle(&blocks))
+    let sets: Vec<_> = (0..4).map(|n| addresses(format!("a{n}"))).collect();
+    let pools: Vec<_> = (0..5).map(|n| pool(format!("p{n}"))).collect();
+    (sets, pools, vec(group(), 0..2), vec(route(), 1..10), vec(any_block(), 0..4))
+        .prop_map(|(sets, pools, groups, routes, more)| settle(&[sets, pools, groups, routes, more].concat()))
 }
 
 /// A batch of every class that the small world has.
--- a/crates/plan/tests/meaning.rs
+++ b/crates/plan/tests/meaning.rs
@@ -3,11 +3,11 @@
 
 mod generate;
 
+use garnetwall_plan::compile;
 use garnetwall_plan::diff::diff;
 use garnetwall_plan::format::format;
 use garnetwall_plan::model::Plan;
 use garnetwall_plan::source::InMemory;
-use garnetwall_plan::compile;
 use generate::*;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -25,7 +25,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(ProptestConfig::with_cases(96))]
 
     #[test]
     fn the_printed_form_is_stable_and_means_the_same(blocks in blocks(), noise in vec(0usize..6, 60)) {
@@ -51,7 +51,7 @@
     #[test]
     fn a_diff_is_empty_exactly_where_routing_is_alike(
         blocks in blocks(),
-        changed in vec((any::<prop::sample::Index>(), 0usize..4, any_block()), 0..3),
+        changed in vec((any::<prop::sample::Index>(), 0usize..8, any_block()), 0..3),
     ) {
         let mut other = blocks.clone();
         for (at, how, new) in &changed {
@@ -63,6 +63,14 @@
                 0 => drop(other.remove(at)),
                 1 => other[at] = new.clone(),
                 2 => other.push(new.clone()),
+                // An entry less: a route that takes more, or sends to less.
+                3..=6 => {
+                    let lines: Vec<&str> = other[at].lines().collect();
+                    let cut = (how + lines.len()) % lines.len().max(1);
+                    let entry = |n: usize| n > 0 && n + 1 < lines.len();
+                    let kept = lines.iter().enumerate().filter(|(n, _)| *n != cut || !entry(*n));
+                    other[at] = kept.map(|(_, line)| format!("{line}\n")).collect();
+                }
                 _ => {
                     let block = other.remove(at);
                     other.insert(0, block);
@@ -117,11 +125,14 @@
 fn what_is_written_otherwise_is_no_change() {
     let old = "let far = 1s\npool a {\n zone maribor\n}\ngroup lookup {\n limit $far\n pools a\n}\n\
         route x {\n group lookup\n to a\n}\nlimit l {\n rate 60/min\n}\n";
-    let new = "# moved\nlimit l {\n rate 1/s burst 1\n}\nroute y {\n group lookup\n to big\n}\nlet near = 1000ms\n\
+    let new =
+        "# moved\nlimit l {\n rate 1/s burst 1\n}\nroute y {\n group lookup\n to big\n}\nlet near = 1000ms\n\
         group lookup {\n pools big\n limit $near\n}\npool big {\n zone maribor\n}\n";
-    let plan = |text: &str| compile(&InMemory::one(text), "main.plan", None).unwrap_or_else(|f| panic!("{f}")).plan;
+    let plan =
+        |text: &str| compile(&InMemory::one(text), "main.plan", None).unwrap_or_else(|f| panic!("{f}")).plan;
     assert_eq!(diff(&plan(old), &plan(new)), vec![]);
-    let texts = |a: &str, b: &str| -> Vec<String> { diff(&plan(a), &plan(b)).into_iter().map(|c| c.text).collect() };
+    let texts =
+        |a: &str, b: &str| -> Vec<String> { diff(&plan(a), &plan(b)).into_iter().map(|c| c.text).collect() };
     assert_eq!(texts(old, &old.replace("far = 1s", "far = 1.5s")), ["limit of `lookup`: 1s -> 1.5s"]);
     assert_eq!(
         texts("tenant acme {\n in-hand 300\n}\n", "tenant acme {\n in-hand 200\n}\n"),
@@ -129,6 +140,12 @@
     );
     let reports = "pool a {\n kind engine-8\n zone tezno\n}\npool b {\n kind engine-16\n zone tezno\n}\n\
         route r {\n group trend-report\n to a, b\n}\n";
+    let part = reports.replace("kind engine-16\n", "kind engine-8\n id e-0*\n");
+    assert_eq!(
+        texts(&part, &part.replace("to a, b", "to a")),
+        [""; 0],
+        "the second holds nothing that the first has not"
+    );
     assert_eq!(
         texts(reports, &reports.replace("to a, b", "to a")),
         ["`trend-report` may no longer use engine-16 in tezno", "group trend-report: to a, b -> to a"]
--- a/crates/routing/benches/routing.rs
+++ b/crates/routing/benches/routing.rs
@@ -111,13 +111,17 @@
 #[divan::bench]
 fn check_10_000_lines(bencher: Bencher) {
     let loader = InMemory::one(lines());
-    bencher.bench(|| compile(&loader, "main.plan", None).map(|c| c.plan.routes.len()).map_err(|f| f.to_string()));
+    bencher.bench(|| {
+        compile(&loader, "main.plan", None).map(|c| c.plan.routes.len()).map_err(|f| f.to_string())
+    });
 }
 
 #[divan::bench]
 fn check_1_000_routes_10_000_networks(bencher: Bencher) {
     let loader = InMemory::one(large());
-    bencher.bench(|| compile(&loader, "main.plan", None).map(|c| c.plan.routes.len()).map_err(|f| f.to_string()));
+    bencher.bench(|| {
+        compile(&loader, "main.plan", None).map(|c| c.plan.routes.len()).map_err(|f| f.to_string())
+    });
 }
 
 #[divan::bench]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,10 +9,10 @@
 mod sketch;
 
 pub use engines::{EngineSet, Engines};
-pub use limits::{Limits, Over, Ticket, Which};
 use garnetwall_plan::model::{Facts, Group, Plan};
 use garnetwall_plan::quantity::DAY;
 use garnetwall_plan::region::Classes;
+pub use limits::{Limits, Over, Ticket, Which};
 use std::net::IpAddr;
 use std::sync::Arc;
 
@@ -131,7 +131,8 @@
         for route in plan.routes.iter().map(Some).chain([None]) {
             for own in 0..self.names.groups.len() {
                 let treated = route.and_then(|r| r.as_group.as_ref());
-                let group = treated.and_then(|name| self.names.groups.iter().position(|g| g == name)).unwrap_or(own);
+                let group =
+                    treated.and_then(|name| self.names.groups.iter().position(|g| g == name)).unwrap_or(own);
                 let bound = |g: usize| plan.group(&self.names.groups[g]).map(|g| g.pools.clone());
                 let mut bounds: Vec<Vec<usize>> = [bound(own), bound(group)].into_iter().flatten().collect();
                 bounds.retain(|pools| !pools.is_empty());
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -192,7 +192,13 @@
     };
     let limits = plan.limits.iter().map(|limit| Rule {
         name: limit.name.clone(),
-        scope: format!("{:?} {:?} {:?} {:?}", limit.per, sorted(&limit.groups), sorted(&limit.tenants), spans(limit)),
+        scope: format!(
+            "{:?} {:?} {:?} {:?}",
+            limit.per,
+            sorted(&limit.groups),
+            sorted(&limit.tenants),
+            spans(limit)
+        ),
         per: limit.per.clone(),
         groups: index(&names.groups, &limit.groups),
         tenants: index(&names.tenants, &limit.tenants),
--- a/crates/routing/src/limits/tests.rs
+++ b/crates/routing/src/limits/tests.rs
@@ -11,7 +11,10 @@
 fn routing(text: &str) -> Routing {
     let compiled = compile(&InMemory::one(text), "main.plan", None).unwrap_or_else(|f| panic!("{f}"));
     let names = |list: [&str; 2]| list.map(String::from).to_vec();
-    Routing::new(Arc::new(compiled.plan), Names { groups: names(["lookup", "load"]), tenants: names(["acme", "mura"]) })
+    Routing::new(
+        Arc::new(compiled.plan),
+        Names { groups: names(["lookup", "load"]), tenants: names(["acme", "mura"]) },
+    )
 }
 
 fn batch(group: usize, tenant: usize, client: u32, bytes: u64) -> Batch {
@@ -31,7 +34,13 @@
 
 impl Plain {
     /// The fill of a leaky bucket after all that came, by running through it.
-    fn fill(&self, now: Duration, bucket: (f64, f64), counts: impl Fn(&Batch) -> bool, cost: impl Fn(&Batch) -> f64) -> f64 {
+    fn fill(
+        &self,
+        now: Duration,
+        bucket: (f64, f64),
+        counts: impl Fn(&Batch) -> bool,
+        cost: impl Fn(&Batch) -> f64,
+    ) -> f64 {
         let (rate, burst) = bucket;
         let (mut fill, mut at) = (0.0f64, Duration::ZERO);
         for (when, b, _) in self.0.iter().filter(|(_, b, _)| counts(b)) {
@@ -165,8 +174,9 @@
     let first = routing(PLAN);
     let mut limits = Limits::new(&first, 10.0);
     let load = |client| batch(1, 0, client, 1);
-    let held: Vec<Ticket> =
-        (0..3).map(|n| limits.take(&first, Duration::ZERO, &load(100 + n)).expect("room for three")).collect();
+    let held: Vec<Ticket> = (0..3)
+        .map(|n| limits.take(&first, Duration::ZERO, &load(100 + n)).expect("room for three"))
+        .collect();
     assert!(limits.take(&first, Duration::ZERO, &load(200)).is_err());
     // A new figure, moved behind another block: still the same limit.
     let second = routing(&PLAN.replace("in-hand 3", "in-hand 4").replace("limit each", "limit every"));
@@ -175,7 +185,10 @@
     assert_eq!(limits.take(&second, Duration::ZERO, &load(201)).expect_err("no fifth").limit, "loads");
     let third = routing(&PLAN.replace("limit loads", "limit heavy"));
     limits.replan(&third, 10.0);
-    assert!(limits.take(&third, Duration::ZERO, &load(202)).is_ok(), "another limit, which holds nothing yet");
+    assert!(
+        limits.take(&third, Duration::ZERO, &load(202)).is_ok(),
+        "another limit, which holds nothing yet"
+    );
     for ticket in held.into_iter().chain([fourth]) {
         limits.release(Duration::from_secs(1), ticket);
     }
--- a/crates/routing/src/sketch.rs
+++ b/crates/routing/src/sketch.rs
@@ -37,7 +37,10 @@
 
 impl Sketch {
     pub fn new() -> Self {
-        Sketch { cells: vec![Load::default(); ROWS * CELLS], hashes: std::array::from_fn(|_| RandomState::new()) }
+        Sketch {
+            cells: vec![Load::default(); ROWS * CELLS],
+            hashes: std::array::from_fn(|_| RandomState::new()),
+        }
     }
 
     pub fn cells(&self, key: &impl std::hash::Hash) -> Cells {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -146,6 +146,7 @@
         threads: nth("domain.parallelism").and_then(|v| v.parse().ok()).filter(|v| *v >= 1.0).unwrap_or(1.0),
         is_load: nth("domain.loads") == Some("true"),
         waits_for_loads: nth("domain.waits-for-loads") == Some("true"),
+        further: None,
     })
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -36,6 +36,8 @@
     pub threads: f64,
     pub is_load: bool,
     pub waits_for_loads: bool,
+    /// Its own budget for further dispatches, beside the whole one.
+    pub further: Option<FurtherBudget>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +99,18 @@
     pub cost: Option<f64>,
     pub memory: Option<f64>,
     pub data_set: u32,
+    /// The way it may go; every engine where it is none.
+    pub lane: Option<u32>,
+}
+
+/// A set of engines by their index, in words of 64, lowest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineSet(pub Vec<u64>);
+
+impl EngineSet {
+    pub fn holds(&self, engine: EngineId) -> bool {
+        self.0.get(engine / 64).is_some_and(|word| word >> (engine % 64) & 1 == 1)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/control.rs
+++ b/src/control.rs
@@ -14,7 +14,7 @@
 
 use crate::api::*;
 pub use crate::state::Control;
-use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Level, Queue, Sent, Stage};
+use crate::state::{micros, Chance, Due, Engine, Guess, InHand, Learned, Level, Queue, Sent, Stage, Window};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MARK: f64 = 1.5; // threads a core that an engine is filled to; the design's figure
@@ -85,6 +85,9 @@
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let limit = now + b.left.max(0.0);
         self.taken_at.add(now, 1.0);
+        if self.s.groups[b.group].further.is_some() {
+            self.learned[b.group].taken_at.add(now, 1.0);
+        }
         let work = self.work(&b);
         self.usual.add(now, KIND_LIFE, work);
         // Bound batches count for their kind when they come: it must not look free because they are shed.
@@ -106,6 +109,22 @@
         }
     }
 
+    /// The engines that a lane leaves open, by preference; none for a lane that is gone. It narrows what the rules
+    /// allow: an engine of a later preference is taken only where no earlier one has any that may be.
+    pub fn lane(&mut self, lane: u32, tiers: Option<Vec<EngineSet>>) {
+        match tiers {
+            Some(tiers) => drop(self.lanes.insert(lane, tiers)),
+            None => drop(self.lanes.remove(&lane)),
+        }
+    }
+
+    /// New goals, effects and budgets of the groups; whether they keep order stays as it was.
+    pub fn regroup(&mut self, groups: &[ServiceGroup]) {
+        for (old, new) in self.s.groups.iter_mut().zip(groups) {
+            *old = ServiceGroup { in_order: old.in_order, ..new.clone() };
+        }
+    }
+
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
         let named = |e: EngineId| !whole || lines.iter().any(|l| l.engine == e);
         let old = self.engines.iter_mut().enumerate().filter(|(i, _)| !named(*i));
@@ -388,7 +407,12 @@
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
         let b = self.batches[&id].b;
         let open = |e: &EngineId| fit(&self.engines[*e], now) && self.allowed(now, id, *e);
-        let fit: Vec<EngineId> = (0..self.engines.len()).filter(open).collect();
+        let tier =
+            |tier: &EngineSet| (0..self.engines.len()).filter(|e| tier.holds(*e)).filter(open).collect();
+        let fit: Vec<EngineId> = match b.lane {
+            None => (0..self.engines.len()).filter(open).collect(),
+            Some(lane) => self.tiers(lane).iter().map(tier).find(|e: &Vec<_>| !e.is_empty())?,
+        };
         let load = |e: EngineId| self.engines[e].threads / self.able_cores(now, e);
         let heard: Vec<f64> = fit.iter().filter(|e| self.engines[**e].heard).map(|e| load(*e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
@@ -443,7 +467,11 @@
         self.unqueue(id);
         let need = self.need(&self.batches[&id].b);
         let h = self.batches.get_mut(&id).expect("checked by the caller");
-        self.further_at.add(now, f64::from(h.dispatches.min(1)));
+        let further = f64::from(h.dispatches.min(1));
+        self.further_at.add(now, further);
+        if self.s.groups[h.b.group].further.is_some() {
+            self.learned[h.b.group].further_at.add(now, further);
+        }
         h.stage = Stage::Out;
         h.dispatches += 1;
         h.out = Some(Sent { engine, at: now, heard: now, memory: need, overdue: false, judged: false });
@@ -477,6 +505,7 @@
             && now < h.limit - MARGIN
             && named(&c.zones, line.zone)
             && named(&c.kinds, line.kind as u32)
+            && h.b.lane.is_none_or(|lane| self.tiers(lane).iter().any(|tier| tier.holds(engine)))
             && (h.dispatches == 0 || self.may_go_again(now, id))
             && self.in_scope(h, engine)
             && self.cold_room(now, engine, self.work(&h.b))
@@ -490,7 +519,10 @@
             (Some(_), Effect::OnceOnly) => false,
             (Some(first), Effect::Referenced { window, .. }) => now + MARGIN < first.at + window,
         };
-        harmless && now < h.limit - MARGIN && h.dispatches < self.s.max_dispatches && self.further_left(now)
+        harmless
+            && now < h.limit - MARGIN
+            && h.dispatches < self.s.max_dispatches
+            && self.further_left(now, h.b.group)
     }
 
     fn in_scope(&self, h: &InHand, engine: EngineId) -> bool {
@@ -500,10 +532,19 @@
         h.may_have_run.is_none_or(|first| scope == Scope::Everywhere || place(first.engine) == place(engine))
     }
 
-    fn further_left(&self, now: f64) -> bool {
-        let Some(f) = self.s.further else { return true };
-        let taken = self.taken_at.since(now - f.window + MARGIN);
-        self.further_at.since(now - f.window - MARGIN) + 1.0 <= f.floor + f.per_batch * taken
+    /// The engines of a lane by preference; none of one that is not known.
+    fn tiers(&self, lane: u32) -> &[EngineSet] {
+        self.lanes.get(&lane).map_or(&[], Vec::as_slice)
+    }
+
+    fn further_left(&self, now: f64, group: usize) -> bool {
+        let fits = |f: FurtherBudget, taken: &Window, further: &Window| {
+            let taken = taken.since(now - f.window + MARGIN);
+            further.since(now - f.window - MARGIN) + 1.0 <= f.floor + f.per_batch * taken
+        };
+        let own = &self.learned[group];
+        self.s.further.is_none_or(|f| fits(f, &self.taken_at, &self.further_at))
+            && self.s.groups[group].further.is_none_or(|f| fits(f, &own.taken_at, &own.further_at))
     }
 
     /// The final answer the rules allow: pushed back where trying again is harmless, else errored.
@@ -687,6 +728,10 @@
         self.due.insert((micros(now + TICK), Due::Tick));
         let window = self.s.further.map_or(0.0, |f| f.window) + 1.0;
         [&mut self.taken_at, &mut self.further_at].into_iter().for_each(|w| w.forget(now - window));
+        for (group, l) in self.s.groups.iter().zip(&mut self.learned) {
+            let window = group.further.map_or(0.0, |f| f.window) + 1.0;
+            [&mut l.taken_at, &mut l.further_at].into_iter().for_each(|w| w.forget(now - window));
+        }
         self.probe(now);
         self.watch(now);
         self.look = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decision module remembers: plain records and their bookkeeping. Nothing here decides.
 
-use crate::api::{Batch, BatchId, Condition, EngineId, Listed, Settings};
+use crate::api::{Batch, BatchId, Condition, EngineId, EngineSet, Listed, Settings};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One gateway's whole memory.
@@ -35,6 +35,8 @@
     pub(crate) kinds: BTreeMap<usize, Kind>,
     /// Thread-seconds and seconds that dispatches were out.
     pub(crate) ran: (f64, f64),
+    /// Ways that batches may go: engines by preference.
+    pub(crate) lanes: BTreeMap<u32, Vec<EngineSet>>,
     pub(crate) taken_at: Window,
     pub(crate) further_at: Window,
 }
@@ -139,6 +141,9 @@
     /// Grant over the estimate.
     pub grant: f64,
     pub slowdown: f64,
+    /// Batches taken and further dispatches, where the group has a budget of its own.
+    pub taken_at: Window,
+    pub further_at: Window,
 }
 
 /// A kind of engine: what reports told of its load, what answers let feel of it, work that we sent there.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -60,6 +60,7 @@
         threads: 1.0,
         is_load: false,
         waits_for_loads: false,
+        further: None,
     }
 }
 
@@ -115,7 +116,8 @@
 
     pub fn take(&mut self, group: usize, tenant: usize, key: Option<u64>, left: f64) -> BatchId {
         let id = self.records.len() as BatchId;
-        let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set: id % 3 };
+        let b =
+            Batch { id, group, tenant, key, left, cost: None, memory: None, data_set: id % 3, lane: None };
         let limit = self.now + left;
         self.records.push(Record { b, limit, over: false, pushed_back: false, dispatches: Vec::new() });
         self.taken.push(self.now);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -35,6 +35,7 @@
         threads: 1.0 + f64::from(i),
         is_load: bit(12) && i == 2,
         waits_for_loads: bit(12),
+        further: None,
         ..group(effect((n >> (13 + 3 * i) & 7) as u8))
     });
     let further = FurtherBudget { floor: 1.0, per_batch: 0.2, window: 3.0 };
