--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,9 @@
             Some(plan) => planning::narrowed(&settings.groups, &config.decoded.names.groups, plan),
             None => settings.groups.clone(),
         };
+        if let Some(plan) = &plan {
+            tracing::info!(routes = plan.routes.len(), limits = plan.limits.len(), "plan in force");
+        }
         let planner = plan.map(|plan| Planner::new(&config.decoded, plan, budget.room as f64));
         let settings = Settings { room, groups, ..settings.clone() };
         let control = Control::new(settings, config.seed, clock.now());
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -15,6 +15,7 @@
 
 pub struct Record {
     pub b: Batch,
+    pub taken: f64,
     pub limit: f64,
     pub over: bool,
     pub pushed_back: bool,
@@ -40,6 +41,8 @@
     pub lines: Vec<Listed>,
     pub asked: Vec<BatchId>,
     pub probes: Vec<EngineId>,
+    /// Ways that batches may go, by number.
+    pub lanes: Vec<Vec<EngineSet>>,
     /// When an engine's present start was told.
     told: Vec<f64>,
     further: Vec<f64>,
@@ -106,6 +109,7 @@
             lines: (0..engines).map(line).collect(),
             asked: Vec::new(),
             probes: Vec::new(),
+            lanes: Vec::new(),
             told: vec![1000.0; engines],
             further: Vec::new(),
             taken: Vec::new(),
@@ -114,12 +118,39 @@
         w
     }
 
+    /// A lane of these engines, by preference.
+    pub fn lane(&mut self, tiers: &[&[EngineId]]) -> u32 {
+        let set = |tier: &&[EngineId]| EngineSet(vec![tier.iter().map(|e| 1 << e).sum()]);
+        self.lanes.push(tiers.iter().map(set).collect());
+        let number = self.lanes.len() as u32 - 1;
+        self.c.lane(number, self.lanes.last().cloned());
+        number
+    }
+
     pub fn take(&mut self, group: usize, tenant: usize, key: Option<u64>, left: f64) -> BatchId {
+        self.take_on(None, group, tenant, key, left)
+    }
+
+    pub fn take_on(
+        &mut self,
+        lane: Option<u32>,
+        group: usize,
+        tenant: usize,
+        key: Option<u64>,
+        left: f64,
+    ) -> BatchId {
         let id = self.records.len() as BatchId;
-        let b =
-            Batch { id, group, tenant, key, left, cost: None, memory: None, data_set: id % 3, lane: None };
+        let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set: id % 3, lane };
         let limit = self.now + left;
-        self.records.push(Record { b, limit, over: false, pushed_back: false, dispatches: Vec::new() });
+        let taken = self.now;
+        self.records.push(Record {
+            b,
+            taken,
+            limit,
+            over: false,
+            pushed_back: false,
+            dispatches: Vec::new(),
+        });
         self.taken.push(self.now);
         self.c.take(self.now, b);
         id
@@ -151,6 +182,21 @@
         }
     }
 
+    /// The end of the dispatch that is out is not known: what the module has answered now.
+    pub fn in_doubt(&mut self, id: BatchId, end: End) {
+        let r = &self.records[id as usize];
+        let Some(n) = r.out().filter(|_| self.now <= r.limit) else { return };
+        let d = &r.dispatches[n];
+        let (engine, latency, was_over) = (d.engine, self.now - d.at, r.over);
+        let o = Outcome { engine, dispatch: n as u32, end, latency, closed: false, work: None, memory: None };
+        match self.c.in_doubt(self.now, id, o) {
+            Next::Nothing => {}
+            Next::Over(_) if was_over => panic!("batch {id} answered twice"),
+            Next::Over(Answer::PushBack { .. }) => self.answered(id, true),
+            Next::Over(Answer::Error) => self.answered(id, false),
+        }
+    }
+
     pub fn client_gone(&mut self, id: BatchId) {
         if !self.records[id as usize].over {
             self.records[id as usize].over = true;
@@ -181,6 +227,9 @@
         assert_eq!(l.condition, Condition::Ready, "sent to an engine told draining or gone");
         assert!(g.zones.as_ref().is_none_or(|z| z.contains(&l.zone)), "placement by zone");
         assert!(g.kinds.as_ref().is_none_or(|k| k.contains(&(l.kind as u32))), "placement by kind");
+        if let Some(lane) = r.b.lane {
+            assert!(self.lanes[lane as usize].iter().any(|tier| tier.holds(engine)), "placement by lane");
+        }
         match (g.effect, r.may_have_run()) {
             (Effect::Repeatable, _) | (_, None) => {}
             (Effect::OnceOnly, _) => panic!("once-only batch {id} sent again"),
@@ -203,6 +252,13 @@
             let taken = self.taken.iter().filter(|t| **t > now - f.window).count();
             assert!(made as f64 <= f.floor + f.per_batch * taken as f64, "further budget");
         }
+        if let Some(f) = g.further.filter(|_| !r.dispatches.is_empty()) {
+            let own = || self.records.iter().filter(|o| o.b.group == r.b.group);
+            let late = |at: f64| at > now - f.window;
+            let further = own().flat_map(|o| o.dispatches.iter().skip(1)).filter(|d| late(d.at)).count() + 1;
+            let taken = own().filter(|o| late(o.taken)).count();
+            assert!(further as f64 <= f.floor + f.per_batch * taken as f64, "further budget of a group");
+        }
         if let (Some(c), Some(up)) = (self.s.cold, l.came_up) {
             if now < up + c.warm_after {
                 let all = self.records.iter().flat_map(|r| &r.dispatches);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -35,7 +35,7 @@
         threads: 1.0 + f64::from(i),
         is_load: bit(12) && i == 2,
         waits_for_loads: bit(12),
-        further: None,
+        further: bit(29).then_some(FurtherBudget { floor: 1.0, per_batch: 0.1, window: 2.0 }),
         ..group(effect((n >> (13 + 3 * i) & 7) as u8))
     });
     let further = FurtherBudget { floor: 1.0, per_batch: 0.2, window: 3.0 };
@@ -58,8 +58,10 @@
     match op {
         0..=4 => {
             let key = (n % 4 != 0).then_some(n as u64 % 3 + 1);
-            w.take(n % 3, n / 3 % 3, key, if n % 7 == 0 { 0.3 } else { 4.0 });
+            let lane = (n % 5 == 0 && !w.lanes.is_empty()).then(|| (n / 5 % w.lanes.len()) as u32);
+            w.take_on(lane, n % 3, n / 3 % 3, key, if n % 7 == 0 { 0.3 } else { 4.0 });
         }
+        5 if !w.records.is_empty() && n % 4 == 0 => w.in_doubt(id, [End::TimedOut, End::Broken][n / 4 % 2]),
         5 | 6 if !w.records.is_empty() => w.outcome(id, ENDS[n / 8 % ENDS.len()]),
         7 if !w.records.is_empty() && n % 3 == 0 => w.client_gone(id),
         8 => {
@@ -82,6 +84,8 @@
     #[test]
     fn model_and_module_agree(n in any::<u32>(), steps in prop::collection::vec((0u8..10, any::<u16>(), 0.0..0.3f64), 1..150)) {
         let mut w = World::new(some_settings(n), 5);
+        w.lane(&[&[0, 1], &[2, 3, 4]]);
+        w.lane(&[&[3]]);
         for (op, arg, span) in steps {
             step(&mut w, op, arg);
             w.pass(span);
@@ -380,3 +384,52 @@
         w.outcome(id, End::Returned);
     }
 }
+
+/// A lane narrows: a later preference is used only where no engine of an earlier one may be, and nothing else is.
+#[test]
+fn a_lane_is_used_by_preference_and_never_left() {
+    let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 6);
+    let lane = w.lane(&[&[0, 1], &[2]]);
+    let first: Vec<_> = (0..4).map(|_| w.take_on(Some(lane), 0, 0, None, 4.0)).collect();
+    w.pump();
+    assert!(first.iter().flat_map(|id| w.sent_to(*id)).all(|e| e < 2), "the first preference has room");
+    w.relist(0, Condition::Draining, None);
+    w.relist(1, Condition::Gone, None);
+    let second = w.take_on(Some(lane), 0, 0, None, 4.0);
+    w.pump();
+    assert_eq!(w.sent_to(second), [2]);
+    w.relist(2, Condition::Gone, None);
+    let third = w.take_on(Some(lane), 0, 0, None, 4.0);
+    let unknown = w.take_on(Some(7), 0, 0, None, 4.0);
+    w.pass(5.0);
+    for id in [third, unknown] {
+        assert!(w.sent_to(id).is_empty() && w.records[id as usize].pushed_back, "no engine is left to it");
+    }
+}
+
+/// A dispatch whose end is not known: the answer comes at once, the key waits for the outcome and its rest.
+#[test]
+fn what_is_in_doubt_is_answered_at_once_and_holds_its_key() {
+    let once = ServiceGroup { in_order: true, ..group(Effect::OnceOnly) };
+    let mut w = World::new(settings(vec![once, group(Effect::Repeatable)]), 2);
+    let (first, second) = (w.take(0, 0, Some(1), 4.0), w.take(0, 0, Some(1), 4.0));
+    w.pump();
+    w.in_doubt(first, End::Broken);
+    assert!(w.records[0].over && !w.records[0].pushed_back, "once-only: errored");
+    w.pass(1.0);
+    assert!(w.sent_to(second).is_empty(), "it may still run");
+    w.outcome(first, End::Broken);
+    w.pass(0.4);
+    assert!(w.sent_to(second).is_empty(), "the key rests");
+    w.pass(0.2);
+    assert_eq!(w.sent_to(second).len(), 1);
+    // One that may be sent again is not answered, and not sent while the other may be out.
+    let third = w.take(1, 0, None, 3.0);
+    w.pump();
+    w.in_doubt(third, End::Broken);
+    w.pass(1.0);
+    assert_eq!((w.sent_to(third).len(), w.records[2].over), (1, false));
+    w.outcome(third, End::Broken);
+    w.pump();
+    assert_eq!(w.sent_to(third).len(), 2);
+}
