--- a/crates/plan/tests/broken.rs
+++ b/crates/plan/tests/broken.rs
@@ -42,6 +42,7 @@
             group("lookup", Effect::Repeatable, false, None),
             group("catalogue", referenced, false, None),
             group("sale-load", Effect::OnceOnly, true, None),
+            group("price-feed", Effect::Repeatable, true, None),
             group("trend-report", Effect::Repeatable, false, Some("engine-8")),
         ],
         tenants: vec!["acme".into(), "mura-drazbe".into()],
--- a/crates/plan/tests/meaning.rs
+++ b/crates/plan/tests/meaning.rs
@@ -171,6 +171,11 @@
     assert!(told(format!("let c0 = 1\n{bombs}route r {{\n data-set $c60\n refuse \"x\"\n}}\n").into_bytes())
         .contains("the constant"));
     assert!(told(vec![b'a'; 17 << 20]).contains("16777216 at most"));
+    let includes: String = (0..300).map(|n| format!("include \"{n}.plan\"\n")).collect();
+    let mut files = InMemory::one(includes);
+    files.0.extend((0..300).map(|n| (format!("{n}.plan"), Vec::new())));
+    let said = compile(&files, "main.plan", None).expect_err("too many files").to_string();
+    assert!(said.contains("a plan has 256 files at most; `255.plan` is one more"), "{said}");
     let many: String = (0..5000).map(|n| format!("nonsense {n}\n")).collect();
     assert!(told(many.into_bytes()).contains("and 4900 more"));
     // A chain of pools as long as the file.
