A store of bodies: memory, then a spool file, then not kept, with its decisions apart

Change: crates/bodies, not used by the gateway yet. room decides without I/O where a body goes, what moves out and what is turned away; spool keeps pieces with checksums in one unlinked file; body streams through with one reader at a time.

--- /dev/null
+++ b/crates/bodies/src/lib.rs
@@ -0,0 +1,14 @@
+//! Keeps bodies of batches for further dispatches: in memory up to a size, then in a spool file up to a budget, then not
+//! at all. A body passes through while it comes in and is kept as it passes, never twice.
+//!
+//! [`room`] decides where a body goes, what moves and what is turned away; it does no I/O. [`spool`] has the blocks of
+//! the file behind a trait, each with its checksum. [`body`] is what passes through: one writer, one reader at a time.
+//! docs/bodies.md weighs it all.
+
+pub mod body;
+pub mod room;
+pub mod spool;
+
+pub use body::{Body, Reader, Store};
+pub use room::{Limits, Place, Refused, Room};
+pub use spool::{Disk, Media, Spool};
