--- /dev/null
+++ b/crates/ledger/src/book.rs
@@ -0,0 +1,138 @@
+//! What must outlive a process: once-only batches that were sent, and which of them are proved over. Records and what
+//! they add up to, without I/O; `journal` writes them.
+
+use std::collections::HashMap;
+
+/// Bytes of a record: a mark (1), its kind (1), whether it has a key (1), 0 (1), a checksum of the rest (4), id (8), key
+/// (8), until (8); numbers with the lowest byte first.
+pub const RECORD: usize = 32;
+const MARK: u8 = b'G';
+const SENT: u8 = 1;
+const OVER: u8 = 2;
+
+/// A once-only batch that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    pub id: u64,
+    pub key: Option<u64>,
+    /// Unix milliseconds: after that nobody asks for it, and nothing of it runs.
+    pub until: u64,
+}
+
+/// A line of the book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// It is about to go out.
+    Sent(Sent),
+    /// No dispatch of it runs any more, and its client has its answer.
+    Over { id: u64 },
+}
+
+impl Record {
+    pub fn bytes(&self) -> [u8; RECORD] {
+        let (kind, id, key, until) = match self {
+            Record::Sent(s) => (SENT, s.id, s.key, s.until),
+            Record::Over { id } => (OVER, *id, None, 0),
+        };
+        let mut out = [0; RECORD];
+        (out[0], out[1], out[2]) = (MARK, kind, u8::from(key.is_some()));
+        out[8..16].copy_from_slice(&id.to_le_bytes());
+        out[16..24].copy_from_slice(&key.unwrap_or(0).to_le_bytes());
+        out[24..32].copy_from_slice(&until.to_le_bytes());
+        let sum = sum(&out);
+        out[4..8].copy_from_slice(&sum.to_le_bytes());
+        out
+    }
+
+    /// A record from its bytes; none where they are not one.
+    pub fn read(bytes: &[u8]) -> Option<Record> {
+        let bytes: [u8; RECORD] = bytes.try_into().ok()?;
+        let number = |at: usize| u64::from_le_bytes(std::array::from_fn(|n| bytes[at + n]));
+        let told = u32::from_le_bytes(std::array::from_fn(|n| bytes[4 + n]));
+        if bytes[0] != MARK || told != sum(&bytes) {
+            return None;
+        }
+        let key = (bytes[2] == 1).then(|| number(16));
+        match bytes[1] {
+            SENT => Some(Record::Sent(Sent { id: number(8), key, until: number(24) })),
+            OVER => Some(Record::Over { id: number(8) }),
+            _ => None,
+        }
+    }
+}
+
+fn sum(bytes: &[u8; RECORD]) -> u32 {
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&bytes[..4]);
+    sum.update(&bytes[8..]);
+    sum.finalize()
+}
+
+/// What was read of a journal.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Bytes up to which it is good: what follows was cut off by a crash.
+    pub good: usize,
+    /// Records in between that are damaged.
+    pub damaged: usize,
+}
+
+/// What the records add up to.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    open: HashMap<u64, Sent>,
+    /// Records since the last copy.
+    records: usize,
+}
+
+/// Records beyond which a book that is mostly over is written anew.
+const COPY_FROM: usize = 1024;
+
+impl Book {
+    /// Reads a journal. Its tail is cut off after the last record that is whole, wherever a crash has torn it.
+    pub fn read(bytes: &[u8]) -> (Book, Reading) {
+        let (mut book, mut reading, mut bad) = (Book::default(), Reading::default(), 0);
+        for (n, chunk) in bytes.chunks(RECORD).enumerate() {
+            match Record::read(chunk) {
+                Some(record) => {
+                    book.add(&record);
+                    reading.damaged += std::mem::take(&mut bad);
+                    reading.good = (n + 1) * RECORD;
+                }
+                None => bad += 1,
+            }
+        }
+        (book, reading)
+    }
+
+    pub fn add(&mut self, record: &Record) {
+        self.records += 1;
+        match record {
+            // A further dispatch of a batch keeps the later end.
+            Record::Sent(s) => {
+                let old = self.open.entry(s.id).or_insert(*s);
+                old.until = old.until.max(s.until);
+            }
+            Record::Over { id } => drop(self.open.remove(id)),
+        }
+    }
+
+    /// Batches that may have run and are not proved over.
+    pub fn open(&self, now: u64) -> Vec<Sent> {
+        let mut open: Vec<Sent> = self.open.values().filter(|s| s.until > now).copied().collect();
+        open.sort_unstable_by_key(|s| s.id);
+        open
+    }
+
+    /// Whether it is time to write it anew with what is open alone.
+    pub fn is_stale(&self) -> bool {
+        self.records > COPY_FROM && self.records > 4 * self.open.len()
+    }
+
+    /// The book with what is open alone; what is past its end is forgotten.
+    pub fn copy(&mut self, now: u64) -> Vec<u8> {
+        self.open.retain(|_, s| s.until > now);
+        self.records = self.open.len();
+        self.open(now).iter().flat_map(|s| Record::Sent(*s).bytes()).collect()
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,6 +8,8 @@
 //! Times are spans since any fixed point, the same for all calls, and never run backwards.
 
 mod asking;
+pub mod book;
+pub mod journal;
 
 pub use asking::{Asking, Lost, Step};
 use std::collections::HashMap;
--- a/crates/plan/src/diff.rs
+++ b/crates/plan/src/diff.rs
@@ -25,6 +25,7 @@
     groups(old, new, &mut changes);
     tenants(old, new, &mut changes);
     limits(old, new, &mut changes);
+    stores(old, new, &mut changes);
     changes
 }
 
@@ -253,6 +254,28 @@
     }
 }
 
+fn stores(old: &Plan, new: &Plan, changes: &mut Vec<Change>) {
+    let mut tell =
+        |what: &str, of: &dyn Fn(&Plan) -> Option<String>| figure(changes, "store", what, of(old), of(new));
+    type Entry = (&'static str, fn(&crate::model::Bodies) -> String);
+    let entries: [Entry; 8] = [
+        ("memory", |b| format!("{}B", b.memory)),
+        ("batch-memory", |b| format!("{}B", b.batch_memory)),
+        ("files", |b| format!("{}B", b.files)),
+        ("directory", |b| b.directory.clone().unwrap_or_default()),
+        ("batch", |b| format!("{}B", b.batch)),
+        ("share", |b| format!("{}%", b.share * 100.0)),
+        ("unknown-length", |b| b.unknown_length.to_string()),
+        ("must-keep", |b| {
+            b.must_keep.iter().cloned().collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>().join(", ")
+        }),
+    ];
+    for (name, of) in entries {
+        tell(&format!("{name} of bodies"), &|plan| plan.bodies.as_ref().map(of));
+    }
+    tell("directory of the journal", &|plan| plan.journal.as_ref().map(|j| j.directory.clone()));
+}
+
 /// What a limit counts, without names that are the plan's own.
 fn scope(plan: &Plan, limit: &Limit) -> String {
     let sorted =
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -39,6 +39,8 @@
     pub tenants: Vec<Tenant>,
     pub routes: Vec<Route>,
     pub limits: Vec<Limit>,
+    pub bodies: Option<Bodies>,
+    pub journal: Option<Journal>,
     /// Pools in an order in which each comes after those that it refers to.
     #[serde(skip)]
     pub pool_order: Vec<usize>,
@@ -312,6 +314,26 @@
     }
 }
 
+/// Where bodies are kept; sizes in bytes.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Bodies {
+    pub memory: u64,
+    pub batch_memory: u64,
+    pub files: u64,
+    pub directory: Option<String>,
+    pub batch: u64,
+    /// 0 to 1.
+    pub share: f64,
+    pub unknown_length: bool,
+    pub must_keep: Vec<String>,
+}
+
+/// Where once-only batches are written down.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Journal {
+    pub directory: String,
+}
+
 impl Plan {
     /// The pools that hold an engine, by their index.
     pub fn pools_of(&self, engine: &EngineFacts) -> Vec<bool> {
--- a/crates/plan/src/schema.rs
+++ b/crates/plan/src/schema.rs
@@ -90,6 +90,9 @@
 /// Scopes of `effect referenced`.
 pub const REFERENCED: &[&str] = &["everywhere", "zone", "cell"];
 
+/// Kinds of blocks of which a plan has one at most.
+pub const SINGLE: &[&str] = &["bodies", "journal"];
+
 /// All kinds of blocks.
 pub const BLOCKS: &[BlockKind] = &[
     BlockKind {
@@ -171,6 +174,29 @@
             entry("bytes", Shape::Bucket(Kind::Flow, Kind::Size), "10MiB/s burst 20MiB", "bytes of statements over time"),
         ],
     },
+    BlockKind {
+        name: "bodies",
+        about: "Where bodies of batches over 256 KiB are kept for further dispatches. One at most; it takes effect at a start.",
+        outer: None,
+        entries: &[
+            entry("memory", Shape::One(Kind::Size), "32MiB", "kept in memory, in all"),
+            entry("batch-memory", Shape::One(Kind::Size), "4MiB", "kept in memory of one body; a longer one goes to files"),
+            entry("files", Shape::One(Kind::Size), "1GiB", "kept in a file, in all; without it nothing is"),
+            entry("directory", Shape::One(Kind::Text), "\"/var/lib/garnetwall\"", "where that file is"),
+            entry("batch", Shape::One(Kind::Size), "200MiB", "the longest body; a longer one is refused"),
+            entry("share", Shape::One(Kind::Share), "50%", "the most of memory and files that one tenant may have"),
+            entry("unknown-length", Shape::Flag, "", "bodies may come whose length is not told"),
+            entry("must-keep", Shape::Outer(Outer::Group), "lookup", "batches of these groups are pushed back where their body can't be kept"),
+        ],
+    },
+    BlockKind {
+        name: "journal",
+        about: "Once-only batches are written down before they are sent, so that a restart runs none again. One at most; it takes effect at a start.",
+        outer: None,
+        entries: &[
+            entry("directory", Shape::One(Kind::Text), "\"/var/lib/garnetwall\"", "on a disk that lasts"),
+        ],
+    },
 ];
 
 /// A kind of block by its name.
