The gateway writes once-only batches down before they are sent, and runs none again after a kill

Need: a gateway that is killed forgot what it had sent; a client that came again with its batch had it run twice.

Off unless named.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -113,6 +113,6 @@
                 _ = int.recv() => {}
             }
         };
-        Gateway::new(config).run(stop, reloads).await.map_err(|e| format!("listen {listen}: {e}"))
+        Gateway::new(config).run(stop, reloads).await.map_err(|e| format!("{listen}: {e}"))
     })
 }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -3,12 +3,14 @@
 
 use crate::clock::{minute_of_day, Clock};
 use crate::engines::{Call, Told};
+use crate::keeping::millis;
 use crate::planning::{LaneTold, Passage, Planner, Turned};
 use bytes::Bytes;
 use garnetwall::api::{
-    Answer, Batch, BatchId, End, EngineId, Next, Outcome, Place, Report, ServiceGroup, Wait,
+    Answer, Batch, BatchId, Effect, End, EngineId, Next, Outcome, Place, Report, ServiceGroup, Wait,
 };
 use garnetwall::control::Control;
+use garnetwall_ledger::book::Sent;
 use garnetwall_plan::Plan;
 use std::collections::{HashMap, VecDeque};
 use std::net::IpAddr;
@@ -22,6 +24,10 @@
 /// Protocol: a call that its connection lost comes again on a new one within this.
 const COMES_AGAIN: Duration = Duration::from_millis(50);
 
+/// Seconds past its limit for which a once-only batch counts as one that may run: the bound of what nobody asks for,
+/// and more than clocks of two runs differ by.
+const CLEAR: f64 = 5.0;
+
 /// What a batch's task is to do next.
 #[derive(Debug)]
 pub enum Order {
@@ -86,6 +92,8 @@
         id: BatchId,
         orders: UnboundedReceiver<Order>,
         waiter: Waiter,
+        /// What is written down before it is sent, where it is once-only.
+        once_only: Option<Sent>,
     },
     /// The batch of this id is in hand already.
     Joined(Waiter),
@@ -93,6 +101,8 @@
     Other,
     /// The batch of this id is over already.
     Over,
+    /// An earlier process sent it, and it may have run.
+    MayHaveRun,
     /// The plan does not let it in.
     Turned(Turned),
 }
@@ -115,6 +125,10 @@
     jobs: HashMap<u64, Job>,
     in_hand: HashMap<BatchId, InHand>,
     over: VecDeque<(f64, u64)>,
+    /// Once-only batches that an earlier process sent, and until when their ids count.
+    recovered: HashMap<u64, f64>,
+    /// By service group.
+    once_only: Vec<bool>,
     wake: f64,
 }
 
@@ -164,6 +178,8 @@
             jobs: HashMap::new(),
             in_hand: HashMap::new(),
             over: VecDeque::new(),
+            recovered: HashMap::new(),
+            once_only: Vec::new(),
             wake: clock.now(),
         };
         let (in_hand, ends) = (watch::Sender::new(0), watch::Sender::new(None));
@@ -224,6 +240,25 @@
         });
     }
 
+    /// The groups as they are now: which are once-only.
+    pub fn grouped(&self, groups: &[ServiceGroup]) {
+        let once_only = groups.iter().map(|g| g.effect == Effect::OnceOnly).collect();
+        self.fact(|seats, _| seats.once_only = once_only);
+    }
+
+    /// Once-only batches that an earlier process sent, and whether each is proved over: none is sent again, and the keys
+    /// of those that are not rest for as long as a dispatch can run that nobody asks for.
+    pub fn recovered(&self, known: &[(Sent, bool)], unasked: Duration) {
+        self.fact(|seats, now| {
+            for (sent, over) in known {
+                seats.recovered.insert(sent.id, sent.until as f64 / 1000.0);
+                if let Some(key) = sent.key.filter(|_| !over) {
+                    seats.control.rest(key, now + unasked.as_secs_f64());
+                }
+            }
+        });
+    }
+
     /// Takes up another plan, with the groups as it has them; whether there is one to take the place of.
     pub fn replan(&self, plan: Arc<Plan>, groups: &[ServiceGroup]) -> bool {
         self.fact(|seats, _| {
@@ -231,6 +266,7 @@
             let lanes = planner.replan(plan);
             seats.tell(lanes);
             seats.control.regroup(groups);
+            seats.once_only = groups.iter().map(|g| g.effect == Effect::OnceOnly).collect();
             true
         })
     }
@@ -253,6 +289,9 @@
                 Some(&Job::InHand(id)) => return self.join(seats, id, &a, &call),
                 None => {}
             }
+            if seats.recovered.contains_key(&a.job) {
+                return Taken::MayHaveRun;
+            }
             let passage = match seats.planner.as_mut().map(|planner| planner.admit(now, &routed(now, &a))) {
                 Some(Err(turned)) => return Taken::Turned(turned),
                 Some(Ok(passage)) => Some(passage),
@@ -276,7 +315,10 @@
             let left = self.ends.borrow().map_or(limit, |at| limit.min(at)) - now;
             let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set, lane };
             seats.control.take(now, b);
-            Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver } }
+            let until = millis(limit + CLEAR);
+            let once_only = seats.once_only.get(group).copied().unwrap_or_default();
+            let once_only = once_only.then_some(Sent { id: a.job, key, until });
+            Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver }, once_only }
         })
     }
 
@@ -421,6 +463,9 @@
             self.over.pop_front();
             self.jobs.remove(&job);
         }
+        if !self.recovered.is_empty() {
+            self.recovered.retain(|_, until| *until > now);
+        }
     }
 }
 
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -208,6 +208,11 @@
         Way { engines: self, target, dispatch: None, sender: None, connection: 0, silent: false }
     }
 
+    /// How long a dispatch can run that nobody asks for, from when an earlier process may last have asked.
+    pub fn unasked(&self) -> Duration {
+        NEWS + UNASKED
+    }
+
     /// The ledger's time.
     fn now(&self) -> Duration {
         self.began.elapsed()
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,6 +4,7 @@
 use crate::engines::{Call, Engines};
 use crate::gateway::Phase;
 use crate::guests::{Guest, Guests};
+use crate::keeping::Keeper;
 use crate::life::Life;
 use crate::planning::Turned;
 use crate::sockets::{LastRead, Line};
@@ -63,6 +64,7 @@
     pub engines: Arc<Engines>,
     pub decoded: Decoded,
     pub phase: watch::Receiver<Phase>,
+    pub keeper: Arc<Keeper>,
     pub spacing: Mutex<Spacing>,
     /// Bytes of statements that may be in hand at once.
     pub statements: Arc<Semaphore>,
@@ -229,14 +231,16 @@
     arrival.limit += front.sent(arrival.key, came);
     let call = Arc::new(call);
     let waiter = match front.desk.take(arrival, call.clone()) {
-        Taken::New { id, orders, waiter } => {
-            let (desk, engines) = (front.desk.clone(), front.engines.clone());
-            tokio::spawn(Life { desk, engines, id, call, orders, _memory: memory }.live());
+        Taken::New { id, orders, waiter, once_only } => {
+            let (desk, engines, keeper) = (front.desk.clone(), front.engines.clone(), front.keeper.clone());
+            let life = Life { desk, engines, id, call, orders, keeper, once_only, _memory: memory };
+            tokio::spawn(life.live());
             waiter
         }
         Taken::Joined(waiter) => waiter,
         Taken::Other => return wrong(StatusCode::CONFLICT, "this id is that of another batch"),
         Taken::Over => return wrong(StatusCode::CONFLICT, "this id has had its answer"),
+        Taken::MayHaveRun => return wrong(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
         Taken::Turned(turned) => return turned_away(&front, turned),
     };
     answer(waiter).await
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::engines::Engines;
 use crate::front::{self, Front};
 use crate::guests::Guests;
+use crate::keeping::Keeper;
 use crate::planning::{self, Planner};
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
@@ -70,9 +71,10 @@
             tracing::info!(routes = plan.routes.len(), limits = plan.limits.len(), "plan in force");
         }
         let planner = plan.map(|plan| Planner::new(&config.decoded, plan, budget.room as f64));
-        let settings = Settings { room, groups, ..settings.clone() };
+        let settings = Settings { room, groups: groups.clone(), ..settings.clone() };
         let control = Control::new(settings, config.seed, clock.now());
         let (desk, probes) = Desk::new(control, planner, clock, longest);
+        desk.grouped(&groups);
         let engines = Arc::new(Engines::new(config.decoded.network, &budget, longest));
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
@@ -97,11 +99,13 @@
         reloads: UnboundedReceiver<Config>,
     ) -> io::Result<()> {
         self.enter(Phase::Starting);
+        let keeper = Arc::new(self.keeper()?);
         let listener = bind(self.config.listen)?;
         self.start(reloads);
         let front = Front {
             desk: self.desk.clone(),
             engines: self.engines.clone(),
+            keeper,
             decoded: self.config.decoded.clone(),
             phase: self.phase.subscribe(),
             statements: self.budget.statements.clone(),
@@ -138,6 +142,16 @@
         Ok(())
     }
 
+    /// The journal that the plan names, with what an earlier process may have left running.
+    fn keeper(&self) -> io::Result<Keeper> {
+        let Some(journal) = self.config.plan.as_ref().and_then(|plan| plan.journal.as_ref()) else {
+            return Ok(Keeper::default());
+        };
+        let (keeper, open) = Keeper::open(&journal.directory, &self.config.name, self.desk.clock())?;
+        self.desk.recovered(&open, self.engines.unasked());
+        Ok(keeper)
+    }
+
     /// Healthy from the first list of engines on; batches are taken before that, too.
     async fn serving(&self) {
         self.engines.known().await;
--- /dev/null
+++ b/crates/gateway/src/keeping.rs
@@ -0,0 +1,67 @@
+//! What a gateway keeps beyond a batch's answer: the journal of once-only batches on a disk that lasts. It hands records
+//! to the journal and waits for them; the ledger's package decides what they mean.
+
+use crate::clock::Clock;
+use garnetwall_ledger::book::Sent;
+use garnetwall_ledger::journal::{FileLog, Journal};
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// A record that is not on the disk by then holds its batch up no longer.
+const WRITTEN_IN: Duration = Duration::from_millis(500);
+
+/// The journal, where there is one.
+#[derive(Default)]
+pub struct Keeper {
+    journal: Option<Journal>,
+}
+
+impl Keeper {
+    /// Opens the journal of a gateway in a directory: itself, and what may have run before.
+    ///
+    /// # Errors
+    ///
+    /// With the path in the text.
+    pub fn open(directory: &str, gateway: &str, clock: Clock) -> io::Result<(Keeper, Vec<(Sent, bool)>)> {
+        let path = Path::new(directory).join(format!("{gateway}.once-only"));
+        let (log, held) = FileLog::open(&path)?;
+        let (journal, open) = Journal::start(log, &held, move || millis(clock.now()));
+        let may_run = open.iter().filter(|(_, over)| !over).count();
+        tracing::info!(path = %path.display(), known = open.len(), may_run, "journal of once-only batches opened");
+        Ok((Keeper { journal: Some(journal) }, open))
+    }
+
+    /// Writes down that a once-only batch is about to be sent; whether it may be.
+    pub async fn promise(&self, sent: Sent) -> bool {
+        let Some(journal) = &self.journal else { return true };
+        let (done, written) = oneshot::channel();
+        // Whoever no longer waits did not send it.
+        journal.sent(sent, Box::new(move |result| drop(done.send(result))));
+        match timeout(WRITTEN_IN, written).await {
+            Ok(Ok(Ok(()))) => true,
+            Ok(Ok(Err(fault))) => {
+                tracing::error!(%fault, "journal can't be written: no once-only batch is sent");
+                false
+            }
+            Ok(Err(_)) | Err(_) => {
+                tracing::error!("journal is too slow: a once-only batch was not sent");
+                false
+            }
+        }
+    }
+
+    /// It is proved over.
+    pub fn over(&self, id: u64) {
+        if let Some(journal) = &self.journal {
+            journal.over(id);
+        }
+    }
+}
+
+/// Unix milliseconds of a time on the clock.
+pub fn millis(now: f64) -> u64 {
+    (now.max(0.0) * 1000.0) as u64
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod gateway;
 pub mod guests;
+pub mod keeping;
 pub mod life;
 pub mod plan_cli;
 pub mod planning;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -3,8 +3,10 @@
 use crate::clock::span;
 use crate::desk::{Desk, Final, Order};
 use crate::engines::{Call, Ended, Engines, Target, Wish};
+use crate::keeping::Keeper;
 use crate::rows;
 use garnetwall::api::{BatchId, End, EngineId, Next, Outcome};
+use garnetwall_ledger::book::Sent;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -17,6 +19,9 @@
     pub id: BatchId,
     pub call: Arc<Call>,
     pub orders: UnboundedReceiver<Order>,
+    pub keeper: Arc<Keeper>,
+    /// What is written down before it is sent.
+    pub once_only: Option<Sent>,
     /// The statement's part of the budget.
     pub _memory: OwnedSemaphorePermit,
 }
@@ -43,6 +48,10 @@
                 Order::TakeBack { .. } => {}
             }
         }
+        // Every dispatch is proved over by now.
+        if let Some(sent) = self.once_only.filter(|_| dispatch > 0) {
+            self.keeper.over(sent.id);
+        }
         self.desk.let_go(self.id);
     }
 
@@ -52,7 +61,13 @@
         let Some(target) = self.engines.target(engine) else {
             return self.after(out, Ended::of(End::Unconnected), false);
         };
-        let (ended, answered) = self.run(target, out, time_out).await;
+        if let Some(sent) = self.once_only {
+            if !self.keeper.promise(sent).await {
+                return self.after(out, Ended::of(End::Unconnected), false);
+            }
+        }
+        let left = time_out - out.sent.elapsed().as_secs_f64();
+        let (ended, answered) = self.run(target, out, left).await;
         self.after(out, ended, answered)
     }
 
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)] // Each test program uses a part.
 
+pub mod process;
+
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
--- /dev/null
+++ b/crates/gateway/tests/recovery.rs
@@ -0,0 +1,154 @@
+//! A gateway with a journal, killed while once-only batches are out: none of them runs twice, by the engine's own count,
+//! and its key rests for what may still run.
+
+mod helper;
+
+use helper::process::{ms, Process};
+use helper::*;
+use serde_json::json;
+use std::collections::HashMap;
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Stdio};
+use std::thread::sleep;
+use std::time::Instant;
+
+const KEY: &str = "X-Item: 7f3a9c21e0b4d655\r\n";
+
+/// A gateway that can be killed and started again under its address, with its journal.
+struct Lasting {
+    engine: Process,
+    _log: ChangeLog,
+    config: PathBuf,
+    plan: PathBuf,
+    address: std::net::SocketAddr,
+    child: Child,
+}
+
+impl Lasting {
+    fn start() -> Lasting {
+        let (engine, log) = (Process::start(), ChangeLog::start());
+        let mut told = config(engine.address, log.address);
+        told["settings"]["categories"][1]["give-up"] = json!(8000.0);
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+            "journal-{}-{}",
+            std::process::id(),
+            new_id()
+        ));
+        std::fs::create_dir_all(&folder).unwrap();
+        let plan = folder.join("a.plan");
+        std::fs::write(
+            &plan,
+            format!("journal once-only {{\n  directory {:?}\n}}\n", folder.to_str().unwrap()),
+        )
+        .unwrap();
+        let config = file(&told);
+        let address = told["listen"].as_str().unwrap().parse().unwrap();
+        let child = Lasting::serve(&config, &plan);
+        let lasting = Lasting { engine, _log: log, config, plan, address, child };
+        lasting.healthy();
+        lasting
+    }
+
+    fn serve(config: &Path, plan: &Path) -> Child {
+        let mut command = program(&["serve", "--plan", plan.to_str().unwrap()]);
+        command.env("PROXY_CONFIG", config).stderr(Stdio::null()).spawn().unwrap()
+    }
+
+    fn healthy(&self) {
+        let asked = || TcpStream::connect(self.address).ok().and_then(|s| call(s, "GET /healthz", "", ""));
+        until("health", || asked().is_some_and(|answer| answer.first == "HTTP/1.1 200 OK"));
+    }
+
+    fn restarted(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = Lasting::serve(&self.config, &self.plan);
+        self.healthy();
+    }
+
+    fn sends(&self, id: &str, statement: &str) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        send(&stream, "POST /v1/load", &format!("{}{KEY}", fields(id, 7000)), statement);
+        stream
+    }
+}
+
+impl Drop for Lasting {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn a_once_only_batch_that_may_have_run_is_not_sent_after_a_restart_and_its_key_rests() {
+    let mut g = Lasting::start();
+    let (first, second) = (new_id(), new_id());
+    let _lost = g.sends(&first, "INSERT 1 /* runs 60000 */");
+    until("the start", || g.engine.dispatches().len() == 1);
+    g.restarted();
+    let again = Answer::of(read_message(&mut std::io::BufReader::new(g.sends(&first, "INSERT 1"))).unwrap());
+    assert_eq!((again.status, &again.json), (500, &json!({"error": "Failed"})), "it may have run");
+    let next = Answer::of(read_message(&mut std::io::BufReader::new(g.sends(&second, "INSERT 2"))).unwrap());
+    assert!(next.returned(), "{next:?}");
+    let all = g.engine.dispatches();
+    assert_eq!(all.len(), 2, "one dispatch each: {all:#?}");
+    assert!(all[0].end().unwrap() <= all[1].came, "the key rested for what still ran");
+    // What had its answer is not held against anybody.
+    g.restarted();
+    let third =
+        Answer::of(read_message(&mut std::io::BufReader::new(g.sends(&new_id(), "INSERT 3"))).unwrap());
+    assert!(third.returned());
+}
+
+/// Killed at random, over and over, with clients that send the same batch again: by the engine's count no batch runs
+/// twice.
+#[test]
+fn killed_in_a_loop_no_once_only_batch_runs_twice() {
+    let mut g = Lasting::start();
+    let mut ids = Vec::new();
+    for round in 0..12u64 {
+        let batch: Vec<String> = (0..6).map(|_| new_id()).collect();
+        let began = Instant::now();
+        let streams: Vec<TcpStream> = batch
+            .iter()
+            .map(|id| {
+                let stream = TcpStream::connect(g.address).unwrap();
+                send(&stream, "POST /v1/load", &fields(id, 7000), &format!("INSERT {id} /* runs 3 */"));
+                stream
+            })
+            .collect();
+        // From before the first record to after the last answer.
+        sleep(ms(round * 7 % 30).saturating_sub(began.elapsed()));
+        g.restarted();
+        drop(streams);
+        for id in &batch {
+            let stream = TcpStream::connect(g.address).unwrap();
+            let answer =
+                call(stream, "POST /v1/load", &fields(id, 7000), &format!("INSERT {id} /* runs 3 */"));
+            let answer = Answer::of(answer.expect("an answer"));
+            assert!([200, 500, 503].contains(&answer.status), "{answer:?}");
+        }
+        ids.extend(batch);
+    }
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    g.engine.dispatches().iter().for_each(|d| *runs.entry(d.id.clone()).or_default() += 1);
+    let twice: Vec<_> = runs.iter().filter(|(_, n)| **n > 1).collect();
+    let known = |id: &str| g.engine.dispatches().iter().any(|d| d.id == id);
+    assert!(twice.is_empty(), "run twice: {twice:?}");
+    assert!(ids.iter().filter(|id| known(id)).count() > 20, "most came to the engine");
+}
+
+#[test]
+fn a_journal_that_cant_be_opened_is_told_with_its_place() {
+    let (engine, log) = (Engine::start(), ChangeLog::start());
+    let plan = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("no-journal-{}.plan", std::process::id()));
+    std::fs::write(&plan, "journal j {\n  directory \"/no/such/folder\"\n}\n").unwrap();
+    let config: PathBuf = file(&config(engine.address, log.address));
+    let out =
+        program(&["serve", "--plan", plan.to_str().unwrap()]).env("PROXY_CONFIG", config).output().unwrap();
+    assert_eq!(out.status.code(), Some(1));
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(said.contains("/no/such/folder/n0.once-only"), "{said}");
+}
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -24,7 +24,8 @@
 pub enum Record {
     /// It is about to go out.
     Sent(Sent),
-    /// No dispatch of it runs any more, and its client has its answer.
+    /// No dispatch of it runs any more, and its client has its answer. Its id still counts until its end, as a client
+    /// may come with it again.
     Over { id: u64 },
 }
 
@@ -80,9 +81,12 @@
 /// What the records add up to.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
-    open: HashMap<u64, Sent>,
+    /// Each with whether it is over.
+    known: HashMap<u64, (Sent, bool)>,
     /// Records since the last copy.
     records: usize,
+    /// How many there are when it is next looked whether they are of use.
+    look_at: usize,
 }
 
 /// Records beyond which a book that is mostly over is written anew.
@@ -110,29 +114,45 @@
         match record {
             // A further dispatch of a batch keeps the later end.
             Record::Sent(s) => {
-                let old = self.open.entry(s.id).or_insert(*s);
+                let (old, over) = self.known.entry(s.id).or_insert((*s, false));
                 old.until = old.until.max(s.until);
+                *over = false;
+            }
+            Record::Over { id } => {
+                if let Some((_, over)) = self.known.get_mut(id) {
+                    *over = true;
+                }
             }
-            Record::Over { id } => drop(self.open.remove(id)),
         }
     }
 
-    /// Batches that may have run and are not proved over.
-    pub fn open(&self, now: u64) -> Vec<Sent> {
-        let mut open: Vec<Sent> = self.open.values().filter(|s| s.until > now).copied().collect();
-        open.sort_unstable_by_key(|s| s.id);
-        open
+    /// Batches that were sent and whose end is not past, each with whether it is proved over.
+    pub fn known(&self, now: u64) -> Vec<(Sent, bool)> {
+        let mut known: Vec<_> = self.known.values().filter(|(s, _)| s.until > now).copied().collect();
+        known.sort_unstable_by_key(|(s, _)| s.id);
+        known
     }
 
-    /// Whether it is time to write it anew with what is open alone.
-    pub fn is_stale(&self) -> bool {
-        self.records > COPY_FROM && self.records > 4 * self.open.len()
+    /// Whether most of its records are of no use any more. It looks the closer the more there are, so that looking
+    /// costs little for each record.
+    pub fn is_stale(&mut self, now: u64) -> bool {
+        if self.records < self.look_at.max(COPY_FROM) {
+            return false;
+        }
+        self.known.retain(|_, (s, _)| s.until > now);
+        self.look_at = 2 * self.records;
+        self.records > 4 * self.known.len()
     }
 
-    /// The book with what is open alone; what is past its end is forgotten.
+    /// The book with what is past its end forgotten.
     pub fn copy(&mut self, now: u64) -> Vec<u8> {
-        self.open.retain(|_, s| s.until > now);
-        self.records = self.open.len();
-        self.open(now).iter().flat_map(|s| Record::Sent(*s).bytes()).collect()
+        self.known.retain(|_, (s, _)| s.until > now);
+        let records = self.known(now).into_iter().flat_map(|(s, over)| {
+            let ended = over.then_some(Record::Over { id: s.id });
+            std::iter::once(Record::Sent(s)).chain(ended)
+        });
+        let records: Vec<Record> = records.collect();
+        (self.records, self.look_at) = (records.len(), 2 * records.len());
+        records.iter().flat_map(Record::bytes).collect()
     }
 }
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -96,9 +96,9 @@
         log: impl Log + 'static,
         held: &[u8],
         now: impl Fn() -> u64 + Send + 'static,
-    ) -> (Journal, Vec<Sent>) {
+    ) -> (Journal, Vec<(Sent, bool)>) {
         let book = Book::read(held).0;
-        let open = book.open(now());
+        let open = book.known(now());
         let (orders, taken) = channel();
         let thread = std::thread::spawn(move || write_all(log, book, &taken, now));
         (Journal { orders, thread: Some(thread) }, open)
@@ -153,11 +153,11 @@
         };
         failed |= written.is_err();
         for done in waiting {
-            done(written.as_ref().map(|()| ()).map_err(|e| io::Error::new(e.kind(), e.to_string())));
+            done(written.as_ref().copied().map_err(|e| io::Error::new(e.kind(), e.to_string())));
         }
-        if !failed && book.is_stale() {
-            let copy = book.copy(now());
-            failed |= log.replace(&copy).is_err();
+        let at = now();
+        if !failed && book.is_stale(at) {
+            failed |= log.replace(&book.copy(at)).is_err();
         }
         if stops {
             return;
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -7,14 +7,14 @@
 use proptest::prelude::*;
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Write};
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::{Command, Stdio};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 fn sent(id: u64) -> Sent {
-    Sent { id, key: (id % 3 != 0).then_some(id % 5), until: 1000 + id }
+    Sent { id, key: (!id.is_multiple_of(3)).then_some(id % 5), until: 1000 + id }
 }
 
 fn record() -> impl Strategy<Value = Record> {
@@ -26,22 +26,23 @@
 }
 
 /// What is open after these records, worked out by looking back for each id.
-fn plain(records: &[Record], now: u64) -> Vec<Sent> {
-    let mut open = Vec::new();
+fn plain(records: &[Record], now: u64) -> Vec<(Sent, bool)> {
+    let mut known = Vec::new();
     for id in 0..20 {
-        let after = records.iter().rposition(|r| *r == Record::Over { id }).map_or(0, |n| n + 1);
-        let of = records[after..].iter().filter_map(|r| match r {
-            Record::Sent(s) if s.id == id => Some(*s),
-            _ => None,
+        let of = |r: &&Record| matches!(r, Record::Sent(s) if s.id == id) || **r == Record::Over { id };
+        let all: Vec<&Record> = records.iter().filter(of).collect();
+        let sent = all.iter().filter_map(|r| match r {
+            Record::Sent(s) => Some(*s),
+            Record::Over { .. } => None,
         });
-        let all: Vec<Sent> = of.collect();
-        if let Some(first) = all.first() {
-            let until = all.iter().map(|s| s.until).max().unwrap_or_default();
-            open.push(Sent { until, ..*first });
+        let sent: Vec<Sent> = sent.collect();
+        if let Some(first) = sent.first() {
+            let until = sent.iter().map(|s| s.until).max().unwrap_or_default();
+            known.push((Sent { until, ..*first }, all.last() == Some(&&Record::Over { id })));
         }
     }
-    open.retain(|s| s.until > now);
-    open
+    known.retain(|(s, _)| s.until > now);
+    known
 }
 
 proptest! {
@@ -50,9 +51,9 @@
         let bytes: Vec<u8> = records.iter().flat_map(|r| r.bytes()).collect();
         let (mut book, reading) = Book::read(&bytes);
         prop_assert_eq!((reading.good, reading.damaged), (bytes.len(), 0));
-        prop_assert_eq!(book.open(now), plain(&records, now));
+        prop_assert_eq!(book.known(now), plain(&records, now));
         let copy = book.copy(now);
-        prop_assert_eq!(Book::read(&copy).0.open(now), plain(&records, now), "a copy says the same");
+        prop_assert_eq!(Book::read(&copy).0.known(now), plain(&records, now), "a copy says the same");
     }
 
     /// Cut at every byte of its tail: all whole records before it count, nothing else.
@@ -63,7 +64,7 @@
             let (book, reading) = Book::read(&bytes[..cut]);
             let whole = cut / RECORD;
             prop_assert_eq!(reading.good, whole * RECORD);
-            prop_assert_eq!(book.open(0), plain(&records[..whole], 0));
+            prop_assert_eq!(book.known(0), plain(&records[..whole], 0));
         }
     }
 
@@ -76,7 +77,7 @@
         let left: Vec<Record> = records.iter().enumerate().filter(|(n, _)| *n != bad).map(|(_, r)| *r).collect();
         let (book, reading) = Book::read(&bytes);
         // A damaged key flag or byte is caught by the checksum, wherever it is.
-        prop_assert_eq!(book.open(0), plain(&left, 0));
+        prop_assert_eq!(book.known(0), plain(&left, 0));
         let last = bad == records.len() - 1;
         prop_assert_eq!(reading.damaged, usize::from(!last));
     }
@@ -137,9 +138,9 @@
         drop(journal);
         let first_bad = (fails as u64 - 1) / 2;
         assert_eq!(promised, (0..6.min(first_bad)).collect::<Vec<_>>(), "step {fails}");
-        let open = Book::read(&log.bytes.lock().unwrap()).0.open(0);
+        let open = Book::read(&log.bytes.lock().unwrap()).0.known(0);
         for id in promised {
-            assert!(open.contains(&sent(id)), "step {fails}: {id} was promised");
+            assert!(open.contains(&(sent(id), false)), "step {fails}: {id} was promised");
         }
     }
 }
@@ -148,35 +149,37 @@
 fn what_is_over_is_forgotten_and_the_file_stays_small() {
     let path = std::env::temp_dir().join(format!("garnetwall-compact-{}", std::process::id()));
     let (log, held) = FileLog::open(&path).unwrap();
-    let (journal, _) = Journal::start(log, &held, || 0);
-    for id in 0..20_000 {
-        let waits = id % 100 == 0;
+    // All but the last are past their end.
+    let (journal, _) = Journal::start(log, &held, || 1_000_000);
+    for id in 0..20_000u64 {
+        let until = if id < 19_990 { 1 } else { u64::MAX };
+        let waits = id.is_multiple_of(100);
         if waits {
             commit(&journal, id).unwrap();
         } else {
-            journal.sent(sent(id), Box::new(|_| ()));
-        }
-        if id >= 10 {
-            journal.over(id - 10);
+            journal.sent(Sent { until, ..sent(id) }, Box::new(|_| ()));
         }
+        journal.over(id);
     }
     drop(journal);
     let length = std::fs::metadata(&path).unwrap().len() as usize;
     assert!(length < 12_000 * RECORD, "{length}");
     let (_, held) = FileLog::open(&path).unwrap();
-    let open: Vec<u64> = Book::read(&held).0.open(0).iter().map(|s| s.id).collect();
-    assert_eq!(open, (19_990..20_000).collect::<Vec<_>>());
+    let known = Book::read(&held).0.known(1_000_000);
+    assert!(known.iter().all(|(_, over)| *over));
+    let known: Vec<u64> = known.iter().map(|(s, _)| s.id).collect();
+    assert_eq!(known, (19_990..20_000).collect::<Vec<_>>());
     std::fs::remove_file(path).unwrap();
 }
 
 /// The process that is killed: it commits ids without end and says each one that is promised.
-fn writes_until_killed(path: &PathBuf, from: u64) {
+fn writes_until_killed(path: &Path, from: u64) {
     let (log, held) = FileLog::open(path).unwrap();
     let (journal, _) = Journal::start(log, &held, || 0);
     for id in from.. {
         commit(&journal, id).unwrap();
         println!("sent {id}");
-        if id % 3 == 0 {
+        if id.is_multiple_of(3) {
             journal.over(id);
             println!("over {id}");
         }
@@ -191,7 +194,7 @@
     const PATH: &str = "GARNETWALL_JOURNAL_TEST";
     if let Ok(path) = std::env::var(PATH) {
         let (path, from) = path.rsplit_once('=').unwrap();
-        return writes_until_killed(&path.into(), from.parse().unwrap());
+        return writes_until_killed(Path::new(path), from.parse().unwrap());
     }
     let path = std::env::temp_dir().join(format!("garnetwall-killed-{}", std::process::id()));
     let mut said: HashMap<u64, &str> = HashMap::new();
@@ -222,7 +225,7 @@
         }
         let (log, held) = FileLog::open(&path).unwrap();
         drop(log);
-        let open: Vec<u64> = Book::read(&held).0.open(0).iter().map(|s| s.id).collect();
+        let open: Vec<u64> = Book::read(&held).0.known(0).iter().map(|(s, _)| s.id).collect();
         for (id, word) in said.iter().filter(|(_, word)| **word == "sent") {
             assert!(open.contains(id), "round {round}: {id} was {word} and is lost");
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -118,6 +118,13 @@
         }
     }
 
+    /// A dispatch of this key that an earlier process sent may still run: the key rests until then.
+    pub fn rest(&mut self, key: u64, until: f64) {
+        let k = self.keys.entry(key).or_default();
+        k.rests_until = k.rests_until.max(until);
+        self.due.insert((micros(k.rests_until), Due::Rested(key)));
+    }
+
     /// New goals, effects and budgets of the groups; whether they keep order stays as it was.
     pub fn regroup(&mut self, groups: &[ServiceGroup]) {
         for (old, new) in self.s.groups.iter_mut().zip(groups) {
