Long bodies stream through the gateway and are kept for further dispatches

Need: statements were at most 256 KB, read whole and kept in memory; the operators want bodies kept in memory, then files, then not.

Change: with a bodies block in the plan a body over 256 KB goes on to the engine while it comes in and is kept as it passes. A start counts as one that may run only once its last byte is on its way; what breaks before never ran. The module is told when a body is not there any more (not_kept) and sends no further dispatch. Off unless named; shorter bodies go as before.

--- a/crates/bodies/src/body.rs
+++ b/crates/bodies/src/body.rs
@@ -72,6 +72,21 @@
         tenant: usize,
         group: usize,
         length: Option<u64>,
+    ) -> Result<Arc<Body>, Refused> {
+        self.admit_as(tenant, group, length, false)
+    }
+
+    /// The same; a once-only body is let go as it is sent.
+    ///
+    /// # Errors
+    ///
+    /// The batch is not to be taken.
+    pub fn admit_as(
+        self: &Arc<Self>,
+        tenant: usize,
+        group: usize,
+        length: Option<u64>,
+        once_only: bool,
     ) -> Result<Arc<Body>, Refused> {
         let id = lock(&self.room).admit(tenant, group, length)?;
         let inner = Inner {
@@ -84,7 +99,7 @@
             pending: BytesMut::new(),
         };
         let (inner, changed) = (Mutex::new(inner), Notify::new());
-        let body = Arc::new(Body { store: self.clone(), id, group, length, inner, changed });
+        let body = Arc::new(Body { store: self.clone(), id, group, length, once_only, inner, changed });
         lock(&self.bodies).insert(id, Arc::downgrade(&body));
         Ok(body)
     }
@@ -150,6 +165,7 @@
     id: BodyId,
     group: usize,
     length: Option<u64>,
+    once_only: bool,
     inner: Mutex<Inner>,
     changed: Notify,
 }
@@ -212,6 +228,11 @@
         self.inner().whole_start && self.place() != Place::NotKept
     }
 
+    /// Whether it can be read from its start, kept or not.
+    pub fn can_be_read(&self) -> bool {
+        self.inner().whole_start
+    }
+
     /// Whether all of it has come.
     pub fn is_whole(&self) -> bool {
         self.inner().state == State::Whole
@@ -461,6 +482,9 @@
         let bytes = bytes.slice((self.at - begins) as usize..);
         self.at += bytes.len() as u64;
         self.body.inner().read = self.at;
+        if self.body.once_only && self.body.place() != Place::NotKept {
+            self.body.room().not_kept(self.body.id);
+        }
         if self.body.place() == Place::NotKept {
             self.body.drop_read();
         }
@@ -483,6 +507,11 @@
         Ok(Bytes::from(read.await.map_err(|_| ReadFault::Gone)?.map_err(ReadFault::Spool)?))
     }
 
+    /// Bytes read so far.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
     /// Whether all has been read.
     pub fn is_at_end(&self) -> bool {
         let inner = self.body.inner();
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -25,6 +25,9 @@
 const USUAL_MEMORY_MB: u64 = 512;
 const LEAST_MEMORY_MB: u64 = 16;
 
+/// Bodies may have a quarter of the memory: statements have an eighth and results a quarter.
+const BODIES_PART: u32 = 2;
+
 #[derive(Clone, Debug)]
 pub struct Config {
     pub name: String,
@@ -91,6 +94,13 @@
         let settings = planning::settings(&config.decoded);
         let compiled = garnetwall_plan::compile(&plan_cli::Disk, &file, Some(&settings));
         let compiled = compiled.map_err(|faulty| ConfigError(format!("plan {file} is faulty\n{faulty}")))?;
+        let bodies = compiled.plan.bodies.as_ref().map_or(0, |b| b.memory);
+        let most = (config.memory_mb as u64) << 20 >> BODIES_PART;
+        if bodies > most {
+            let what =
+                format!("plan {file}: memory of bodies: {bodies} bytes, {most} at most by limits.memory_mb");
+            return Err(ConfigError(what));
+        }
         config.plan = Some(Arc::new(compiled.plan));
     }
     Ok(config)
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -259,6 +259,11 @@
         });
     }
 
+    /// Whether batches of a group are once-only now.
+    pub fn is_once_only(&self, group: usize) -> bool {
+        self.seats().once_only.get(group).copied().unwrap_or_default()
+    }
+
     /// Takes up another plan, with the groups as it has them; whether there is one to take the place of.
     pub fn replan(&self, plan: Arc<Plan>, groups: &[ServiceGroup]) -> bool {
         self.fact(|seats, _| {
@@ -342,6 +347,11 @@
         })
     }
 
+    /// A batch's body is not there any more for a further dispatch.
+    pub fn not_kept(&self, id: BatchId) {
+        self.fact(|seats, _| seats.control.not_kept(id));
+    }
+
     /// What is answered for a dispatch whose end is not known; it stays out until `after`.
     pub fn in_doubt(&self, id: BatchId, outcome: Outcome) -> Next {
         self.fact(|seats, now| seats.control.in_doubt(now, id, outcome))
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -7,12 +7,15 @@
 use crate::sockets::{Budget, Line};
 use bytes::Bytes;
 use garnetwall::api::{Condition, End, EngineId, Listed, Report};
+use garnetwall_bodies::body::ReadFault;
+use garnetwall_bodies::{Body, Reader};
 use garnetwall_ledger as ledger;
 use garnetwall_ledger::{Asking, Bounds, Connection, DispatchId, Fact, Ledger, Lost, Next, Step};
 use garnetwall_settings::Network;
-use http::header::HOST;
+use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::channel::{Channel, Sender as BodySender};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use std::collections::HashMap;
@@ -56,7 +59,33 @@
 pub struct Call {
     pub id: HeaderValue,
     pub group: HeaderValue,
-    pub statement: Bytes,
+    pub statement: Statement,
+}
+
+/// A statement, or the body that it still comes in as.
+#[derive(Clone)]
+pub enum Statement {
+    Whole(Bytes),
+    Streamed(Arc<Body>),
+}
+
+impl PartialEq for Statement {
+    fn eq(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Statement::Whole(a), Statement::Whole(b)) => a == b,
+            (Statement::Streamed(a), Statement::Streamed(b)) => Arc::ptr_eq(a, b),
+            _ => false,
+        }
+    }
+}
+
+impl std::fmt::Debug for Statement {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Statement::Whole(bytes) => write!(f, "{} bytes", bytes.len()),
+            Statement::Streamed(body) => write!(f, "a body of {:?} bytes", body.length()),
+        }
+    }
 }
 
 /// Where a dispatch goes; it stays there though the list changes.
@@ -205,7 +234,16 @@
     }
 
     fn way(&self, target: Target) -> Way<'_> {
-        Way { engines: self, target, dispatch: None, sender: None, connection: 0, silent: false }
+        Way {
+            engines: self,
+            target,
+            dispatch: None,
+            sender: None,
+            may_have_come: false,
+            unreadable: false,
+            connection: 0,
+            silent: false,
+        }
     }
 
     /// How long a dispatch can run that nobody asks for, from when an earlier process may last have asked.
@@ -289,13 +327,15 @@
         &self,
         target: Target,
         call: &Call,
+        number: u32,
         time_out: f64,
         wishes: watch::Receiver<Wish>,
         doubt: watch::Sender<Option<End>>,
     ) -> Ended {
         let id = self.ledger().open(self.now(), target.engine);
+        let start = Start { further: number > 0, time_out };
         let mut way = Way { dispatch: Some(id), ..self.way(target) };
-        let over = way.live(call, time_out, wishes, doubt).await;
+        let over = way.live(call, start, wishes, doubt).await;
         self.ledger().close(id);
         over
     }
@@ -303,7 +343,7 @@
     pub async fn probe(&self, engine: EngineId) -> (End, Option<Report>) {
         let Some(target) = self.target(engine) else { return (End::Unconnected, None) };
         let stats = request(Method::GET, target.address, "/stats");
-        match self.way(target).call(stats, self.dial + self.dial, false).await {
+        match self.way(target).call(stats, None, self.dial + self.dial, false).await {
             Ok(reply) if reply.status == StatusCode::OK => (End::Returned, reply.report()),
             Ok(reply) => (End::Errored, reply.report()),
             Err(Fault::Refused | Fault::Unconnected) => (End::Unconnected, None),
@@ -350,7 +390,9 @@
 }
 
 /// Sends calls over one connection.
-type Sender = http1::SendRequest<Full<Bytes>>;
+type Sender = http1::SendRequest<Outgoing>;
+/// What a call brings along: all at once, or as it comes.
+type Outgoing = Either<Full<Bytes>, Channel<Bytes, ReadFault>>;
 
 /// The way of one dispatch to its engine: a connection at a time, used by no other batch and given up with
 /// whatever was spoilt on it.
@@ -360,12 +402,31 @@
     /// None for a probe.
     dispatch: Option<DispatchId>,
     sender: Option<Sender>,
+    /// Its start may have come whole.
+    may_have_come: bool,
+    /// Its body could not be read to its end.
+    unreadable: bool,
     /// The number of the connection that is up, or was last.
     connection: Connection,
     /// The last call was not answered: the next is given more time, in case the engine is only slow.
     silent: bool,
 }
 
+/// How a dispatch is started.
+#[derive(Clone, Copy)]
+struct Start {
+    /// It is not the first of its batch.
+    further: bool,
+    time_out: f64,
+}
+
+/// A body on its way to an engine.
+struct Feed {
+    reader: Reader,
+    length: Option<u64>,
+    out: BodySender<Bytes, ReadFault>,
+}
+
 /// How asking for a dispatch ends.
 enum Heard {
     /// A good end: the answer that tells so, and its number of pages.
@@ -381,11 +442,11 @@
     async fn live(
         &mut self,
         call: &Call,
-        time_out: f64,
+        start: Start,
         mut wishes: watch::Receiver<Wish>,
         doubt: watch::Sender<Option<End>>,
     ) -> Ended {
-        let told = self.end(call, time_out, &mut wishes).await;
+        let told = self.end(call, start, &mut wishes).await;
         let end = match told {
             Heard::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
             Heard::Good(first, pages) => return self.fetch(call, first, pages).await,
@@ -409,17 +470,33 @@
         Ended::of(end)
     }
 
-    fn starting(&self, call: &Call, time_out: f64) -> Request<Full<Bytes>> {
+    /// The call that starts a dispatch, and the body that goes with it; none where that is not there any more.
+    fn starting(&self, call: &Call, start: Start) -> Option<(Request<Outgoing>, Option<Feed>)> {
+        let Start { further, time_out } = start;
         let mut request = request(Method::POST, self.target.address, "/c");
-        *request.body_mut() = Full::new(call.statement.clone());
+        let feed = match &call.statement {
+            Statement::Whole(bytes) => {
+                *request.body_mut() = Either::Left(Full::new(bytes.clone()));
+                None
+            }
+            Statement::Streamed(body) => {
+                let reader = body.reader(further).ok()?;
+                let (out, stream) = Channel::new(1);
+                *request.body_mut() = Either::Right(stream);
+                if let Some(length) = body.length() {
+                    request.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
+                }
+                Some(Feed { reader, length: body.length(), out })
+            }
+        };
         let head = request.headers_mut();
         head.insert(ID, call.id.clone());
         head.insert(GROUP, call.group.clone());
         head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
-        request
+        Some((request, feed))
     }
 
-    fn asking(&self, call: &Call, page: usize) -> Request<Full<Bytes>> {
+    fn asking(&self, call: &Call, page: usize) -> Request<Outgoing> {
         request(Method::GET, self.target.address, &path(call, Some(page)))
     }
 
@@ -445,14 +522,22 @@
 
     /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
     /// not answered may have come whole all the same, and a good end is given again: asking tells.
-    async fn end(&mut self, call: &Call, time_out: f64, wishes: &mut watch::Receiver<Wish>) -> Heard {
+    async fn end(&mut self, call: &Call, start: Start, wishes: &mut watch::Receiver<Wish>) -> Heard {
         let mut asking = self.asked_on();
-        let mut next = self.starting(call, time_out);
+        let Some((mut next, mut feed)) = self.starting(call, start) else {
+            self.tell(Fact::NeverCame);
+            return Heard::Over(Ended::of(End::Unconnected));
+        };
         let mut started = false;
         loop {
-            let Some(answer) = self.wanted(next, wishes).await else { return Heard::Unwanted };
+            let Some(answer) = self.wanted(next, feed.take(), wishes).await else { return Heard::Unwanted };
             let first = !std::mem::replace(&mut started, true);
-            if first && matches!(answer, Err(Fault::Refused | Fault::Unconnected)) {
+            if std::mem::take(&mut self.unreadable) {
+                // What went on is not whole, so that nothing ran; the batch has no body any more.
+                self.tell(Fact::NeverCame);
+                return Heard::Over(Ended::of(End::Errored));
+            }
+            if first && answer.is_err() && !self.may_have_come {
                 self.tell(Fact::NeverCame);
                 return Heard::Over(Ended::of(End::Unconnected));
             }
@@ -494,7 +579,8 @@
     /// it has not ended then.
     async fn wanted(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
+        feed: Option<Feed>,
         wishes: &mut watch::Receiver<Wish>,
     ) -> Option<Result<Reply, Fault>> {
         let within = self.patience();
@@ -503,7 +589,7 @@
             let _ = wishes.wait_for(|wish| *wish != Wish::Answer).await;
         };
         let answer = {
-            let calling = self.call(request, within, true);
+            let calling = self.call(request, feed, within, true);
             tokio::pin!(calling);
             tokio::select! {
                 biased;
@@ -535,7 +621,7 @@
                 if !self.ask_on(&mut asking, told).await {
                     return Ended { end: End::Broken, ..ended };
                 }
-                told = match self.call(self.asking(call, page), self.patience(), true).await {
+                told = match self.call(self.asking(call, page), None, self.patience(), true).await {
                     Ok(r) if r.status == StatusCode::INTERNAL_SERVER_ERROR => {
                         tracing::debug!(engine = self.target.engine, page, "page lost");
                         return Ended { end: End::Errored, ..ended };
@@ -596,7 +682,7 @@
                 Next::GiveUp(left) => {
                     let delete = request(Method::DELETE, self.target.address, &path(call, None));
                     let within = left.min(self.engines.dial * 2);
-                    match self.call(delete, within, false).await {
+                    match self.call(delete, None, within, false).await {
                         // An engine that does not know it says so by the second.
                         Ok(r)
                             if [StatusCode::NO_CONTENT, StatusCode::INTERNAL_SERVER_ERROR]
@@ -630,11 +716,12 @@
     /// running.
     async fn call(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
+        feed: Option<Feed>,
         within: Duration,
         asks: bool,
     ) -> Result<Reply, Fault> {
-        let answer = self.bounded(request, within, asks).await;
+        let answer = self.bounded(request, feed, within, asks).await;
         self.silent = matches!(answer, Err(Fault::Silent));
         self.engines.heard(self.target, answer.as_ref().err());
         match answer {
@@ -648,7 +735,8 @@
 
     async fn bounded(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
+        feed: Option<Feed>,
         within: Duration,
         asks: bool,
     ) -> Result<Reply, Fault> {
@@ -663,16 +751,78 @@
                 self.engines.connect(self.target.address).await?
             }
         };
-        if asks {
-            self.tell(Fact::Asked);
-        }
-        let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
-        self.sender = answer.is_ok().then_some(sender);
+        let Some(feed) = feed else {
+            if asks {
+                self.may_have_come = true;
+                self.tell(Fact::Asked);
+            }
+            let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
+            self.sender = answer.is_ok().then_some(sender);
+            return answer;
+        };
+        let answer = self.streamed(&mut sender, request, feed, within).await;
+        // What was not sent to its end leaves a connection of no use.
+        self.sender = (answer.is_ok() && self.may_have_come).then_some(sender);
         answer
     }
+
+    /// A start whose body goes on as it comes. It takes as long as the body, which its batch's limit bounds; the answer
+    /// may come before the body is sent.
+    async fn streamed(
+        &mut self,
+        sender: &mut Sender,
+        request: Request<Outgoing>,
+        feed: Feed,
+        within: Duration,
+    ) -> Result<Reply, Fault> {
+        let exchanging = exchange(sender, request);
+        tokio::pin!(exchanging);
+        let fed = tokio::select! {
+            biased;
+            answer = &mut exchanging => return answer,
+            fed = self.feed(feed) => fed,
+        };
+        match fed {
+            Ok(()) => timeout(within, exchanging).await.unwrap_or(Err(Fault::Silent)),
+            Err(fault) => {
+                tracing::debug!(%fault, "a body could not be sent to its end");
+                self.unreadable = !matches!(fault, ReadFault::CutOff);
+                Err(Fault::Broken)
+            }
+        }
+    }
+
+    async fn feed(&mut self, feed: Feed) -> Result<(), ReadFault> {
+        let Feed { mut reader, length, mut out } = feed;
+        loop {
+            match reader.next().await {
+                Ok(Some(bytes)) => {
+                    // Only a call that has come whole is one that may run.
+                    if length == Some(reader.at()) {
+                        self.may_have_come = true;
+                        self.tell(Fact::Asked);
+                    }
+                    if out.send_data(bytes).await.is_err() {
+                        // The engine hears no more of it: its answer, or the broken connection, tells why.
+                        std::future::pending::<()>().await;
+                    }
+                }
+                Ok(None) => {
+                    self.may_have_come = true;
+                    self.tell(Fact::Asked);
+                    return Ok(());
+                }
+                Err(fault) => {
+                    let told = ReadFault::CutOff;
+                    out.abort(told);
+                    return Err(fault);
+                }
+            }
+        }
+    }
 }
 
-async fn exchange(sender: &mut Sender, request: Request<Full<Bytes>>) -> Result<Reply, Fault> {
+async fn exchange(sender: &mut Sender, request: Request<Outgoing>) -> Result<Reply, Fault> {
     sender.ready().await.map_err(|e| fault(&e))?;
     let answer = sender.send_request(request).await.map_err(|e| fault(&e))?;
     let (head, body) = answer.into_parts();
@@ -732,8 +882,8 @@
     page.map_or_else(|| format!("/c/{id}"), |page| format!("/c/{id}/{page}"))
 }
 
-fn request(method: Method, address: SocketAddr, path: &str) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::default());
+fn request(method: Method, address: SocketAddr, path: &str) -> Request<Outgoing> {
+    let mut request = Request::new(Either::Left(Full::default()));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().unwrap_or_default();
     if let Ok(host) = HeaderValue::try_from(address.to_string()) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,7 +1,7 @@
 //! The front: clients' calls into arrivals, and final answers into responses.
 
 use crate::desk::{Arrival, Desk, Final, Taken, Waiter};
-use crate::engines::{Call, Engines};
+use crate::engines::{Call, Engines, Statement};
 use crate::gateway::Phase;
 use crate::guests::{Guest, Guests};
 use crate::keeping::Keeper;
@@ -17,7 +17,10 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Extension, Router};
+use garnetwall_bodies::room::Refused;
+use garnetwall_bodies::{Body as Kept, Store};
 use garnetwall_settings::Decoded;
+use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -30,7 +33,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
@@ -53,6 +56,10 @@
 const REST: usize = 4096;
 /// More than any statement; a longer one is not read to its end.
 const LONGEST_STATEMENT: u64 = 1 << 18;
+/// Bytes of a long body in which its data set is looked for before it is taken.
+const FIRST_BYTES: usize = 64 << 10;
+/// Until a long body has its own.
+const STANDS_IN: bytes::Bytes = bytes::Bytes::from_static(b"-");
 /// More than any head.
 const LONGEST_HEAD: usize = 16 << 10;
 /// After a fault of accepting: descriptors come back as clients leave.
@@ -65,6 +72,8 @@
     pub decoded: Decoded,
     pub phase: watch::Receiver<Phase>,
     pub keeper: Arc<Keeper>,
+    /// Where bodies over the longest statement are kept; without it they are refused.
+    pub store: Option<Arc<Store>>,
     pub spacing: Mutex<Spacing>,
     /// Bytes of statements that may be in hand at once.
     pub statements: Arc<Semaphore>,
@@ -206,11 +215,15 @@
     head: HeaderMap,
     body: Body,
 ) -> Response {
+    let length = body.size_hint().exact();
+    if let Some(store) = front.store.clone().filter(|_| length.is_none_or(|n| n > LONGEST_STATEMENT)) {
+        return streamed(&front, &store, &group, &head, client, &read, body).await;
+    }
     if head.contains_key(TRANSFER_ENCODING) {
         // Told in two ways, a length may hide another call in the body: only Content-Length counts.
         return last(wrong(StatusCode::LENGTH_REQUIRED, "a statement comes with its Content-Length"));
     }
-    let length = body.size_hint().exact().unwrap_or(u64::MAX);
+    let length = length.unwrap_or(u64::MAX);
     if length > LONGEST_STATEMENT {
         return last(wrong(StatusCode::PAYLOAD_TOO_LARGE, "statement too long"));
     }
@@ -224,13 +237,27 @@
         Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
     };
     let came = front.desk.clock().at(read.at());
-    let (mut arrival, call) = match arrival(&front.decoded, &group, &head, client, body) {
+    let (arrival, call) = match arrival(&front.decoded, &group, &head, client, body) {
         Ok(taken) => taken,
         Err(what) => return wrong(StatusCode::BAD_REQUEST, &what),
     };
+    match take(&front, arrival, call, came, memory) {
+        Ok(waiter) => answer(waiter).await,
+        Err(refused) => *refused,
+    }
+}
+
+/// Takes a batch, or joins the one in hand: who waits for it, or what is answered at once.
+fn take(
+    front: &Front,
+    mut arrival: Arrival,
+    call: Call,
+    came: f64,
+    memory: OwnedSemaphorePermit,
+) -> Result<Waiter, Box<Response>> {
     arrival.limit += front.sent(arrival.key, came);
     let call = Arc::new(call);
-    let waiter = match front.desk.take(arrival, call.clone()) {
+    Ok(match front.desk.take(arrival, call.clone()) {
         Taken::New { id, orders, waiter, once_only } => {
             let (desk, engines, keeper) = (front.desk.clone(), front.engines.clone(), front.keeper.clone());
             let life = Life { desk, engines, id, call, orders, keeper, once_only, _memory: memory };
@@ -238,12 +265,115 @@
             waiter
         }
         Taken::Joined(waiter) => waiter,
-        Taken::Other => return wrong(StatusCode::CONFLICT, "this id is that of another batch"),
-        Taken::Over => return wrong(StatusCode::CONFLICT, "this id has had its answer"),
-        Taken::MayHaveRun => return wrong(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
-        Taken::Turned(turned) => return turned_away(&front, turned),
+        Taken::Other => return Err(wrong(StatusCode::CONFLICT, "this id is that of another batch").into()),
+        Taken::Over => return Err(wrong(StatusCode::CONFLICT, "this id has had its answer").into()),
+        Taken::MayHaveRun => return Err(wrong(StatusCode::INTERNAL_SERVER_ERROR, "Failed").into()),
+        Taken::Turned(turned) => return Err(turned_away(front, turned).into()),
+    })
+}
+
+/// A body too long to be read whole first: it goes on while it comes in, and is kept as it passes.
+async fn streamed(
+    front: &Front,
+    store: &Arc<Store>,
+    group: &str,
+    head: &HeaderMap,
+    client: IpAddr,
+    read: &LastRead,
+    mut body: Body,
+) -> Response {
+    let length = body.size_hint().exact();
+    let came = front.desk.clock().at(read.at());
+    let (mut arrival, mut call) = match arrival(&front.decoded, group, head, client, STANDS_IN) {
+        Ok(taken) => taken,
+        Err(what) => return last(wrong(StatusCode::BAD_REQUEST, &what)),
+    };
+    let once_only = front.desk.is_once_only(arrival.group);
+    let kept = match store.admit_as(arrival.tenant, arrival.group, length, once_only) {
+        Ok(kept) => kept,
+        Err(refused) => return last(not_kept(refused)),
+    };
+    let mut first = Vec::new();
+    while first.len() < FIRST_BYTES {
+        match timeout(FIRST_CALL, next_chunk(&mut body)).await {
+            Ok(Ok(Some(bytes))) => {
+                first.extend_from_slice(&bytes);
+                if kept.push(bytes).await.is_err() {
+                    return last(not_kept(Refused::NoRoom));
+                }
+            }
+            Ok(Ok(None)) => break,
+            Ok(Err(())) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
+            Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
+        }
+    }
+    if first.is_empty() {
+        return last(wrong(StatusCode::BAD_REQUEST, "no statement"));
+    }
+    arrival.data_set = statement::data_set(&first).unwrap_or(0);
+    arrival.bytes = length.unwrap_or(first.len() as u64);
+    drop(first);
+    call.statement = Statement::Streamed(kept.clone());
+    let job = arrival.job;
+    let Ok(memory) = front.statements.clone().try_acquire_many_owned(0) else {
+        return last(wrong(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
     };
-    answer(waiter).await
+    let waiter = match take(front, arrival, call, came, memory) {
+        Ok(waiter) => waiter,
+        Err(refused) => return last(*refused),
+    };
+    let answering = answer(waiter);
+    tokio::pin!(answering);
+    let pumped = tokio::select! {
+        biased;
+        // Whatever still comes is not wanted any more.
+        answer = &mut answering => return last(answer),
+        pumped = pump(&mut body, &kept) => pumped,
+    };
+    match pumped {
+        Ok(()) => answering.await,
+        Err(what) => {
+            kept.cut_off();
+            front.desk.withdraw(job);
+            last(wrong(StatusCode::BAD_REQUEST, what))
+        }
+    }
+}
+
+/// Takes in the rest of a body. It ends at the latest with its batch, which its limit bounds.
+async fn pump(body: &mut Body, kept: &Kept) -> Result<(), &'static str> {
+    while let Some(bytes) = next_chunk(body).await.map_err(|()| "statement cut off")? {
+        kept.push(bytes).await.map_err(|_| "the body can't be kept, or is longer than it may be")?;
+    }
+    kept.finish().await;
+    Ok(())
+}
+
+async fn next_chunk(body: &mut Body) -> Result<Option<bytes::Bytes>, ()> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(()),
+            // Trailers say nothing here.
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Ok(Some(bytes));
+                }
+            }
+        }
+    }
+}
+
+fn not_kept(refused: Refused) -> Response {
+    match refused {
+        Refused::TooLarge { most } => {
+            wrong(StatusCode::PAYLOAD_TOO_LARGE, &format!("a body has {most} bytes at most"))
+        }
+        Refused::UnknownLength => {
+            wrong(StatusCode::LENGTH_REQUIRED, "a statement comes with its Content-Length")
+        }
+        Refused::NoRoom => pushed_back(&json!({"error": "Busy", "reason": "no room for the body"}), None),
+    }
 }
 
 async fn answer(waiter: Waiter) -> Response {
@@ -338,7 +468,7 @@
     let data_set = statement::data_set(&statement).unwrap_or(0);
     let group_name = HeaderValue::from_str(group).map_err(|_| unknown())?;
     let bytes = statement.len() as u64;
-    let call = Call { id: id.clone(), group: group_name, statement };
+    let call = Call { id: id.clone(), group: group_name, statement: Statement::Whole(statement) };
     Ok((Arrival { job, group: index, tenant, key, limit, data_set, client, bytes }, call))
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,12 +7,13 @@
 use crate::engines::Engines;
 use crate::front::{self, Front};
 use crate::guests::Guests;
-use crate::keeping::Keeper;
+use crate::keeping::{self, Keeper};
 use crate::planning::{self, Planner};
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
 use garnetwall::api::{EngineId, Settings};
 use garnetwall::control::Control;
+use garnetwall_bodies::Store;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -100,12 +101,14 @@
     ) -> io::Result<()> {
         self.enter(Phase::Starting);
         let keeper = Arc::new(self.keeper()?);
+        let store = self.store()?;
         let listener = bind(self.config.listen)?;
         self.start(reloads);
         let front = Front {
             desk: self.desk.clone(),
             engines: self.engines.clone(),
             keeper,
+            store: store.clone(),
             decoded: self.config.decoded.clone(),
             phase: self.phase.subscribe(),
             statements: self.budget.statements.clone(),
@@ -138,6 +141,9 @@
         if timeout_at((end + span(ANSWERS_OUT / 2.0)).into(), last).await.is_err() {
             tracing::warn!("stopped with calls still open");
         }
+        if let Some(store) = store {
+            keeping::tell(&store, &self.config.decoded.names.groups);
+        }
         self.enter(Phase::Stopped);
         Ok(())
     }
@@ -152,6 +158,13 @@
         Ok(keeper)
     }
 
+    /// The store of bodies that the plan asks for.
+    fn store(&self) -> io::Result<Option<Arc<Store>>> {
+        let bodies = self.config.plan.as_ref().and_then(|plan| plan.bodies.as_ref());
+        let names = &self.config.decoded.names.groups;
+        bodies.map(|bodies| keeping::store(bodies, names, &self.config.name)).transpose()
+    }
+
     /// Healthy from the first list of engines on; batches are taken before that, too.
     async fn serving(&self) {
         self.engines.known().await;
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -1,11 +1,15 @@
-//! What a gateway keeps beyond a batch's answer: the journal of once-only batches on a disk that lasts. It hands records
-//! to the journal and waits for them; the ledger's package decides what they mean.
+//! What a gateway keeps beyond a batch's answer: the journal of once-only batches on a disk that lasts, and the store of
+//! bodies. It hands records over and waits for them; `garnetwall_ledger` and `garnetwall_bodies` decide what they mean.
 
 use crate::clock::Clock;
+use garnetwall_bodies::room::Policy;
+use garnetwall_bodies::{Disk, Limits, Spool, Store};
 use garnetwall_ledger::book::Sent;
 use garnetwall_ledger::journal::{FileLog, Journal};
+use garnetwall_plan::model::Bodies;
 use std::io;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -61,6 +65,37 @@
     }
 }
 
+/// The store of bodies that a plan asks for, with a file in its directory where it names one.
+///
+/// # Errors
+///
+/// With the path in the text.
+pub fn store(bodies: &Bodies, groups: &[String], gateway: &str) -> io::Result<Arc<Store>> {
+    let spool = match &bodies.directory {
+        Some(directory) => Some(Spool::new(Disk::open(Path::new(directory), gateway)?, bodies.files)),
+        None => None,
+    };
+    let limits = Limits {
+        memory: bodies.memory,
+        files: bodies.files,
+        batch_memory: bodies.batch_memory,
+        batch: bodies.batch,
+        share: bodies.share,
+        unknown_length: bodies.unknown_length,
+        must_keep: groups.iter().map(|group| bodies.must_keep.contains(group)).collect(),
+    };
+    Ok(Store::new(limits, Policy::Largest, spool))
+}
+
+/// Says what became of bodies, by group and place.
+pub fn tell(store: &Store, groups: &[String]) {
+    for ((group, place), counts) in store.counts() {
+        let group = groups.get(group).map_or("", String::as_str);
+        let (bodies, further, missed) = (counts.bodies, counts.further, counts.missed);
+        tracing::info!(group, ?place, bodies, further, missed, "bodies");
+    }
+}
+
 /// Unix milliseconds of a time on the clock.
 pub fn millis(now: f64) -> u64 {
     (now.max(0.0) * 1000.0) as u64
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::span;
 use crate::desk::{Desk, Final, Order};
-use crate::engines::{Call, Ended, Engines, Target, Wish};
+use crate::engines::{Call, Ended, Engines, Statement, Target, Wish};
 use crate::keeping::Keeper;
 use crate::rows;
 use garnetwall::api::{BatchId, End, EngineId, Next, Outcome};
@@ -76,7 +76,7 @@
         let (engines, call, desk) = (self.engines.clone(), self.call.clone(), self.desk.clone());
         let (wish, wishes) = watch::channel(Wish::Answer);
         let (doubt, mut doubts) = watch::channel(None);
-        let running = engines.dispatch(target, &call, time_out, wishes, doubt);
+        let running = engines.dispatch(target, &call, out.dispatch, time_out, wishes, doubt);
         let too_late = async {
             tokio::select! {
                 () = sleep(span(time_out)) => {}
@@ -123,6 +123,9 @@
 
     /// Tells the module of a dispatch whose end is not known, and answers if it wants so; whether it did.
     fn in_doubt(&self, out: Out, end: End) -> bool {
+        if matches!(&self.call.statement, Statement::Streamed(body) if !body.can_be_read()) {
+            self.desk.not_kept(self.id);
+        }
         let Next::Over(answer) = self.desk.in_doubt(self.id, out.outcome(&Ended::of(end), false)) else {
             return false;
         };
@@ -140,6 +143,9 @@
         let outcome = out.outcome(&ended, answered);
         let Out { engine, dispatch, .. } = out;
         tracing::debug!(batch = self.id, engine, dispatch, end = ?ended.end, latency = outcome.latency, "outcome");
+        if matches!(&self.call.statement, Statement::Streamed(body) if !body.can_be_read()) {
+            self.desk.not_kept(self.id);
+        }
         let next = self.desk.after(self.id, outcome, ended.report);
         match (body, next) {
             (Some(Ok(body)), _) => self.desk.answer(self.id, Final::Returned(body)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -98,7 +98,16 @@
         self.look |= self.spare_room() < 0.0;
         let stage =
             if self.s.groups[b.group].in_order && b.key.is_some() { Stage::Held } else { Stage::Queued };
-        let in_hand = InHand { b, taken: now, limit, stage, dispatches: 0, out: None, may_have_run: None };
+        let in_hand = InHand {
+            b,
+            taken: now,
+            limit,
+            stage,
+            dispatches: 0,
+            out: None,
+            may_have_run: None,
+            unkept: false,
+        };
         self.batches.insert(b.id, in_hand);
         self.due.insert((micros(limit - MARGIN), Due::Limit(b.id)));
         if stage == Stage::Queued {
@@ -312,6 +321,11 @@
         density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
     }
 
+    /// A batch's body was not kept: there is no further dispatch of it.
+    pub fn not_kept(&mut self, id: BatchId) {
+        self.batches.entry(id).and_modify(|h| h.unkept = true);
+    }
+
     /// What is answered now for a dispatch whose end is not known and may not be known in time. It stays out, its
     /// batch in hand and its key held, until `after` tells that it does not run any more.
     pub fn in_doubt(&mut self, now: f64, id: BatchId, o: Outcome) -> Next {
@@ -527,6 +541,7 @@
             (Some(first), Effect::Referenced { window, .. }) => now + MARGIN < first.at + window,
         };
         harmless
+            && !h.unkept
             && now < h.limit - MARGIN
             && h.dispatches < self.s.max_dispatches
             && self.further_left(now, h.b.group)
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,6 +85,8 @@
     pub out: Option<Sent>,
     /// The first dispatch that may have run.
     pub may_have_run: Option<Sent>,
+    /// Its body is not there any more for a further dispatch.
+    pub unkept: bool,
 }
 
 /// A dispatch: where, when, and the memory counted for it.
