--- a/crates/bodies/benches/bodies.rs
+++ b/crates/bodies/benches/bodies.rs
@@ -21,10 +21,71 @@
 const CHUNK: usize = 16 << 10;
 
 fn main() {
+    if let Ok(what) = std::env::var(PEAK) {
+        return peak_of(&what);
+    }
     played_day();
+    peaks();
     divan::main();
 }
 
+/// Names the one thing that a process of its own does before it says how much memory it had.
+const PEAK: &str = "GARNETWALL_PEAK";
+const KINDS: [&str; 4] = ["memory", "spool", "plain_vec", "plain_file"];
+
+fn peaks() {
+    println!("peak memory MiB  {:>10} {:>10} {:>10} {:>10}", "1 KB", "100 KB", "10 MB", "200 MB");
+    for kind in KINDS {
+        print!("{kind:<16}");
+        for size in SIZES {
+            let Ok(exe) = std::env::current_exe() else { return };
+            let out = std::process::Command::new(exe).env(PEAK, format!("{kind}:{size}")).output();
+            let said = out.map(|o| String::from_utf8_lossy(&o.stdout).trim().to_string()).unwrap_or_default();
+            print!(" {said:>10}");
+        }
+        println!();
+    }
+}
+
+/// Takes one body through, made as it goes, so that only what keeps it counts.
+fn peak_of(what: &str) {
+    let Some((kind, size)) = what.split_once(':') else { return };
+    let Ok(size) = size.parse::<u64>() else { return };
+    let chunk = Bytes::from(vec![7u8; CHUNK]);
+    let chunks = || (0..size).step_by(CHUNK).map(|at| chunk.slice(..CHUNK.min((size - at) as usize)));
+    let memory = if kind == "memory" { 256 * MIB } else { 0 };
+    match kind {
+        "plain_vec" => {
+            let mut all = Vec::new();
+            chunks().for_each(|c| all.extend_from_slice(&c));
+            black_box(all.len());
+        }
+        "plain_file" => {
+            let path = std::env::temp_dir().join(format!("garnetwall-peak-{}", std::process::id()));
+            if let Ok(mut file) = std::fs::File::create(&path) {
+                chunks().for_each(|c| drop(file.write_all(&c)));
+            }
+            let _ = std::fs::remove_file(path);
+        }
+        _ => runtime().block_on(async {
+            let Ok(body) = store(memory).admit(0, 0, Some(size)) else { return };
+            for c in chunks() {
+                // As from a socket: each has its own memory.
+                let _ = body.push(Bytes::copy_from_slice(&c)).await;
+            }
+            body.finish().await;
+            if let Ok(mut reader) = body.reader(false) {
+                while let Ok(Some(bytes)) = reader.next().await {
+                    black_box(bytes.len());
+                }
+            }
+        }),
+    }
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with("VmHWM:")).and_then(|l| l.split_whitespace().nth(1));
+    println!("{:.1}", line.and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0);
+}
+
 fn limits(memory: u64) -> Limits {
     Limits {
         memory: 2 * memory + MIB,
--- a/crates/gateway/tests/bodies.rs
+++ b/crates/gateway/tests/bodies.rs
@@ -85,7 +85,7 @@
             if how.len() < 80 {
                 how += &String::from_utf8_lossy(&part[..part.len().min(80)]);
             }
-            let breaks = how.contains("/* breaks */") && !again && bytes > 400 * KIB;
+            let breaks = how.contains("/* breaks */") && !again && bytes > told.unwrap_or(0) / 2;
             let early = how.contains("/* early */") && !again;
             !breaks && !early
         });
@@ -261,11 +261,12 @@
 #[test]
 fn a_dispatch_that_breaks_in_the_middle_of_its_body_never_ran() {
     let s = Storing::start(FILES, "");
-    let long = body("breaks", 10 * MIB);
+    let long = body("breaks", 100 * MIB);
     let answer = s.sends("report", &long);
     assert!(answer.returned(), "{answer:?}");
     let came = s.sink.came();
-    assert!(!came[0].whole && came[1] == Came { bytes: 10 * MIB, sum: sum(&long), whole: true }, "{came:?}");
+    assert!(!came[0].whole && came[0].bytes >= 50 * MIB, "{came:?}");
+    assert_eq!(came[1], Came { bytes: 100 * MIB, sum: sum(&long), whole: true });
     let answer = s.sends("load", &long);
     assert_eq!(
         (answer.status, s.sink.came().len()),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod engines;
 mod limits;
 mod sketch;
+pub mod zones;
 
 pub use engines::{EngineSet, Engines};
 use garnetwall_plan::model::{Facts, Group, Plan};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -433,3 +433,40 @@
     w.pump();
     assert_eq!(w.sent_to(third).len(), 2);
 }
+
+/// A batch whose body is gone has no further dispatch; the answer says the truth of what ran.
+#[test]
+fn what_has_no_body_any_more_is_not_sent_again() {
+    let referenced = Effect::Referenced { scope: Scope::Zone, window: 1.0 };
+    let groups = [Effect::Repeatable, Effect::OnceOnly, referenced].map(group).to_vec();
+    for (group, end, pushed_back) in [
+        (0, End::Full, true),
+        (0, End::Errored, true),
+        (1, End::Full, true),
+        (1, End::Errored, false),
+        (2, End::Unconnected, true),
+        (2, End::Errored, false),
+    ] {
+        let mut w = World::new(settings(groups.clone()), 4);
+        let id = w.take(group, 0, None, 4.0);
+        w.pump();
+        w.c.not_kept(id);
+        w.outcome(id, end);
+        w.pass(1.0);
+        let r = &w.records[id as usize];
+        assert_eq!((r.over, r.pushed_back, r.dispatches.len()), (true, pushed_back, 1), "{group} {end:?}");
+    }
+}
+
+/// What an earlier process may have left running holds its key from the start on.
+#[test]
+fn a_key_rests_for_what_an_earlier_process_sent() {
+    let once = ServiceGroup { in_order: true, ..group(Effect::OnceOnly) };
+    let mut w = World::new(settings(vec![once]), 2);
+    w.c.rest(1, w.now + 2.25);
+    let (held, free) = (w.take(0, 0, Some(1), 4.0), w.take(0, 0, Some(2), 4.0));
+    w.pass(2.2);
+    assert_eq!((w.sent_to(held).len(), w.sent_to(free).len()), (0, 1));
+    w.pass(0.2);
+    assert_eq!(w.sent_to(held).len(), 1);
+}
