--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -10,7 +10,7 @@
     Answer, Batch, BatchId, Effect, End, EngineId, Next, Outcome, Place, Report, ServiceGroup, Wait,
 };
 use garnetwall::control::Control;
-use garnetwall_ledger::book::Sent;
+use garnetwall_ledger::book::{Sent, CLEAR};
 use garnetwall_plan::Plan;
 use std::collections::{HashMap, VecDeque};
 use std::net::IpAddr;
@@ -24,10 +24,6 @@
 /// Protocol: a call that its connection lost comes again on a new one within this.
 const COMES_AGAIN: Duration = Duration::from_millis(50);
 
-/// Seconds past its limit for which a once-only batch counts as one that may run: the bound of what nobody asks for,
-/// and more than clocks of two runs differ by.
-const CLEAR: f64 = 5.0;
-
 /// What a batch's task is to do next.
 #[derive(Debug)]
 pub enum Order {
@@ -320,7 +316,7 @@
             let left = self.ends.borrow().map_or(limit, |at| limit.min(at)) - now;
             let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set, lane };
             seats.control.take(now, b);
-            let until = millis(limit + CLEAR);
+            let until = millis(limit + CLEAR.as_secs_f64());
             let once_only = seats.once_only.get(group).copied().unwrap_or_default();
             let once_only = once_only.then_some(Sent { id: a.job, key, until });
             Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver }, once_only }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -753,8 +753,7 @@
         };
         let Some(feed) = feed else {
             if asks {
-                self.may_have_come = true;
-                self.tell(Fact::Asked);
+                self.comes();
             }
             let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
             self.sender = answer.is_ok().then_some(sender);
@@ -792,6 +791,12 @@
         }
     }
 
+    /// The last byte of a call that keeps its dispatch running is on its way.
+    fn comes(&mut self) {
+        self.may_have_come = true;
+        self.tell(Fact::Asked);
+    }
+
     async fn feed(&mut self, feed: Feed) -> Result<(), ReadFault> {
         let Feed { mut reader, length, mut out } = feed;
         loop {
@@ -799,8 +804,7 @@
                 Ok(Some(bytes)) => {
                     // Only a call that has come whole is one that may run.
                     if length == Some(reader.at()) {
-                        self.may_have_come = true;
-                        self.tell(Fact::Asked);
+                        self.comes();
                     }
                     if out.send_data(bytes).await.is_err() {
                         // The engine hears no more of it: its answer, or the broken connection, tells why.
@@ -808,13 +812,11 @@
                     }
                 }
                 Ok(None) => {
-                    self.may_have_come = true;
-                    self.tell(Fact::Asked);
+                    self.comes();
                     return Ok(());
                 }
                 Err(fault) => {
-                    let told = ReadFault::CutOff;
-                    out.abort(told);
+                    out.abort(ReadFault::CutOff);
                     return Err(fault);
                 }
             }
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -4,19 +4,15 @@
 use crate::clock::Clock;
 use garnetwall_bodies::room::Policy;
 use garnetwall_bodies::{Disk, Limits, Spool, Store};
-use garnetwall_ledger::book::Sent;
+use garnetwall_ledger::book::{Sent, WRITTEN_IN};
 use garnetwall_ledger::journal::{FileLog, Journal};
 use garnetwall_plan::model::Bodies;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// A record that is not on the disk by then holds its batch up no longer.
-const WRITTEN_IN: Duration = Duration::from_millis(500);
-
 /// The journal, where there is one.
 #[derive(Default)]
 pub struct Keeper {
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -3,17 +3,13 @@
 
 use crate::engines::Told;
 use garnetwall::api::{Condition, EngineSet, FurtherBudget, Scope, ServiceGroup};
-use garnetwall_plan::model::{self, EngineFacts, Plan};
+use garnetwall_plan::model::{self, EngineFacts, Plan, FURTHER_FLOOR, FURTHER_WINDOW};
 use garnetwall_plan::{Settings, SettingsGroup};
 use garnetwall_routing::{Batch, Engines, Limits, Names, Over, Routing, Ticket, Verdict};
 use garnetwall_settings::Decoded;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A share of further dispatches counts over this time, and lets one be sent whatever came.
-const FURTHER_WINDOW: f64 = 60.0;
-const FURTHER_FLOOR: f64 = 1.0;
-
 /// What the platform's settings say that a plan must fit.
 pub fn settings(decoded: &Decoded) -> Settings {
     let names = &decoded.names;
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -8,6 +8,10 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+/// A share of further dispatches counts over so many seconds, and lets one be sent whatever came.
+pub const FURTHER_WINDOW: f64 = 60.0;
+pub const FURTHER_FLOOR: f64 = 1.0;
+
 /// What a route can ask of a batch.
 #[derive(Clone, Copy, Debug)]
 pub struct Facts<'a> {
