Whoever stops to take a body in tells who reads it

Need: where the settings allow no cancel, a body whose client was gone held its engine's connection until the batch's limit (found by reading).

Change: a guard cuts the body off when its writing ends for any reason.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -293,6 +293,7 @@
         Ok(kept) => kept,
         Err(refused) => return last(not_kept(refused)),
     };
+    let _writing = Writing(kept.clone());
     let mut first = Vec::new();
     while first.len() < FIRST_BYTES {
         match timeout(FIRST_CALL, next_chunk(&mut body)).await {
@@ -333,13 +334,21 @@
     match pumped {
         Ok(()) => answering.await,
         Err(what) => {
-            kept.cut_off();
             front.desk.withdraw(job);
             last(wrong(StatusCode::BAD_REQUEST, what))
         }
     }
 }
 
+/// Whoever stops to take a body in, for whatever reason, tells who reads it; where it is whole that changes nothing.
+struct Writing(Arc<Kept>);
+
+impl Drop for Writing {
+    fn drop(&mut self) {
+        self.0.cut_off();
+    }
+}
+
 /// Takes in the rest of a body. It ends at the latest with its batch, which its limit bounds.
 async fn pump(body: &mut Body, kept: &Kept) -> Result<(), &'static str> {
     while let Some(bytes) = next_chunk(body).await.map_err(|()| "statement cut off")? {
--- a/crates/gateway/tests/bodies.rs
+++ b/crates/gateway/tests/bodies.rs
@@ -338,6 +338,24 @@
     assert!(s.sends("load", &body("works", MIB)).returned(), "the next is not troubled");
 }
 
+/// A client that is gone in the middle of its body: the engine's connection is broken off at once, not at the limit.
+#[test]
+fn a_client_that_is_gone_frees_the_engine_at_once() {
+    let s = Storing::start(FILES, "");
+    let stream = s.service.open();
+    let fields = fields(&new_id(), 60_000);
+    let head = format!("POST /v1/report HTTP/1.1\r\nHost: g\r\n{fields}Content-Length: {}\r\n\r\n", 9 * MIB);
+    (&stream).write_all(head.as_bytes()).unwrap();
+    (&stream).write_all(&body("works", 3 * MIB)).unwrap();
+    until("the start", || s.sink.came().len() == 1);
+    sleep(Duration::from_millis(200));
+    assert_eq!(s.sink.came()[0].bytes, 0, "it still comes");
+    drop(stream);
+    // The stand-in notes what came once its connection ends.
+    until("the end", || s.sink.came()[0].bytes > 0);
+    assert!(!s.sink.came()[0].whole);
+}
+
 #[test]
 fn a_body_of_unknown_length_is_taken_where_the_plan_allows_it() {
     let s = Storing::start(FILES, "");
