--- a/src/control.rs
+++ b/src/control.rs
@@ -332,7 +332,8 @@
         self.advance(now);
         let Some(h) = self.batches.get_mut(&id) else { return Next::Nothing };
         let (b, stage, Some(sent)) = (h.b, h.stage, h.out) else { return Next::Nothing };
-        h.out = Some(Sent { judged: true, ..sent });
+        let doubted = sent.doubted || h.may_have_run.is_none();
+        h.out = Some(Sent { judged: true, doubted, ..sent });
         h.may_have_run.get_or_insert(sent);
         if !sent.judged {
             self.judge(now, &b, sent, &o);
@@ -365,9 +366,11 @@
                 self.keys.entry(key).or_default().rests_until = now + self.s.key_rest + MARGIN;
             }
         }
-        if !matches!(o.end, End::Full | End::Unconnected | End::Moot) {
-            let h = self.batches.get_mut(&id).expect("checked above");
-            h.may_have_run.get_or_insert(sent);
+        let h = self.batches.get_mut(&id).expect("checked above");
+        match o.end {
+            End::Full | End::Unconnected | End::Moot if sent.doubted => h.may_have_run = None,
+            End::Full | End::Unconnected | End::Moot => {}
+            _ => drop(h.may_have_run.get_or_insert(sent)),
         }
         if o.closed || o.end == End::Returned || stage == Stage::Ended {
             self.end(now, id);
@@ -495,7 +498,15 @@
         }
         h.stage = Stage::Out;
         h.dispatches += 1;
-        h.out = Some(Sent { engine, at: now, heard: now, memory: need, overdue: false, judged: false });
+        h.out = Some(Sent {
+            engine,
+            at: now,
+            heard: now,
+            memory: need,
+            overdue: false,
+            judged: false,
+            doubted: false,
+        });
         let (b, time_out) = (h.b, h.limit - now);
         let c = &self.s.groups[b.group];
         self.running += c.threads;
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,8 @@
     pub overdue: bool,
     /// Its engine's health was judged by it while its end was not known.
     pub judged: bool,
+    /// Its batch counts as one that may have run for no other reason than that its end was not known.
+    pub doubted: bool,
 }
 
 #[derive(Default)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -470,3 +470,21 @@
     w.pass(0.2);
     assert_eq!(w.sent_to(held).len(), 1);
 }
+
+/// In doubt, then proved never to have run: the doubt is forgotten, and only that.
+#[test]
+fn a_doubt_that_is_disproved_counts_no_more() {
+    let referenced = Effect::Referenced { scope: Scope::Zone, window: 3.0 };
+    let mut w = World::new(Settings { max_dispatches: 3, ..settings(vec![group(referenced)]) }, 4);
+    let id = w.take(0, 0, None, 4.0);
+    w.pump();
+    w.in_doubt(id, End::Broken);
+    w.outcome(id, End::Unconnected);
+    w.pass(0.1);
+    w.outcome(id, End::Errored);
+    w.pass(0.1);
+    w.in_doubt(id, End::Broken);
+    w.outcome(id, End::Full);
+    let r = &w.records[id as usize];
+    assert_eq!((r.dispatches.len(), r.over, r.pushed_back), (3, true, false), "the second may have run");
+}
