Values need no serializer; names of plan and routing are looked up without strings for switches

Need: reading the change once more found a serializer written twice that nobody used, and two look-ups that chose a list by a word. Change: the one goes, the others say which list they mean. Measured: tests of plan and routing green; nothing of it is on the platform's path.

--- a/crates/plan/src/build.rs
+++ b/crates/plan/src/build.rs
@@ -468,11 +468,10 @@
 
 impl Judge<'_> {
     fn known(&self) -> Known<'_> {
-        let list = |names: &'static str| {
-            let settings = self.settings?;
-            Some(if names == "zones" { settings.zones.as_slice() } else { settings.kinds.as_slice() })
-        };
-        Known { zones: list("zones"), kinds: list("kinds") }
+        Known {
+            zones: self.settings.map(|s| s.zones.as_slice()),
+            kinds: self.settings.map(|s| s.kinds.as_slice()),
+        }
     }
 
     fn pools(&mut self) {
--- a/crates/plan/src/quantity.rs
+++ b/crates/plan/src/quantity.rs
@@ -3,7 +3,6 @@
 
 use crate::fault::shown;
 use ipnet::IpNet;
-use serde::Serialize;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -77,10 +76,8 @@
 }
 
 /// A value with its unit taken in.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Value {
-    #[serde(serialize_with = "seconds")]
     Time(Duration),
     /// Bytes.
     Size(u64),
@@ -101,10 +98,6 @@
     Text(String),
 }
 
-fn seconds<S: serde::Serializer>(time: &Duration, s: S) -> Result<S::Ok, S::Error> {
-    s.serialize_f64(time.as_secs_f64())
-}
-
 /// Why a word is no value of the wanted kind, and a suggestion.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Wrong {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -203,13 +203,9 @@
 
     /// A batch in the words of the plan, for the slow way and for logs.
     pub fn facts(&self, b: &Batch) -> Facts<'_> {
-        let name = |names: &'static str| match names {
-            "groups" => self.names.groups.get(b.group),
-            _ => self.names.tenants.get(b.tenant),
-        };
         Facts {
-            group: name("groups").map_or("", String::as_str),
-            tenant: name("tenants").map_or("", String::as_str),
+            group: self.names.groups.get(b.group).map_or("", String::as_str),
+            tenant: self.names.tenants.get(b.tenant).map_or("", String::as_str),
             client: b.client,
             key: b.key,
             data_set: b.data_set,
