The ledger proves nothing by lists, addresses or refusals any more

Likewise another process at the address, untold: 500 for news or 204 for DELETE from it counted as the first one's word (`Entry::reaches`, `Entry::died` in ledger/lib.rs, `standing` in engines.rs; `end` in engines.rs took Full, Moot and 500 on any later connection for an end, and a 500 that was doubted left the key without its rest). Change: only the connection on which a dispatch has shown itself (202) proves that it failed or is given up; everything else waits for the bound of 2.25 s since it was last asked for. Lists, addresses and what is known of a process are out of the ledger. DELETE to whoever listens is made once, not each 50 ms. The client's answer never waits for it.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -260,19 +260,6 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What the list says of the process that a dispatch was sent to.
-    fn standing(&self, target: Target) -> ledger::Listed {
-        let list = self.list();
-        let there = |k: &Known| k.line.address == target.address && k.line.condition != Condition::Gone;
-        let another = list.known.iter().enumerate().any(|(engine, k)| engine != target.engine && there(k));
-        match list.known.get(target.engine) {
-            _ if another => ledger::Listed::TakenOver,
-            Some(known) if there(known) && known.line.condition == Condition::Ready => ledger::Listed::Ready,
-            Some(known) if there(known) => ledger::Listed::Draining,
-            _ => ledger::Listed::Gone,
-        }
-    }
-
     /// Opens a connection within the budget and the settings' time.
     async fn connect(&self, address: SocketAddr) -> Result<Sender, Fault> {
         let dialled = timeout(self.dial, async {
@@ -332,7 +319,7 @@
         wishes: watch::Receiver<Wish>,
         doubt: watch::Sender<Option<End>>,
     ) -> Ended {
-        let id = self.ledger().open(self.now(), target.engine);
+        let id = self.ledger().open(self.now());
         let start = Start { further: number > 0, time_out };
         let mut way = Way { dispatch: Some(id), ..self.way(target) };
         let over = way.live(call, start, wishes, doubt).await;
@@ -450,12 +437,6 @@
         let end = match told {
             Heard::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
             Heard::Good(first, pages) => return self.fetch(call, first, pages).await,
-            // Who told so may be another process.
-            Heard::Over(ended) if ended.end == End::Errored && self.may_run() => {
-                doubt.send_replace(Some(End::Errored));
-                self.give_up(call).await;
-                return ended;
-            }
             Heard::Over(ended) => return ended,
             Heard::InDoubt => {
                 doubt.send_replace(Some(End::Broken));
@@ -547,10 +528,14 @@
                         self.tell(Fact::Ended);
                         return Heard::Good(reply, pages);
                     }
-                    News::Over(End::Errored) if asking.may_be_on_its_way() => return Heard::InDoubt,
-                    News::Over(End::Errored) if !first => {
-                        self.tell(Fact::Failed(self.connection, self.engines.standing(self.target)));
-                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(End::Errored) });
+                    // Whoever is asked on a later connection may be another process, or have the start still on
+                    // its way: only one that has shown the dispatch there can say that it is over.
+                    News::Over(end) if !first => {
+                        self.tell(Fact::Failed(self.connection));
+                        if self.may_run() {
+                            return Heard::InDoubt;
+                        }
+                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
                     }
                     News::Over(end) => {
                         self.tell(Fact::Ended);
@@ -671,8 +656,7 @@
         let Some(id) = self.dispatch else { return ledger::Proof::NeverCame };
         let engine = self.target.engine;
         loop {
-            let listed = self.engines.standing(self.target);
-            let next = self.engines.ledger().next(self.engines.now(), id, listed);
+            let next = self.engines.ledger().next(self.engines.now(), id);
             match next {
                 Next::Over(proof) => {
                     tracing::debug!(engine, id = path(call, None), ?proof, "given up");
@@ -688,20 +672,14 @@
                             if [StatusCode::NO_CONTENT, StatusCode::INTERNAL_SERVER_ERROR]
                                 .contains(&r.status) =>
                         {
-                            self.tell(Fact::GivenUp(self.connection, self.engines.standing(self.target)));
+                            self.tell(Fact::GivenUp(self.connection));
                         }
                         Ok(_) => {
                             self.drop_after(Err(Fault::Garbled));
                             self.tell(Fact::Missed);
                         }
                         Err(fault) => {
-                            tracing::debug!(
-                                engine,
-                                id = path(call, None),
-                                ?fault,
-                                ?listed,
-                                "not given up yet"
-                            );
+                            tracing::debug!(engine, id = path(call, None), ?fault, "not given up yet");
                             if fault != Fault::Refused {
                                 self.tell(Fact::Missed);
                             }
--- a/crates/ledger/src/asking.rs
+++ b/crates/ledger/src/asking.rs
@@ -33,13 +33,12 @@
     heard: Duration,
     /// The last call came to nothing.
     again: bool,
-    lost: bool,
 }
 
 impl Asking {
     /// `pause` is waited for before the second try in a row that follows a loss.
     pub fn new(now: Duration, bounds: Bounds, pause: Duration) -> Self {
-        Asking { bounds, pause, heard: now, again: false, lost: false }
+        Asking { bounds, pause, heard: now, again: false }
     }
 
     /// A sound answer that is no end.
@@ -50,7 +49,6 @@
 
     /// A call that came to nothing.
     pub fn lost(&mut self, now: Duration, how: Lost) -> Step {
-        self.lost |= how == Lost::OnItsWay;
         let too_long = now.saturating_sub(self.heard) > self.bounds.news + self.bounds.unasked;
         if how == Lost::Refused || too_long {
             return Step::Stop;
@@ -60,9 +58,4 @@
             false => Step::Ask(Duration::ZERO),
         }
     }
-
-    /// Whether an engine that does not know the dispatch may never have had it, or have it still on its way.
-    pub fn may_be_on_its_way(&self) -> bool {
-        self.lost
-    }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A dispatch belongs to no connection. It runs on at its engine until it ends, is given up, its process ends, or
 //! nobody has asked for it for a while (the protocol's figure, [`Bounds::unasked`]). Only these end it; that the
-//! gateway has stopped to wait does not. docs/ledger.md weighs what each fact proves.
+//! gateway has stopped to wait does not. docs/ledger.md weighs what each fact proves. No proof rests on the list of
+//! engines or on who listens at an address: a list may be late, and an engine that drains may refuse and run on.
 //!
 //! Times are spans since any fixed point, the same for all calls, and never run backwards.
 
@@ -15,9 +16,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// The index that the gateway knows an engine by.
-pub type EngineId = usize;
-
 /// The connections of one dispatch, numbered as they come up.
 pub type Connection = u32;
 
@@ -36,19 +34,6 @@
     pub pause: Duration,
 }
 
-/// What the list of engines says now of the process that a dispatch was sent to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
-    /// It serves: who listens at its address is this process, and if nobody does it has ended.
-    Ready,
-    /// It may refuse new connections while it runs on what it has.
-    Draining,
-    /// It is listed no more; who answers at its address may be anybody.
-    Gone,
-    /// Its address is another engine's.
-    TakenOver,
-}
-
 /// Something seen of a dispatch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fact {
@@ -58,12 +43,12 @@
     Runs(Connection),
     /// The engine has told its end, or that it never ran.
     Ended,
-    /// Asked for news, who listens there said that it failed, or that it does not know it.
-    Failed(Connection, Listed),
+    /// Asked for news on this connection, who listens there said that it failed, or that it does not know it.
+    Failed(Connection),
     /// No connection came up for the start: nothing can have come.
     NeverCame,
     /// A call to give it up was answered on this connection.
-    GivenUp(Connection, Listed),
+    GivenUp(Connection),
     /// This connection was reset or closed.
     Reset(Connection),
     /// This connection carried what can't be read, or nothing by the bound: it is of no further use.
@@ -83,8 +68,6 @@
     NeverCame,
     /// The process that ran it has answered that it is given up.
     GivenUp,
-    /// That process has ended.
-    Died,
     /// Nobody has asked for it for so long that the engine has dropped it.
     Unasked,
 }
@@ -103,121 +86,84 @@
 /// What is known of a dispatch.
 #[derive(Debug)]
 struct Entry {
-    engine: EngineId,
     /// Something may have come.
     asked: bool,
     /// The latest moment at which the engine may have begun to hear nothing of it.
     unheard_from: Duration,
     /// A connection to the process that has it, as long as that is of use.
     known: Option<Connection>,
-    /// When a connection to the process that has it was reset.
-    reset: Option<Duration>,
-    /// When a new connection was first refused: whoever listens there later is another process.
-    refused: Option<Duration>,
+    /// A new connection was refused, or a call to give it up answered by whoever listens there now: no further call
+    /// can tell more, or do more.
+    spent: bool,
     /// When a try to give it up last came to nothing.
     missed: Option<Duration>,
     over: Option<Proof>,
 }
 
-/// What all open dispatches together tell of the process that an engine runs.
-#[derive(Debug, Default)]
-struct Process {
-    open: usize,
-    /// Connections known to reach it, not reset and of use.
-    alive: usize,
-    /// When it last showed itself on a connection known to reach it.
-    shown: Duration,
-}
-
-/// All dispatches sent and not closed; it holds one entry for each, and one for each engine that has any.
+/// All dispatches sent and not closed; it holds one entry for each.
 #[derive(Debug)]
 pub struct Ledger {
     bounds: Bounds,
     next: u64,
     open: HashMap<DispatchId, Entry>,
-    processes: HashMap<EngineId, Process>,
 }
 
 impl Ledger {
     pub fn new(bounds: Bounds) -> Self {
-        Ledger { bounds, next: 0, open: HashMap::new(), processes: HashMap::new() }
+        Ledger { bounds, next: 0, open: HashMap::new() }
     }
 
     /// A dispatch that is about to be sent; it is in the ledger until it is closed.
-    pub fn open(&mut self, now: Duration, engine: EngineId) -> DispatchId {
+    pub fn open(&mut self, now: Duration) -> DispatchId {
         let id = DispatchId(self.next);
         self.next += 1;
-        let entry = Entry {
-            engine,
-            asked: false,
-            unheard_from: now,
-            known: None,
-            reset: None,
-            refused: None,
-            missed: None,
-            over: None,
-        };
+        let entry =
+            Entry { asked: false, unheard_from: now, known: None, spent: false, missed: None, over: None };
         self.open.insert(id, entry);
-        self.processes.entry(engine).or_default().open += 1;
         id
     }
 
     /// Takes in a fact. Nothing undoes a proof.
     pub fn tell(&mut self, now: Duration, id: DispatchId, fact: Fact) {
         let Some(entry) = self.open.get_mut(&id).filter(|e| e.over.is_none()) else { return };
-        let process = self.processes.entry(entry.engine).or_default();
         match fact {
             Fact::Asked => {
                 (entry.asked, entry.unheard_from) = (true, entry.unheard_from.max(now + self.bounds.news));
             }
             Fact::Runs(on) => {
                 entry.unheard_from = entry.unheard_from.max(now);
-                process.alive += usize::from(entry.known.is_none());
-                // It has shown itself: what was reset before was not its end.
-                (entry.known, entry.reset) = (Some(on), None);
-                process.shown = now;
+                (entry.known, entry.spent) = (Some(on), false);
             }
             Fact::Ended => entry.over = Some(Proof::Ended),
             Fact::NeverCame => entry.over = Some(Proof::NeverCame),
-            Fact::Failed(on, listed) if entry.reaches(on, listed) => entry.over = Some(Proof::Ended),
-            Fact::Failed(..) => {}
-            Fact::GivenUp(on, listed) if entry.reaches(on, listed) => entry.over = Some(Proof::GivenUp),
-            Fact::GivenUp(..) | Fact::Missed => entry.missed = Some(now),
-            Fact::Reset(on) if entry.known == Some(on) => {
-                entry.lets_go(process);
-                entry.reset = Some(now);
-            }
-            Fact::Useless(on) if entry.known == Some(on) => entry.lets_go(process),
-            Fact::Reset(_) | Fact::Useless(_) => {}
-            Fact::Refused => drop(entry.refused.get_or_insert(now)),
-        }
-        if entry.over.is_some() {
-            entry.lets_go(process);
+            Fact::Failed(on) if entry.known == Some(on) => entry.over = Some(Proof::Ended),
+            Fact::GivenUp(on) if entry.known == Some(on) => entry.over = Some(Proof::GivenUp),
+            Fact::Reset(on) | Fact::Useless(on) if entry.known == Some(on) => entry.known = None,
+            Fact::Failed(_) | Fact::Reset(_) | Fact::Useless(_) => {}
+            // If the process that has it was asked it is over, but another may listen there by now.
+            Fact::GivenUp(_) | Fact::Refused => entry.spent = true,
+            Fact::Missed => entry.missed = Some(now),
         }
     }
 
     /// What can be done about a dispatch that nobody waits for any more. One that the ledger does not have is over.
-    pub fn next(&mut self, now: Duration, id: DispatchId, listed: Listed) -> Next {
+    pub fn next(&mut self, now: Duration, id: DispatchId) -> Next {
         let Some(until) = self.may_run_until(id) else {
             return Next::Over(self.open.get(&id).and_then(|e| e.over).unwrap_or(Proof::Ended));
         };
         let Some(entry) = self.open.get_mut(&id) else { return Next::Over(Proof::Ended) };
-        let process = self.processes.entry(entry.engine).or_default();
         let proof = match (entry.asked, now >= until) {
             (false, _) => Some(Proof::NeverCame),
             (true, true) => Some(Proof::Unasked),
-            (true, false) => entry.died(process, listed).then_some(Proof::Died),
+            (true, false) => None,
         };
         if let Some(proof) = proof {
             entry.over = Some(proof);
-            entry.lets_go(process);
             return Next::Over(proof);
         }
-        let pause = self.bounds.pause;
-        let rests = entry.missed.map(|at| (at + pause).saturating_sub(now)).filter(|d| !d.is_zero());
-        match (entry.known, entry.refused, rests) {
-            // Who listens there now proves nothing; that connections of others are reset may.
-            (None, Some(_), _) => Next::Wait(pause.min(until - now)),
+        let missed = entry.missed.map(|at| (at + self.bounds.pause).saturating_sub(now));
+        match (entry.known, entry.spent, missed.filter(|d| !d.is_zero())) {
+            (None, true, _) => Next::Wait(until - now),
             (_, _, Some(rests)) => Next::Wait(rests.min(until - now)),
             (_, _, None) => Next::GiveUp(until - now),
         }
@@ -231,13 +177,7 @@
 
     /// Takes a dispatch out of the ledger: its outcome has been told.
     pub fn close(&mut self, id: DispatchId) {
-        let Some(mut entry) = self.open.remove(&id) else { return };
-        let Some(process) = self.processes.get_mut(&entry.engine) else { return };
-        entry.lets_go(process);
-        process.open -= 1;
-        if process.open == 0 {
-            self.processes.remove(&entry.engine);
-        }
+        self.open.remove(&id);
     }
 
     /// Dispatches in the ledger.
@@ -250,29 +190,5 @@
     }
 }
 
-impl Entry {
-    /// Whether who answers on this connection is the process that the dispatch was sent to. A listener that has
-    /// refused does not come back in the same process, and an address may change hands.
-    fn reaches(&self, on: Connection, listed: Listed) -> bool {
-        let by_list = matches!(listed, Listed::Ready | Listed::Draining) && self.refused.is_none();
-        self.known == Some(on) || by_list
-    }
-
-    /// Whether its process has ended: its connections are reset and nobody listens. An engine that drains does not
-    /// listen either, and the network resets connections too, so there nothing but the bound is left.
-    fn died(&self, process: &Process, listed: Listed) -> bool {
-        let (Some(reset), Some(refused)) = (self.reset, self.refused) else { return false };
-        // Nobody refuses at an address that is another's: that one has ended as well, or has not begun.
-        let listens = matches!(listed, Listed::Ready | Listed::Gone);
-        listens && process.alive == 0 && process.shown < reset && refused >= reset
-    }
-
-    fn lets_go(&mut self, process: &mut Process) {
-        if self.known.take().is_some() {
-            process.alive -= 1;
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
