What a new connection has brought is taken before what came later on an older one

Cause: `accept` in front.rs gave each connection a task of its own, which stands behind the tasks that the same poll has woken, and a connection just accepted is known to be readable one poll later; the older connection's batch was taken meanwhile. Change: what has come on a new connection is read at once and its call served in the accepting task until it waits; the poll tells the sockets in the order in which they became readable. Left: of three batches of a key in one stall, the third on a second new connection is still taken before one that came between on an older one.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,9 +27,10 @@
 use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -112,7 +113,15 @@
             Ok((stream, peer)) => {
                 let guest = guests.seat(number).await;
                 let client = Client(peer.ip().to_canonical());
-                tokio::spawn(serve(Line::new(stream, None), client, router.clone(), guest, shut.clone()));
+                let mut line = Line::new(stream, None);
+                line.read_at_once();
+                let mut serving = Box::pin(serve(line, client, router.clone(), guest, shut.clone()));
+                // Batches of a key count in the order in which they came, also those that came while this process had
+                // no processor time: what a new connection has brought is taken before what came after it on an older
+                // one, whose task stands behind this one. A task of its own would stand behind that.
+                if poll_fn(|cx| Poll::Ready(serving.as_mut().poll(cx))).await.is_pending() {
+                    tokio::spawn(serving);
+                }
             }
             Err(fault) => {
                 tracing::warn!(%fault, "a connection could not be accepted");
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,10 +1,12 @@
 //! The budget of descriptors and memory, and the stream that holds a part of it for as long as it is open.
 
 use crate::rows;
+use bytes::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read as _};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
@@ -57,6 +59,9 @@
     }
 }
 
+/// Read of a new connection at once: a head and a statement of the usual length.
+const FIRST: usize = 8 << 10;
+
 /// When something was last read from a connection.
 #[derive(Clone, Debug)]
 pub struct LastRead(Arc<Mutex<Instant>>);
@@ -75,6 +80,8 @@
 #[derive(Debug)]
 pub struct Line {
     io: TokioIo<TcpStream>,
+    /// What had come before the runtime could tell so.
+    first: Bytes,
     read: LastRead,
     stalled: Option<Pin<Box<Sleep>>>,
     /// Its part of the budget, where no one else holds that.
@@ -87,7 +94,17 @@
             tracing::debug!(%fault, "no-delay not set");
         }
         let read = LastRead(Arc::new(Mutex::new(Instant::now())));
-        Line { io: TokioIo::new(stream), read, stalled: None, _permit: permit }
+        Line { io: TokioIo::new(stream), first: Bytes::new(), read, stalled: None, _permit: permit }
+    }
+
+    /// Reads what has come already, without a turn through the runtime's poll: a connection that has just been accepted
+    /// is known there as readable one turn later, when what came after it on other connections has been read.
+    pub fn read_at_once(&mut self) {
+        let mut first = vec![0; FIRST];
+        // What fails here fails again when it is polled.
+        let read = (&*SockRef::from(self.io.inner())).read(&mut first).unwrap_or_default();
+        first.truncate(read);
+        self.first = first.into();
     }
 
     pub fn last_read(&self) -> LastRead {
@@ -106,8 +123,15 @@
 }
 
 impl Read for Line {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        let end = Pin::new(&mut self.io).poll_read(cx, buf);
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        let end = match self.first.is_empty() {
+            true => Pin::new(&mut self.io).poll_read(cx, buf),
+            false => {
+                let now = self.first.len().min(buf.remaining());
+                buf.put_slice(&self.first.split_to(now));
+                Poll::Ready(Ok(()))
+            }
+        };
         if matches!(end, Poll::Ready(Ok(()))) {
             self.read.set();
         }
