A start that was given up is taken back from the machine, which would send it later

In a socket test without the bench an engine's machine takes in 2 KB of a 200 KB start and then nothing, as one that is cut off; the gateway asks on, answers 500, and 2.6 s later the engine reads: "a start came whole after 200144 bytes". Such a once-only batch runs long after its answer, beside the next of its key. Cause: `bounded` and `wanted` in engines.rs drop the connection after silence; the machine goes on sending what was written, and then closes. Change: a connection given up after silence or a spoilt answer is closed with a zero linger, so that unsent bytes are thrown away and a reset goes out (`Abandoned`, sockets.rs). Connections that end well close as before. Left: bytes that have come to the engine's machine and that its process reads only after the bound.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -4,7 +4,7 @@
 use crate::changes::{EngineLine, Event};
 use crate::clock::span;
 use crate::rows;
-use crate::sockets::{Budget, Line};
+use crate::sockets::{Abandoned, Budget, Line};
 use bytes::Bytes;
 use garnetwall::api::{Condition, End, EngineId, Listed, Report};
 use garnetwall_bodies::body::ReadFault;
@@ -239,6 +239,7 @@
             target,
             dispatch: None,
             sender: None,
+            abandoned: Abandoned::default(),
             may_have_come: false,
             unreadable: false,
             connection: 0,
@@ -261,17 +262,19 @@
     }
 
     /// Opens a connection within the budget and the settings' time.
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, Fault> {
+    async fn connect(&self, address: SocketAddr) -> Result<(Sender, Abandoned), Fault> {
         let dialled = timeout(self.dial, async {
             let permit = self.budget.clone().acquire_owned().await.map_err(io::Error::other)?;
             let line = Line::new(TcpStream::connect(address).await?, Some(permit));
+            let abandoned = line.abandoned();
             let mut builder = http1::Builder::new();
-            builder.max_buf_size(LONGEST_HEAD).handshake(line).await.map_err(io::Error::other)
+            let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await.map_err(io::Error::other)?;
+            Ok::<_, io::Error>((up, abandoned))
         });
         match dialled.await {
-            Ok(Ok((sender, connection))) => {
+            Ok(Ok(((sender, connection), abandoned))) => {
                 tokio::spawn(async move { drop(connection.await) });
-                Ok(sender)
+                Ok((sender, abandoned))
             }
             Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Err(Fault::Refused),
             Ok(Err(_)) | Err(_) => Err(Fault::Unconnected),
@@ -349,7 +352,7 @@
     ) -> Result<Incoming, String> {
         let mut request = request(Method::GET, log, path);
         request.headers_mut().insert(HeaderName::from_static(field), HeaderValue::from(last));
-        let mut sender = self.connect(log).await.map_err(|fault| format!("{fault:?}"))?;
+        let (mut sender, _) = self.connect(log).await.map_err(|fault| format!("{fault:?}"))?;
         let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
@@ -389,6 +392,8 @@
     /// None for a probe.
     dispatch: Option<DispatchId>,
     sender: Option<Sender>,
+    /// Of the connection that is up, or was last.
+    abandoned: Abandoned,
     /// Its start may have come whole.
     may_have_come: bool,
     /// Its body could not be read to its end.
@@ -584,6 +589,7 @@
         };
         if answer.is_none() {
             // Whatever comes there yet would be taken for the next call's answer.
+            self.abandoned.set();
             self.sender = None;
             self.tell(Fact::Useless(self.connection));
         }
@@ -705,7 +711,10 @@
         match answer {
             Err(Fault::Refused) => self.tell(Fact::Refused),
             Err(Fault::Broken) => self.tell(Fact::Reset(self.connection)),
-            Err(Fault::Silent | Fault::Garbled) => self.tell(Fact::Useless(self.connection)),
+            Err(Fault::Silent | Fault::Garbled) => {
+                self.abandoned.set();
+                self.tell(Fact::Useless(self.connection));
+            }
             Err(Fault::Unconnected) | Ok(_) => {}
         }
         answer
@@ -726,7 +735,9 @@
             Some(sender) => sender,
             None => {
                 self.connection += 1;
-                self.engines.connect(self.target.address).await?
+                let (sender, abandoned) = self.engines.connect(self.target.address).await?;
+                self.abandoned = abandoned;
+                sender
             }
         };
         let Some(feed) = feed else {
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -8,6 +8,7 @@
 use std::future::Future;
 use std::io::{self, Read as _};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -76,6 +77,17 @@
     }
 }
 
+/// Whether what a connection has not sent yet is to be thrown away when it closes. The machine goes on sending for
+/// minutes otherwise: a start written while the engine was cut off would come, and run, long after it was given up.
+#[derive(Clone, Debug, Default)]
+pub struct Abandoned(Arc<AtomicBool>);
+
+impl Abandoned {
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A TCP stream with its part of the budget; it stamps what it reads before anything parses it.
 #[derive(Debug)]
 pub struct Line {
@@ -83,6 +95,7 @@
     /// What had come before the runtime could tell so.
     first: Bytes,
     read: LastRead,
+    abandoned: Abandoned,
     stalled: Option<Pin<Box<Sleep>>>,
     /// Its part of the budget, where no one else holds that.
     _permit: Option<OwnedSemaphorePermit>,
@@ -94,7 +107,14 @@
             tracing::debug!(%fault, "no-delay not set");
         }
         let read = LastRead(Arc::new(Mutex::new(Instant::now())));
-        Line { io: TokioIo::new(stream), first: Bytes::new(), read, stalled: None, _permit: permit }
+        Line {
+            io: TokioIo::new(stream),
+            first: Bytes::new(),
+            read,
+            abandoned: Abandoned::default(),
+            stalled: None,
+            _permit: permit,
+        }
     }
 
     /// Reads what has come already, without a turn through the runtime's poll: a connection that has just been accepted
@@ -107,6 +127,11 @@
         self.first = first.into();
     }
 
+    /// For who gives the connection up while bytes may still be on their way.
+    pub fn abandoned(&self) -> Abandoned {
+        self.abandoned.clone()
+    }
+
     pub fn last_read(&self) -> LastRead {
         self.read.clone()
     }
@@ -122,6 +147,15 @@
     }
 }
 
+impl Drop for Line {
+    fn drop(&mut self) {
+        if self.abandoned.0.load(Ordering::Relaxed) {
+            // Where it can't be set the connection closes as others do.
+            let _ = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl Read for Line {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
         let end = match self.first.is_empty() {
--- a/crates/gateway/tests/order.rs
+++ b/crates/gateway/tests/order.rs
@@ -7,8 +7,8 @@
 use helper::process::{ms, Process, NEWS};
 use helper::*;
 use serde_json::{json, Value};
-use std::io::BufReader;
-use std::net::{Shutdown, TcpStream};
+use std::io::{BufReader, Read};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -248,6 +248,33 @@
     answered_in(7050, second);
 }
 
+/// The engine's machine takes in a part of a long start and then nothing, as one that is cut off; what it reads once it is
+/// back must not be the rest of a start that was given up meanwhile.
+#[test]
+fn a_start_that_was_given_up_does_not_come_whole_later() {
+    let cut_off = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    cut_off.set_recv_buffer_size(2048).unwrap();
+    cut_off.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    cut_off.listen(16).unwrap();
+    let cut_off: TcpListener = cut_off.into();
+    let at = cut_off.local_addr().unwrap().to_string();
+    let service = Service::with(|config| {
+        config["known"]["results"][0]["fleet"]["servers"][0]["addr"] = json!(at);
+    });
+    let statement = format!("INSERT 1 /* {} */", "x".repeat(200_000));
+    let answer = service.batch_of(&new_id(), "load", 2000, &statement);
+    assert_eq!(answer.status, 500, "it may have run");
+    sleep(ms(2600));
+    cut_off.set_nonblocking(true).unwrap();
+    while let Ok((mut stream, _)) = cut_off.accept() {
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(ms(500))).unwrap();
+        let mut came = Vec::new();
+        let _ = stream.read_to_end(&mut came);
+        assert!(came.len() < statement.len(), "a start came whole after {} bytes", came.len());
+    }
+}
+
 /// SIGTERM with a dispatch whose end is not known: every answer still comes in time, and the program ends.
 #[test]
 fn sigterm_with_a_dispatch_of_unknown_end_answers_all_in_time() {
