--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -533,17 +533,13 @@
                         self.tell(Fact::Ended);
                         return Heard::Good(reply, pages);
                     }
-                    // Whoever is asked on a later connection may be another process, or have the start still on
-                    // its way: only one that has shown the dispatch there can say that it is over.
-                    News::Over(end) if !first => {
-                        self.tell(Fact::Failed(self.connection));
-                        if self.may_run() {
-                            return Heard::InDoubt;
-                        }
-                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
-                    }
                     News::Over(end) => {
-                        self.tell(Fact::Ended);
+                        self.tell(if first { Fact::Ended } else { Fact::Failed(self.connection) });
+                        let end = match ledger::weigh(first, end == End::Errored, !self.may_run()) {
+                            ledger::Verdict::AsTold => end,
+                            ledger::Verdict::CutShort => End::Broken,
+                            ledger::Verdict::InDoubt => return Heard::InDoubt,
+                        };
                         return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
                     }
                     News::NotYet => {
--- a/crates/gateway/tests/helper/process.rs
+++ b/crates/gateway/tests/helper/process.rs
@@ -159,6 +159,8 @@
                 return Some(http("500 Oops", "", ""));
             };
             let (over, now) = (d.end(), Instant::now());
+            // Dropped as nobody asked: asking now doesn't bring it back.
+            d.over = d.over.or(over.filter(|at| *at < d.came + d.runs));
             (d.asking, d.asked) = (over.is_none() && now < until, now);
             if over.is_some() || now >= until {
                 let (d, good) = (d.clone(), over.is_some() && d.over.is_none());
--- a/crates/ledger/src/asking.rs
+++ b/crates/ledger/src/asking.rs
@@ -23,6 +23,28 @@
     Stop,
 }
 
+/// What an engine's word that a dispatch is over counts for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// What it says.
+    AsTold,
+    /// It is over, and may have been cut short: its key rests.
+    CutShort,
+    /// Nothing: who says so may be another process, or have the start still on its way.
+    InDoubt,
+}
+
+/// Weighs such a word: whether it answers the start itself, whether it says that the dispatch failed or is not known
+/// (rather than that it never ran), and whether the ledger holds the dispatch to be over now.
+pub fn weigh(answers_start: bool, failed: bool, over: bool) -> Verdict {
+    match (answers_start, over, failed) {
+        (true, _, _) | (false, true, false) => Verdict::AsTold,
+        // It failed, or was dropped while this gateway had no time to ask.
+        (false, true, true) => Verdict::CutShort,
+        (false, false, _) => Verdict::InDoubt,
+    }
+}
+
 /// What asking has come to so far.
 #[derive(Debug)]
 pub struct Asking {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod book;
 pub mod journal;
 
-pub use asking::{Asking, Lost, Step};
+pub use asking::{weigh, Asking, Lost, Step, Verdict};
 use std::collections::HashMap;
 use std::time::Duration;
 
