A full line may have gaps of seconds; five distances in a row tell that it is full

Log on, n251: a hot key came at 10.292 s and next at 12.332 s, 34 places of 0.06 s that expired unseen, over the bound of 2 s that ended the line; the batch taken at 12.512 s had its client leave with 1.36 s left by our count. With gaps up to the longest limit one was left: n68, a gap of 9.661 s, 161 places, before a batch held back for 9.1 s. The bound of 2 s for gaps is gone.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,7 +112,11 @@
             decoded: self.config.decoded.clone(),
             phase: self.phase.subscribe(),
             statements: self.budget.statements.clone(),
-            spacing: Mutex::new(Spacing::new(self.budget.room, self.config.decoded.network.dial)),
+            spacing: Mutex::new(Spacing::new(
+                self.budget.room,
+                self.config.decoded.network.dial,
+                self.longest,
+            )),
         };
         let router = front::router(Arc::new(front));
         let guests = Guests::new(self.budget.clients.clone());
