--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -75,6 +75,9 @@
     pub key: Option<u64>,
     /// When the client gives up.
     pub limit: f64,
+    /// What the client takes it to need: seconds of work, MB of memory.
+    pub cost: Option<f64>,
+    pub memory: Option<f64>,
     pub data_set: u32,
     /// Where its client is.
     pub client: IpAddr,
@@ -307,7 +310,7 @@
                 Some(Ok(passage)) => Some(passage),
                 None => None,
             };
-            let Arrival { group, tenant, key, data_set, .. } = a;
+            let Arrival { group, tenant, key, cost, memory, data_set, .. } = a;
             let group = passage.as_ref().map_or(group, |p| p.group);
             let lane = passage.as_ref().and_then(|p| p.lane);
             let shorter = passage.as_ref().and_then(|p| p.limit).map(|limit| now + limit.as_secs_f64());
@@ -323,7 +326,7 @@
             );
             self.in_hand.send_replace(seats.in_hand.len());
             let left = self.ends.borrow().map_or(limit, |at| limit.min(at)) - now;
-            let b = Batch { id, group, tenant, key, left, cost: None, memory: None, data_set, lane };
+            let b = Batch { id, group, tenant, key, left, cost, memory, data_set, lane };
             let (job, line) = (Hex(a.job), key.map(Hex));
             tracing::debug!(batch = id, ?job, group, key = ?line, left, "taken");
             seats.control.take(now, b);
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -37,6 +37,7 @@
 const ID: HeaderName = HeaderName::from_static("x-trace");
 const GROUP: HeaderName = HeaderName::from_static("x-profile");
 const PATIENCE: HeaderName = HeaderName::from_static("x-patience");
+const MARK: HeaderName = HeaderName::from_static("x-op-key");
 const NEVER_RAN: &str = "x-declined";
 const REPORT: &str = "x-stats";
 const ALL_PAGES: &str = "result-pages";
@@ -59,6 +60,8 @@
 pub struct Call {
     pub id: HeaderValue,
     pub group: HeaderValue,
+    /// What a referenced batch carries against repeats.
+    pub mark: Option<HeaderValue>,
     pub statement: Statement,
 }
 
@@ -478,6 +481,9 @@
         let head = request.headers_mut();
         head.insert(ID, call.id.clone());
         head.insert(GROUP, call.group.clone());
+        if let Some(mark) = &call.mark {
+            head.insert(MARK, mark.clone());
+        }
         head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
         Some((request, feed))
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -43,6 +43,9 @@
 const ALLOWED: &str = "x-allow-ms";
 const TENANT: &str = "x-team";
 const KEY: &str = "x-item";
+const MARK: &str = "x-unique";
+const COST: &str = "x-size-ms";
+const MEMORY: &str = "x-memory";
 const COME_BACK: HeaderName = HeaderName::from_static("x-wait-ms");
 /// Protocol: digits of an id and of a key.
 const DIGITS: usize = 16;
@@ -491,8 +494,21 @@
     let data_set = statement::data_set(&statement).unwrap_or(0);
     let group_name = HeaderValue::from_str(group).map_err(|_| unknown())?;
     let bytes = statement.len() as u64;
-    let call = Call { id: id.clone(), group: group_name, statement: Statement::Whole(statement) };
-    Ok((Arrival { job, group: index, tenant, key, limit, data_set, client, bytes }, call))
+    let mark = head.contains_key(MARK).then(|| field(head, MARK)).transpose()?.cloned();
+    let cost = estimate(head, COST)?.map(|ms| ms / 1000.0);
+    let memory = estimate(head, MEMORY)?;
+    let call = Call { id: id.clone(), group: group_name, mark, statement: Statement::Whole(statement) };
+    Ok((Arrival { job, group: index, tenant, key, limit, cost, memory, data_set, client, bytes }, call))
+}
+
+/// An estimate that may come with a batch; 0 says nothing.
+fn estimate(head: &HeaderMap, name: &str) -> Result<Option<f64>, String> {
+    if !head.contains_key(name) {
+        return Ok(None);
+    }
+    let told = field(head, name)?.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let told = told.filter(|v| v.is_finite() && *v >= 0.0);
+    Ok(Some(told.ok_or_else(|| format!("{name}: a number of 0 or more expected"))?).filter(|v| *v > 0.0))
 }
 
 /// The one value of a field.
