With notes a dispatch runs on unasked until its patience is over; notes reach the module

Change: where the settings tell of notes Unasked is a proof once the patience told with the start is over; 202 answers' notes go to the module. Tests over sockets, in the ledger and in the worlds (slip OverlooksNotes).

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -7,7 +7,7 @@
 use crate::planning::{LaneTold, Passage, Planner, Turned};
 use bytes::Bytes;
 use garnetwall::api::{
-    Answer, Batch, BatchId, Effect, End, EngineId, Next, Outcome, Place, Report, ServiceGroup, Wait,
+    Answer, Batch, BatchId, Effect, End, EngineId, Next, Note, Outcome, Place, Report, ServiceGroup, Wait,
 };
 use garnetwall::control::Control;
 use garnetwall_ledger::book::{Sent, CLEAR};
@@ -357,6 +357,11 @@
         })
     }
 
+    /// A note of its engine on a dispatch that is out.
+    pub fn noted(&self, id: BatchId, dispatch: u32, note: Note) {
+        self.fact(|seats, now| seats.control.noted(now, id, dispatch, note));
+    }
+
     /// A batch's body is not there any more for a further dispatch.
     pub fn not_kept(&self, id: BatchId) {
         self.fact(|seats, _| seats.control.not_kept(id));
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -6,7 +6,7 @@
 use crate::rows;
 use crate::sockets::{Abandoned, Budget, Line};
 use bytes::Bytes;
-use garnetwall::api::{Condition, End, EngineId, Listed, Report};
+use garnetwall::api::{Condition, End, EngineId, Listed, Note, Report};
 use garnetwall_bodies::body::ReadFault;
 use garnetwall_bodies::{Body, Reader};
 use garnetwall_ledger as ledger;
@@ -40,6 +40,8 @@
 const MARK: HeaderName = HeaderName::from_static("x-op-key");
 const NEVER_RAN: &str = "x-declined";
 const REPORT: &str = "x-stats";
+const NOTE: &str = "x-result";
+const NOTED: &str = "note-value";
 const ALL_PAGES: &str = "result-pages";
 const THIS_PAGE: &str = "result-page";
 const WORK: &str = "query-cost";
@@ -170,9 +172,17 @@
     }
 }
 
+/// What is told of a dispatch that is out, to who waits for its end.
+pub struct Tidings {
+    /// How it looks where its end is not known.
+    pub doubt: watch::Sender<Option<End>>,
+    /// The last note of it.
+    pub note: watch::Sender<Option<Note>>,
+}
+
 /// What an answer about a dispatch says.
 enum News {
-    NotYet,
+    NotYet(Option<Note>),
     Over(End),
     /// A good end with so many pages.
     Good(usize),
@@ -186,7 +196,7 @@
         reply.number(ALL_PAGES).filter(|n| n.fract() == 0.0 && (0.0..=rows::PAGES as f64).contains(n));
     match (reply.status, never_ran, pages) {
         (StatusCode::OK, _, Some(pages)) if rows::whole(&reply.body) => News::Good(pages as usize),
-        (StatusCode::ACCEPTED, _, _) => News::NotYet,
+        (StatusCode::ACCEPTED, _, _) => News::NotYet(note(reply)),
         (StatusCode::SERVICE_UNAVAILABLE, true, _) => News::Over(End::Full),
         (StatusCode::GATEWAY_TIMEOUT, true, _) => News::Over(End::Moot),
         (StatusCode::INTERNAL_SERVER_ERROR, _, _) => News::Over(End::Errored),
@@ -194,6 +204,18 @@
     }
 }
 
+/// A note on a dispatch that is out, where one came. One that can't be read says nothing.
+fn note(reply: &Reply) -> Option<Note> {
+    let amount = reply.number(NOTED)?;
+    match reply.head.get(NOTE)?.to_str().ok()?.trim() {
+        "frac" => Some(Note::Done(amount)),
+        "missing" => Some(Note::Spills(amount)),
+        "parked" if amount == 2.0 => Some(Note::WaitsForLoad),
+        "parked" => Some(Note::WaitsForMemory),
+        _ => None,
+    }
+}
+
 pub struct Engines {
     budget: Arc<Semaphore>,
     dial: Duration,
@@ -220,11 +242,12 @@
 }
 
 impl Engines {
-    pub fn new(network: Network, budget: &Budget, longest: f64) -> Self {
+    /// `notes_every` is the time between an engine's notes on a dispatch; 0 where there are none.
+    pub fn new(network: Network, notes_every: f64, budget: &Budget, longest: f64) -> Self {
         let dial = span(network.dial);
         let kept = span(longest) + UNASKED;
         let listed = Mutex::new(List { ids: HashMap::new(), known: Vec::new(), kept });
-        let bounds = Bounds { news: NEWS, unasked: UNASKED, pause: LONGER };
+        let bounds = Bounds { news: NEWS, notes: notes_every > 0.0, unasked: UNASKED, pause: LONGER };
         Engines {
             budget: budget.engines.clone(),
             dial,
@@ -315,7 +338,7 @@
 
     /// Starts a dispatch and asks for it without gap until it is over: it has ended, or can't be running any more.
     /// Where asking can't tell any more, or nobody wants to know, it is given up, which may take until the
-    /// ledger's bound; how it looks until then goes to `doubt`.
+    /// ledger's bound; what is known until then goes to `tidings`.
     pub async fn dispatch(
         &self,
         target: Target,
@@ -323,12 +346,12 @@
         number: u32,
         time_out: f64,
         wishes: watch::Receiver<Wish>,
-        doubt: watch::Sender<Option<End>>,
+        tidings: Tidings,
     ) -> Ended {
-        let id = self.ledger().open(self.now());
+        let id = self.ledger().open(self.now(), span(time_out));
         let start = Start { further: number > 0, time_out };
         let mut way = Way { dispatch: Some(id), ..self.way(target) };
-        let over = way.live(call, start, wishes, doubt).await;
+        let over = way.live(call, start, wishes, tidings).await;
         self.ledger().close(id);
         over
     }
@@ -439,15 +462,15 @@
         call: &Call,
         start: Start,
         mut wishes: watch::Receiver<Wish>,
-        doubt: watch::Sender<Option<End>>,
+        tidings: Tidings,
     ) -> Ended {
-        let told = self.end(call, start, &mut wishes).await;
+        let told = self.end(call, start, &mut wishes, &tidings).await;
         let end = match told {
             Heard::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
             Heard::Good(first, pages) => return self.fetch(call, first, pages).await,
             Heard::Over(ended) => return ended,
             Heard::InDoubt => {
-                doubt.send_replace(Some(End::Broken));
+                tidings.doubt.send_replace(Some(End::Broken));
                 self.give_up(call).await;
                 End::Broken
             }
@@ -514,7 +537,13 @@
 
     /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
     /// not answered may have come whole all the same, and a good end is given again: asking tells.
-    async fn end(&mut self, call: &Call, start: Start, wishes: &mut watch::Receiver<Wish>) -> Heard {
+    async fn end(
+        &mut self,
+        call: &Call,
+        start: Start,
+        wishes: &mut watch::Receiver<Wish>,
+        tidings: &Tidings,
+    ) -> Heard {
         let mut asking = self.asked_on();
         let Some((mut next, mut feed)) = self.starting(call, start) else {
             self.tell(Fact::NeverCame);
@@ -548,8 +577,11 @@
                         };
                         return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
                     }
-                    News::NotYet => {
+                    News::NotYet(note) => {
                         self.tell(Fact::Runs(self.connection));
+                        if note.is_some() {
+                            tidings.note.send_replace(note);
+                        }
                         Ok(())
                     }
                     News::Garbled => Err(Fault::Garbled),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -76,7 +76,8 @@
         let control = Control::new(settings, config.seed, clock.now());
         let (desk, probes) = Desk::new(control, planner, clock, longest);
         desk.grouped(&groups);
-        let engines = Arc::new(Engines::new(config.decoded.network, &budget, longest));
+        let notes_every = config.decoded.settings.notes_every;
+        let engines = Arc::new(Engines::new(config.decoded.network, notes_every, &budget, longest));
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
             budget,
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::span;
 use crate::desk::{Desk, Final, Order};
-use crate::engines::{Call, Ended, Engines, Statement, Target, Wish};
+use crate::engines::{Call, Ended, Engines, Statement, Target, Tidings, Wish};
 use crate::keeping::Keeper;
 use crate::rows;
 use garnetwall::api::{BatchId, End, EngineId, Next, Outcome};
@@ -77,7 +77,9 @@
         let (engines, call, desk) = (self.engines.clone(), self.call.clone(), self.desk.clone());
         let (wish, wishes) = watch::channel(Wish::Answer);
         let (doubt, mut doubts) = watch::channel(None);
-        let running = engines.dispatch(target, &call, out.dispatch, time_out, wishes, doubt);
+        let (note, mut notes) = watch::channel(None);
+        let tidings = Tidings { doubt, note };
+        let running = engines.dispatch(target, &call, out.dispatch, time_out, wishes, tidings);
         let too_late = async {
             tokio::select! {
                 () = sleep(span(time_out)) => {}
@@ -105,6 +107,11 @@
                         answered |= self.in_doubt(out, end);
                     }
                 }
+                Ok(()) = notes.changed() => {
+                    if let Some(note) = *notes.borrow_and_update() {
+                        desk.noted(self.id, out.dispatch, note);
+                    }
+                }
                 Some(order) = self.orders.recv() => match order {
                     Order::Gone => answered = true,
                     Order::TakeBack { dispatch } if dispatch == out.dispatch => {
--- a/crates/gateway/tests/helper/process.rs
+++ b/crates/gateway/tests/helper/process.rs
@@ -21,6 +21,8 @@
 pub struct Dispatch {
     pub id: String,
     pub statement: String,
+    /// What came with it against repeats.
+    pub mark: Option<String>,
     pub came: Instant,
     pub runs: Duration,
     /// When its last call for news ended.
@@ -31,7 +33,8 @@
 
 impl Dispatch {
     pub fn end(&self) -> Option<Instant> {
-        let unasked = (!self.asking).then_some(self.asked + UNASKED);
+        // A note that it tells keeps it running.
+        let unasked = (!self.asking && !self.asks("notes")).then_some(self.asked + UNASKED);
         let ends = [Some(self.came + self.runs), self.over, unasked];
         ends.into_iter().flatten().min().filter(|at| *at <= Instant::now())
     }
@@ -127,7 +130,8 @@
                 "DELETE" => self.delete(&id),
                 _ => {
                     if method == "POST" {
-                        self.begin(&id, &String::from_utf8_lossy(&call.body));
+                        let mark = call.fields.get("x-op-key").cloned();
+                        self.begin(&id, &String::from_utf8_lossy(&call.body), mark);
                     }
                     self.news(&id)
                 }
@@ -142,12 +146,12 @@
         }
     }
 
-    pub fn begin(&self, id: &str, statement: &str) {
+    pub fn begin(&self, id: &str, statement: &str, mark: Option<String>) {
         let runs = statement.split_once("/* runs ").and_then(|(_, rest)| rest.split(' ').next());
         let runs = ms(runs.and_then(|n| n.parse().ok()).unwrap_or(0));
         let now = Instant::now();
         let (id, statement) = (id.to_string(), statement.to_string());
-        let new = Dispatch { id, statement, came: now, runs, asked: now, asking: false, over: None };
+        let new = Dispatch { id, statement, mark, came: now, runs, asked: now, asking: false, over: None };
         self.state().dispatches.push(new);
     }
 
@@ -169,6 +173,9 @@
                     return Some("\u{1}\u{2} no head at all\r\n\r\n".into());
                 }
                 return Some(match (over, good) {
+                    (None, _) if d.asks("notes") => {
+                        http("202 Not yet", "X-Result: frac\r\nNote-Value: 0.250\r\n", "")
+                    }
                     (None, _) => http("202 Not yet", "", ""),
                     (Some(_), true) => http("200 OK", "Result-Pages: 1\r\n", ROWS),
                     (Some(_), false) => http("500 Oops", "", ""),
--- a/crates/gateway/tests/order.rs
+++ b/crates/gateway/tests/order.rs
@@ -42,11 +42,15 @@
     }
 
     fn with_limit(limit: f64) -> Play {
+        Play::with(|settings| settings["categories"][1]["give-up"] = json!(limit))
+    }
+
+    fn with(change: impl Fn(&mut Value)) -> Play {
         let (first, second) = (Process::start(), Process::start());
         let at = first.address;
         let service = Service::with(|config| {
             config["known"]["results"][0]["fleet"]["servers"][0]["addr"] = json!(at.to_string());
-            config["settings"]["categories"][1]["give-up"] = json!(limit);
+            change(&mut config["settings"]);
         });
         Play { service, first, second }
     }
@@ -291,3 +295,59 @@
     assert!(p.service.child.wait().unwrap().success());
     assert!(began.elapsed() < ms(3700), "{:?}", began.elapsed());
 }
+
+/// Engines that tell notes, one each second, with limits longer than what runs here.
+fn with_notes() -> Play {
+    Play::with(|settings| {
+        settings["domain"]["progress"] = json!(1000.0);
+        settings["categories"][0]["give-up"] = json!(8000.0);
+        settings["categories"][1]["give-up"] = json!(8000.0);
+    })
+}
+
+/// Found on pomurje-estimates, split+mass: a zone is cut off, and its engines run on what nobody asks for, as each note
+/// that they have to tell keeps it running.
+#[test]
+fn notes_keep_a_dispatch_running_though_nobody_can_ask_for_it() {
+    let play = with_notes();
+    let (_first, one) = play.load(4600, "INSERT 1 /* notes */ /* runs 4000 */");
+    until("it runs", || !play.first.dispatches().is_empty());
+    play.first.refuses();
+    play.hands_over();
+    play.first.loses_connections();
+    let (_second, two) = play.load(8000, "INSERT 2");
+    assert!(two.join().unwrap().answer.is_some_and(|a| a.returned()));
+    let end = play.first.dispatches()[0].end().expect("it has ended");
+    assert!(play.second.dispatches()[0].came >= end + REST, "sent beside a dispatch that ran");
+    assert!(one.join().unwrap().answer.is_some_and(|a| !a.returned()));
+}
+
+/// Found there too: notes that were not passed on looked like silence, after which a dispatch was taken back.
+#[test]
+fn a_dispatch_that_tells_notes_is_not_taken_back_as_lost() {
+    let play = with_notes();
+    let statement = "SELECT 1 /* notes */ /* runs 3200 */";
+    assert!(play.service.batch_of(&new_id(), "report", 6000, statement).returned());
+    assert_eq!(play.first.dispatches().len(), 1);
+    assert_eq!(play.first.state().deletes, 0, "taken back");
+}
+
+/// Found on deployments with a referenced group, whose engines refuse what comes without its mark.
+#[test]
+fn a_mark_against_repeats_goes_on_unchanged_and_estimates_are_checked() {
+    let play = Play::with(|settings| {
+        settings["categories"][1]["semantics"] = json!("dedup");
+        settings["categories"][1]["key-scope"] = json!("all");
+        settings["categories"][1]["dedup-window"] = json!(6000.0);
+    });
+    let say = |more: &str| {
+        let fields = format!("{}{KEY}X-Unique: 00ab12ffee34cd56\r\n{more}", fields(&new_id(), 2900));
+        call(play.service.open(), "POST /v1/load", &fields, "INSERT 1").map(Answer::of).unwrap()
+    };
+    assert!(say("X-Size-Ms: 120\r\nX-Memory: 64\r\n").returned());
+    assert_eq!(play.first.dispatches()[0].mark.as_deref(), Some("00ab12ffee34cd56"));
+    for wrong in ["X-Size-Ms: -1\r\n", "X-Memory: much\r\n", "X-Unique: twice\r\n"] {
+        assert!(!say(wrong).returned(), "{wrong}");
+    }
+    assert_eq!(play.first.dispatches().len(), 1, "nothing of those went on");
+}
--- a/crates/gateway/tests/world.rs
+++ b/crates/gateway/tests/world.rs
@@ -21,6 +21,7 @@
 const REST: u64 = 500;
 const BOUNDS: Bounds = Bounds {
     news: Duration::from_millis(NEWS),
+    notes: false,
     unasked: Duration::from_millis(UNASKED),
     pause: Duration::from_millis(50),
 };
@@ -44,6 +45,7 @@
     MixesArrivals,
     OverlooksZones,
     OverlooksBudget,
+    OverlooksNotes,
 }
 
 /// A rule broken in the world.
@@ -102,6 +104,8 @@
     from: u64,
     ends: u64,
     asked: u64,
+    /// Its patience is over then.
+    stops: u64,
     /// A call is held since then.
     held: Option<u64>,
     to: Option<u64>,
@@ -167,6 +171,8 @@
 
 struct World {
     slip: Slip,
+    /// Engines tell notes, each of which keeps its dispatch running.
+    notes: bool,
     dice: Dice,
     now: u64,
     starved: (u64, u64),
@@ -252,12 +258,15 @@
         };
         let starved = dice.between(1000, DAY);
         let starved = if dice.one_in(2) { (starved, starved + dice.between(100, 2500)) } else { (0, 0) };
+        let notes = (seed >> 8) % 4 == 1;
+        let bounds = Bounds { notes: notes && slip != Slip::OverlooksNotes, ..BOUNDS };
         let mut world = World {
             slip,
+            notes,
             now: 0,
             starved,
             control: Control::new(settings, seed | 1, seconds(0)),
-            ledger: Ledger::new(BOUNDS),
+            ledger: Ledger::new(bounds),
             processes,
             slots,
             ran: Vec::new(),
@@ -320,7 +329,10 @@
             if let Some(since) = r.held.filter(|since| self.now >= since + NEWS) {
                 (r.asked, r.held) = (since + NEWS, None);
             }
-            let unasked = r.held.is_none() && self.now >= r.asked + UNASKED;
+            let unasked = match self.notes {
+                true => self.now >= r.stops,
+                false => r.held.is_none() && self.now >= r.asked + UNASKED,
+            };
             r.good = self.now >= r.ends && self.now < p.dies;
             if self.now >= r.ends || self.now >= p.dies || unasked {
                 r.to = Some(self.now);
@@ -411,7 +423,7 @@
             batch: id,
             engine,
             number,
-            id: self.ledger.open(Duration::from_millis(now)),
+            id: self.ledger.open(Duration::from_millis(now), Duration::from_secs_f64(time_out.max(0.0))),
             sent: now,
             time_out: now + (time_out * 1000.0) as u64,
             doing: Doing::Connects { since: now, then: Call::Start },
@@ -552,6 +564,7 @@
                     from: now,
                     ends,
                     asked: now,
+                    stops: now + self.out[n].time_out.saturating_sub(self.out[n].sent),
                     held: Some(now),
                     to: None,
                     good: false,
@@ -857,6 +870,7 @@
         (Slip::OverlooksZones, Rule::Placement),
         (Slip::OverlooksBudget, Rule::Budget),
         (Slip::TrustsRefusals, Rule::Effect),
+        (Slip::OverlooksNotes, Rule::Order),
     ];
     for (slip, rule) in slips {
         let found = (0..300).find(|seed| World::new(*seed, slip).play().iter().any(|(r, _)| *r == rule));
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -28,6 +28,9 @@
 pub struct Bounds {
     /// An engine holds a call for news back for this long at most.
     pub news: Duration,
+    /// Engines tell notes of a dispatch, and each keeps it running as asking does, heard or not: that nobody asks is no end
+    /// of it then, only its own patience is.
+    pub notes: bool,
     /// An engine drops a dispatch that nobody has asked for in this time.
     pub unasked: Duration,
     /// Between two tries to give a dispatch up that came to nothing.
@@ -68,7 +71,8 @@
     NeverCame,
     /// The process that ran it has answered that it is given up.
     GivenUp,
-    /// Nobody has asked for it for so long that the engine has dropped it.
+    /// Nobody has asked for it for so long that the engine has dropped it, or, where notes keep it running, its patience
+    /// is over.
     Unasked,
 }
 
@@ -90,6 +94,9 @@
     asked: bool,
     /// The latest moment at which the engine may have begun to hear nothing of it.
     unheard_from: Duration,
+    /// What its engine was told, and when it stops by that at the latest, where notes keep it running.
+    patience: Duration,
+    stops: Duration,
     /// A connection to the process that has it, as long as that is of use.
     known: Option<Connection>,
     /// A new connection was refused, or a call to give it up answered by whoever listens there now: no further call
@@ -113,12 +120,21 @@
         Ledger { bounds, next: 0, open: HashMap::new() }
     }
 
-    /// A dispatch that is about to be sent; it is in the ledger until it is closed.
-    pub fn open(&mut self, now: Duration) -> DispatchId {
+    /// A dispatch that is about to be sent, with the patience that its engine is told: after that it stops by itself. It
+    /// is in the ledger until it is closed.
+    pub fn open(&mut self, now: Duration, patience: Duration) -> DispatchId {
         let id = DispatchId(self.next);
         self.next += 1;
-        let entry =
-            Entry { asked: false, unheard_from: now, known: None, spent: false, missed: None, over: None };
+        let entry = Entry {
+            asked: false,
+            unheard_from: now,
+            patience,
+            stops: Duration::ZERO,
+            known: None,
+            spent: false,
+            missed: None,
+            over: None,
+        };
         self.open.insert(id, entry);
         id
     }
@@ -128,6 +144,9 @@
         let Some(entry) = self.open.get_mut(&id).filter(|e| e.over.is_none()) else { return };
         match fact {
             Fact::Asked => {
+                if self.bounds.notes && !entry.asked {
+                    entry.stops = now + self.bounds.news + entry.patience;
+                }
                 (entry.asked, entry.unheard_from) = (true, entry.unheard_from.max(now + self.bounds.news));
             }
             Fact::Runs(on) => {
@@ -172,7 +191,7 @@
     /// The latest moment at which a dispatch may still run; none once that it does not is proved.
     pub fn may_run_until(&self, id: DispatchId) -> Option<Duration> {
         let entry = self.open.get(&id).filter(|e| e.over.is_none())?;
-        Some(entry.unheard_from + self.bounds.unasked)
+        Some((entry.unheard_from + self.bounds.unasked).max(entry.stops))
     }
 
     /// Takes a dispatch out of the ledger: its outcome has been told.
--- a/crates/ledger/src/tests.rs
+++ b/crates/ledger/src/tests.rs
@@ -9,7 +9,7 @@
     Duration::from_millis(n)
 }
 
-const BOUNDS: Bounds = Bounds { news: ms(250), unasked: ms(2000), pause: ms(50) };
+const BOUNDS: Bounds = Bounds { news: ms(250), notes: false, unasked: ms(2000), pause: ms(50) };
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -139,7 +139,7 @@
             now += ms(later);
             match event {
                 Event::Open => {
-                    ids.push(ledger.open(now));
+                    ids.push(ledger.open(now, ms(900)));
                     plain.0.push(History { opened: now, facts: vec![], over: None, closed: false });
                 }
                 Event::Tell(n, fact) if n < ids.len() => {
@@ -219,7 +219,7 @@
     let mut ledger = Ledger::new(BOUNDS);
     let mut all: Vec<Played> = (0..3)
         .map(|_| {
-            let id = ledger.open(ms(0));
+            let id = ledger.open(ms(0), ms(900));
             ledger.tell(ms(0), id, Fact::Asked);
             Played {
                 id,
@@ -329,7 +329,7 @@
 #[test]
 fn an_engine_that_refuses_proves_nothing_and_its_known_connection_does() {
     let mut l = Ledger::new(BOUNDS);
-    let (a, b) = (l.open(ms(0)), l.open(ms(0)));
+    let (a, b) = (l.open(ms(0), ms(900)), l.open(ms(0), ms(900)));
     for id in [a, b] {
         l.tell(ms(0), id, Fact::Asked);
         l.tell(ms(250), id, Fact::Runs(0));
@@ -350,7 +350,7 @@
 #[test]
 fn who_answers_on_a_later_connection_proves_nothing_until_it_shows_the_dispatch() {
     let mut l = Ledger::new(BOUNDS);
-    let (a, b) = (l.open(ms(0)), l.open(ms(0)));
+    let (a, b) = (l.open(ms(0), ms(900)), l.open(ms(0), ms(900)));
     for id in [a, b] {
         l.tell(ms(0), id, Fact::Asked);
         l.tell(ms(100), id, Fact::Useless(0));
@@ -363,3 +363,16 @@
     l.tell(ms(210), b, Fact::Failed(1));
     assert_eq!(l.next(ms(210), b), Next::Over(Proof::Ended));
 }
+
+/// Seen on pomurje-estimates, split+mass: engines that tell notes run on what nobody asks for.
+#[test]
+fn notes_keep_a_dispatch_running_until_its_patience_is_over() {
+    let mut l = Ledger::new(Bounds { notes: true, ..BOUNDS });
+    let id = l.open(ms(0), ms(4000));
+    l.tell(ms(100), id, Fact::Asked);
+    l.tell(ms(350), id, Fact::Runs(1));
+    l.tell(ms(350), id, Fact::Asked);
+    l.tell(ms(400), id, Fact::Reset(1));
+    assert_eq!(l.next(ms(2700), id), Next::GiveUp(ms(1650)), "unasked for over 2 s, and running");
+    assert_eq!(l.next(ms(4350), id), Next::Over(Proof::Unasked));
+}
