What notes keep running holds its key until proof or the longest limit after the last call

So an engine passes its patience where notes keep a dispatch. Change: the longest limit from the last call (Ledger::tell, Asked), for keyed batches in order; who listens there is asked first, at most three times, so that it is shown again after a cut and DELETE there proves the end (finds_out in engines.rs).

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -46,6 +46,8 @@
 const THIS_PAGE: &str = "result-page";
 const WORK: &str = "query-cost";
 const MEMORY: &str = "query-need";
+/// Who listens there is asked so often at most for a dispatch that is to be given up, as asking keeps it running too.
+const FIND_OUT: u32 = 3;
 /// More than any head of an answer; hyper asks for 8 KB at least.
 const LONGEST_HEAD: usize = 16 << 10;
 
@@ -64,6 +66,8 @@
     pub group: HeaderValue,
     /// What a referenced batch carries against repeats.
     pub mark: Option<HeaderValue>,
+    /// Others must not run beside it: it has a key, in a group that keeps order.
+    pub in_order: bool,
     pub statement: Statement,
 }
 
@@ -223,6 +227,8 @@
     known: watch::Sender<bool>,
     ledger: Mutex<Ledger>,
     bounds: Bounds,
+    /// The longest time limit of any service group.
+    longest: Duration,
     began: Instant,
 }
 
@@ -255,6 +261,7 @@
             known: watch::Sender::new(false),
             ledger: Mutex::new(Ledger::new(bounds)),
             bounds,
+            longest: span(longest),
             began: Instant::now(),
         }
     }
@@ -348,7 +355,10 @@
         wishes: watch::Receiver<Wish>,
         tidings: Tidings,
     ) -> Ended {
-        let id = self.ledger().open(self.now(), span(time_out));
+        // The protocol names no end of what notes keep running, and an engine was seen to pass the patience it was told. A
+        // cut that outlasts every limit is not covered.
+        let kept = if call.in_order { self.longest } else { Duration::ZERO };
+        let id = self.ledger().open(self.now(), kept);
         let start = Start { further: number > 0, time_out };
         let mut way = Way { dispatch: Some(id), ..self.way(target) };
         let over = way.live(call, start, wishes, tidings).await;
@@ -695,6 +705,7 @@
     async fn give_up(&mut self, call: &Call) -> ledger::Proof {
         let Some(id) = self.dispatch else { return ledger::Proof::NeverCame };
         let engine = self.target.engine;
+        let mut find_out = if self.engines.bounds.notes { FIND_OUT } else { 0 };
         loop {
             let next = self.engines.ledger().next(self.engines.now(), id);
             match next {
@@ -703,6 +714,16 @@
                     return proof;
                 }
                 Next::Wait(span) => sleep(span).await,
+                Next::GiveUp(_) if find_out > 0 && !self.engines.ledger().is_shown(id) => {
+                    let told = self.finds_out(call).await;
+                    // What was never written keeps nothing running.
+                    if !matches!(told, Err(Fault::Refused | Fault::Unconnected)) {
+                        find_out -= 1;
+                    }
+                    if told.is_err_and(|fault| fault != Fault::Refused) {
+                        self.tell(Fact::Missed);
+                    }
+                }
                 Next::GiveUp(left) => {
                     let delete = request(Method::DELETE, self.target.address, &path(call, None));
                     let within = left.min(self.engines.dial * 2);
@@ -730,6 +751,22 @@
         }
     }
 
+    /// Asks who listens there now for a dispatch that notes may keep running: only who shows it can give it up for certain.
+    async fn finds_out(&mut self, call: &Call) -> Result<(), Fault> {
+        let reply = self.call(self.asking(call, 0), None, self.patience(), true).await?;
+        match news(&reply) {
+            News::NotYet(_) => self.tell(Fact::Runs(self.connection)),
+            News::Good(_) => self.tell(Fact::Ended),
+            // It may be another process: nothing more can be learned there.
+            News::Over(_) => self.tell(Fact::GivenUp(self.connection)),
+            News::Garbled => {
+                self.drop_after(Err(Fault::Garbled));
+                return Err(Fault::Garbled);
+            }
+        }
+        Ok(())
+    }
+
     /// One call, on a connection that is up or comes up within its own bound. `asks` for one that keeps its dispatch
     /// running.
     async fn call(
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -497,7 +497,9 @@
     let mark = head.contains_key(MARK).then(|| field(head, MARK)).transpose()?.cloned();
     let cost = estimate(head, COST)?.map(|ms| ms / 1000.0);
     let memory = estimate(head, MEMORY)?;
-    let call = Call { id: id.clone(), group: group_name, mark, statement: Statement::Whole(statement) };
+    let in_order = key.is_some() && decoded.settings.groups[index].in_order;
+    let statement = Statement::Whole(statement);
+    let call = Call { id: id.clone(), group: group_name, mark, in_order, statement };
     Ok((Arrival { job, group: index, tenant, key, limit, cost, memory, data_set, client, bytes }, call))
 }
 
--- a/crates/gateway/tests/order.rs
+++ b/crates/gateway/tests/order.rs
@@ -300,8 +300,8 @@
 fn with_notes() -> Play {
     Play::with(|settings| {
         settings["domain"]["progress"] = json!(1000.0);
-        settings["categories"][0]["give-up"] = json!(8000.0);
-        settings["categories"][1]["give-up"] = json!(8000.0);
+        settings["categories"][0]["give-up"] = json!(6000.0);
+        settings["categories"][1]["give-up"] = json!(6000.0);
     })
 }
 
@@ -315,7 +315,8 @@
     play.first.refuses();
     play.hands_over();
     play.first.loses_connections();
-    let (_second, two) = play.load(8000, "INSERT 2");
+    sleep(Duration::from_secs(2));
+    let (_second, two) = play.load(6000, "INSERT 2");
     assert!(two.join().unwrap().answer.is_some_and(|a| a.returned()));
     let end = play.first.dispatches()[0].end().expect("it has ended");
     assert!(play.second.dispatches()[0].came >= end + REST, "sent beside a dispatch that ran");
--- a/crates/gateway/tests/world.rs
+++ b/crates/gateway/tests/world.rs
@@ -16,6 +16,8 @@
 const DIAL: u64 = 250;
 const NEWS: u64 = 250;
 const UNASKED: u64 = 2000;
+/// The longest time limit: for so long notes keep a dispatch running at most.
+const KEPT: u64 = 5000;
 /// What the protocol adds to each limit, and the world's steps.
 const SLACK: u64 = 50 + 2 * STEP;
 const REST: u64 = 500;
@@ -104,7 +106,7 @@
     from: u64,
     ends: u64,
     asked: u64,
-    /// Its patience is over then.
+    /// It ends then, where notes keep it running.
     stops: u64,
     /// A call is held since then.
     held: Option<u64>,
@@ -423,7 +425,7 @@
             batch: id,
             engine,
             number,
-            id: self.ledger.open(Duration::from_millis(now), Duration::from_secs_f64(time_out.max(0.0))),
+            id: self.ledger.open(Duration::from_millis(now), Duration::from_millis(KEPT)),
             sent: now,
             time_out: now + (time_out * 1000.0) as u64,
             doing: Doing::Connects { since: now, then: Call::Start },
@@ -564,7 +566,7 @@
                     from: now,
                     ends,
                     asked: now,
-                    stops: now + self.out[n].time_out.saturating_sub(self.out[n].sent),
+                    stops: now + KEPT,
                     held: Some(now),
                     to: None,
                     good: false,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -29,7 +29,7 @@
     /// An engine holds a call for news back for this long at most.
     pub news: Duration,
     /// Engines tell notes of a dispatch, and each keeps it running as asking does, heard or not: that nobody asks is no end
-    /// of it then, only its own patience is.
+    /// of it then.
     pub notes: bool,
     /// An engine drops a dispatch that nobody has asked for in this time.
     pub unasked: Duration,
@@ -71,8 +71,8 @@
     NeverCame,
     /// The process that ran it has answered that it is given up.
     GivenUp,
-    /// Nobody has asked for it for so long that the engine has dropped it, or, where notes keep it running, its patience
-    /// is over.
+    /// Nobody has asked for it for so long that the engine has dropped it, or, where notes keep it running, that
+    /// the time for which it counts as running is over.
     Unasked,
 }
 
@@ -94,8 +94,8 @@
     asked: bool,
     /// The latest moment at which the engine may have begun to hear nothing of it.
     unheard_from: Duration,
-    /// What its engine was told, and when it stops by that at the latest, where notes keep it running.
-    patience: Duration,
+    /// For how long and until when it counts as running, where notes keep it so.
+    kept: Duration,
     stops: Duration,
     /// A connection to the process that has it, as long as that is of use.
     known: Option<Connection>,
@@ -120,15 +120,15 @@
         Ledger { bounds, next: 0, open: HashMap::new() }
     }
 
-    /// A dispatch that is about to be sent, with the patience that its engine is told: after that it stops by itself. It
-    /// is in the ledger until it is closed.
-    pub fn open(&mut self, now: Duration, patience: Duration) -> DispatchId {
+    /// A dispatch that is about to be sent. Where notes keep it running it counts as running for `kept` after it was last asked
+    /// for, unless its end is proved. It is in the ledger until it is closed.
+    pub fn open(&mut self, now: Duration, kept: Duration) -> DispatchId {
         let id = DispatchId(self.next);
         self.next += 1;
         let entry = Entry {
             asked: false,
             unheard_from: now,
-            patience,
+            kept,
             stops: Duration::ZERO,
             known: None,
             spent: false,
@@ -144,8 +144,8 @@
         let Some(entry) = self.open.get_mut(&id).filter(|e| e.over.is_none()) else { return };
         match fact {
             Fact::Asked => {
-                if self.bounds.notes && !entry.asked {
-                    entry.stops = now + self.bounds.news + entry.patience;
+                if self.bounds.notes {
+                    entry.stops = now + self.bounds.news + entry.kept;
                 }
                 (entry.asked, entry.unheard_from) = (true, entry.unheard_from.max(now + self.bounds.news));
             }
@@ -194,6 +194,11 @@
         Some((entry.unheard_from + self.bounds.unasked).max(entry.stops))
     }
 
+    /// Whether there is a connection to the process that has it.
+    pub fn is_shown(&self, id: DispatchId) -> bool {
+        self.open.get(&id).is_some_and(|e| e.known.is_some())
+    }
+
     /// Takes a dispatch out of the ledger: its outcome has been told.
     pub fn close(&mut self, id: DispatchId) {
         self.open.remove(&id);
--- a/crates/ledger/src/tests.rs
+++ b/crates/ledger/src/tests.rs
@@ -366,13 +366,13 @@
 
 /// Seen on pomurje-estimates, split+mass: engines that tell notes run on what nobody asks for.
 #[test]
-fn notes_keep_a_dispatch_running_until_its_patience_is_over() {
+fn notes_keep_a_dispatch_running_for_as_long_as_told() {
     let mut l = Ledger::new(Bounds { notes: true, ..BOUNDS });
     let id = l.open(ms(0), ms(4000));
     l.tell(ms(100), id, Fact::Asked);
     l.tell(ms(350), id, Fact::Runs(1));
     l.tell(ms(350), id, Fact::Asked);
     l.tell(ms(400), id, Fact::Reset(1));
-    assert_eq!(l.next(ms(2700), id), Next::GiveUp(ms(1650)), "unasked for over 2 s, and running");
-    assert_eq!(l.next(ms(4350), id), Next::Over(Proof::Unasked));
+    assert_eq!(l.next(ms(2700), id), Next::GiveUp(ms(1900)), "unasked for over 2 s, and running");
+    assert_eq!(l.next(ms(4600), id), Next::Over(Proof::Unasked));
 }
