The ledger, not the network code, decides to find out who has a dispatch

Found on reading the change again: FIND_OUT and the choice to ask before DELETE stood in engines.rs, which decides nothing; Entry.stops said again what unheard_from says; finds_out told a call's answer as GivenUp though no DELETE was made. Change: Next::FindOut with its bound of three in the ledger, one span in place of two, the answer told as Failed, so that DELETE follows. The worlds play it.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -46,8 +46,6 @@
 const THIS_PAGE: &str = "result-page";
 const WORK: &str = "query-cost";
 const MEMORY: &str = "query-need";
-/// Who listens there is asked so often at most for a dispatch that is to be given up, as asking keeps it running too.
-const FIND_OUT: u32 = 3;
 /// More than any head of an answer; hyper asks for 8 KB at least.
 const LONGEST_HEAD: usize = 16 << 10;
 
@@ -705,7 +703,6 @@
     async fn give_up(&mut self, call: &Call) -> ledger::Proof {
         let Some(id) = self.dispatch else { return ledger::Proof::NeverCame };
         let engine = self.target.engine;
-        let mut find_out = if self.engines.bounds.notes { FIND_OUT } else { 0 };
         loop {
             let next = self.engines.ledger().next(self.engines.now(), id);
             match next {
@@ -714,13 +711,8 @@
                     return proof;
                 }
                 Next::Wait(span) => sleep(span).await,
-                Next::GiveUp(_) if find_out > 0 && !self.engines.ledger().is_shown(id) => {
-                    let told = self.finds_out(call).await;
-                    // What was never written keeps nothing running.
-                    if !matches!(told, Err(Fault::Refused | Fault::Unconnected)) {
-                        find_out -= 1;
-                    }
-                    if told.is_err_and(|fault| fault != Fault::Refused) {
+                Next::FindOut => {
+                    if self.finds_out(call).await.is_err_and(|fault| fault != Fault::Refused) {
                         self.tell(Fact::Missed);
                     }
                 }
@@ -751,14 +743,13 @@
         }
     }
 
-    /// Asks who listens there now for a dispatch that notes may keep running: only who shows it can give it up for certain.
+    /// Asks who listens there now whether it has the dispatch.
     async fn finds_out(&mut self, call: &Call) -> Result<(), Fault> {
         let reply = self.call(self.asking(call, 0), None, self.patience(), true).await?;
         match news(&reply) {
             News::NotYet(_) => self.tell(Fact::Runs(self.connection)),
             News::Good(_) => self.tell(Fact::Ended),
-            // It may be another process: nothing more can be learned there.
-            News::Over(_) => self.tell(Fact::GivenUp(self.connection)),
+            News::Over(_) => self.tell(Fact::Failed(self.connection)),
             News::Garbled => {
                 self.drop_after(Err(Fault::Garbled));
                 return Err(Fault::Garbled);
--- a/crates/gateway/tests/world.rs
+++ b/crates/gateway/tests/world.rs
@@ -510,6 +510,9 @@
                     }
                     _ if trusted => self.over(n, End::Broken),
                     Then::Wait(_) => {}
+                    Then::FindOut => {
+                        self.out[n].doing = Doing::Connects { since: self.now, then: Call::News };
+                    }
                     Then::GiveUp(_) => {
                         self.out[n].doing = Doing::Connects { since: self.now, then: Call::GiveUp };
                     }
@@ -630,6 +633,9 @@
             }
             Reply::Good => {
                 self.tell(n, Fact::Ended);
+                if self.out[n].end.is_some() {
+                    return self.out[n].doing = Doing::GivesUp;
+                }
                 let unwanted = self.out[n].unwanted && self.out[n].late;
                 self.over(n, if unwanted { End::Withdrawn } else { End::Returned });
             }
@@ -639,6 +645,9 @@
             }
             Reply::Unknown => {
                 self.tell(n, Fact::Failed(on));
+                if self.out[n].end.is_some() {
+                    return self.out[n].doing = Doing::GivesUp;
+                }
                 let id = self.out[n].id;
                 let over = self.ledger.may_run_until(id).is_none() || self.slip == Slip::TrustsAddresses;
                 match weigh(call == Call::Start, true, over) {
@@ -655,6 +664,7 @@
                 self.tell(n, Fact::Runs(on));
                 self.out[n].asking.heard(now);
                 match self.out[n].unwanted {
+                    _ if self.out[n].end.is_some() => self.out[n].doing = Doing::GivesUp,
                     true => self.give_up(n, End::Withdrawn),
                     false => self.out[n].doing = Doing::Connects { since: self.now, then: Call::News },
                 }
@@ -671,7 +681,7 @@
     }
 
     fn lost(&mut self, n: usize, call: Call, how: Lost) {
-        if call == Call::GiveUp {
+        if call == Call::GiveUp || self.out[n].end.is_some() {
             if how != Lost::Refused {
                 self.tell(n, Fact::Missed);
             }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -16,6 +16,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Who listens there is asked so often at most for a dispatch that notes may keep running and that is to be given up: asking
+/// keeps it running too, and one answer tells.
+const FIND_OUT: u32 = 3;
+
 /// The connections of one dispatch, numbered as they come up.
 pub type Connection = u32;
 
@@ -81,6 +85,8 @@
 pub enum Next {
     /// It does not run any more.
     Over(Proof),
+    /// Ask who listens there whether it has the dispatch, now, and look again: only who shows it gives it up for certain.
+    FindOut,
     /// Ask the engine to give it up, now; after this span it does not run any more.
     GiveUp(Duration),
     /// Look again after this span; nothing can be done before.
@@ -94,9 +100,11 @@
     asked: bool,
     /// The latest moment at which the engine may have begun to hear nothing of it.
     unheard_from: Duration,
-    /// For how long and until when it counts as running, where notes keep it so.
-    kept: Duration,
-    stops: Duration,
+    /// For how long it may run from then.
+    runs_on: Duration,
+    /// How often it may still be found out who listens there, and whether the next call is for that.
+    finds_out: u32,
+    finding: bool,
     /// A connection to the process that has it, as long as that is of use.
     known: Option<Connection>,
     /// A new connection was refused, or a call to give it up answered by whoever listens there now: no further call
@@ -128,8 +136,9 @@
         let entry = Entry {
             asked: false,
             unheard_from: now,
-            kept,
-            stops: Duration::ZERO,
+            runs_on: self.bounds.unasked.max(if self.bounds.notes { kept } else { Duration::ZERO }),
+            finds_out: if self.bounds.notes { FIND_OUT } else { 0 },
+            finding: false,
             known: None,
             spent: false,
             missed: None,
@@ -144,9 +153,7 @@
         let Some(entry) = self.open.get_mut(&id).filter(|e| e.over.is_none()) else { return };
         match fact {
             Fact::Asked => {
-                if self.bounds.notes {
-                    entry.stops = now + self.bounds.news + entry.kept;
-                }
+                entry.finds_out -= u32::from(std::mem::take(&mut entry.finding));
                 (entry.asked, entry.unheard_from) = (true, entry.unheard_from.max(now + self.bounds.news));
             }
             Fact::Runs(on) => {
@@ -184,6 +191,10 @@
         match (entry.known, entry.spent, missed.filter(|d| !d.is_zero())) {
             (None, true, _) => Next::Wait(until - now),
             (_, _, Some(rests)) => Next::Wait(rests.min(until - now)),
+            (None, _, None) if entry.finds_out > 0 => {
+                entry.finding = true;
+                Next::FindOut
+            }
             (_, _, None) => Next::GiveUp(until - now),
         }
     }
@@ -191,12 +202,7 @@
     /// The latest moment at which a dispatch may still run; none once that it does not is proved.
     pub fn may_run_until(&self, id: DispatchId) -> Option<Duration> {
         let entry = self.open.get(&id).filter(|e| e.over.is_none())?;
-        Some((entry.unheard_from + self.bounds.unasked).max(entry.stops))
-    }
-
-    /// Whether there is a connection to the process that has it.
-    pub fn is_shown(&self, id: DispatchId) -> bool {
-        self.open.get(&id).is_some_and(|e| e.known.is_some())
+        Some(entry.unheard_from + entry.runs_on)
     }
 
     /// Takes a dispatch out of the ledger: its outcome has been told.
--- a/crates/ledger/src/tests.rs
+++ b/crates/ledger/src/tests.rs
@@ -270,6 +270,7 @@
                 continue;
             }
             match ledger.next(now, d.id) {
+                Next::FindOut => unreachable!("no notes here"),
                 Next::Over(proof) => {
                     prop_assert!(
                         d.over_at.is_some_and(|at| at <= t),
@@ -373,6 +374,18 @@
     l.tell(ms(350), id, Fact::Runs(1));
     l.tell(ms(350), id, Fact::Asked);
     l.tell(ms(400), id, Fact::Reset(1));
-    assert_eq!(l.next(ms(2700), id), Next::GiveUp(ms(1900)), "unasked for over 2 s, and running");
-    assert_eq!(l.next(ms(4600), id), Next::Over(Proof::Unasked));
+    for at in [2700, 2800] {
+        assert_eq!(l.next(ms(at), id), Next::FindOut, "unasked for over 2 s, and running");
+    }
+    l.tell(ms(2900), id, Fact::Asked);
+    l.tell(ms(2950), id, Fact::Failed(2));
+    assert_eq!(l.next(ms(2950), id), Next::FindOut, "another process says nothing of it");
+    l.tell(ms(3000), id, Fact::Asked);
+    l.tell(ms(3050), id, Fact::Runs(3));
+    assert_eq!(l.next(ms(3050), id), Next::GiveUp(ms(4200)), "shown again");
+    l.tell(ms(3060), id, Fact::Reset(3));
+    assert_eq!(l.next(ms(3060), id), Next::FindOut);
+    l.tell(ms(3100), id, Fact::Asked);
+    assert_eq!(l.next(ms(3150), id), Next::GiveUp(ms(4200)), "asked often enough");
+    assert_eq!(l.next(ms(7350), id), Next::Over(Proof::Unasked));
 }
