Nothing of a start leaves after its batch's answer: a gate at the write, and no grace for starts

Lines at fault: Way::wanted let every call that nobody waits for go on for NEWS; where that call was the start, bounded went on to connect and wrote it. Ruled out: a streamed body (its reader ends with the answer; the test passes before too, and stays as a guard). Change: sockets::Gate is asked before each write of a start and shut once nobody waits or its time is up; Way::wanted stops a start that the machine does not have whole at once (NeverCame), and takes one back that it has whole but that was not answered when the batch got its answer. Order::Go holds the moment and not a span. A dispatch that was never started as its batch was over ends as Moot, which says nothing of the engine and pushes back; before it was TimedOut, and errored for once-only batches. The promise is waited for beside the limit and the client. Tests: late_start.rs over sockets, four, of which three fail before; engines: the wait for the budget; life: the promise; worlds: a connection that comes up late, and the slip StartsLate, which they find.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -29,7 +29,8 @@
 pub enum Order {
     Go {
         engine: EngineId,
-        time_out: f64,
+        /// Nobody waits for the dispatch from then on.
+        until: std::time::Instant,
     },
     TakeBack {
         dispatch: u32,
@@ -211,7 +212,7 @@
         let armed = seats.wake;
         loop {
             match seats.control.wait(now) {
-                Wait::Ask(id) => seats.ask(now, id),
+                Wait::Ask(id) => seats.ask(&self.clock, now, id),
                 Wait::Probe(engine) => drop(self.probes.send(engine)),
                 // The change log is followed at all times.
                 Wait::Subscribe => {}
@@ -466,11 +467,13 @@
         }
     }
 
-    fn ask(&mut self, now: f64, id: BatchId) {
+    fn ask(&mut self, clock: &Clock, now: f64, id: BatchId) {
         match self.control.place(now, id) {
             Place::NotYet => {}
             Place::Over(answer) => self.order(id, Order::Over(answer)),
-            Place::To { engine, time_out, .. } => self.order(id, Order::Go { engine, time_out }),
+            Place::To { engine, time_out, .. } => {
+                self.order(id, Order::Go { engine, until: clock.instant(now + time_out) });
+            }
         }
     }
 
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -4,7 +4,7 @@
 use crate::changes::{EngineLine, Event};
 use crate::clock::span;
 use crate::rows;
-use crate::sockets::{Abandoned, Budget, Line};
+use crate::sockets::{Abandoned, Budget, Gate, Line};
 use bytes::Bytes;
 use garnetwall::api::{Condition, End, EngineId, Listed, Note, Report};
 use garnetwall_bodies::body::ReadFault;
@@ -16,12 +16,14 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::channel::{Channel, Sender as BodySender};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as OutgoingBody, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Semaphore};
@@ -123,12 +125,21 @@
 pub enum Wish {
     /// Its answer.
     Answer,
+    /// Its answer, if it has been started: the client has gone, and nothing is sent for a batch after its end.
+    Begun,
     /// That it is given up, or else its answer if that comes first.
     Back,
     /// That it is given up: its batch has its answer.
     Over,
 }
 
+impl Wish {
+    /// Whether it is still asked for.
+    fn asks(self) -> bool {
+        matches!(self, Wish::Answer | Wish::Begun)
+    }
+}
+
 /// How a call came to nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -271,6 +282,7 @@
             dispatch: None,
             sender: None,
             abandoned: Abandoned::default(),
+            gate: None,
             may_have_come: false,
             unreadable: false,
             connection: 0,
@@ -293,10 +305,14 @@
     }
 
     /// Opens a connection within the budget and the settings' time.
-    async fn connect(&self, address: SocketAddr) -> Result<(Sender, Abandoned), Fault> {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        gate: Option<Arc<Gate>>,
+    ) -> Result<(Sender, Abandoned), Fault> {
         let dialled = timeout(self.dial, async {
             let permit = self.budget.clone().acquire_owned().await.map_err(io::Error::other)?;
-            let line = Line::new(TcpStream::connect(address).await?, Some(permit));
+            let line = Line::new(TcpStream::connect(address).await?, Some(permit)).gated(gate);
             let abandoned = line.abandoned();
             let mut builder = http1::Builder::new();
             let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await.map_err(io::Error::other)?;
@@ -349,7 +365,7 @@
         target: Target,
         call: &Call,
         number: u32,
-        time_out: f64,
+        until: Instant,
         wishes: watch::Receiver<Wish>,
         tidings: Tidings,
     ) -> Ended {
@@ -357,8 +373,10 @@
         // cut that outlasts every limit is not covered.
         let kept = if call.in_order { self.longest } else { Duration::ZERO };
         let id = self.ledger().open(self.now(), kept);
-        let start = Start { further: number > 0, time_out };
-        let mut way = Way { dispatch: Some(id), ..self.way(target) };
+        let start = Start { further: number > 0, until };
+        let wish = wishes.clone();
+        let gate = Gate::new(move || *wish.borrow() == Wish::Answer && Instant::now() < until);
+        let mut way = Way { dispatch: Some(id), gate: Some(Arc::new(gate)), ..self.way(target) };
         let over = way.live(call, start, wishes, tidings).await;
         self.ledger().close(id);
         over
@@ -386,7 +404,7 @@
     ) -> Result<Incoming, String> {
         let mut request = request(Method::GET, log, path);
         request.headers_mut().insert(HeaderName::from_static(field), HeaderValue::from(last));
-        let (mut sender, _) = self.connect(log).await.map_err(|fault| format!("{fault:?}"))?;
+        let (mut sender, _) = self.connect(log, None).await.map_err(|fault| format!("{fault:?}"))?;
         let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
@@ -416,7 +434,51 @@
 /// Sends calls over one connection.
 type Sender = http1::SendRequest<Outgoing>;
 /// What a call brings along: all at once, or as it comes.
-type Outgoing = Either<Full<Bytes>, Channel<Bytes, ReadFault>>;
+type Carried = Either<Full<Bytes>, Channel<Bytes, ReadFault>>;
+
+/// It, and the gate that it goes out through where the call is a start.
+struct Outgoing {
+    carried: Carried,
+    /// Bytes of it still to come, where that is known.
+    left: Option<u64>,
+    gate: Option<Arc<Gate>>,
+}
+
+impl Outgoing {
+    /// All of it has been handed over to be written.
+    fn read_out(&self) {
+        if let Some(gate) = &self.gate {
+            gate.read_out();
+        }
+    }
+}
+
+impl OutgoingBody for Outgoing {
+    type Data = Bytes;
+    type Error = <Carried as OutgoingBody>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let frame = ready!(Pin::new(&mut self.carried).poll_frame(cx));
+        let bytes =
+            frame.as_ref().and_then(|f| f.as_ref().ok()).and_then(Frame::data_ref).map_or(0, Bytes::len);
+        self.left = self.left.map(|left| left.saturating_sub(bytes as u64));
+        if frame.is_none() || self.left == Some(0) || self.carried.is_end_stream() {
+            self.read_out();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.carried.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.carried.size_hint()
+    }
+}
 
 /// The way of one dispatch to its engine: a connection at a time, used by no other batch and given up with
 /// whatever was spoilt on it.
@@ -428,6 +490,8 @@
     sender: Option<Sender>,
     /// Of the connection that is up, or was last.
     abandoned: Abandoned,
+    /// What its start goes out through; none for a probe.
+    gate: Option<Arc<Gate>>,
     /// Its start may have come whole.
     may_have_come: bool,
     /// Its body could not be read to its end.
@@ -443,7 +507,8 @@
 struct Start {
     /// It is not the first of its batch.
     further: bool,
-    time_out: f64,
+    /// Nobody waits for it from then on.
+    until: Instant,
 }
 
 /// A body on its way to an engine.
@@ -482,8 +547,10 @@
                 self.give_up(call).await;
                 End::Broken
             }
-            Heard::Unwanted => match self.give_up(call).await {
-                ledger::Proof::NeverCame => End::Unconnected,
+            Heard::Unwanted => match (self.give_up(call).await, *wishes.borrow()) {
+                // Its batch was over before it could be started: that says nothing of the engine.
+                (ledger::Proof::NeverCame, Wish::Over | Wish::Begun) => End::Moot,
+                (ledger::Proof::NeverCame, _) => End::Unconnected,
                 _ => End::Withdrawn,
             },
         };
@@ -492,17 +559,20 @@
 
     /// The call that starts a dispatch, and the body that goes with it; none where that is not there any more.
     fn starting(&self, call: &Call, start: Start) -> Option<(Request<Outgoing>, Option<Feed>)> {
-        let Start { further, time_out } = start;
+        let Start { further, until } = start;
         let mut request = request(Method::POST, self.target.address, "/c");
+        let gate = self.gate.clone();
         let feed = match &call.statement {
             Statement::Whole(bytes) => {
-                *request.body_mut() = Either::Left(Full::new(bytes.clone()));
+                let left = Some(bytes.len() as u64);
+                *request.body_mut() =
+                    Outgoing { carried: Either::Left(Full::new(bytes.clone())), left, gate };
                 None
             }
             Statement::Streamed(body) => {
                 let reader = body.reader(further).ok()?;
                 let (out, stream) = Channel::new(1);
-                *request.body_mut() = Either::Right(stream);
+                *request.body_mut() = Outgoing { carried: Either::Right(stream), left: body.length(), gate };
                 if let Some(length) = body.length() {
                     request.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
                 }
@@ -515,7 +585,8 @@
         if let Some(mark) = &call.mark {
             head.insert(MARK, mark.clone());
         }
-        head.insert(PATIENCE, HeaderValue::from((time_out * 1000.0).max(1.0) as u64));
+        let patience = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        head.insert(PATIENCE, HeaderValue::from((patience * 1000.0).max(1.0) as u64));
         Some((request, feed))
     }
 
@@ -566,6 +637,11 @@
                 self.tell(Fact::NeverCame);
                 return Heard::Over(Ended::of(End::Errored));
             }
+            if first && answer.is_err() && self.gate.as_ref().is_some_and(|gate| gate.is_stopped()) {
+                // It was stopped at its last bytes, before who wished so was heard.
+                self.tell(Fact::NeverCame);
+                return Heard::Over(Ended::of(End::Moot));
+            }
             if first && answer.is_err() && !self.may_have_come {
                 self.tell(Fact::NeverCame);
                 return Heard::Over(Ended::of(End::Unconnected));
@@ -596,7 +672,7 @@
                 },
                 Err(fault) => Err(fault),
             };
-            if *wishes.borrow() != Wish::Answer {
+            if !wishes.borrow().asks() {
                 self.drop_after(told);
                 return Heard::Unwanted;
             }
@@ -608,7 +684,8 @@
     }
 
     /// One call, which is let end for as long as news is held back where nobody waits for it any more; none where
-    /// it has not ended then.
+    /// it has not ended then. A start is not: what the machine has not sent of it, or what has not come, would come after the
+    /// batch's answer.
     async fn wanted(
         &mut self,
         request: Request<Outgoing>,
@@ -616,9 +693,15 @@
         wishes: &mut watch::Receiver<Wish>,
     ) -> Option<Result<Reply, Fault>> {
         let within = self.patience();
+        let is_start = request.method() == Method::POST;
+        let gate = self.gate.clone();
+        let stops = || gate.as_ref().is_some_and(|gate| gate.stop());
         // It fails only with who wished gone, who waits for this.
         let unwanted = async {
             let _ = wishes.wait_for(|wish| *wish != Wish::Answer).await;
+            if !stops() {
+                let _ = wishes.wait_for(|wish| !wish.asks()).await;
+            }
         };
         let answer = {
             let calling = self.call(request, feed, within, true);
@@ -626,7 +709,10 @@
             tokio::select! {
                 biased;
                 answer = &mut calling => Some(answer),
-                () = unwanted => timeout(NEWS, calling).await.ok(),
+                () = unwanted => match stops() || is_start && *wishes.borrow() == Wish::Over {
+                    true => None,
+                    false => timeout(NEWS, calling).await.ok(),
+                },
             }
         };
         if answer.is_none() {
@@ -634,6 +720,9 @@
             self.abandoned.set();
             self.sender = None;
             self.tell(Fact::Useless(self.connection));
+            if stops() {
+                self.tell(Fact::NeverCame);
+            }
         }
         answer
     }
@@ -789,6 +878,7 @@
         within: Duration,
         asks: bool,
     ) -> Result<Reply, Fault> {
+        let is_start = request.method() == Method::POST;
         let up = self.sender.take();
         if up.as_ref().is_some_and(|sender| sender.is_closed()) {
             self.tell(Fact::Reset(self.connection));
@@ -797,11 +887,19 @@
             Some(sender) => sender,
             None => {
                 self.connection += 1;
-                let (sender, abandoned) = self.engines.connect(self.target.address).await?;
+                let gate = self.gate.clone().filter(|_| is_start);
+                let (sender, abandoned) = self.engines.connect(self.target.address, gate).await?;
                 self.abandoned = abandoned;
                 sender
             }
         };
+        if let Some(gate) = &self.gate {
+            if is_start {
+                gate.begins();
+            } else {
+                gate.passed();
+            }
+        }
         let Some(feed) = feed else {
             if asks {
                 self.comes();
@@ -936,7 +1034,8 @@
 }
 
 fn request(method: Method, address: SocketAddr, path: &str) -> Request<Outgoing> {
-    let mut request = Request::new(Either::Left(Full::default()));
+    let nothing = Outgoing { carried: Either::Left(Full::default()), left: None, gate: None };
+    let mut request = Request::new(nothing);
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().unwrap_or_default();
     if let Ok(host) = HeaderValue::try_from(address.to_string()) {
@@ -986,4 +1085,38 @@
             assert!(take(&format!("d{n}"), Condition::Gone, 30).1 <= 4);
         }
     }
+
+    /// A further dispatch waits for one of the few connections; the one that it gets comes after its batch's answer.
+    #[tokio::test]
+    async fn a_start_that_waited_for_its_connection_until_after_the_answer_is_not_sent() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let budget = Budget::of(64, 64);
+        let network = Network { dial: 2.0, idle: 15.0 };
+        let engines = Engines::new(network, 0.0, &budget, 5.0);
+        let lines = vec![EngineLine { address, ..line("a", Condition::Ready) }];
+        engines.listed(&Event { number: 1, whole: true, lines });
+        let all = budget.engines.available_permits() as u32;
+        let taken = budget.engines.clone().acquire_many_owned(all).await.unwrap();
+        let (wish, wishes) = watch::channel(Wish::Answer);
+        let tidings = Tidings { doubt: watch::channel(None).0, note: watch::channel(None).0 };
+        let value = HeaderValue::from_static;
+        let statement = Statement::Whole(Bytes::from_static(b"SELECT 1"));
+        let call = Call { id: value("a1"), group: value("report"), mark: None, in_order: false, statement };
+        let until = Instant::now() + Duration::from_secs(3);
+        let target = engines.target(0).unwrap();
+        let running = engines.dispatch(target, &call, 1, until, wishes, tidings);
+        let answered = async {
+            sleep(Duration::from_millis(30)).await;
+            wish.send_replace(Wish::Over);
+            drop(taken);
+        };
+        let (ended, ()) = tokio::join!(running, answered);
+        assert_eq!(ended.end, End::Moot);
+        if let Ok(Ok((mut stream, _))) = timeout(Duration::from_millis(100), listener.accept()).await {
+            let mut came = Vec::new();
+            let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut came).await;
+            assert!(came.is_empty(), "{} bytes came", came.len());
+        }
+    }
 }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -1,17 +1,17 @@
 //! The life of one batch, top to bottom in one task.
 
-use crate::clock::span;
 use crate::desk::{Desk, Final, Order};
 use crate::engines::{Call, Ended, Engines, Statement, Target, Tidings, Wish};
 use crate::keeping::Keeper;
 use crate::rows;
 use garnetwall::api::{BatchId, End, EngineId, Next, Outcome};
 use garnetwall_ledger::book::Sent;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{watch, OwnedSemaphorePermit};
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 pub struct Life {
     pub desk: Arc<Desk>,
@@ -32,8 +32,8 @@
         let mut dispatch = 0;
         while let Some(order) = self.orders.recv().await {
             match order {
-                Order::Go { engine, time_out } => {
-                    let over = self.dispatch(engine, dispatch, time_out).await;
+                Order::Go { engine, until } => {
+                    let over = self.dispatch(engine, dispatch, until).await;
                     dispatch += 1;
                     if over {
                         break;
@@ -56,50 +56,58 @@
     }
 
     /// One dispatch until its outcome; whether the batch is over then.
-    async fn dispatch(&mut self, engine: EngineId, dispatch: u32, time_out: f64) -> bool {
+    async fn dispatch(&mut self, engine: EngineId, dispatch: u32, until: Instant) -> bool {
         let out = Out { engine, dispatch, sent: Instant::now() };
         let Some(target) = self.engines.target(engine) else {
             return self.after(out, Ended::of(End::Unconnected), false);
         };
-        if let Some(sent) = self.once_only {
-            if !self.keeper.promise(sent).await {
-                return self.after(out, Ended::of(End::Unconnected), false);
-            }
-        }
-        let left = time_out - out.sent.elapsed().as_secs_f64();
-        tracing::debug!(batch = self.id, engine, dispatch, "dispatch");
-        let (ended, answered) = self.run(target, out, left).await;
+        let (ended, answered) = self.run(target, out, until).await;
         self.after(out, ended, answered)
     }
 
     /// Runs a dispatch until it is over, which may be later than its batch's answer; whether none is owed any more.
-    async fn run(&mut self, target: Target, out: Out, time_out: f64) -> (Ended, bool) {
+    async fn run(&mut self, target: Target, out: Out, until: Instant) -> (Ended, bool) {
         let (engines, call, desk) = (self.engines.clone(), self.call.clone(), self.desk.clone());
+        let (keeper, once_only, id) = (self.keeper.clone(), self.once_only, self.id);
         let (wish, wishes) = watch::channel(Wish::Answer);
         let (doubt, mut doubts) = watch::channel(None);
         let (note, mut notes) = watch::channel(None);
         let tidings = Tidings { doubt, note };
-        let running = engines.dispatch(target, &call, out.dispatch, time_out, wishes, tidings);
+        let running = async {
+            if let Some(sent) = once_only {
+                if let Err(end) = promised(keeper.promise(sent), wishes.clone()).await {
+                    return Ended::of(end);
+                }
+            }
+            tracing::debug!(batch = id, engine = out.engine, dispatch = out.dispatch, "dispatch");
+            engines.dispatch(target, &call, out.dispatch, until, wishes, tidings).await
+        };
         let too_late = async {
             tokio::select! {
-                () = sleep(span(time_out)) => {}
+                () = sleep_until(until.into()) => {}
                 () = desk.ended() => {}
             }
         };
         tokio::pin!(running, too_late);
         let mut answered = false;
         let mut late = None;
+        let mut doubted = true;
         loop {
             tokio::select! {
                 biased;
                 ended = &mut running => {
-                    let end = late.unwrap_or(ended.end);
+                    let end = late.filter(|_| ended.end != End::Moot).unwrap_or(ended.end);
                     return (Ended { end, ..ended }, answered);
                 }
                 () = &mut too_late, if late.is_none() => {
                     // The answer is due now; what may still run there is given up beside it.
                     late = Some(End::TimedOut);
                     wish.send_replace(Wish::Over);
+                    doubted = false;
+                }
+                // What was not started yet is over by now, and in no doubt.
+                () = std::future::ready(()), if !doubted => {
+                    doubted = true;
                     answered |= self.in_doubt(out, End::TimedOut);
                 }
                 Ok(()) = doubts.changed() => {
@@ -113,11 +121,18 @@
                     }
                 }
                 Some(order) = self.orders.recv() => match order {
-                    Order::Gone => answered = true,
+                    Order::Gone => {
+                        answered = true;
+                        wish.send_if_modified(|w| {
+                            let first = *w == Wish::Answer;
+                            *w = if first { Wish::Begun } else { *w };
+                            first
+                        });
+                    }
                     Order::TakeBack { dispatch } if dispatch == out.dispatch => {
                         let wanted = if answered { Wish::Over } else { Wish::Back };
                         wish.send_if_modified(|w| {
-                            let first = *w == Wish::Answer;
+                            let first = matches!(w, Wish::Answer | Wish::Begun);
                             *w = if first { wanted } else { *w };
                             first
                         });
@@ -164,6 +179,19 @@
     }
 }
 
+/// Waits for the promise that a dispatch may be sent, or how it ends without: the disk may take longer than anyone waits.
+async fn promised(promise: impl Future<Output = bool>, mut wishes: watch::Receiver<Wish>) -> Result<(), End> {
+    tokio::select! {
+        biased;
+        // It fails only with who wished gone, who waits for this.
+        wish = wishes.wait_for(|wish| *wish != Wish::Answer) => match wish.map(|wish| *wish) {
+            Ok(Wish::Back) => Err(End::Unconnected),
+            _ => Err(End::Moot),
+        },
+        kept = promise => if kept { Ok(()) } else { Err(End::Unconnected) },
+    }
+}
+
 /// A dispatch that is out.
 #[derive(Clone, Copy)]
 struct Out {
@@ -185,3 +213,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A disk that takes longer than the batch has: nothing is sent after the answer, and the wait ends with it.
+    #[tokio::test]
+    async fn a_promise_that_comes_after_the_answer_sends_nothing() {
+        let over = [(Wish::Over, End::Moot), (Wish::Begun, End::Moot), (Wish::Back, End::Unconnected)];
+        for (last, end) in over {
+            let (wish, wishes) = watch::channel(Wish::Answer);
+            let waiting = promised(std::future::pending(), wishes.clone());
+            wish.send_replace(last);
+            assert_eq!(waiting.await, Err(end));
+            assert_eq!(promised(std::future::ready(true), wishes).await, Err(end), "both at once");
+        }
+        let (_wish, wishes) = watch::channel(Wish::Answer);
+        assert_eq!(promised(std::future::ready(true), wishes.clone()).await, Ok(()));
+        assert_eq!(promised(std::future::ready(false), wishes).await, Err(End::Unconnected));
+    }
+}
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::io::{self, Read as _};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -88,6 +88,90 @@
     }
 }
 
+/// Looked at right before each byte of a start leaves: nothing of it does once nobody waits for it any more. A batch may have
+/// its answer while the connection for its dispatch is still coming up, or while the machine takes a long start in by parts;
+/// an engine that got the rest would run what is over.
+pub struct Gate {
+    wanted: Box<dyn Fn() -> bool + Send + Sync>,
+    at: AtomicU8,
+}
+
+/// Where a gate's start stands.
+const NOT_BEGUN: u8 = 0;
+/// It is being handed to the machine.
+const LEAVING: u8 = 1;
+/// Its last byte has been handed over to be written.
+const READ_OUT: u8 = 2;
+/// The machine has all of it.
+const WHOLE: u8 = 3;
+/// It was stopped before that, for good.
+const STOPPED: u8 = 4;
+
+impl std::fmt::Debug for Gate {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "a gate at {}", self.at.load(Ordering::Relaxed))
+    }
+}
+
+impl Gate {
+    /// `wanted` tells whether somebody still waits for what is started.
+    pub fn new(wanted: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Gate { wanted: Box::new(wanted), at: AtomicU8::new(NOT_BEGUN) }
+    }
+
+    fn moves(&self, from: u8, to: u8) -> bool {
+        self.at.compare_exchange(from, to, Ordering::Relaxed, Ordering::Relaxed).is_ok()
+    }
+
+    /// The start is handed over to be written, from now on.
+    pub fn begins(&self) {
+        self.moves(NOT_BEGUN, LEAVING);
+    }
+
+    /// The last byte of the start has been handed over to be written.
+    pub fn read_out(&self) {
+        self.moves(LEAVING, READ_OUT);
+    }
+
+    /// The start was answered: its connection is free for other calls.
+    pub fn passed(&self) {
+        if !self.is_stopped() {
+            self.at.store(WHOLE, Ordering::Relaxed);
+        }
+    }
+
+    /// All that was handed over has been written.
+    fn flushed(&self) {
+        self.moves(READ_OUT, WHOLE);
+    }
+
+    /// Whether a byte may leave. Once one may not, none of the start does any more.
+    fn lets_out(&self) -> bool {
+        match self.at.load(Ordering::Relaxed) {
+            WHOLE => true,
+            STOPPED => false,
+            _ if (self.wanted)() => true,
+            _ => {
+                self.at.store(STOPPED, Ordering::Relaxed);
+                false
+            }
+        }
+    }
+
+    /// Stops the start unless the machine has all of it; whether it can't have come whole, now or ever.
+    pub fn stop(&self) -> bool {
+        if self.at.load(Ordering::Relaxed) != WHOLE {
+            self.at.store(STOPPED, Ordering::Relaxed);
+        }
+        self.is_stopped()
+    }
+
+    /// Whether it was stopped, so that it can't have come whole.
+    pub fn is_stopped(&self) -> bool {
+        self.at.load(Ordering::Relaxed) == STOPPED
+    }
+}
+
 /// A TCP stream with its part of the budget; it stamps what it reads before anything parses it.
 #[derive(Debug)]
 pub struct Line {
@@ -96,6 +180,8 @@
     first: Bytes,
     read: LastRead,
     abandoned: Abandoned,
+    /// Of the start that goes out on it.
+    gate: Option<Arc<Gate>>,
     stalled: Option<Pin<Box<Sleep>>>,
     /// Its part of the budget, where no one else holds that.
     _permit: Option<OwnedSemaphorePermit>,
@@ -112,6 +198,7 @@
             first: Bytes::new(),
             read,
             abandoned: Abandoned::default(),
+            gate: None,
             stalled: None,
             _permit: permit,
         }
@@ -132,6 +219,20 @@
         self.abandoned.clone()
     }
 
+    /// Lets a start out only through this gate.
+    pub fn gated(mut self, gate: Option<Arc<Gate>>) -> Self {
+        self.gate = gate;
+        self
+    }
+
+    fn lets_out(&self) -> io::Result<()> {
+        let given_up = self.abandoned.0.load(Ordering::Relaxed);
+        match given_up || self.gate.as_ref().is_some_and(|gate| !gate.lets_out()) {
+            true => Err(io::ErrorKind::ConnectionAborted.into()),
+            false => Ok(()),
+        }
+    }
+
     pub fn last_read(&self) -> LastRead {
         self.read.clone()
     }
@@ -175,12 +276,17 @@
 
 impl Write for Line {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.lets_out()?;
         let end = Pin::new(&mut self.io).poll_write(cx, buf);
         self.bounded(cx, end)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        let end = Pin::new(&mut self.io).poll_flush(cx);
+        if let (Poll::Ready(Ok(())), Some(gate)) = (&end, &self.gate) {
+            gate.flushed();
+        }
+        end
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -196,6 +302,7 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
+        self.lets_out()?;
         let end = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
         self.bounded(cx, end)
     }
--- /dev/null
+++ b/crates/gateway/tests/late_start.rs
@@ -0,0 +1,173 @@
+//! Nothing of a start leaves once its batch has its answer: not when its connection comes up late, not the rest of a body that comes slowly or of a long statement that the engine's
+//! machine takes in by parts. Engines tell what came and when.
+
+mod helper;
+
+use helper::process::ms;
+use helper::*;
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// An engine's machine whose queue of connections is full: a connection comes up only when the machine asks again, one
+/// second after it first did, and only once the queue has room.
+struct Crowded {
+    listener: TcpListener,
+    address: SocketAddr,
+    crowd: Vec<TcpStream>,
+}
+
+impl Crowded {
+    fn start() -> Crowded {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().unwrap();
+        let connect = |_| TcpStream::connect_timeout(&address, ms(100)).ok();
+        let crowd = (0..8).map_while(connect).collect();
+        assert!(TcpStream::connect_timeout(&address, ms(100)).is_err(), "the queue is full");
+        Crowded { listener, address, crowd }
+    }
+
+    /// Makes room in the queue, and reads what comes on each connection for a while.
+    fn makes_room(self) -> Vec<u8> {
+        drop(self.crowd);
+        let until = Instant::now() + ms(2500);
+        self.listener.set_nonblocking(true).unwrap();
+        let mut reading = Vec::new();
+        while Instant::now() < until {
+            match self.listener.accept() {
+                Ok((stream, _)) => reading.push(spawn(move || read_for(stream, ms(1500)))),
+                Err(_) => sleep(ms(2)),
+            }
+        }
+        reading.into_iter().flat_map(|r| r.join().unwrap()).collect()
+    }
+}
+
+/// The next connection; a test that waits for one that never comes ends.
+fn accepted(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let accept = |_| listener.accept().map_err(|_| sleep(ms(5))).ok();
+    let (stream, _) = (0..1000).find_map(accept).expect("a connection");
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
+fn read_for(mut stream: TcpStream, span: Duration) -> Vec<u8> {
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(span)).unwrap();
+    let mut came = Vec::new();
+    // What comes before the connection breaks or says nothing counts.
+    let _ = stream.read_to_end(&mut came);
+    came
+}
+
+fn service(engines: &[SocketAddr], change_more: impl Fn(&mut Value)) -> Service {
+    Service::with(|config| {
+        let lines: Vec<Value> =
+            engines.iter().enumerate().map(|(n, at)| line(&format!("s-{n}"), *at, "SERVING")).collect();
+        config["known"]["results"] = json!([change(0, true, &lines)]);
+        config["settings"]["allowed"]["dial-timeout"] = json!(3000.0);
+        config["settings"]["allowed"]["may-probe"] = json!(false);
+        change_more(config);
+    })
+}
+
+fn started(came: &[u8]) -> bool {
+    String::from_utf8_lossy(came).contains("POST /c")
+}
+
+#[test]
+fn a_connection_that_comes_up_after_the_answer_carries_no_start() {
+    let crowded = Crowded::start();
+    let service = service(&[crowded.address], |_| {});
+    let reading = spawn(move || {
+        sleep(ms(800));
+        crowded.makes_room()
+    });
+    let began = Instant::now();
+    let answer = service.batch_of(&new_id(), "report", 930, "SELECT 1");
+    let took = began.elapsed();
+    assert!(!answer.returned() && took > ms(800) && took < ms(980), "{answer:?} after {took:?}");
+    assert!(!started(&reading.join().unwrap()), "sent on after its answer");
+}
+
+/// The same for a client that leaves while the connection comes up, where nothing can be cancelled.
+#[test]
+fn a_connection_that_comes_up_after_the_client_has_gone_carries_no_start() {
+    let crowded = Crowded::start();
+    let service =
+        service(&[crowded.address], |config| config["settings"]["allowed"]["cancelling"] = json!(false));
+    let stream = service.open();
+    send(&stream, "POST /v1/load", &fields(&new_id(), 3000), "INSERT 1");
+    sleep(ms(300));
+    drop(stream);
+    assert!(!started(&crowded.makes_room()), "sent on after its client had gone");
+}
+
+/// The engine's machine takes a part of a long start in, and the rest only after the answer.
+#[test]
+fn the_rest_of_a_long_start_does_not_come_after_the_answer() {
+    let slow = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    slow.set_recv_buffer_size(2048).unwrap();
+    slow.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    slow.listen(16).unwrap();
+    let slow: TcpListener = slow.into();
+    let service = service(&[slow.local_addr().unwrap()], |_| {});
+    // A first batch shows that the engine is quick, so that one with little time is sent, too.
+    let quick = spawn(move || {
+        let stream = accepted(&slow);
+        read_message(&mut std::io::BufReader::new(stream.try_clone().unwrap())).expect("a start");
+        (&stream).write_all(http("200 OK", "Result-Pages: 1\r\n", ROWS).as_bytes()).unwrap();
+        slow
+    });
+    assert!(service.batch("report", "SELECT 1").returned());
+    let slow = quick.join().unwrap();
+    let statement = format!("SELECT 1 /* {} */", "x".repeat(200_000));
+    let answer = service.batch_of(&new_id(), "report", 230, &statement);
+    assert!(!answer.returned());
+    let stream = accepted(&slow);
+    let came = read_for(stream, ms(600));
+    assert!(came.len() < statement.len(), "it came whole after its answer, {} bytes", came.len());
+}
+
+/// A body that goes on as it comes: its client sends the rest just after its time.
+#[test]
+fn the_rest_of_a_body_that_comes_slowly_is_not_sent_after_the_answer() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = engine.local_addr().unwrap();
+    let plan = file(&json!({})).with_extension("plan");
+    std::fs::write(&plan, "bodies store {\n  memory 8MiB\n  batch-memory 2MiB\n  batch 4MiB\n}\n").unwrap();
+    let service = Service::by(
+        |config| {
+            config["known"]["results"] = json!([change(0, true, &[line("s-0", at, "SERVING")])]);
+            config["settings"]["allowed"]["may-probe"] = json!(false);
+        },
+        |config| {
+            let plan = plan.to_str().unwrap();
+            program(&["serve", "--plan", plan]).env("PROXY_CONFIG", file(config)).spawn().unwrap()
+        },
+    );
+    let body = vec![b'x'; 400_000];
+    let mut stream = service.open();
+    let head = format!(
+        "POST /v1/report HTTP/1.1\r\nHost: g\r\n{}Content-Length: {}\r\n\r\n",
+        fields(&new_id(), 800),
+        body.len()
+    );
+    let (first, rest) = body.split_at(350_000);
+    stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(first)).unwrap();
+    let arrived = accepted(&engine);
+    let reading = spawn(move || read_for(arrived, ms(1500)));
+    sleep(ms(830));
+    // The connection may be closed by then.
+    let _ = stream.write_all(rest);
+    let came = reading.join().unwrap();
+    assert!(started(&came), "it was begun");
+    assert!(came.len() < body.len(), "it came whole after its answer, {} bytes", came.len());
+}
--- a/crates/gateway/tests/world.rs
+++ b/crates/gateway/tests/world.rs
@@ -48,6 +48,7 @@
     OverlooksZones,
     OverlooksBudget,
     OverlooksNotes,
+    StartsLate,
 }
 
 /// A rule broken in the world.
@@ -153,6 +154,8 @@
     up: Option<usize>,
     connection: u32,
     refused: bool,
+    /// When the connection that is coming up is there.
+    comes_up: Option<u64>,
     may_have_come: bool,
     unwanted: bool,
     late: bool,
@@ -433,6 +436,7 @@
             up: None,
             connection: 0,
             refused: false,
+            comes_up: None,
             may_have_come: false,
             unwanted: false,
             late: false,
@@ -462,7 +466,7 @@
 
     /// The dispatch is over as far as the gateway can know.
     fn over(&mut self, n: usize, end: End) {
-        let end = if self.out[n].late { End::TimedOut } else { end };
+        let end = if self.out[n].late && end != End::Moot { End::TimedOut } else { end };
         let (id, outcome) = (self.out[n].batch, self.outcome(n, end));
         let closed = outcome.closed;
         let next = self.control.after(seconds(self.now), id, outcome);
@@ -490,7 +494,10 @@
     fn drive(&mut self, n: usize) {
         if self.now >= self.out[n].time_out && !self.out[n].late {
             (self.out[n].late, self.out[n].unwanted) = (true, true);
-            self.in_doubt(n, End::TimedOut);
+            let unsent = matches!(self.out[n].doing, Doing::Connects { then: Call::Start, .. });
+            if !unsent || self.slip == Slip::StartsLate {
+                self.in_doubt(n, End::TimedOut);
+            }
         }
         match self.out[n].doing {
             Doing::Connects { since, then } => self.connect(n, since, then),
@@ -522,6 +529,10 @@
     }
 
     fn connect(&mut self, n: usize, since: u64, then: Call) {
+        if then == Call::Start && self.out[n].unwanted && self.slip != Slip::StartsLate {
+            self.tell(n, Fact::NeverCame);
+            return self.over(n, if self.out[n].late { End::Moot } else { End::Unconnected });
+        }
         let slot = self.processes[self.out[n].engine].slot;
         if self.out[n].up.is_none() {
             if self.is_cut(slot) {
@@ -536,6 +547,12 @@
                 self.lost(n, then, Lost::Refused);
                 return;
             };
+            // Some connections come up late, and the batch may have its answer meanwhile.
+            let late = if self.dice.one_in(5) { self.dice.between(STEP, DIAL) } else { 0 };
+            if self.now < *self.out[n].comes_up.get_or_insert(self.now + late) {
+                return;
+            }
+            self.out[n].comes_up = None;
             self.out[n].up = Some(process);
             self.out[n].connection += 1;
         }
@@ -745,6 +762,11 @@
 
     /// As a start comes whole to a process, which runs it from now on.
     fn judge_start(&mut self, id: BatchId, process: usize) {
+        let h = &self.batches[id as usize];
+        let ended = h.answered.map(|(at, _)| at).filter(|at| *at < self.now);
+        if let Some(at) = ended {
+            self.breaks(Rule::Answer, format!("batch {id} was sent on after its answer at {at} ms"));
+        }
         let h = &self.batches[id as usize];
         let (group, key, place) = (h.group, h.key, h.place);
         let zone = self.zone(process);
@@ -883,6 +905,7 @@
         (Slip::OverlooksBudget, Rule::Budget),
         (Slip::TrustsRefusals, Rule::Effect),
         (Slip::OverlooksNotes, Rule::Order),
+        (Slip::StartsLate, Rule::Answer),
     ];
     for (slip, rule) in slips {
         let found = (0..300).find(|seed| World::new(*seed, slip).play().iter().any(|(r, _)| *r == rule));
