--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -640,7 +640,8 @@
             if first && answer.is_err() && self.gate.as_ref().is_some_and(|gate| gate.is_stopped()) {
                 // It was stopped at its last bytes, before who wished so was heard.
                 self.tell(Fact::NeverCame);
-                return Heard::Over(Ended::of(End::Moot));
+                let back = *wishes.borrow() == Wish::Back;
+                return Heard::Over(Ended::of(if back { End::Unconnected } else { End::Moot }));
             }
             if first && answer.is_err() && !self.may_have_come {
                 self.tell(Fact::NeverCame);
