Leases between gateways: a majority of grantors without a disk, epochs, shares of a sum

Grantor and holder are state machines handed time and messages; one ask renews all that a member has from a grantor; a thing counts only with the grantors that gave it in the stay that they renew; a restarted grantor stays mute for a lease. Epochs were stamped by who wants; a grantor now gives none up to its wall clock at its start and one lease (Grantor::start).

--- /dev/null
+++ b/crates/fleet/src/shares.rs
@@ -0,0 +1,71 @@
+//! Shares of a sum: a budget of the fleet is cut into units, and each unit is a thing with one holder. So the sum of what is
+//! held never passes the budget, over any cut or restart, by the promise of leases alone. Who wants which unit is drawn by
+//! rendezvous: all members that see the same fleet agree, and one that comes or goes moves its own part only.
+
+use crate::holder::Holder;
+use crate::message::Thing;
+use std::time::Duration;
+
+/// More units make finer shares and more to claim; a fleet of more members than units has some with none.
+pub const MOST_UNITS: u32 = 1024;
+
+/// A budget of the fleet in equal units.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    name: u64,
+    units: u32,
+}
+
+impl Budget {
+    /// A budget by its name, in so many units, [`MOST_UNITS`] at most.
+    pub fn new(name: &str, units: u32) -> Budget {
+        let hash = blake3::hash(name.as_bytes());
+        let mut first = [0; 8];
+        first.copy_from_slice(&hash.as_bytes()[..8]);
+        Budget { name: u64::from_le_bytes(first), units: units.clamp(1, MOST_UNITS) }
+    }
+
+    pub fn units(&self) -> u32 {
+        self.units
+    }
+
+    fn unit(&self, n: u32) -> Thing {
+        Thing(mix(self.name, u64::from(n)))
+    }
+
+    fn things(&self) -> impl Iterator<Item = Thing> + '_ {
+        (0..self.units).map(|n| self.unit(n))
+    }
+
+    /// The units that a gateway should want, given the gateways that it sees, itself included.
+    pub fn due<'a>(&'a self, me: u64, there: &'a [u64]) -> impl Iterator<Item = Thing> + 'a {
+        self.things().filter(move |unit| {
+            let mine = (mix(unit.0, me), me);
+            there.iter().all(|other| (mix(unit.0, *other), *other) <= mine)
+        })
+    }
+
+    /// Has a holder want what is due to it, and give the rest back.
+    pub fn settle(&self, holder: &mut Holder, now: Duration, me: u64, there: &[u64]) {
+        let mut due = self.due(me, there).peekable();
+        for unit in self.things() {
+            match due.next_if_eq(&unit) {
+                Some(unit) => holder.want(now, unit),
+                None => holder.let_go(now, unit),
+            }
+        }
+    }
+
+    /// The units that are held now. To be looked at right before what they allow is used.
+    pub fn held(&self, holder: &Holder, now: Duration) -> u32 {
+        self.things().filter(|unit| holder.holds(now, *unit).is_some()).count() as u32
+    }
+}
+
+/// Spreads two numbers over all: the finisher of splitmix64.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/fleet/src/wire.rs
@@ -0,0 +1,122 @@
+//! Messages as datagrams: version, fleet, message, and a keyed hash where there is a key. What is not of this fleet, of
+//! another version, altered or malformed is dropped by who calls, counted by the fault's kind, and never answered.
+
+use crate::message::{Ask, Told, MOST};
+use serde::{Deserialize, Serialize};
+
+/// The form of datagrams that this text speaks.
+pub const VERSION: u8 = 1;
+/// Where the settings bound datagrams, it is by this.
+pub const LONGEST: usize = 256;
+const FLEET: usize = 8;
+const HASH: usize = 16;
+
+/// A message between gateways of a fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Message {
+    Ask(Ask),
+    Told(Told),
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Dropped {
+    #[error(
+        "datagram of {0} bytes: the longest here is 256; look for who else sends to the peers' addresses"
+    )]
+    Long(usize),
+    #[error("datagram of {0} bytes is too short to be one of a gateway; look for who else sends to the peers' addresses")]
+    Short(usize),
+    #[error(
+        "datagram of version {0}, this gateway speaks 1: bring all gateways of the fleet to one version"
+    )]
+    Version(u8),
+    #[error("datagram of another fleet: give each fleet a name and peers of its own")]
+    Foreign,
+    #[error("datagram whose keyed hash is wrong: compare the fleet's key files, and suspect who sends it")]
+    Forged,
+    #[error("datagram that can't be read though its head is right; compare the gateways' builds")]
+    Malformed,
+}
+
+/// Writes and reads the datagrams of one fleet.
+#[derive(Clone)]
+pub struct Wire {
+    fleet: [u8; FLEET],
+    key: Option<[u8; 32]>,
+}
+
+impl std::fmt::Debug for Wire {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        // The key stays out of logs.
+        f.debug_struct("Wire").field("keyed", &self.key.is_some()).finish_non_exhaustive()
+    }
+}
+
+impl Wire {
+    /// Of a fleet by its name, with the bytes of its key file where one is named.
+    pub fn new(fleet: &str, key: Option<&[u8]>) -> Wire {
+        let mut name = [0; FLEET];
+        name.copy_from_slice(&blake3::hash(fleet.as_bytes()).as_bytes()[..FLEET]);
+        let key = key.map(|key| blake3::derive_key("garnetwall fleet datagrams v1", key));
+        Wire { fleet: name, key }
+    }
+
+    fn hash(&self, bytes: &[u8]) -> Option<[u8; HASH]> {
+        let hash = blake3::keyed_hash(&self.key?, bytes);
+        let mut short = [0; HASH];
+        short.copy_from_slice(&hash.as_bytes()[..HASH]);
+        Some(short)
+    }
+
+    /// A message as a datagram; none where it carries more than [`MOST`] claims and returns and would be too long.
+    pub fn write(&self, message: &Message) -> Option<Vec<u8>> {
+        let many = match message {
+            Message::Ask(ask) => ask.claims.len() + ask.returns.len(),
+            Message::Told(told) => told.verdicts.len() + told.returned.len(),
+        };
+        if many > MOST {
+            return None;
+        }
+        let mut bytes = vec![VERSION];
+        bytes.extend_from_slice(&self.fleet);
+        bytes.extend(postcard::to_allocvec(message).ok()?);
+        let hash = self.hash(&bytes);
+        bytes.extend(hash.into_iter().flatten());
+        Some(bytes).filter(|bytes| bytes.len() <= LONGEST)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Why it is to be dropped.
+    pub fn read(&self, bytes: &[u8]) -> Result<Message, Dropped> {
+        if bytes.len() > LONGEST {
+            return Err(Dropped::Long(bytes.len()));
+        }
+        let hash = if self.key.is_some() { HASH } else { 0 };
+        if bytes.len() <= 1 + FLEET + hash {
+            return Err(Dropped::Short(bytes.len()));
+        }
+        if bytes[0] != VERSION {
+            return Err(Dropped::Version(bytes[0]));
+        }
+        if bytes[1..=FLEET] != self.fleet {
+            return Err(Dropped::Foreign);
+        }
+        let (said, told) = bytes.split_at(bytes.len() - hash);
+        // Compared in constant time, as blake3's hashes are: what is told must not be guessed byte by byte.
+        let right = self.hash(said).is_none_or(|right| {
+            let differs = right.iter().zip(told).fold(0, |all, (a, b)| all | (a ^ b));
+            differs == 0
+        });
+        if !right {
+            return Err(Dropped::Forged);
+        }
+        match postcard::take_from_bytes(&said[1 + FLEET..]) {
+            Ok((message, [])) => Ok(message),
+            Ok(_) | Err(_) => Err(Dropped::Malformed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/input.rs
@@ -0,0 +1,211 @@
+//! Bad input: each fault has its own error that says what to do; no datagram, whatever its bytes, is a panic or a grant.
+
+use garnetwall_fleet::message::{Mute, MOST};
+use garnetwall_fleet::shares::Budget;
+use garnetwall_fleet::terms::Fault;
+use garnetwall_fleet::wire::{Dropped, Message, Wire, LONGEST};
+use garnetwall_fleet::{Ask, Claim, Epoch, Grantor, Holder, Member, Terms, Thing, Told, Verdict};
+use proptest::prelude::*;
+use std::collections::HashSet;
+use std::time::Duration;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn terms() -> Terms {
+    Terms::new(ms(2000), 500, ms(100), &[1, 2, 3]).unwrap()
+}
+
+fn claim(n: u64) -> Claim {
+    Claim { thing: Thing(u64::MAX - n), epoch: Epoch(u64::MAX - n) }
+}
+
+fn ask(number: u32, claims: Vec<Claim>) -> Ask {
+    Ask { from: Member { gateway: u64::MAX, life: u64::MAX }, number, claims, returns: Vec::new() }
+}
+
+#[test]
+fn each_fault_of_the_settings_is_told_with_what_to_do() {
+    let short = Terms::new(ms(300), 500, ms(100), &[1, 2, 3]).unwrap_err();
+    let faults = [
+        (Terms::new(ms(2000), 500, ms(100), &[1, 2]).unwrap_err(), Fault::Grantors(2), "odd number"),
+        (Terms::new(ms(2000), 500, ms(100), &[]).unwrap_err(), Fault::Grantors(0), "odd number"),
+        (Terms::new(ms(2000), 500, ms(100), &[1; 11]).unwrap_err(), Fault::Grantors(11), "1 to 9"),
+        (Terms::new(ms(2000), 500, ms(100), &[1, 2, 1]).unwrap_err(), Fault::Twice(2), "gateway of its own"),
+        (Terms::new(ms(2000), 600_000, ms(100), &[1]).unwrap_err(), Fault::Drift(600_000), "measure"),
+        (short, short, "take a longer lease"),
+    ];
+    for (fault, wanted, says) in faults {
+        assert_eq!(fault, wanted);
+        assert!(fault.to_string().contains(says), "{fault}");
+    }
+    assert!(matches!(short, Fault::Short { .. }));
+}
+
+#[test]
+fn each_bad_datagram_is_dropped_for_its_own_reason() {
+    let (ours, keyed) = (Wire::new("sale", None), Wire::new("sale", Some(b"key")));
+    let message = Message::Ask(ask(1, vec![claim(0)]));
+    let good = keyed.write(&message).unwrap();
+    assert_eq!(keyed.read(&good), Ok(message.clone()));
+    let mut other_version = good.clone();
+    other_version[0] = 9;
+    let mut altered = good.clone();
+    altered[12] ^= 1;
+    let plain = ours.write(&message).unwrap();
+    let cases: [(&Wire, Vec<u8>, Dropped, &str); 7] = [
+        (&keyed, vec![1; LONGEST + 1], Dropped::Long(LONGEST + 1), "longest"),
+        (&keyed, vec![1; 20], Dropped::Short(20), "too short"),
+        (&keyed, other_version, Dropped::Version(9), "one version"),
+        (&Wire::new("other", Some(b"key")), good.clone(), Dropped::Foreign, "a name"),
+        (&keyed, altered, Dropped::Forged, "key files"),
+        (&Wire::new("sale", Some(b"old key")), good, Dropped::Forged, "key files"),
+        (&ours, plain[..plain.len() - 3].to_vec(), Dropped::Malformed, "builds"),
+    ];
+    let mut seen = HashSet::new();
+    for (wire, bytes, wanted, says) in cases {
+        let fault = wire.read(&bytes).unwrap_err();
+        assert_eq!(fault, wanted);
+        assert!(fault.to_string().contains(says), "{fault}");
+        seen.insert(std::mem::discriminant(&fault));
+    }
+    assert_eq!(seen.len(), 6, "every kind of fault");
+    assert!(!format!("{keyed:?}").contains("107"), "the key is in no log");
+}
+
+#[test]
+fn the_largest_messages_fit_and_larger_ones_are_not_written() {
+    let wire = Wire::new("sale", Some(b"key"));
+    let claims: Vec<_> = (0..MOST as u64).map(claim).collect();
+    assert!(wire.write(&Message::Ask(ask(u32::MAX, claims.clone()))).is_some());
+    let late = |claim: &Claim| (*claim, Verdict::Late(Epoch(u64::MAX)));
+    let told = Told {
+        to: Member { gateway: u64::MAX, life: u64::MAX },
+        number: u32::MAX,
+        session: u64::MAX,
+        verdicts: claims.iter().map(late).collect(),
+        returned: Vec::new(),
+    };
+    assert!(wire.write(&Message::Told(told)).is_some());
+    assert!(wire.write(&Message::Ask(ask(1, (0..=MOST as u64).map(claim).collect()))).is_none());
+}
+
+#[test]
+fn a_grantor_that_has_started_is_mute_for_a_lease_and_bounds_what_it_keeps() {
+    let mut grantor = Grantor::start(ms(0), 0, 1, &terms(), 2, 3);
+    let fault = grantor.asked(ms(1999), &ask(1, vec![claim(0)])).unwrap_err();
+    assert_eq!(fault, Mute::Started(ms(1)));
+    assert!(fault.to_string().contains("nothing is to be done"));
+    let verdict = |grantor: &mut Grantor, now, number, n| {
+        grantor.asked(ms(now), &ask(number, vec![claim(n)])).unwrap().verdicts[0].1
+    };
+    for n in 0..3 {
+        assert_eq!(verdict(&mut grantor, 2000, n as u32 + 1, 10 - n), Verdict::Given);
+    }
+    assert_eq!(verdict(&mut grantor, 2000, 4, 3), Verdict::Full);
+    // Its session is over: what it had gives way, and what was forgotten is not given under an old epoch.
+    assert_eq!(verdict(&mut grantor, 9000, 5, 3), Verdict::Given);
+    assert_eq!(verdict(&mut grantor, 9000, 6, 20), Verdict::Late(claim(10).epoch));
+    for life in 0..10 {
+        let one = Ask { from: Member { gateway: 1, life }, ..ask(1, Vec::new()) };
+        let told = grantor.asked(ms(9000), &one);
+        assert_eq!(told.is_err(), life > 0, "{told:?}");
+        if let Err(fault) = told {
+            assert_eq!(fault, Mute::Crowded(2));
+            assert!(fault.to_string().contains("raise"));
+        }
+    }
+    assert_eq!(grantor.size(), (3, 2));
+}
+
+/// Thousands of things are renewed by one message to each grantor.
+#[test]
+fn ten_thousand_things_are_renewed_by_one_message_to_each_grantor() {
+    let terms = terms();
+    let mut grantors: Vec<_> = (0..3).map(|n| Grantor::start(ms(0), 0, n << 32, &terms, 8, 20_000)).collect();
+    let mut holder = Holder::new(Member { gateway: 1, life: 1 }, terms, 1);
+    (0..10_000).for_each(|n| holder.want(ms(2000), Thing(n)));
+    let mut now = ms(2000);
+    let mut last = 0;
+    for _ in 0..200 {
+        let asks = holder.ask(now);
+        last = asks.len();
+        for (n, ask) in asks {
+            let told = grantors[n].asked(now, &ask).unwrap();
+            holder.told(n, &told);
+        }
+        now = holder.next_ask();
+    }
+    assert_eq!(last, 3);
+    let held = (0..10_000).filter(|n| holder.holds(now, Thing(*n)).is_some()).count();
+    assert_eq!(held, 10_000);
+}
+
+/// Members come and go and see different fleets: the sum of what all hold is never more than the budget.
+#[test]
+fn shares_sum_up_to_no_more_than_the_budget_and_settle_on_the_whole() {
+    let terms = terms();
+    let budget = Budget::new("return of east", 60);
+    let mut grantors: Vec<_> = (0..3).map(|n| Grantor::start(ms(0), 0, n << 32, &terms, 16, 200)).collect();
+    let mut holders: Vec<_> = (0..6).map(|n| Holder::new(Member { gateway: n, life: n }, terms, n)).collect();
+    let mut now = ms(2000);
+    for step in 0..400 {
+        // The fifth joins in the middle; two see a part of the fleet only for a while; the first is gone at last.
+        let there = |n: u64| {
+            (0..6)
+                .filter(|m| match step {
+                    0..100 => *m < 5,
+                    100..200 => n & 1 == 0 || *m & 1 == 1,
+                    200..300 => true,
+                    _ => *m > 0,
+                })
+                .collect::<Vec<u64>>()
+        };
+        let gone = |n: u64| step < 100 && n == 5 || step >= 300 && n == 0;
+        for n in (0..6).filter(|n| !gone(*n)) {
+            let holder = &mut holders[n as usize];
+            budget.settle(holder, now, n, &there(n));
+            for (g, ask) in holder.ask(now) {
+                if let Ok(told) = grantors[g].asked(now, &ask) {
+                    holder.told(g, &told);
+                }
+            }
+        }
+        let held: Vec<u32> = holders.iter().map(|holder| budget.held(holder, now)).collect();
+        assert!(held.iter().sum::<u32>() <= budget.units(), "{held:?} at step {step}");
+        if [99, 299, 399].contains(&step) {
+            assert_eq!(held.iter().sum::<u32>(), budget.units(), "{held:?} at step {step}");
+        }
+        now += ms(100);
+    }
+}
+
+/// Prints what a look at a lease costs among ten thousand.
+#[test]
+fn a_lease_is_looked_at_quickly() {
+    let terms = terms();
+    let mut holder = Holder::new(Member { gateway: 1, life: 1 }, terms, 1);
+    (0..10_000).for_each(|n| holder.want(ms(0), Thing(n)));
+    let began = std::time::Instant::now();
+    let held = (0..100_000).filter(|n| holder.holds(ms(1), Thing(n % 10_000)).is_some()).count();
+    let each = began.elapsed() / 100_000;
+    println!("{each:?} a look");
+    assert_eq!(held, 0);
+    assert!(each < Duration::from_micros(20), "{each:?}");
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_are_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), keyed in any::<bool>()) {
+        let wire = Wire::new("sale", keyed.then_some(b"key"));
+        let _ = wire.read(&bytes);
+        let mut ours = wire.write(&Message::Ask(ask(1, Vec::new()))).unwrap();
+        ours.truncate(9);
+        ours.extend(&bytes);
+        if let Ok(Message::Ask(ask)) = wire.read(&ours) {
+            let mut grantor = Grantor::start(ms(0), 0, 1, &terms(), 2, 3);
+            let _ = grantor.asked(ms(5000), &ask);
+        }
+    }
+}
