--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -10,12 +10,16 @@
 pub const LONGEST: usize = 256;
 const FLEET: usize = 8;
 const HASH: usize = 16;
+/// What is left of a datagram for SWIM: less our head, the hash, the message's kind and its length.
+pub const SWIM_LONGEST: usize = LONGEST - 1 - FLEET - HASH - 3;
 
 /// A message between gateways of a fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Message {
     Ask(Ask),
     Told(Told),
+    /// SWIM's own, in its own coding.
+    Swim(Vec<u8>),
 }
 
 /// Why a datagram was dropped.
@@ -74,6 +78,7 @@
         let many = match message {
             Message::Ask(ask) => ask.claims.len() + ask.returns.len(),
             Message::Told(told) => told.verdicts.len() + told.returned.len(),
+            Message::Swim(_) => 0,
         };
         if many > MOST {
             return None;
--- a/crates/fleet/tests/input.rs
+++ b/crates/fleet/tests/input.rs
@@ -3,7 +3,7 @@
 use garnetwall_fleet::message::{Mute, MOST};
 use garnetwall_fleet::shares::Budget;
 use garnetwall_fleet::terms::Fault;
-use garnetwall_fleet::wire::{Dropped, Message, Wire, LONGEST};
+use garnetwall_fleet::wire::{Dropped, Message, Wire, LONGEST, SWIM_LONGEST};
 use garnetwall_fleet::{Ask, Claim, Epoch, Grantor, Holder, Member, Terms, Thing, Told, Verdict};
 use proptest::prelude::*;
 use std::collections::HashSet;
@@ -88,6 +88,7 @@
         returned: Vec::new(),
     };
     assert!(wire.write(&Message::Told(told)).is_some());
+    assert!(wire.write(&Message::Swim(vec![0xff; SWIM_LONGEST])).is_some());
     assert!(wire.write(&Message::Ask(ask(1, (0..=MOST as u64).map(claim).collect()))).is_none());
 }
 
--- a/crates/fleet/tests/world.rs
+++ b/crates/fleet/tests/world.rs
@@ -258,7 +258,7 @@
                 }
             }
             Ok(Message::Told(told)) => self.nodes[to].holder.told(from, &told),
-            Err(_) => {}
+            Ok(Message::Swim(_)) | Err(_) => {}
         }
     }
 
