Read again: a grantor takes back without a filter that is always true

takes_back returned true in every case and was used as a filter; it frees now, and all returns are told as known. The gate's comment said answered where lost calls lift it, too. Looked at and left: SocketAddrV4 in members.rs is an address as a value, no I/O; the pair of dice in two test worlds is ten lines.

--- a/crates/fleet/src/grantor.rs
+++ b/crates/fleet/src/grantor.rs
@@ -80,12 +80,18 @@
         }
         self.sessions.retain(|_, session| now < session.until);
         let session = self.stays(now, ask)?;
-        let returned = ask.returns.iter().copied().filter(|claim| self.takes_back(ask.from, claim)).collect();
+        ask.returns.iter().for_each(|claim| self.takes_back(ask.from, claim));
         // What an older ask claims may have been given back since.
         let claims = if session.last == ask.number { &ask.claims[..] } else { &[] };
         let weigh = |claim: &Claim| (*claim, self.weigh(claim, ask.from, session.number));
         let verdicts = claims.iter().map(weigh).collect();
-        Ok(Told { to: ask.from, number: ask.number, session: session.number, verdicts, returned })
+        Ok(Told {
+            to: ask.from,
+            number: ask.number,
+            session: session.number,
+            verdicts,
+            returned: ask.returns.clone(),
+        })
     }
 
     /// Begins or goes on with the stay of who asks.
@@ -145,14 +151,11 @@
         true
     }
 
-    /// Whether the member does not have it here any more.
-    fn takes_back(&mut self, from: Member, claim: &Claim) -> bool {
-        if let Some(given) = self.given.get_mut(&claim.thing) {
-            if given.epoch == claim.epoch && given.to.is_some_and(|(member, _)| member == from) {
-                given.to = None;
-            }
+    /// Frees what the member gives back, if it has it under this epoch.
+    fn takes_back(&mut self, from: Member, claim: &Claim) {
+        if let Some(given) = self.given.get_mut(&claim.thing).filter(|given| given.epoch == claim.epoch) {
+            given.to = given.to.filter(|(member, _)| *member != from);
         }
-        true
     }
 
     /// Things and members that it keeps.
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -133,7 +133,7 @@
         self.moves(LEAVING, READ_OUT);
     }
 
-    /// The start was answered: its connection is free for other calls.
+    /// Other calls follow the start, answered or lost: none of them is held back for it.
     pub fn passed(&self) {
         if !self.is_stopped() {
             self.at.store(WHOLE, Ordering::Relaxed);
