--- /dev/null
+++ b/crates/gateway/src/rows/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+fn rows(pages: &[&str]) -> Result<Vec<Vec<String>>, String> {
+    let pages: Vec<Bytes> = pages.iter().map(|p| Bytes::copy_from_slice(p.as_bytes())).collect();
+    let json: serde_json::Value = serde_json::from_slice(&answer(&pages)?).expect("JSON");
+    Ok(serde_json::from_value(json["data"].clone()).expect("rows of texts"))
+}
+
+#[test]
+fn rows_come_out_unchanged_and_in_order() {
+    assert_eq!(rows(&[""]).unwrap(), Vec::<Vec<String>>::new());
+    let odd = ["quote\"", "back\\slash", "\u{1}\r\u{7f} é 漢"];
+    let page = format!("a\t\t\n{}\n", odd.join("\t"));
+    assert_eq!(
+        rows(&[&page, "x\ty\tz\n"]).unwrap(),
+        vec![vec!["a", "", ""], odd.to_vec(), vec!["x", "y", "z"]]
+    );
+    assert!(whole(page.as_bytes()) && whole(b"") && !whole(b"\xff\t\t\n"));
+}
+
+#[test]
+fn what_is_no_whole_row_is_an_error_never_a_row() {
+    for page in ["a\tb\n", "a\tb\tc\td\n", "a\tb\tc", "\n"] {
+        assert!(rows(&[page]).is_err() && !whole(page.as_bytes()), "{page:?}");
+    }
+    assert!(answer(&[Bytes::from_static(&[0xff, b'\t', b'\t', b'\n'])]).is_err());
+    assert!(answer(&[Bytes::from(vec![b'a'; RESULT + 1])]).is_err());
+}
--- /dev/null
+++ b/crates/plan/src/address/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn net() -> impl Strategy<Value = IpNet> {
+    // Few bits, so that networks meet, nest and touch.
+    let v4 = (0u8..4, 0u8..=255, 0u8..=32)
+        .prop_map(|(a, b, len)| IpNet::new(IpAddr::from([10, a, 0, b]), len).expect("a prefix").trunc());
+    let v6 = (0u16..4, 0u16..4, 0u8..=128).prop_map(|(a, b, len)| {
+        IpNet::new(IpAddr::from([0x2001, 0xdb8, a, 0, 0, 0, 0, b]), len).expect("a prefix").trunc()
+    });
+    let ends =
+        prop_oneof![Just("0.0.0.0/0"), Just("::/0"), Just("255.255.255.255/32"), Just("::ffff:0:0/96")];
+    prop_oneof![4 => v4, 4 => v6, 1 => ends.prop_map(|n| n.parse().expect("a network"))]
+}
+
+fn probe() -> impl Strategy<Value = IpAddr> {
+    prop_oneof![
+        (0u8..4, 0u8..=255).prop_map(|(a, b)| IpAddr::from([10, a, 0, b])),
+        (0u16..4, 0u16..4).prop_map(|(a, b)| IpAddr::from([0x2001, 0xdb8, a, 0, 0, 0, 0, b])),
+        any::<u32>().prop_map(|a| IpAddr::from(a.to_be_bytes())),
+        any::<u128>().prop_map(|a| IpAddr::from(a.to_be_bytes())),
+    ]
+}
+
+fn holds(nets: &[IpNet], address: IpAddr) -> bool {
+    nets.iter().map(span).any(|(from, to)| (from..=to).contains(&number(address)))
+}
+
+proptest! {
+    #[test]
+    fn classes_tell_what_the_plain_lists_tell(
+        sets in vec((vec(net(), 0..6), vec(net(), 0..4)), 0..6),
+        probes in vec(probe(), 30),
+    ) {
+        let flat = |nets: &[IpNet]| union(nets.iter().map(span).collect());
+        let spans: Vec<Spans> = sets.iter().map(|(with, less)| difference(&flat(with), &flat(less))).collect();
+        let classes = AddressClasses::new(&spans);
+        for address in probes {
+            let members = classes.members(classes.class(address));
+            for (n, (with, less)) in sets.iter().enumerate() {
+                prop_assert_eq!(members.contains(n), holds(with, address) && !holds(less, address));
+            }
+        }
+    }
+}
