--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -282,7 +282,7 @@
         match self.control.place(clock, id) {
             Place::NotYet => {}
             Place::Over(answer) => self.answer(who, id, answer, reply),
-            Place::To { engine, time_out, memory } => {
+            Place::To { engine, time_out, memory, .. } => {
                 let Some(b) = self.in_hand.get_mut(&id) else {
                     return;
                 };
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -1,6 +1,7 @@
 //! The desk: the decision module behind one lock, its one timer, and the batches in hand. It hands facts in
 //! and orders out, and decides nothing.
 
+use crate::attended::Attended;
 use crate::clock::{minute_of_day, Clock};
 use crate::engines::{Call, Told};
 use crate::keeping::millis;
@@ -31,6 +32,8 @@
         engine: EngineId,
         /// Nobody waits for the dispatch from then on.
         until: std::time::Instant,
+        /// Its start has come whole by then, or is not sent.
+        comes_by: std::time::Instant,
     },
     TakeBack {
         dispatch: u32,
@@ -94,6 +97,8 @@
         waiter: Waiter,
         /// What is written down before it is sent, where it is once-only.
         once_only: Option<Sent>,
+        /// Whether a client waits for it.
+        attended: Attended,
     },
     /// The batch of this id is in hand already.
     Joined(Waiter),
@@ -155,6 +160,9 @@
     orders: UnboundedSender<Order>,
     answer: watch::Sender<Option<Final>>,
     waiters: usize,
+    /// How many waiters it has had, so that one who has left is told from one who came after.
+    waited: u64,
+    attended: Attended,
     limit: f64,
     /// What the plan let it in with.
     passage: Option<Passage>,
@@ -300,7 +308,7 @@
             seats.forget_over(now);
             match seats.jobs.get(&a.job) {
                 Some(Job::Over) => return Taken::Over,
-                Some(&Job::InHand(id)) => return self.join(seats, id, &a, &call),
+                Some(&Job::InHand(id)) => return self.join(seats, now, id, &a, &call),
                 None => {}
             }
             if seats.recovered.contains_key(&a.job) {
@@ -321,10 +329,21 @@
             let (sender, orders) = unbounded_channel();
             let (answer, receiver) = watch::channel(None);
             seats.jobs.insert(a.job, Job::InHand(id));
-            seats.in_hand.insert(
-                id,
-                InHand { job: a.job, tenant, key, call, orders: sender, answer, waiters: 1, limit, passage },
-            );
+            let attended = Attended::default();
+            let new = InHand {
+                job: a.job,
+                tenant,
+                key,
+                call,
+                orders: sender,
+                answer,
+                waiters: 1,
+                waited: 1,
+                attended: attended.clone(),
+                limit,
+                passage,
+            };
+            seats.in_hand.insert(id, new);
             self.in_hand.send_replace(seats.in_hand.len());
             let left = self.ends.borrow().map_or(limit, |at| limit.min(at)) - now;
             let b = Batch { id, group, tenant, key, left, cost, memory, data_set, lane };
@@ -334,17 +353,21 @@
             let until = millis(limit + CLEAR.as_secs_f64());
             let once_only = seats.once_only.get(group).copied().unwrap_or_default();
             let once_only = once_only.then_some(Sent { id: a.job, key, until });
-            Taken::New { id, orders, waiter: Waiter { desk: self.clone(), id, answer: receiver }, once_only }
+            let waiter = Waiter { desk: self.clone(), id, answer: receiver };
+            Taken::New { id, orders, waiter, once_only, attended }
         })
     }
 
-    fn join(self: &Arc<Self>, seats: &mut Seats, id: BatchId, a: &Arrival, call: &Call) -> Taken {
+    fn join(self: &Arc<Self>, seats: &mut Seats, now: f64, id: BatchId, a: &Arrival, call: &Call) -> Taken {
         let Some(b) = seats.in_hand.get_mut(&id) else { return Taken::Over };
         if (b.tenant, b.key) != (a.tenant, a.key) || *b.call != *call {
             return Taken::Other;
         }
-        b.waiters += 1;
-        Taken::Joined(Waiter { desk: self.clone(), id, answer: b.answer.subscribe() })
+        (b.waiters, b.waited) = (b.waiters + 1, b.waited + 1);
+        b.attended.set(true);
+        let waiter = Waiter { desk: self.clone(), id, answer: b.answer.subscribe() };
+        seats.control.attended(now, id, true);
+        Taken::Joined(waiter)
     }
 
     /// What follows an outcome.
@@ -429,11 +452,25 @@
         let _ = self.in_hand.subscribe().wait_for(|n| *n == 0).await;
     }
 
-    fn left(&self, id: BatchId) {
+    /// One who waited has left. Nothing is sent for a batch that nobody waits for; how many had waited for it by then.
+    fn leaves(&self, id: BatchId) -> Option<u64> {
         self.fact(|seats, now| {
-            let Some(b) = seats.in_hand.get_mut(&id) else { return };
+            let b = seats.in_hand.get_mut(&id)?;
             b.waiters -= 1;
-            if b.waiters == 0 {
+            if b.waiters > 0 || b.is_over() {
+                return None;
+            }
+            b.attended.set(false);
+            let waited = b.waited;
+            seats.control.attended(now, id, false);
+            Some(waited)
+        })
+    }
+
+    /// Nobody has come again for a batch since so many had waited for it: its clients have gone.
+    fn stays_away(&self, id: BatchId, waited: u64) {
+        self.fact(|seats, now| {
+            if seats.in_hand.get(&id).is_some_and(|b| b.waiters == 0 && b.waited == waited) {
                 seats.gone(now, id);
             }
         });
@@ -471,8 +508,9 @@
         match self.control.place(now, id) {
             Place::NotYet => {}
             Place::Over(answer) => self.order(id, Order::Over(answer)),
-            Place::To { engine, time_out, .. } => {
-                self.order(id, Order::Go { engine, until: clock.instant(now + time_out) });
+            Place::To { engine, time_out, within, .. } => {
+                let (until, comes_by) = (clock.instant(now + time_out), clock.instant(now + within));
+                self.order(id, Order::Go { engine, until, comes_by });
             }
         }
     }
@@ -513,13 +551,14 @@
 
 impl Drop for Waiter {
     fn drop(&mut self) {
+        let Some(waited) = self.desk.leaves(self.id) else { return };
         let (desk, id) = (self.desk.clone(), self.id);
         match Handle::try_current() {
-            Ok(runtime) if self.answer.borrow().is_none() => drop(runtime.spawn(async move {
+            Ok(runtime) => drop(runtime.spawn(async move {
                 sleep(COMES_AGAIN).await;
-                desk.left(id);
+                desk.stays_away(id, waited);
             })),
-            _ => desk.left(id),
+            Err(_) => desk.stays_away(id, waited),
         }
     }
 }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -1,6 +1,7 @@
 //! Engines over HTTP: starting a dispatch, its news and pages, giving it up, probes; and the list of engines
 //! with the indices that the module knows them by.
 
+use crate::attended::Attended;
 use crate::changes::{EngineLine, Event};
 use crate::clock::span;
 use crate::rows;
@@ -27,7 +28,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 /// Protocol: news is held back this long at most.
 const NEWS: Duration = Duration::from_millis(250);
@@ -232,7 +233,7 @@
 pub struct Engines {
     budget: Arc<Semaphore>,
     dial: Duration,
-    listed: Mutex<List>,
+    listed: Arc<Mutex<List>>,
     known: watch::Sender<bool>,
     ledger: Mutex<Ledger>,
     bounds: Bounds,
@@ -241,6 +242,10 @@
     began: Instant,
 }
 
+fn lock(list: &Mutex<List>) -> MutexGuard<'_, List> {
+    list.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 struct List {
     ids: HashMap<String, EngineId>,
     /// By the module's index.
@@ -261,7 +266,7 @@
     pub fn new(network: Network, notes_every: f64, budget: &Budget, longest: f64) -> Self {
         let dial = span(network.dial);
         let kept = span(longest) + UNASKED;
-        let listed = Mutex::new(List { ids: HashMap::new(), known: Vec::new(), kept });
+        let listed = Arc::new(Mutex::new(List { ids: HashMap::new(), known: Vec::new(), kept }));
         let bounds = Bounds { news: NEWS, notes: notes_every > 0.0, unasked: UNASKED, pause: LONGER };
         Engines {
             budget: budget.engines.clone(),
@@ -283,6 +288,7 @@
             sender: None,
             abandoned: Abandoned::default(),
             gate: None,
+            comes_by: None,
             may_have_come: false,
             unreadable: false,
             connection: 0,
@@ -329,7 +335,7 @@
     }
 
     fn list(&self) -> MutexGuard<'_, List> {
-        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.listed)
     }
 
     /// Takes in a change of the list and gives it under the module's indices.
@@ -364,8 +370,7 @@
         &self,
         target: Target,
         call: &Call,
-        number: u32,
-        until: Instant,
+        start: Start,
         wishes: watch::Receiver<Wish>,
         tidings: Tidings,
     ) -> Ended {
@@ -373,10 +378,14 @@
         // cut that outlasts every limit is not covered.
         let kept = if call.in_order { self.longest } else { Duration::ZERO };
         let id = self.ledger().open(self.now(), kept);
-        let start = Start { further: number > 0, until };
-        let wish = wishes.clone();
-        let gate = Gate::new(move || *wish.borrow() == Wish::Answer && Instant::now() < until);
-        let mut way = Way { dispatch: Some(id), gate: Some(Arc::new(gate)), ..self.way(target) };
+        let (wish, attended, list) = (wishes.clone(), start.attended.clone(), self.listed.clone());
+        let ends = start.until.min(start.comes_by);
+        let wanted = move || *wish.borrow() == Wish::Answer && attended.is() && Instant::now() < ends;
+        // Its first byte counts as sending it: what has begun to leave may go on while its engine drains.
+        let gate = Gate::new(move || lock(&list).takes(target), wanted);
+        let comes_by = Some(start.comes_by).filter(|by| *by < start.until);
+        let gate = Some(Arc::new(gate));
+        let mut way = Way { dispatch: Some(id), gate, comes_by, ..self.way(target) };
         let over = way.live(call, start, wishes, tidings).await;
         self.ledger().close(id);
         over
@@ -492,6 +501,8 @@
     abandoned: Abandoned,
     /// What its start goes out through; none for a probe.
     gate: Option<Arc<Gate>>,
+    /// Its start has come whole by then or is not sent, where that is before its batch's end.
+    comes_by: Option<Instant>,
     /// Its start may have come whole.
     may_have_come: bool,
     /// Its body could not be read to its end.
@@ -503,12 +514,16 @@
 }
 
 /// How a dispatch is started.
-#[derive(Clone, Copy)]
-struct Start {
+#[derive(Clone, Debug)]
+pub struct Start {
     /// It is not the first of its batch.
-    further: bool,
+    pub further: bool,
     /// Nobody waits for it from then on.
-    until: Instant,
+    pub until: Instant,
+    /// It has come whole by then, or is not sent.
+    pub comes_by: Instant,
+    /// Whether a client waits for its batch.
+    pub attended: Attended,
 }
 
 /// A body on its way to an engine.
@@ -558,8 +573,8 @@
     }
 
     /// The call that starts a dispatch, and the body that goes with it; none where that is not there any more.
-    fn starting(&self, call: &Call, start: Start) -> Option<(Request<Outgoing>, Option<Feed>)> {
-        let Start { further, until } = start;
+    fn starting(&self, call: &Call, start: &Start) -> Option<(Request<Outgoing>, Option<Feed>)> {
+        let Start { further, until, .. } = *start;
         let mut request = request(Method::POST, self.target.address, "/c");
         let gate = self.gate.clone();
         let feed = match &call.statement {
@@ -624,7 +639,7 @@
         tidings: &Tidings,
     ) -> Heard {
         let mut asking = self.asked_on();
-        let Some((mut next, mut feed)) = self.starting(call, start) else {
+        let Some((mut next, mut feed)) = self.starting(call, &start) else {
             self.tell(Fact::NeverCame);
             return Heard::Over(Ended::of(End::Unconnected));
         };
@@ -640,8 +655,8 @@
             if first && answer.is_err() && self.gate.as_ref().is_some_and(|gate| gate.is_stopped()) {
                 // It was stopped at its last bytes, before who wished so was heard.
                 self.tell(Fact::NeverCame);
-                let back = *wishes.borrow() == Wish::Back;
-                return Heard::Over(Ended::of(if back { End::Unconnected } else { End::Moot }));
+                let elsewhere = *wishes.borrow() == Wish::Back || !self.engines.list().takes(self.target);
+                return Heard::Over(Ended::of(if elsewhere { End::Unconnected } else { End::Moot }));
             }
             if first && answer.is_err() && !self.may_have_come {
                 self.tell(Fact::NeverCame);
@@ -697,9 +712,19 @@
         let is_start = request.method() == Method::POST;
         let gate = self.gate.clone();
         let stops = || gate.as_ref().is_some_and(|gate| gate.stop());
+        let comes_by = self.comes_by;
+        let too_late = async {
+            match comes_by {
+                Some(by) => sleep_until(by.into()).await,
+                None => std::future::pending().await,
+            }
+        };
         // It fails only with who wished gone, who waits for this.
         let unwanted = async {
-            let _ = wishes.wait_for(|wish| *wish != Wish::Answer).await;
+            tokio::select! {
+                _ = wishes.wait_for(|wish| *wish != Wish::Answer) => {}
+                () = too_late => {}
+            }
             if !stops() {
                 let _ = wishes.wait_for(|wish| !wish.asks()).await;
             }
@@ -987,6 +1012,12 @@
 }
 
 impl List {
+    /// Whether its engine is listed as one that takes new dispatches, at this address.
+    fn takes(&self, target: Target) -> bool {
+        let line = self.known.get(target.engine).map(|known| &known.line);
+        line.is_some_and(|l| l.condition == Condition::Ready && l.address == target.address)
+    }
+
     /// Takes in a line; one of an engine that was never known and has gone says nothing.
     fn take(&mut self, line: &EngineLine, now: Instant) -> Option<Told> {
         let engine = match self.ids.get(&line.id) {
@@ -1057,67 +1088,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn line(id: &str, condition: Condition) -> EngineLine {
-        let address = SocketAddr::from(([127, 0, 0, 1], 4100));
-        EngineLine { id: id.into(), address, zone: 0, kind: 0, cell: 0, came_up: None, condition }
-    }
-
-    /// Days on which engines come under new ids without end: what is kept does not grow with them.
-    #[test]
-    fn an_index_is_another_engines_only_once_its_own_is_long_gone() {
-        let mut list = List { ids: HashMap::new(), known: Vec::new(), kept: Duration::from_secs(20) };
-        let mut now = Instant::now();
-        let mut take = |id: &str, condition, wait: u64| {
-            now += Duration::from_secs(wait);
-            let engine = list.take(&line(id, condition), now).map(|l| l.listed.engine);
-            (engine, list.known.len(), list.ids.len())
-        };
-        assert_eq!(take("a", Condition::Ready, 0), (Some(0), 1, 1));
-        assert_eq!(take("a", Condition::Gone, 1), (Some(0), 1, 1));
-        assert_eq!(take("never known", Condition::Gone, 1), (None, 1, 1));
-        assert_eq!(take("b", Condition::Ready, 10), (Some(1), 2, 2), "batches may still know a");
-        assert_eq!(take("a", Condition::Gone, 5), (Some(0), 2, 2), "told twice");
-        assert_eq!(take("c", Condition::Ready, 10), (Some(0), 2, 2));
-        for n in 0..100 {
-            take(&format!("d{n}"), Condition::Ready, 1);
-            assert!(take(&format!("d{n}"), Condition::Gone, 30).1 <= 4);
-        }
-    }
-
-    /// A further dispatch waits for one of the few connections; the one that it gets comes after its batch's answer.
-    #[tokio::test]
-    async fn a_start_that_waited_for_its_connection_until_after_the_answer_is_not_sent() {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let budget = Budget::of(64, 64);
-        let network = Network { dial: 2.0, idle: 15.0 };
-        let engines = Engines::new(network, 0.0, &budget, 5.0);
-        let lines = vec![EngineLine { address, ..line("a", Condition::Ready) }];
-        engines.listed(&Event { number: 1, whole: true, lines });
-        let all = budget.engines.available_permits() as u32;
-        let taken = budget.engines.clone().acquire_many_owned(all).await.unwrap();
-        let (wish, wishes) = watch::channel(Wish::Answer);
-        let tidings = Tidings { doubt: watch::channel(None).0, note: watch::channel(None).0 };
-        let value = HeaderValue::from_static;
-        let statement = Statement::Whole(Bytes::from_static(b"SELECT 1"));
-        let call = Call { id: value("a1"), group: value("report"), mark: None, in_order: false, statement };
-        let until = Instant::now() + Duration::from_secs(3);
-        let target = engines.target(0).unwrap();
-        let running = engines.dispatch(target, &call, 1, until, wishes, tidings);
-        let answered = async {
-            sleep(Duration::from_millis(30)).await;
-            wish.send_replace(Wish::Over);
-            drop(taken);
-        };
-        let (ended, ()) = tokio::join!(running, answered);
-        assert_eq!(ended.end, End::Moot);
-        if let Ok(Ok((mut stream, _))) = timeout(Duration::from_millis(100), listener.accept()).await {
-            let mut came = Vec::new();
-            let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut came).await;
-            assert!(came.is_empty(), "{} bytes came", came.len());
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/engines/tests.rs
@@ -0,0 +1,152 @@
+use super::*;
+
+fn line(id: &str, condition: Condition) -> EngineLine {
+    let address = SocketAddr::from(([127, 0, 0, 1], 4100));
+    EngineLine { id: id.into(), address, zone: 0, kind: 0, cell: 0, came_up: None, condition }
+}
+
+/// Days on which engines come under new ids without end: what is kept does not grow with them.
+#[test]
+fn an_index_is_another_engines_only_once_its_own_is_long_gone() {
+    let mut list = List { ids: HashMap::new(), known: Vec::new(), kept: Duration::from_secs(20) };
+    let mut now = Instant::now();
+    let mut take = |id: &str, condition, wait: u64| {
+        now += Duration::from_secs(wait);
+        let engine = list.take(&line(id, condition), now).map(|l| l.listed.engine);
+        (engine, list.known.len(), list.ids.len())
+    };
+    assert_eq!(take("a", Condition::Ready, 0), (Some(0), 1, 1));
+    assert_eq!(take("a", Condition::Gone, 1), (Some(0), 1, 1));
+    assert_eq!(take("never known", Condition::Gone, 1), (None, 1, 1));
+    assert_eq!(take("b", Condition::Ready, 10), (Some(1), 2, 2), "batches may still know a");
+    assert_eq!(take("a", Condition::Gone, 5), (Some(0), 2, 2), "told twice");
+    assert_eq!(take("c", Condition::Ready, 10), (Some(0), 2, 2));
+    for n in 0..100 {
+        take(&format!("d{n}"), Condition::Ready, 1);
+        assert!(take(&format!("d{n}"), Condition::Gone, 30).1 <= 4);
+    }
+}
+
+/// One engine that listens and never answers, and what reaches it.
+struct Silent {
+    listener: tokio::net::TcpListener,
+    engines: Engines,
+    budget: Budget,
+}
+
+impl Silent {
+    async fn start() -> Silent {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let budget = Budget::of(64, 64);
+        let engines = Engines::new(Network { dial: 2.0, idle: 15.0 }, 0.0, &budget, 5.0);
+        let silent = Silent { listener, engines, budget };
+        silent.lists(Condition::Ready);
+        silent
+    }
+
+    fn lists(&self, condition: Condition) {
+        let address = self.listener.local_addr().unwrap();
+        let lines = vec![EngineLine { address, ..line("a", condition) }];
+        self.engines.listed(&Event { number: 1, whole: true, lines });
+    }
+
+    /// Holds all connections that there may be to engines.
+    async fn hold_all(&self) -> tokio::sync::OwnedSemaphorePermit {
+        let all = self.budget.engines.available_permits() as u32;
+        self.budget.engines.clone().acquire_many_owned(all).await.unwrap()
+    }
+
+    async fn dispatch(&self, start: Start, wishes: watch::Receiver<Wish>) -> Ended {
+        let tidings = Tidings { doubt: watch::channel(None).0, note: watch::channel(None).0 };
+        let value = HeaderValue::from_static;
+        let statement = Statement::Whole(Bytes::from_static(b"SELECT 1"));
+        let call = Call { id: value("a1"), group: value("report"), mark: None, in_order: false, statement };
+        let target = self.engines.target(0).unwrap();
+        self.engines.dispatch(target, &call, start, wishes, tidings).await
+    }
+
+    /// What a connection brings, if one comes up.
+    async fn came(&self) -> usize {
+        let Ok(Ok((mut stream, _))) = timeout(Duration::from_millis(100), self.listener.accept()).await
+        else {
+            return 0;
+        };
+        let mut came = Vec::new();
+        let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut came).await;
+        came.len()
+    }
+}
+
+fn start() -> Start {
+    let until = Instant::now() + Duration::from_secs(3);
+    Start { further: true, until, comes_by: until, attended: Attended::default() }
+}
+
+/// A further dispatch waits for one of the few connections; the one that it gets comes after its batch's answer.
+#[tokio::test]
+async fn a_start_that_waited_for_its_connection_until_after_the_answer_is_not_sent() {
+    let silent = Silent::start().await;
+    let taken = silent.hold_all().await;
+    let (wish, wishes) = watch::channel(Wish::Answer);
+    let answered = async {
+        sleep(Duration::from_millis(30)).await;
+        wish.send_replace(Wish::Over);
+        drop(taken);
+    };
+    let (ended, ()) = tokio::join!(silent.dispatch(start(), wishes), answered);
+    assert_eq!(ended.end, End::Moot);
+    assert_eq!(silent.came().await, 0);
+}
+
+/// Its client has left, and may come again at once, so that its batch is not over: nothing is sent meanwhile.
+#[tokio::test]
+async fn a_start_that_waited_for_its_connection_until_its_client_left_is_not_sent() {
+    let silent = Silent::start().await;
+    let taken = silent.hold_all().await;
+    let (_wish, wishes) = watch::channel(Wish::Answer);
+    let start = start();
+    let attended = start.attended.clone();
+    let leaves = async {
+        sleep(Duration::from_millis(30)).await;
+        attended.set(false);
+        drop(taken);
+    };
+    let (ended, ()) = tokio::join!(silent.dispatch(start, wishes), leaves);
+    assert_eq!(ended.end, End::Moot, "which says nothing of the engine");
+    assert_eq!(silent.came().await, 0);
+}
+
+/// The window in which its engines drop repeats ends while its connection is still to come up.
+#[tokio::test]
+async fn a_start_that_can_t_come_within_its_window_is_not_sent() {
+    let silent = Silent::start().await;
+    let taken = silent.hold_all().await;
+    let (_wish, wishes) = watch::channel(Wish::Answer);
+    let began = Instant::now();
+    let start = Start { comes_by: began + Duration::from_millis(60), ..start() };
+    let frees = async {
+        sleep(Duration::from_millis(150)).await;
+        drop(taken);
+    };
+    let (ended, ()) = tokio::join!(silent.dispatch(start, wishes), frees);
+    assert_eq!(ended.end, End::Unconnected);
+    assert_eq!(silent.came().await, 0);
+}
+
+/// Its engine is told draining while its connection is still to come up.
+#[tokio::test]
+async fn a_start_whose_engine_drains_before_its_first_byte_is_not_sent() {
+    for told in [Condition::Draining, Condition::Gone] {
+        let silent = Silent::start().await;
+        let taken = silent.hold_all().await;
+        let (_wish, wishes) = watch::channel(Wish::Answer);
+        let drains = async {
+            sleep(Duration::from_millis(30)).await;
+            silent.lists(told);
+            drop(taken);
+        };
+        let (ended, ()) = tokio::join!(silent.dispatch(start(), wishes), drains);
+        assert_eq!(ended.end, End::Unconnected, "it goes elsewhere");
+        assert_eq!(silent.came().await, 0);
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,10 +4,10 @@
 use crate::engines::{Call, Engines, Statement};
 use crate::gateway::Phase;
 use crate::guests::{Guest, Guests};
+use crate::inbound::{Inbound, Peer};
 use crate::keeping::Keeper;
 use crate::life::Life;
 use crate::planning::Turned;
-use crate::sockets::{LastRead, Line};
 use crate::spacing::Spacing;
 use crate::statement;
 use axum::body::{to_bytes, Body};
@@ -32,9 +32,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::task::coop::unconstrained;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
@@ -104,21 +106,38 @@
         .with_state(front)
 }
 
-/// Accepts connections for as long as it is polled; each is served in a task of its own.
+/// Accepts connections for as long as it is polled, or, once it is `closing`, until none waits to be accepted; each is
+/// served in a task of its own.
 pub async fn accept(
     listener: &TcpListener,
     router: &Router,
     guests: &Arc<Guests>,
     shut: &watch::Receiver<bool>,
+    mut closing: watch::Receiver<bool>,
 ) {
     for number in 0.. {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
+        let accepted = if *closing.borrow_and_update() {
+            yield_now().await;
+            tokio::select! {
+                biased;
+                // Its share of a turn must not run out here: that would look as if nobody waited.
+                accepted = unconstrained(listener.accept()) => accepted,
+                () = std::future::ready(()) => return,
+            }
+        } else {
+            tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                Ok(()) = closing.changed() => continue,
+            }
+        };
+        match accepted {
+            Ok((stream, client)) => {
                 let guest = guests.seat(number).await;
-                let client = Client(peer.ip().to_canonical());
-                let mut line = Line::new(stream, None);
-                line.read_at_once();
-                let mut serving = Box::pin(serve(line, client, router.clone(), guest, shut.clone()));
+                let peer = Peer::new(stream);
+                peer.has_unread();
+                let client = Client(client.ip().to_canonical());
+                let mut serving = Box::pin(serve(peer, client, router.clone(), guest, shut.clone()));
                 // Batches of a key count in the order in which they came, also those that came while this process had
                 // no processor time: what a new connection has brought is taken before what came after it on an older
                 // one, whose task stands behind this one. A task of its own would stand behind that.
@@ -134,75 +153,134 @@
     }
 }
 
+/// How a connection's calls came to their end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// The client has left, or said nothing for too long: nothing is owed.
+    Gone,
+    /// Its last answer said so, or what it sent is no call.
+    Last,
+    /// We were to close it, and no call was open.
+    Idle,
+    /// The same, and its place is wanted.
+    Evicted,
+}
+
 /// Serves a connection until it ends, says nothing for too long, or is to give way.
-async fn serve(line: Line, client: Client, router: Router, guest: Guest, mut shut: watch::Receiver<bool>) {
-    let (read, guest) = (line.last_read(), Arc::new(guest));
-    let asks = guest.clone();
-    let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
-        request.extensions_mut().insert(read.clone());
-        request.extensions_mut().insert(client);
-        let (asks, answer) = (asks.clone(), router.clone().call(request));
-        asks.asks();
-        Box::pin(async move {
-            let answer = answer.await;
-            asks.idles();
-            answer
-        })
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(LONGEST_HEAD);
-    let mut connection = builder.serve_connection(line, service);
+async fn serve(peer: Peer, client: Client, router: Router, guest: Guest, mut shut: watch::Receiver<bool>) {
+    let guest = Arc::new(guest);
+    let mut closing = false;
+    let evicted = loop {
+        let (asks, router, of) = (guest.clone(), router.clone(), peer.clone());
+        let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(of.clone());
+            request.extensions_mut().insert(client);
+            let (asks, answer) = (asks.clone(), router.clone().call(request));
+            asks.asks();
+            Box::pin(async move {
+                let answer = answer.await;
+                asks.idles();
+                answer
+            })
+        });
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new()).max_buf_size(LONGEST_HEAD).keep_alive(!closing);
+        builder.header_read_timeout(if closing { FIRST_CALL } else { IDLE });
+        let mut connection = builder.serve_connection(peer.stream(), service);
+        let close = converse(&mut connection, &peer, &guest, client, &mut shut).await;
+        if close == Close::Gone {
+            return;
+        }
+        let evicted = close == Close::Evicted;
+        let rest = connection.into_parts().read_buf;
+        peer.unread(&rest);
+        // A call that had begun to come before we close is still taken, as the last.
+        if closing || close == Close::Last || !peer.has_unread() {
+            break evicted;
+        }
+        closing = true;
+    };
+    peer.shut();
+    if !evicted {
+        guest.leaves();
+        tokio::select! {
+            () = part(&peer) => {}
+            () = guest.leave.notified() => {}
+        }
+    }
+    peer.discard();
+}
+
+/// Answers a connection's calls, one after another.
+async fn converse<S>(
+    connection: &mut http1::Connection<Inbound, S>,
+    peer: &Peer,
+    guest: &Guest,
+    client: Client,
+    shut: &mut watch::Receiver<bool>,
+) -> Close
+where
+    S: hyper::service::HttpService<Incoming, ResBody = Body> + Unpin,
+    S::Future: Unpin,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let first_call = sleep(FIRST_CALL);
     tokio::pin!(first_call);
-    let (mut told, mut gives_way) = (false, false);
+    let (mut looked, mut told) = (false, false);
+    let mut close = Close::Last;
     loop {
         tokio::select! {
+            biased;
             end = poll_fn(|cx| connection.poll_without_shutdown(cx)) => {
                 if let Err(fault) = end {
                     tracing::debug!(%fault, "a client's connection ended");
+                    return Close::Last;
                 }
-                break;
+                return close;
+            }
+            () = peer.left(|| guest.is_asking()) => {
+                tracing::debug!(client = ?client.0, "a client has left");
+                return Close::Gone;
             }
             () = guest.leave.notified() => {
+                // What has come by now is answered first, and another gives way.
+                if guest.is_asking() || peer.has_unread() {
+                    guest.stays();
+                    continue;
+                }
+                tracing::debug!(client = ?client.0, "a connection gives way");
                 if guest.said_nothing() {
-                    tracing::debug!(client = ?client.0, "a silent connection gives way");
-                    return;
+                    return Close::Gone;
                 }
-                // Its last answer may still be on its way out.
-                gives_way = true;
-                Pin::new(&mut connection).graceful_shutdown();
+                close = Close::Evicted;
+                Pin::new(&mut *connection).graceful_shutdown();
             }
             () = &mut first_call, if !first_call.is_elapsed() => {
-                if guest.said_nothing() {
+                if guest.said_nothing() && !peer.has_unread() {
                     tracing::debug!(client = ?client.0, "a silent connection is closed");
-                    return;
+                    return Close::Gone;
                 }
             }
             Ok(_) = shut.wait_for(|shut| *shut), if !told => {
+                // A call that came before is read before the connection is told to end.
+                if !looked && !guest.is_asking() && peer.has_unread() {
+                    looked = true;
+                    continue;
+                }
                 told = true;
-                Pin::new(&mut connection).graceful_shutdown();
+                close = if guest.is_asking() { Close::Last } else { Close::Idle };
+                Pin::new(&mut *connection).graceful_shutdown();
             }
         }
     }
-    if gives_way {
-        return;
-    }
-    guest.leaves();
-    tokio::select! {
-        () = part(connection.into_parts().io) => {}
-        () = guest.leave.notified() => {}
-    }
 }
 
 /// Lets a client that is still sending read its answer: closed with bytes unread, the connection would be reset
 /// and the answer lost.
-async fn part(line: Line) {
-    let mut stream = TokioIo::new(line);
+async fn part(peer: &Peer) {
+    let mut stream = TokioIo::new(peer.stream());
     let mut rest = [0; REST];
     let all = async {
-        if stream.shutdown().await.is_err() {
-            return;
-        }
         while let Ok(1..) = stream.read(&mut rest).await {
             sleep(REST_EVERY).await;
         }
@@ -224,14 +302,14 @@
 async fn submit(
     State(front): State<Arc<Front>>,
     Path(group): Path<String>,
-    Extension(read): Extension<LastRead>,
+    Extension(peer): Extension<Peer>,
     Extension(Client(client)): Extension<Client>,
     head: HeaderMap,
     body: Body,
 ) -> Response {
     let length = body.size_hint().exact();
     if let Some(store) = front.store.clone().filter(|_| length.is_none_or(|n| n > LONGEST_STATEMENT)) {
-        return streamed(&front, &store, &group, &head, client, &read, body).await;
+        return streamed(&front, &store, &group, &head, client, &peer, body).await;
     }
     if head.contains_key(TRANSFER_ENCODING) {
         // Told in two ways, a length may hide another call in the body: only Content-Length counts.
@@ -250,7 +328,7 @@
         Ok(Err(_)) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
         Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
     };
-    let came = front.desk.clock().at(read.at());
+    let came = front.desk.clock().at(peer.read_at());
     let (arrival, call) = match arrival(&front.decoded, &group, &head, client, body) {
         Ok(taken) => taken,
         Err(what) => {
@@ -258,7 +336,7 @@
             return wrong(StatusCode::BAD_REQUEST, &what);
         }
     };
-    match take(&front, arrival, call, came, memory) {
+    match take(&front, arrival, call, came, memory, &peer) {
         Ok(waiter) => answer(waiter).await,
         Err(refused) => *refused,
     }
@@ -271,13 +349,19 @@
     call: Call,
     came: f64,
     memory: OwnedSemaphorePermit,
+    peer: &Peer,
 ) -> Result<Waiter, Box<Response>> {
+    if peer.has_left() {
+        // Its call stood behind another one, or waited for its slot: nothing is owed, and nothing is sent for it.
+        tracing::debug!(job = arrival.job, "its client has left");
+        return Err(last(wrong(StatusCode::BAD_REQUEST, "the client has left")).into());
+    }
     arrival.limit += front.sent(arrival.key, came);
     let call = Arc::new(call);
     Ok(match front.desk.take(arrival, call.clone()) {
-        Taken::New { id, orders, waiter, once_only } => {
+        Taken::New { id, orders, waiter, once_only, attended } => {
             let (desk, engines, keeper) = (front.desk.clone(), front.engines.clone(), front.keeper.clone());
-            let life = Life { desk, engines, id, call, orders, keeper, once_only, _memory: memory };
+            let life = Life { desk, engines, id, call, orders, keeper, once_only, attended, _memory: memory };
             tokio::spawn(life.live());
             waiter
         }
@@ -296,11 +380,11 @@
     group: &str,
     head: &HeaderMap,
     client: IpAddr,
-    read: &LastRead,
+    peer: &Peer,
     mut body: Body,
 ) -> Response {
     let length = body.size_hint().exact();
-    let came = front.desk.clock().at(read.at());
+    let came = front.desk.clock().at(peer.read_at());
     let (mut arrival, mut call) = match arrival(&front.decoded, group, head, client, STANDS_IN) {
         Ok(taken) => taken,
         Err(what) => return last(wrong(StatusCode::BAD_REQUEST, &what)),
@@ -336,7 +420,7 @@
     let Ok(memory) = front.statements.clone().try_acquire_many_owned(0) else {
         return last(wrong(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
     };
-    let waiter = match take(front, arrival, call, came, memory) {
+    let waiter = match take(front, arrival, call, came, memory, peer) {
         Ok(waiter) => waiter,
         Err(refused) => return last(*refused),
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,9 +121,9 @@
         };
         let router = front::router(Arc::new(front));
         let guests = Guests::new(self.budget.clients.clone());
-        let (shut, open) = watch::channel(false);
-        // One for both phases: a connection that waits for its seat is in its hands.
-        let mut accepting = Box::pin(front::accept(&listener, &router, &guests, &open));
+        let ((shut, open), (close, closing)) = (watch::channel(false), watch::channel(false));
+        // One for all phases: a connection that waits for its seat is in its hands.
+        let mut accepting = Box::pin(front::accept(&listener, &router, &guests, &open, closing));
         tokio::select! {
             () = &mut accepting => {}
             () = self.serving() => {}
@@ -135,15 +135,19 @@
         self.desk.ends(self.desk.clock().at(end));
         // It ends with the time alone: accepting does not.
         let _ = timeout(GOES_ON, &mut accepting).await;
+        // What the machine has accepted by now is served, too; those that ask for nothing make room.
+        close.send_replace(true);
+        shut.send_replace(true);
+        let last_answer = end + span(ANSWERS_OUT / 2.0);
+        let _ = timeout_at(last_answer.into(), &mut accepting).await;
         drop(accepting);
         drop(listener);
         // A client that does not read its answer keeps nothing up, and no engine that does not answer DELETE.
         let last = async {
-            shut.send_replace(true);
             guests.gone().await;
             self.desk.emptied().await;
         };
-        if timeout_at((end + span(ANSWERS_OUT / 2.0)).into(), last).await.is_err() {
+        if timeout_at(last_answer.into(), last).await.is_err() {
             tracing::warn!("stopped with calls still open");
         }
         if let Some(store) = store {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Embed it with [`config::Config`] and [`gateway::Gateway`]; `src/main.rs` does no more.
 
+pub mod attended;
 pub mod changes;
 pub mod cli;
 pub mod clock;
@@ -11,6 +12,7 @@
 pub mod front;
 pub mod gateway;
 pub mod guests;
+pub mod inbound;
 pub mod keeping;
 pub mod life;
 pub mod plan_cli;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -1,7 +1,8 @@
 //! The life of one batch, top to bottom in one task.
 
+use crate::attended::Attended;
 use crate::desk::{Desk, Final, Order};
-use crate::engines::{Call, Ended, Engines, Statement, Target, Tidings, Wish};
+use crate::engines::{Call, Ended, Engines, Start, Statement, Target, Tidings, Wish};
 use crate::keeping::Keeper;
 use crate::rows;
 use garnetwall::api::{BatchId, End, EngineId, Next, Outcome};
@@ -22,6 +23,8 @@
     pub keeper: Arc<Keeper>,
     /// What is written down before it is sent.
     pub once_only: Option<Sent>,
+    /// Whether a client waits for it.
+    pub attended: Attended,
     /// The statement's part of the budget.
     pub _memory: OwnedSemaphorePermit,
 }
@@ -32,8 +35,10 @@
         let mut dispatch = 0;
         while let Some(order) = self.orders.recv().await {
             match order {
-                Order::Go { engine, until } => {
-                    let over = self.dispatch(engine, dispatch, until).await;
+                Order::Go { engine, until, comes_by } => {
+                    let attended = self.attended.clone();
+                    let start = Start { further: dispatch > 0, until, comes_by, attended };
+                    let over = self.dispatch(engine, dispatch, start).await;
                     dispatch += 1;
                     if over {
                         break;
@@ -56,17 +61,18 @@
     }
 
     /// One dispatch until its outcome; whether the batch is over then.
-    async fn dispatch(&mut self, engine: EngineId, dispatch: u32, until: Instant) -> bool {
+    async fn dispatch(&mut self, engine: EngineId, dispatch: u32, start: Start) -> bool {
         let out = Out { engine, dispatch, sent: Instant::now() };
         let Some(target) = self.engines.target(engine) else {
             return self.after(out, Ended::of(End::Unconnected), false);
         };
-        let (ended, answered) = self.run(target, out, until).await;
+        let (ended, answered) = self.run(target, out, start).await;
         self.after(out, ended, answered)
     }
 
     /// Runs a dispatch until it is over, which may be later than its batch's answer; whether none is owed any more.
-    async fn run(&mut self, target: Target, out: Out, until: Instant) -> (Ended, bool) {
+    async fn run(&mut self, target: Target, out: Out, start: Start) -> (Ended, bool) {
+        let until = start.until;
         let (engines, call, desk) = (self.engines.clone(), self.call.clone(), self.desk.clone());
         let (keeper, once_only, id) = (self.keeper.clone(), self.once_only, self.id);
         let (wish, wishes) = watch::channel(Wish::Answer);
@@ -80,7 +86,7 @@
                 }
             }
             tracing::debug!(batch = id, engine = out.engine, dispatch = out.dispatch, "dispatch");
-            engines.dispatch(target, &call, out.dispatch, until, wishes, tidings).await
+            engines.dispatch(target, &call, start, wishes, tidings).await
         };
         let too_late = async {
             tokio::select! {
@@ -215,22 +221,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A disk that takes longer than the batch has: nothing is sent after the answer, and the wait ends with it.
-    #[tokio::test]
-    async fn a_promise_that_comes_after_the_answer_sends_nothing() {
-        let over = [(Wish::Over, End::Moot), (Wish::Begun, End::Moot), (Wish::Back, End::Unconnected)];
-        for (last, end) in over {
-            let (wish, wishes) = watch::channel(Wish::Answer);
-            let waiting = promised(std::future::pending(), wishes.clone());
-            wish.send_replace(last);
-            assert_eq!(waiting.await, Err(end));
-            assert_eq!(promised(std::future::ready(true), wishes).await, Err(end), "both at once");
-        }
-        let (_wish, wishes) = watch::channel(Wish::Answer);
-        assert_eq!(promised(std::future::ready(true), wishes.clone()).await, Ok(()));
-        assert_eq!(promised(std::future::ready(false), wishes).await, Err(End::Unconnected));
-    }
-}
+mod tests;
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,17 +1,16 @@
 //! The budget of descriptors and memory, and the stream that holds a part of it for as long as it is open.
 
 use crate::rows;
-use bytes::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::future::Future;
-use std::io::{self, Read as _};
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, Sleep};
@@ -30,7 +29,7 @@
 
 /// A write that nothing is read of for this long ends the connection: far above any client's patience with
 /// its own network.
-const STALLED: Duration = Duration::from_secs(10);
+pub const STALLED: Duration = Duration::from_secs(10);
 
 /// Parts of the told limit that may be open at once.
 #[derive(Clone, Debug)]
@@ -60,23 +59,6 @@
     }
 }
 
-/// Read of a new connection at once: a head and a statement of the usual length.
-const FIRST: usize = 8 << 10;
-
-/// When something was last read from a connection.
-#[derive(Clone, Debug)]
-pub struct LastRead(Arc<Mutex<Instant>>);
-
-impl LastRead {
-    pub fn at(&self) -> Instant {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn set(&self) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
-    }
-}
-
 /// Whether what a connection has not sent yet is to be thrown away when it closes. The machine goes on sending for
 /// minutes otherwise: a start written while the engine was cut off would come, and run, long after it was given up.
 #[derive(Clone, Debug, Default)]
@@ -92,8 +74,11 @@
 /// its answer while the connection for its dispatch is still coming up, or while the machine takes a long start in by parts;
 /// an engine that got the rest would run what is over.
 pub struct Gate {
+    may_begin: Box<dyn Fn() -> bool + Send + Sync>,
     wanted: Box<dyn Fn() -> bool + Send + Sync>,
     at: AtomicU8,
+    /// Its first byte was let out.
+    begun: AtomicBool,
 }
 
 /// Where a gate's start stands.
@@ -114,9 +99,13 @@
 }
 
 impl Gate {
-    /// `wanted` tells whether somebody still waits for what is started.
-    pub fn new(wanted: impl Fn() -> bool + Send + Sync + 'static) -> Self {
-        Gate { wanted: Box::new(wanted), at: AtomicU8::new(NOT_BEGUN) }
+    /// `may_begin` tells whether its engine takes new dispatches; `wanted` whether somebody still waits for what is started.
+    pub fn new(
+        may_begin: impl Fn() -> bool + Send + Sync + 'static,
+        wanted: impl Fn() -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let (may_begin, wanted) = (Box::new(may_begin), Box::new(wanted));
+        Gate { may_begin, wanted, at: AtomicU8::new(NOT_BEGUN), begun: AtomicBool::new(false) }
     }
 
     fn moves(&self, from: u8, to: u8) -> bool {
@@ -150,7 +139,10 @@
         match self.at.load(Ordering::Relaxed) {
             WHOLE => true,
             STOPPED => false,
-            _ if (self.wanted)() => true,
+            _ if (self.wanted)() && (self.begun.load(Ordering::Relaxed) || (self.may_begin)()) => {
+                self.begun.store(true, Ordering::Relaxed);
+                true
+            }
             _ => {
                 self.at.store(STOPPED, Ordering::Relaxed);
                 false
@@ -172,13 +164,10 @@
     }
 }
 
-/// A TCP stream with its part of the budget; it stamps what it reads before anything parses it.
+/// A TCP stream to an engine or the change log, with its part of the budget.
 #[derive(Debug)]
 pub struct Line {
     io: TokioIo<TcpStream>,
-    /// What had come before the runtime could tell so.
-    first: Bytes,
-    read: LastRead,
     abandoned: Abandoned,
     /// Of the start that goes out on it.
     gate: Option<Arc<Gate>>,
@@ -192,11 +181,8 @@
         if let Err(fault) = stream.set_nodelay(true) {
             tracing::debug!(%fault, "no-delay not set");
         }
-        let read = LastRead(Arc::new(Mutex::new(Instant::now())));
         Line {
             io: TokioIo::new(stream),
-            first: Bytes::new(),
-            read,
             abandoned: Abandoned::default(),
             gate: None,
             stalled: None,
@@ -204,16 +190,6 @@
         }
     }
 
-    /// Reads what has come already, without a turn through the runtime's poll: a connection that has just been accepted
-    /// is known there as readable one turn later, when what came after it on other connections has been read.
-    pub fn read_at_once(&mut self) {
-        let mut first = vec![0; FIRST];
-        // What fails here fails again when it is polled.
-        let read = (&*SockRef::from(self.io.inner())).read(&mut first).unwrap_or_default();
-        first.truncate(read);
-        self.first = first.into();
-    }
-
     /// For who gives the connection up while bytes may still be on their way.
     pub fn abandoned(&self) -> Abandoned {
         self.abandoned.clone()
@@ -233,10 +209,6 @@
         }
     }
 
-    pub fn last_read(&self) -> LastRead {
-        self.read.clone()
-    }
-
     /// Lets no write wait for ever.
     fn bounded(&mut self, cx: &mut Context, end: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if end.is_ready() {
@@ -258,19 +230,8 @@
 }
 
 impl Read for Line {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        let end = match self.first.is_empty() {
-            true => Pin::new(&mut self.io).poll_read(cx, buf),
-            false => {
-                let now = self.first.len().min(buf.remaining());
-                buf.put_slice(&self.first.split_to(now));
-                Poll::Ready(Ok(()))
-            }
-        };
-        if matches!(end, Poll::Ready(Ok(()))) {
-            self.read.set();
-        }
-        end
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
     }
 }
 
@@ -309,15 +270,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_room_for_batches_is_what_both_descriptors_and_memory_can_hold() {
-        assert_eq!(Budget::of(256, 192).room, 85);
-        let little = Budget::of(1024, 32);
-        assert_eq!(little.room, 87, "of 341 that the descriptors could hold");
-        let held = little.room * RESULT + little.statements.available_permits();
-        assert!(held < 20 << 20, "{held} bytes of 32 MB");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gateway/tests/closing.rs
@@ -0,0 +1,178 @@
+//! What crosses the gateway's own closes: SIGTERM's end of accepting, the end of a kept connection, an idle one that gives
+//! way. What the machine has accepted is answered whole, or not read and never sent on.
+
+mod helper;
+
+use helper::process::{ms, Process};
+use helper::*;
+use serde_json::json;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+fn text(id: &str, statement: &str) -> String {
+    let (fields, length) = (fields(id, 3000), statement.len());
+    format!("POST /v1/report HTTP/1.1\r\nHost: g\r\n{fields}Content-Length: {length}\r\n\r\n{statement}")
+}
+
+fn answered(stream: &TcpStream) -> Option<Answer> {
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    read_message(&mut BufReader::new(stream)).map(Answer::of)
+}
+
+/// A connection that is kept after one answer.
+fn kept(service: &Service) -> TcpStream {
+    let stream = service.open();
+    (&stream).write_all(text(&new_id(), "SELECT 1").as_bytes()).unwrap();
+    assert!(answered(&stream).expect("an answer").returned());
+    stream
+}
+
+fn at(instant: Instant) {
+    sleep(instant.saturating_duration_since(Instant::now()));
+}
+
+/// Every seat is taken by calls that last, so that one connection is accepted and waits for its seat, and others stand in the
+/// machine's line, when accepting ends.
+#[test]
+fn connections_that_wait_for_a_seat_when_accepting_ends_are_answered() {
+    let engine = Process::start();
+    let service = Service::with(|config| {
+        config["limits"]["sockets"] = json!(64);
+        config["known"]["results"] = json!([change(0, true, &[line("s-0", engine.address, "SERVING")])]);
+        config["settings"]["allowed"]["may-probe"] = json!(false);
+    });
+    let lasting: Vec<TcpStream> = (0..26)
+        .map(|_| {
+            let stream = service.open();
+            (&stream).write_all(text(&new_id(), "SELECT 1 /* runs 1300 */").as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    until("calls are out", || engine.dispatches().len() > 5);
+    service.signal("TERM");
+    let term = Instant::now();
+    at(term + ms(200));
+    let waiting: Vec<TcpStream> = (0..4)
+        .map(|_| {
+            let stream = service.open();
+            (&stream).write_all(text(&new_id(), "SELECT 2").as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    for (n, stream) in lasting.iter().chain(&waiting).enumerate() {
+        assert!(answered(stream).is_some(), "call {n} was reset or closed with no answer");
+    }
+}
+
+/// A call that has come by the time that its kept connection is to be closed, while the gateway had no processor time.
+#[test]
+fn a_call_on_a_kept_connection_that_came_before_its_end_is_answered() {
+    // Where this machine is so busy that the gateway could not be stopped in time, that shows nothing.
+    let shown = (0..5).any(|_| {
+        let mut service = Service::start();
+        let kept: Vec<TcpStream> = (0..12).map(|_| kept(&service)).collect();
+        service.signal("TERM");
+        let term = Instant::now();
+        service.stops();
+        if term.elapsed() > ms(500) {
+            return false;
+        }
+        for stream in &kept {
+            let mut stream = stream;
+            stream.write_all(text(&new_id(), "SELECT 2").as_bytes()).unwrap();
+        }
+        at(term + ms(900));
+        service.signal("CONT");
+        for (n, stream) in kept.iter().enumerate() {
+            assert!(answered(stream).is_some_and(|a| a.returned()), "call {n} was not answered");
+        }
+        assert!(service.child.wait().unwrap().success());
+        true
+    });
+    assert!(shown, "the gateway was never stopped in time");
+}
+
+/// Half of a call has come when its kept connection is to be closed, the rest after.
+#[test]
+fn a_call_that_had_begun_to_come_before_its_connection_s_end_is_answered() {
+    let service = Service::start();
+    let stream = kept(&service);
+    let call = text(&new_id(), "SELECT 2");
+    let (first, rest) = call.split_at(60);
+    service.signal("TERM");
+    let term = Instant::now();
+    at(term + ms(200));
+    (&stream).write_all(first.as_bytes()).unwrap();
+    at(term + ms(900));
+    (&stream).write_all(rest.as_bytes()).unwrap();
+    assert!(answered(&stream).expect("an answer").returned());
+}
+
+/// What is written after our end of the connection is never sent on, and the answer before it is not lost by a reset.
+#[test]
+fn a_call_written_after_the_end_of_its_connection_is_not_sent_on() {
+    let service = Service::start();
+    let mut stream = kept(&service);
+    service.signal("TERM");
+    let mut nothing = [0; 1];
+    stream.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+    assert_eq!(stream.read(&mut nothing).expect("an orderly end"), 0);
+    let id = new_id();
+    let _ = stream.write_all(text(&id, "SELECT 2").as_bytes());
+    sleep(ms(300));
+    assert_eq!(service.engine.calls("POST"), 1, "only the first was sent on");
+}
+
+/// All seats are held by idle connections. On the one that has been idle longest a call has come, unread yet, when a new
+/// connection needs a seat.
+#[test]
+fn an_idle_connection_on_which_a_call_has_come_does_not_give_way() {
+    let service = Service::with(|config| config["limits"]["sockets"] = json!(64));
+    let idle: Vec<TcpStream> = (0..26).map(|_| kept(&service)).collect();
+    service.stops();
+    let mut oldest = &idle[0];
+    oldest.write_all(text(&new_id(), "SELECT 2").as_bytes()).unwrap();
+    let new = service.open();
+    (&new).write_all(text(&new_id(), "SELECT 3").as_bytes()).unwrap();
+    sleep(ms(150));
+    service.signal("CONT");
+    assert!(answered(oldest).is_some_and(|a| a.returned()), "its call was lost");
+    assert!(answered(&new).is_some_and(|a| a.returned()), "the new one is served");
+}
+
+/// Half of a call has come on the connection that is to give way.
+#[test]
+fn a_call_that_had_begun_to_come_on_one_that_gives_way_is_answered() {
+    let service = Service::with(|config| config["limits"]["sockets"] = json!(64));
+    let idle: Vec<TcpStream> = (0..26).map(|_| kept(&service)).collect();
+    let call = text(&new_id(), "SELECT 2");
+    let (first, rest) = call.split_at(60);
+    let mut oldest = &idle[0];
+    oldest.write_all(first.as_bytes()).unwrap();
+    sleep(ms(50));
+    let new = service.open();
+    (&new).write_all(text(&new_id(), "SELECT 3").as_bytes()).unwrap();
+    assert!(answered(&new).is_some_and(|a| a.returned()), "the new one is served");
+    oldest.write_all(rest.as_bytes()).unwrap();
+    assert!(answered(oldest).is_some_and(|a| a.returned()), "its call was lost");
+}
+
+/// A client sends much more after a call that ends its connection: it can read its answer all the same.
+#[test]
+fn a_flood_behind_the_last_call_does_not_reset_its_answer_away() {
+    let service = Service::start();
+    for _ in 0..5 {
+        let stream = service.open();
+        let mut flood = b"POST /v1/report HTTP/1.1\r\nHost: g\r\nContent-Length: 999999999\r\n\r\n".to_vec();
+        flood.resize(2 << 20, b'x');
+        let writer = stream.try_clone().unwrap();
+        let writing = std::thread::spawn(move || {
+            let _ = (&writer).write_all(&flood);
+        });
+        assert_eq!(answered(&stream).expect("an answer").status, 413);
+        drop(stream);
+        writing.join().unwrap();
+    }
+}
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -369,6 +369,15 @@
     }
 }
 
+impl Service {
+    /// Takes all processor time from it, until it is told to go on.
+    pub fn stops(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("it stands still", || std::fs::read_to_string(&stat).is_ok_and(|s| s.contains(") T ")));
+    }
+}
+
 impl Drop for Service {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/src/api.rs
+++ b/src/api.rs
@@ -176,7 +176,13 @@
 /// Where to send a batch, or not yet, or never.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Place {
-    To { engine: EngineId, time_out: f64, memory: Option<f64> },
+    /// Nobody waits for the dispatch after `time_out`; it has come whole to its engine `within` a time, or never does.
+    To {
+        engine: EngineId,
+        time_out: f64,
+        within: f64,
+        memory: Option<f64>,
+    },
     NotYet,
     Over(Answer),
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -257,6 +257,19 @@
         self.end(now, id);
     }
 
+    /// Whether anybody waits for this batch now. Guards against a dispatch for a client that has gone: one whose
+    /// connection broke may come again at once, so until then its batch stays in hand but is not sent.
+    pub fn attended(&mut self, now: f64, id: BatchId, attended: bool) {
+        self.advance(now);
+        let Some(h) = self.batches.get_mut(&id).filter(|h| h.unattended == attended) else { return };
+        h.unattended = !attended;
+        match (h.stage, attended) {
+            (Stage::Queued, true) => self.enqueue(id),
+            (Stage::Queued, false) => self.unqueue(id),
+            _ => {}
+        }
+    }
+
     /// This gateway ends then: no batch in hand has longer.
     pub fn ends(&mut self, at: f64) {
         self.batches.values_mut().for_each(|h| h.limit = h.limit.min(at));
@@ -387,6 +400,9 @@
     fn enqueue(&mut self, id: BatchId) {
         let Some(h) = self.batches.get_mut(&id) else { return };
         h.stage = Stage::Queued;
+        if h.unattended {
+            return;
+        }
         let b = h.b;
         let q = &mut self.queues[b.tenant];
         if !q.busy() {
@@ -505,7 +521,9 @@
         e.holds(c.threads, need);
         e.work_sent += work;
         let memory = self.grant(&b, engine);
-        Place::To { engine, time_out, memory }
+        // What the window does not hold any more on its arrival is not sent: its connection may come up late.
+        let within = self.window_left(now, id).min(time_out);
+        Place::To { engine, time_out, within, memory }
     }
 
     // ---- 1: the guard ----
@@ -517,6 +535,7 @@
         let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
         line.condition == Condition::Ready
             && h.stage == Stage::Queued
+            && !h.unattended
             && h.out.is_none()
             && now < h.limit - MARGIN
             && named(&c.zones, line.zone)
@@ -530,18 +549,23 @@
     /// Whether the rules let a batch have another dispatch anywhere.
     fn may_go_again(&self, now: f64, id: BatchId) -> bool {
         let h = &self.batches[&id];
-        let harmless = match (h.may_have_run, self.s.groups[h.b.group].effect) {
-            (None, _) | (_, Effect::Repeatable) => true,
-            (Some(_), Effect::OnceOnly) => false,
-            (Some(first), Effect::Referenced { window, .. }) => now + MARGIN < first.at + window,
-        };
-        harmless
+        self.window_left(now, id) > 0.0
             && !h.unkept
             && now < h.limit - MARGIN
             && h.dispatches < self.s.max_dispatches
             && self.further_left(now, h.b.group)
     }
 
+    /// How long a dispatch of this batch can still come to an engine without a second effect.
+    fn window_left(&self, now: f64, id: BatchId) -> f64 {
+        let h = &self.batches[&id];
+        match (h.may_have_run, self.s.groups[h.b.group].effect) {
+            (None, _) | (_, Effect::Repeatable) => f64::INFINITY,
+            (Some(_), Effect::OnceOnly) => 0.0,
+            (Some(first), Effect::Referenced { window, .. }) => first.at + window - MARGIN - now,
+        }
+    }
+
     fn in_scope(&self, h: &InHand, engine: EngineId) -> bool {
         let Effect::Referenced { scope, .. } = self.s.groups[h.b.group].effect else { return true };
         let cell = u32::from(scope == Scope::Cell);
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,11 +87,14 @@
     pub may_have_run: Option<Sent>,
     /// Its body is not there any more for a further dispatch.
     pub unkept: bool,
+    /// Nobody waits for it at the moment.
+    pub unattended: bool,
 }
 
 impl InHand {
     pub fn new(b: Batch, taken: f64, limit: f64, stage: Stage) -> Self {
-        InHand { b, taken, limit, stage, dispatches: 0, out: None, may_have_run: None, unkept: false }
+        let (out, may_have_run) = (None, None);
+        InHand { b, taken, limit, stage, dispatches: 0, out, may_have_run, unkept: false, unattended: false }
     }
 }
 
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -43,6 +43,8 @@
     pub probes: Vec<EngineId>,
     /// Ways that batches may go, by number.
     pub lanes: Vec<Vec<EngineSet>>,
+    /// How long each dispatch had to come to its engine.
+    pub within: Vec<f64>,
     /// When an engine's present start was told.
     told: Vec<f64>,
     further: Vec<f64>,
@@ -110,6 +112,7 @@
             asked: Vec::new(),
             probes: Vec::new(),
             lanes: Vec::new(),
+            within: Vec::new(),
             told: vec![1000.0; engines],
             further: Vec::new(),
             taken: Vec::new(),
@@ -235,7 +238,8 @@
             (Effect::OnceOnly, _) => panic!("once-only batch {id} sent again"),
             (Effect::Referenced { scope, window }, Some(d)) => {
                 let a = &self.lines[d.engine];
-                assert!(now <= d.at + window, "referenced batch {id} sent after its window");
+                let comes_by = now + self.within.last().copied().unwrap_or_default();
+                assert!(comes_by <= d.at + window, "referenced batch {id} sent after its window");
                 assert!(scope == Scope::Everywhere || a.zone == l.zone);
                 assert!(scope != Scope::Cell || a.cell == l.cell);
             }
@@ -311,7 +315,9 @@
             Place::NotYet => {}
             Place::Over(Answer::PushBack { .. }) => self.answered(id, true),
             Place::Over(Answer::Error) => self.answered(id, false),
-            Place::To { engine, time_out, .. } => {
+            Place::To { engine, time_out, within, .. } => {
+                assert!(within <= time_out, "more than its time-out");
+                self.within.push(within);
                 self.check_dispatch(id, engine);
                 let r = &mut self.records[id as usize];
                 assert!(self.now + time_out <= r.limit + 1e-6, "time-out past the limit");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -503,3 +503,59 @@
     let r = &w.records[id as usize];
     assert_eq!((r.dispatches.len(), r.over, r.pushed_back), (3, true, false), "the second may have run");
 }
+
+/// A repeat of a referenced batch has to come to its engine inside the window, however late its connection comes up.
+#[test]
+fn a_repeat_is_told_how_long_its_window_still_lasts() {
+    let effect = Effect::Referenced { scope: Scope::Everywhere, window: 1.0 };
+    let mut w = World::new(settings(vec![group(effect)]), 4);
+    let id = w.take(0, 0, None, 4.0);
+    w.pass(0.1);
+    let sent = w.records[0].dispatches[0].at;
+    assert!(w.within[0] > 3.9, "the first has its whole time");
+    w.pass(0.5);
+    w.outcome(id, End::Broken);
+    w.pass(0.1);
+    let again = w.records[0].dispatches[1].at;
+    assert!(again + w.within[1] < sent + 1.0, "{} s after {}", w.within[1], again - sent);
+}
+
+/// Nobody waits for a batch for a moment: it is not sent, neither at first nor again, and goes in its turn once somebody does.
+#[test]
+fn what_nobody_waits_for_is_not_sent_until_somebody_does() {
+    let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 4);
+    let id = w.take(0, 0, None, 4.0);
+    w.c.attended(w.now, id, false);
+    w.pass(0.05);
+    assert!(w.sent_to(id).is_empty());
+    let other = w.take(0, 0, None, 4.0);
+    w.pass(0.05);
+    assert_eq!(w.sent_to(other).len(), 1, "others of its line are not held");
+    w.c.attended(w.now, id, true);
+    w.pass(0.05);
+    assert_eq!(w.sent_to(id).len(), 1);
+    w.c.attended(w.now, id, false);
+    w.outcome(id, End::Broken);
+    w.pass(0.2);
+    assert_eq!(w.sent_to(id).len(), 1, "no further dispatch either");
+    w.client_gone(id);
+    w.pass(5.0);
+    assert_eq!(w.sent_to(id).len(), 1);
+}
+
+/// The same for a batch that comes to its turn behind another of its key, and for one that its time ends.
+#[test]
+fn what_nobody_waits_for_keeps_its_place_in_its_key_and_its_limit() {
+    let keyed = ServiceGroup { in_order: true, ..group(Effect::OnceOnly) };
+    let mut w = World::new(settings(vec![keyed]), 4);
+    let (first, second, third) =
+        (w.take(0, 0, Some(1), 4.0), w.take(0, 0, Some(1), 1.0), w.take(0, 0, Some(1), 4.0));
+    w.pass(0.1);
+    w.c.attended(w.now, second, false);
+    w.outcome(first, End::Returned);
+    w.pass(0.3);
+    assert!(w.sent_to(second).is_empty() && w.sent_to(third).is_empty(), "it keeps its place");
+    w.pass(1.0);
+    assert!(w.records[second as usize].over, "answered in its time");
+    assert_eq!(w.sent_to(third).len(), 1);
+}
