Only whole lines show that the change log lives

Seen: a log that sent a byte each 0.5 s and no line feed was followed for ever; one that sent its head after 2 s and then nothing was followed for 4.5 s; a list of 3 MB in parts held the gateway up for 3.7 s in a debug build. Ruled out: hyper and the body as such; a body given up is closed at once, also where nothing comes on it (tested). At fault: one_connection in changes.rs set the clock back with the head and with each frame; Stream::feed looked through all that had come with each part. Change: one deadline from when the connection is begun, put off by whole lines alone; feed goes on where it had looked to. The flag of a lost log is taken back when it is connected, so that a log that ends its stream and is then refused is warned of. 2.5 s stay: one comment may be 1.5 s late without the price of a new connection.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -11,12 +11,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Protocol: the path of the log and the field that names the last event had.
 const PATH: &str = "/changes";
 pub const LAST_EVENT: &str = "last-event-id";
-/// Protocol: a comment comes each second; two and a half without one are a silent stream.
+/// Protocol: a comment comes each second, and what the log tells counts as told 7 s later. A stream of which no line has come
+/// whole for this long is silent, and so is a connection that has brought none this long after it was begun. Two comments
+/// are missed then, so that one that is late costs no new connection.
 const SILENT: Duration = Duration::from_millis(2500);
 /// More than any list in one event; what is longer is no event.
 const LONGEST_EVENT: usize = 4 << 20;
@@ -99,7 +101,11 @@
 #[derive(Default)]
 pub struct Stream {
     rest: Vec<u8>,
+    /// So many bytes of the rest have no line feed.
+    searched: usize,
     event: Sent,
+    /// Lines that have come whole.
+    pub lines: u64,
 }
 
 impl Stream {
@@ -107,11 +113,14 @@
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Sent>, String> {
         self.rest.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
-            let line: Vec<u8> = self.rest.drain(..=end).collect();
+        while let Some(end) = self.rest.iter().skip(self.searched).position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.rest.drain(..=self.searched + end).collect();
+            self.searched = 0;
+            self.lines += 1;
             let line = line.strip_suffix(b"\n").unwrap_or(&line);
             events.extend(self.line(line.strip_suffix(b"\r").unwrap_or(line)));
         }
+        self.searched = self.rest.len();
         if self.rest.len() + self.event.data.len() > LONGEST_EVENT {
             return Err("an event is too long".into());
         }
@@ -148,8 +157,7 @@
     pub desk: Arc<Desk>,
     /// The number of the event that was malformed last: it is passed over when it comes again.
     pub malformed: Option<u64>,
-    /// Connections that came up, and whether the last fault was logged.
-    pub connections: u64,
+    /// The log is lost, and that was logged.
     pub lost: bool,
 }
 
@@ -159,16 +167,16 @@
     pub async fn follow(mut self, pause: Duration) {
         let mut moves = self.log.clone();
         loop {
-            let before = self.connections;
             let log = *moves.borrow_and_update();
+            let begun = Instant::now();
             let end = tokio::select! {
-                end = self.one_connection(log) => end,
+                end = self.one_connection(log, begun + SILENT) => end,
                 // An old stream is not listened to any more; the numbers go on.
                 Ok(()) = moves.changed() => continue,
             };
             match end {
                 Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
-                Err(fault) if self.connections > before || !self.lost => {
+                Err(fault) if !self.lost => {
                     tracing::warn!(%fault, last = self.last, "change log lost");
                     self.lost = true;
                 }
@@ -181,20 +189,25 @@
         }
     }
 
-    async fn one_connection(&mut self, log: SocketAddr) -> Result<(), String> {
-        let answer = timeout(SILENT, self.engines.open_log(log, PATH, LAST_EVENT, self.last));
+    /// One connection to its end. Only whole lines show that the log lives: the first is due by `due`, and each puts that off.
+    async fn one_connection(&mut self, log: SocketAddr, mut due: Instant) -> Result<(), String> {
+        let answer = timeout_at(due, self.engines.open_log(log, PATH, LAST_EVENT, self.last));
         let mut body = answer.await.map_err(|_| "no answer")??;
         tracing::info!(%log, last = self.last, "change log connected");
-        self.connections += 1;
+        self.lost = false;
         let mut stream = Stream::default();
         loop {
-            let Some(frame) = timeout(SILENT, body.frame()).await.map_err(|_| "silent")? else {
+            let Some(frame) = timeout_at(due, body.frame()).await.map_err(|_| "silent")? else {
                 return Ok(());
             };
             let bytes = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_else(|_| Bytes::new());
+            let lines = stream.lines;
             for sent in stream.feed(&bytes)? {
                 self.apply(&sent)?;
             }
+            if stream.lines > lines {
+                due = Instant::now() + SILENT;
+            }
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -190,7 +190,6 @@
             engines: self.engines.clone(),
             desk: self.desk.clone(),
             malformed: None,
-            connections: 0,
             lost: false,
         };
         tokio::spawn(follower.follow(span(self.config.decoded.network.dial)));
