Connections to the change log are paced by their begin, with jitter by the gateway's seed

Seen: with a dial time of 1.5 s, two silent connections in a row and a list told after the last line, the list was applied 8.0 s after it was told (10.0 s before the commit on whole lines); the protocol has 7 s. All gateways waited the same pause after they had lost the log at once. Ruled out: the bound on silence, which was mended before and leaves 8.0 s. At fault: follow in changes.rs slept the dial time, whatever that is, after every end. Change: Reconnect, a pure type: from begin to begin a whole pause, 0.5 s at most, and a random part of a second one by the seed; after a connection that lasted only the random part. Two silent connections take 5 s and their pauses less than 1 s, so the third is begun less than 6 s after the last line. Seen to fail without the change: over_two_silent_connections_in_a_row_a_list_is_applied_inside_its_seven_seconds (8.0 s).

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -2,6 +2,7 @@
 
 use crate::desk::Desk;
 use crate::engines::Engines;
+use crate::reconnect::Reconnect;
 use bytes::Bytes;
 use garnetwall::api::Condition;
 use garnetwall_settings::Names;
@@ -18,7 +19,8 @@
 pub const LAST_EVENT: &str = "last-event-id";
 /// Protocol: a comment comes each second, and what the log tells counts as told 7 s later. A stream of which no line has come
 /// whole for this long is silent, and so is a connection that has brought none this long after it was begun. Two comments
-/// are missed then, so that one that is late costs no new connection.
+/// are missed then, so that one that is late costs no new connection; and two silent connections in a row, with a pause after
+/// each (`reconnect`), are over 6 s after the last line, when the third is begun.
 const SILENT: Duration = Duration::from_millis(2500);
 /// More than any list in one event; what is longer is no event.
 const LONGEST_EVENT: usize = 4 << 20;
@@ -164,7 +166,7 @@
 impl Follower {
     /// Reads the log for as long as the gateway runs, with a fresh connection after every fault. Faults that
     /// follow one another with no connection between are logged once.
-    pub async fn follow(mut self, pause: Duration) {
+    pub async fn follow(mut self, mut reconnect: Reconnect) {
         let mut moves = self.log.clone();
         loop {
             let log = *moves.borrow_and_update();
@@ -183,7 +185,7 @@
                 Err(fault) => tracing::debug!(%fault, last = self.last, "change log still lost"),
             }
             tokio::select! {
-                () = sleep(pause) => {}
+                () = sleep(reconnect.wait(begun.elapsed())) => {}
                 Ok(()) = moves.changed() => {}
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::guests::Guests;
 use crate::keeping::{self, Keeper};
 use crate::planning::{self, Planner};
+use crate::reconnect::Reconnect;
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
 use garnetwall::api::{EngineId, Settings};
@@ -192,7 +193,8 @@
             malformed: None,
             lost: false,
         };
-        tokio::spawn(follower.follow(span(self.config.decoded.network.dial)));
+        let reconnect = Reconnect::new(span(self.config.decoded.network.dial), self.config.seed);
+        tokio::spawn(follower.follow(reconnect));
         tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod life;
 pub mod plan_cli;
 pub mod planning;
+pub mod reconnect;
 pub mod rows;
 pub mod sockets;
 pub mod spacing;
--- /dev/null
+++ b/crates/gateway/tests/reconnect.rs
@@ -0,0 +1,39 @@
+//! The pace of connections to the change log, without any clock or socket.
+
+use garnetwall_gateway::reconnect::{Reconnect, LONGEST_PAUSE};
+use std::time::Duration;
+
+const PAUSE: Duration = Duration::from_millis(250);
+
+#[test]
+fn a_log_that_closes_at_once_is_connected_to_once_a_pause_at_most() {
+    let mut reconnect = Reconnect::new(PAUSE, 7);
+    for lasted in [0, 1, 100, 249].map(Duration::from_millis) {
+        for _ in 0..1000 {
+            let apart = lasted + reconnect.wait(lasted);
+            assert!(apart >= PAUSE && apart < PAUSE * 2, "{apart:?} after {lasted:?}");
+        }
+    }
+}
+
+#[test]
+fn gateways_that_lose_the_log_together_are_spread_over_a_pause() {
+    for lasted in [Duration::ZERO, Duration::from_secs(60)] {
+        let mut fleet: Vec<Reconnect> = (0..300).map(|seed| Reconnect::new(PAUSE, seed)).collect();
+        for round in 0..10 {
+            let mut tenths = [0; 10];
+            for reconnect in &mut fleet {
+                let wait = reconnect.wait(lasted) - PAUSE.saturating_sub(lasted);
+                tenths[(wait.as_secs_f64() / PAUSE.as_secs_f64() * 10.0) as usize] += 1;
+            }
+            // 30 are expected in each; 10 are four deviations off.
+            assert!(tenths.iter().all(|n| *n >= 10), "round {round}: {tenths:?}");
+        }
+    }
+}
+
+#[test]
+fn two_silent_connections_and_their_pauses_leave_time_however_long_a_connection_may_take() {
+    let mut reconnect = Reconnect::new(Duration::from_secs(3), 7);
+    assert!((0..1000).all(|_| reconnect.wait(Duration::from_millis(2500)) < LONGEST_PAUSE));
+}
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -205,6 +205,26 @@
     assert!(log.next(Duration::ZERO).is_none(), "over the first connection");
 }
 
+/// The list is told right after the last line of the first connection, the second falls silent as well, as late as it can:
+/// its head still comes. The settings allow a connection so much time that it can't be the pause.
+#[test]
+fn over_two_silent_connections_in_a_row_a_list_is_applied_inside_its_seven_seconds() {
+    let (log, other) = (Log::start(), Engine::start());
+    let s = watched(log.address, |config| config["settings"]["allowed"]["dial-timeout"] = json!(1500.0));
+    let first = log.opens();
+    sleep(ms(300));
+    first.says(COMMENT);
+    let told = Instant::now();
+    let second = log.next(LONG).expect("a second connection");
+    sleep(ms(2000));
+    second.says(HEAD);
+    let third = log.opens();
+    third.tells(&only(1, &other));
+    is_followed(&s, &other);
+    let took = told.elapsed();
+    assert!(took < ms(7000), "applied {took:?} after it was told");
+}
+
 #[test]
 fn silent_from_its_first_second_and_again_it_is_replaced_each_time() {
     let (log, other) = (Log::start(), Engine::start());
@@ -224,3 +244,18 @@
     let took = began.elapsed();
     assert!(took < ms(7000), "applied {took:?} after the start");
 }
+
+#[test]
+fn a_log_that_closes_at_once_is_connected_to_once_a_pause_at_most() {
+    let log = Log::start();
+    let _s = watched(log.address, |_| {});
+    drop(log.next(LONG).expect("a connection"));
+    let began = Instant::now();
+    let mut came = 0;
+    while let Some(watch) = log.next(ms(3000).saturating_sub(began.elapsed())) {
+        watch.says(HEAD);
+        drop(watch);
+        came += 1;
+    }
+    assert!((5..=12).contains(&came), "{came} connections in 3 s at a pause of 250 ms");
+}
