The watch of the change log takes nothing of the engines' descriptors

Seen: with the log down, engines that hang and as many batches as there is room for, all descriptors of engines were held; the log came back and was not connected to within 0.9 s, for as long as they were. Ruled out: the descriptors themselves: OWN in sockets.rs keeps one back for the log. At fault: open_log in engines.rs went through connect, which takes a permit of the engines' budget. Change: open_log connects without a permit. Seen to fail without the change: engines_that_hold_all_their_descriptors_do_not_keep_the_watch_out gets no connection.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -394,7 +394,8 @@
         }
     }
 
-    /// Opens the change log after an event, for its stream.
+    /// Opens the change log after an event, for its stream. It takes nothing of the engines' budget, which keeps a descriptor
+    /// back for it: engines that hold all of that must not keep out the news of them.
     pub async fn open_log(
         &self,
         log: SocketAddr,
@@ -404,7 +405,12 @@
     ) -> Result<Incoming, String> {
         let mut request = request(Method::GET, log, path);
         request.headers_mut().insert(HeaderName::from_static(field), HeaderValue::from(last));
-        let (mut sender, _) = self.connect(log, None).await.map_err(|fault| format!("{fault:?}"))?;
+        let up = timeout(self.dial, TcpStream::connect(log)).await.map_err(|_| "no connection in time")?;
+        let line = Line::new(up.map_err(|e| e.to_string())?, None);
+        let mut builder = http1::Builder::new();
+        let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await;
+        let (mut sender, connection) = up.map_err(|e| e.to_string())?;
+        tokio::spawn(async move { drop(connection.await) });
         let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -3,11 +3,13 @@
 
 mod helper;
 
+use garnetwall_gateway::sockets::Budget;
 use helper::process::ms;
 use helper::*;
 use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
@@ -142,6 +144,95 @@
     until("the list told is the one in force", || goes_to(s, engine));
 }
 
+// Who holds the descriptors.
+
+/// Event A: engines that hang hold all that engines may have. Event B: the log comes back and tells that they drain.
+#[test]
+fn engines_that_hold_all_their_descriptors_do_not_keep_the_watch_out() {
+    const SOCKETS: usize = 64;
+    let (log, hanging, other) = (Log::start(), Engine::start(), Engine::start());
+    let lines = |state: &str| -> Vec<Value> {
+        (0..40).map(|n| line(&format!("s-{n}"), hanging.address, state)).collect()
+    };
+    let s = watched(log.address, |config| {
+        config["limits"]["sockets"] = json!(SOCKETS);
+        config["known"]["results"] = json!([change(0, true, &lines("SERVING"))]);
+    });
+    let first = log.opens();
+    let address = log.address;
+    drop((log, first));
+    let all = Budget::of(SOCKETS, 192).engines.available_permits();
+    let began = Instant::now();
+    let batch = |_| {
+        let stream = s.open();
+        send(&stream, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1 /* keeps delete */");
+        stream
+    };
+    let batches: Vec<TcpStream> = (0..SOCKETS / 3).map(batch).collect();
+    until("all descriptors of engines are taken", || hanging.calls("POST") >= all);
+    assert!(began.elapsed() < ms(1500), "the batches are in hand still");
+    let log = Log::at(address);
+    let watch = log.next(PAUSES + SLACK).expect("the watch beside engines that hold their whole budget");
+    watch.says(HEAD);
+    let mut told = lines("DRAINING");
+    told.push(line("s-other", other.address, "SERVING"));
+    watch.tells(&change(1, false, &told));
+    let _lives = watch.lives();
+    for stream in batches {
+        read_message(&mut BufReader::new(stream)).expect("an answer");
+    }
+    let before = hanging.calls("POST");
+    is_followed(&s, &other);
+    assert_eq!(hanging.calls("POST"), before, "nothing new to engines that drain");
+}
+
+/// Event A: the log is down, and idle clients take all that clients may have. Event B: it comes back.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_neither_batches_nor_the_watch_out() {
+    const SOCKETS: usize = 64;
+    let log = Log::start();
+    let (address, other) = (log.address, Engine::start());
+    drop(log);
+    let limited = |config: &Value| {
+        let start = format!("ulimit -n {SOCKETS}; exec {} serve", env!("CARGO_BIN_EXE_garnetwall"));
+        let mut command = std::process::Command::new("sh");
+        command.args(["-c", &start]).env("PROXY_CONFIG", file(config)).env_remove("PROXY_LISTEN");
+        command.stderr(Stdio::null()).spawn().unwrap()
+    };
+    let s = Service::by(
+        |config| {
+            config["changelog"] = json!(address.to_string());
+            config["limits"]["sockets"] = json!(SOCKETS);
+            config["settings"]["allowed"]["may-probe"] = json!(false);
+        },
+        limited,
+    );
+    let began = Instant::now();
+    let idle = |n: usize| {
+        let stream = s.open();
+        // Half of them rest after an answer, half say nothing at all.
+        if n < SOCKETS {
+            send(&stream, "GET /healthz", "", "");
+            read_message(&mut BufReader::new(stream.try_clone().unwrap())).expect("an answer");
+        }
+        stream
+    };
+    let idle: Vec<TcpStream> = (0..SOCKETS * 2).map(idle).collect();
+    for _ in 0..5 {
+        assert!(s.batch("report", "SELECT 1").returned(), "new clients are served without the log");
+    }
+    // Long before the idle would be closed for being that.
+    let served = began.elapsed();
+    assert!(served < ms(1900), "served after {served:?}");
+    let log = Log::at(address);
+    let watch = log.next(PAUSES + SLACK).expect("the watch beside idle clients");
+    watch.says(HEAD);
+    watch.tells(&only(1, &other));
+    let _lives = watch.lives();
+    is_followed(&s, &other);
+    drop(idle);
+}
+
 // Streams that are silent, or nearly so.
 
 #[test]
