SIGHUP that names the same change log keeps its stream

Seen: each SIGHUP, also one for a plan, cost a new connection and a call for the list, which the fleet pays for. Ruled out: the pause, a connection that is not answered, a silent stream, a second SIGHUP and a faulty file between: the new place was followed at once and the numbers went on. At fault: follow in changes.rs waited for changed(), which any reload sets off; and select! took at random where a move and an event of the old stream were there at once. Change: it waits for another address than the one it follows, and looks there first. Seen to fail without the change: sighup_with_the_same_place_keeps_the_stream. The four others on SIGHUP passed before; with the move not heard while connected, or not in the pause, each of them gets no connection at the new place.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::watch::{self, error::RecvError};
 use tokio::time::{sleep, timeout_at, Instant};
 
 /// Protocol: the path of the log and the field that names the last event had.
@@ -149,6 +149,11 @@
     }
 }
 
+/// Until the log is at another address than this.
+async fn moved(log: &mut watch::Receiver<SocketAddr>, from: SocketAddr) -> Result<(), RecvError> {
+    log.wait_for(|to| *to != from).await.map(drop)
+}
+
 /// Follows the log: where it is and how far it has been applied.
 pub struct Follower {
     /// Where the log is; a reload may name another address.
@@ -172,9 +177,10 @@
             let log = *moves.borrow_and_update();
             let begun = Instant::now();
             let end = tokio::select! {
-                end = self.one_connection(log, begun + SILENT) => end,
+                biased;
                 // An old stream is not listened to any more; the numbers go on.
-                Ok(()) = moves.changed() => continue,
+                Ok(()) = moved(&mut moves, log) => continue,
+                end = self.one_connection(log, begun + SILENT) => end,
             };
             match end {
                 Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
@@ -185,8 +191,8 @@
                 Err(fault) => tracing::debug!(%fault, last = self.last, "change log still lost"),
             }
             tokio::select! {
+                Ok(()) = moved(&mut moves, log) => {}
                 () = sleep(reconnect.wait(begun.elapsed())) => {}
-                Ok(()) = moves.changed() => {}
             }
         }
     }
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -9,7 +9,8 @@
 use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::Stdio;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
@@ -350,3 +351,146 @@
     }
     assert!((5..=12).contains(&came), "{came} connections in 3 s at a pause of 250 ms");
 }
+
+// SIGHUP at each step of the watch.
+
+/// A gateway with a file that a test writes anew.
+struct Reloading {
+    s: Service,
+    path: PathBuf,
+}
+
+impl Reloading {
+    fn start(log: SocketAddr, change_more: impl Fn(&mut Value)) -> Reloading {
+        let path = file(&Value::Null);
+        let serve = |config: &Value| -> Child {
+            std::fs::write(&path, config.to_string()).unwrap();
+            serve_from(&path, Stdio::null())
+        };
+        let s = Service::by(
+            |config| {
+                config["changelog"] = json!(log.to_string());
+                config["settings"]["allowed"]["may-probe"] = json!(false);
+                change_more(config);
+            },
+            serve,
+        );
+        Reloading { s, path }
+    }
+
+    fn reads(&self, text: &str) {
+        // Never half a file: the gateway may be reading the one before.
+        let new: &Path = &self.path.with_extension("new");
+        std::fs::write(new, text).and_then(|()| std::fs::rename(new, &self.path)).unwrap();
+        self.s.signal("HUP");
+    }
+
+    fn moves_to(&self, log: &Log) {
+        let mut config = self.s.config.clone();
+        config["changelog"] = json!(log.address.to_string());
+        self.reads(&config.to_string());
+    }
+
+    /// What a new place is followed with: at once, from the last number applied, and to what it tells.
+    fn follows(&self, log: &Log, last: u64, tells: &Engine) -> Watch {
+        let watch = log.next(SLACK).expect("the new place at once");
+        assert_eq!(watch.last, last, "the numbers go on");
+        watch.says(HEAD);
+        watch.tells(&only(last + 1, tells));
+        let lives = watch.lives();
+        is_followed(&self.s, tells);
+        drop(lives);
+        watch
+    }
+}
+
+#[test]
+fn sighup_while_the_watch_connects_is_followed_at_once() {
+    let (old, new, other) = (Log::start(), Log::start(), Engine::start());
+    let r = Reloading::start(old.address, |_| {});
+    let connecting = old.next(LONG).expect("a connection that is not answered");
+    r.moves_to(&new);
+    r.follows(&new, 0, &other);
+    assert!(connecting.is_closed(SLACK), "the old place is left");
+}
+
+/// The pause is the longest that there is, and the new place comes within a part of it.
+#[test]
+fn sighup_in_the_pause_is_followed_at_once() {
+    let (old, new, other) = (Log::start(), Log::start(), Engine::start());
+    let r = Reloading::start(old.address, |config| {
+        config["settings"]["allowed"]["dial-timeout"] = json!(3000.0);
+    });
+    let watch = old.opens();
+    watch.tells(&change(1, false, &[]));
+    drop(watch);
+    drop(old.opens());
+    let paused = Instant::now();
+    r.moves_to(&new);
+    let watch = r.follows(&new, 1, &other);
+    let after = watch.came - paused;
+    assert!(after < ms(450), "{after:?} into a pause of 500 ms or more");
+    assert!(old.next(Duration::ZERO).is_none(), "it was the pause");
+}
+
+#[test]
+fn sighup_on_a_silent_stream_is_followed_at_once_and_nothing_of_the_old_one_after() {
+    let (old, new, other, stale) = (Log::start(), Log::start(), Engine::start(), Engine::start());
+    let r = Reloading::start(old.address, |_| {});
+    let watch = old.opens();
+    watch.tells(&only(1, &other));
+    is_followed(&r.s, &other);
+    sleep(ms(1500));
+    r.moves_to(&new);
+    let newest = new.next(SLACK).expect("the new place at once");
+    assert_eq!(newest.last, 1);
+    newest.says(HEAD);
+    // The gateway may have closed the old one by then; whatever comes there is not applied.
+    let stale_event = only(2, &stale);
+    let _ = (&watch.stream).write_all(format!("id: 2\ndata: {stale_event}\n\n").as_bytes());
+    let _lives = newest.lives();
+    for _ in 0..5 {
+        assert!(goes_to(&r.s, &other), "the last list stays");
+    }
+    let newer = Engine::start();
+    newest.tells(&only(2, &newer));
+    is_followed(&r.s, &newer);
+    assert_eq!(stale.calls("POST"), 0, "nothing of the old stream");
+}
+
+#[test]
+fn of_two_sighups_the_last_counts_also_with_a_faulty_file_between() {
+    let (old, between, new) = (Log::start(), Log::start(), Log::start());
+    let (first, stale, other) = (Engine::start(), Engine::start(), Engine::start());
+    let r = Reloading::start(old.address, |_| {});
+    let watch = old.opens();
+    watch.tells(&only(1, &first));
+    is_followed(&r.s, &first);
+    r.moves_to(&between);
+    r.reads("{");
+    r.moves_to(&new);
+    let newest = r.follows(&new, 1, &other);
+    let _lives = newest.lives();
+    assert!(watch.is_closed(SLACK), "the first place is left");
+    // It may have been connected to between the two, and is left.
+    if let Some(left) = between.next(Duration::ZERO) {
+        let _ = (&left.stream).write_all(format!("{HEAD}id: 3\ndata: {}\n\n", only(3, &stale)).as_bytes());
+    }
+    r.reads("{");
+    assert!((0..5).all(|_| goes_to(&r.s, &other)), "a faulty file changes nothing");
+    assert!(new.next(ms(100)).is_none() && !newest.is_closed(ms(100)), "nor does it cost a connection");
+    assert_eq!(stale.calls("POST"), 0);
+}
+
+/// A reload for another reason, such as a plan, costs no call for the list.
+#[test]
+fn sighup_with_the_same_place_keeps_the_stream() {
+    let (log, other) = (Log::start(), Engine::start());
+    let r = Reloading::start(log.address, |_| {});
+    let watch = log.opens();
+    let _lives = watch.lives();
+    r.moves_to(&log);
+    assert!(log.next(SLACK).is_none(), "no other connection");
+    watch.tells(&only(1, &other));
+    is_followed(&r.s, &other);
+}
