A spoilt event skips none that was due, and one without a list makes nobody healthy

Seen: an unreadable event with id 9 that came twice where 1 was due set the last number to 9, so that 1 to 8, drains among them, were never applied; an event without a list made a gateway healthy that knew no engine. Ruled out: numbers that go back, come late or twice: an older list was never applied (tested, also over a second connection). At fault: apply in changes.rs passed over any malformed number seen twice; Engines::listed told a list as known with any event. Change: only the number that is due is passed over; an event has to hold a list to make one known. The number due is counted without an overflow. Seen to fail without the change: a_spoilt_event_with_too_high_a_number_skips_none, an_event_without_a_list_makes_no_gateway_healthy. no_older_list_takes_the_place_of_a_newer_one fails where numbers below the one due are not passed over.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -222,7 +222,7 @@
     /// Applies an event once and in order. A malformed one ends the connection; when it comes again on the next
     /// it is passed over.
     fn apply(&mut self, sent: &Sent) -> Result<(), String> {
-        let expected = self.last + 1;
+        let expected = self.last.saturating_add(1);
         let json: Value = serde_json::from_slice(&sent.data).unwrap_or(Value::Null);
         let event = event(&json, &self.names);
         let number = event.as_ref().map_or(sent.number.unwrap_or(expected), |event| event.number);
@@ -235,7 +235,8 @@
                 self.last = number;
                 self.desk.listed(&self.engines.listed(&event), event.whole);
             }
-            Err(what) if self.malformed == Some(number) => {
+            // One that can't be read does not speak for those that were due before it.
+            Err(what) if self.malformed == Some(number) && number == expected => {
                 tracing::warn!(event = number, what, "event passed over");
                 self.last = number;
             }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -340,7 +340,10 @@
             list.known.iter_mut().for_each(|known| known.goes(now));
         }
         let lines = event.lines.iter().filter_map(|line| list.take(line, now)).collect();
-        self.known.send_replace(true);
+        // An event without a list tells none.
+        if event.whole || !event.lines.is_empty() {
+            self.known.send_replace(true);
+        }
         let count = |c: Condition| list.known.iter().filter(|k| k.line.condition == c).count();
         let (ready, draining) = (count(Condition::Ready), count(Condition::Draining));
         tracing::info!(change = event.number, ready, draining, "engine list");
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -494,3 +494,78 @@
     watch.tells(&only(1, &other));
     is_followed(&r.s, &other);
 }
+
+// Numbers.
+
+#[test]
+fn no_older_list_takes_the_place_of_a_newer_one() {
+    let (log, newer, older) = (Log::start(), Engine::start(), Engine::start());
+    let s = watched(log.address, |_| {});
+    let watch = log.opens();
+    watch.tells(&change(1, false, &[line("s-a", older.address, "SERVING")]));
+    watch.tells(&only(2, &newer));
+    is_followed(&s, &newer);
+    let before = older.calls("POST");
+    // Late, twice, and a whole list whose number goes back; then as another connection's first events.
+    let late = [
+        change(1, false, &[line("s-a", older.address, "SERVING")]),
+        change(2, true, &[line("s-a", older.address, "SERVING")]),
+        change(0, true, &[line("s-a", older.address, "SERVING")]),
+        change(1, true, &[line("s-a", older.address, "SERVING")]),
+    ];
+    late.iter().for_each(|event| watch.tells(event));
+    for _ in 0..10 {
+        assert!(goes_to(&s, &newer), "the newest list stays");
+    }
+    drop(watch);
+    let watch = log.opens();
+    assert_eq!(watch.last, 2, "the number never goes back");
+    late.iter().for_each(|event| watch.tells(event));
+    let _lives = watch.lives();
+    for _ in 0..10 {
+        assert!(goes_to(&s, &newer), "the newest list stays");
+    }
+    assert_eq!(older.calls("POST"), before, "nothing to an engine that the newest list does not name");
+    watch.tells(&only(3, &older));
+    is_followed(&s, &older);
+}
+
+/// What was due before it would never come: the log goes on from the number that it is asked with.
+#[test]
+fn a_spoilt_event_with_too_high_a_number_skips_none() {
+    let (log, other) = (Log::start(), Engine::start());
+    let s = watched(log.address, |_| {});
+    for _ in 0..3 {
+        let watch = log.opens();
+        assert_eq!(watch.last, 0, "nothing was applied");
+        watch.says("id: 9\ndata: {\"se\n\n");
+        assert!(watch.is_closed(SLACK), "and it is asked for again");
+    }
+    let watch = log.opens();
+    assert_eq!(watch.last, 0, "nothing was applied");
+    watch.tells(&only(1, &other));
+    let _lives = watch.lives();
+    is_followed(&s, &other);
+}
+
+#[test]
+fn an_event_without_a_list_makes_no_gateway_healthy() {
+    let log = Log::start();
+    let (engine, unused) = (Engine::start(), ChangeLog::start());
+    let mut config = config(engine.address, log.address);
+    config["known"] = json!({"seq": 0, "results": []});
+    let address = config["listen"].as_str().unwrap().parse().unwrap();
+    let s = Service { child: serve(&config), engine, log: unused, config, address };
+    let watch = log.opens();
+    let _lives = watch.lives();
+    watch.tells(&json!({"seq": 1}));
+    watch.tells(&json!({"seq": 3}));
+    // The third came where the second was due: the first has been applied by then.
+    let watch = log.opens();
+    assert_eq!(watch.last, 1);
+    let health = || call(s.open(), "GET /healthz", "", "").unwrap().first;
+    assert_eq!(health(), "HTTP/1.1 503 Service Unavailable");
+    watch.tells(&only(2, &s.engine));
+    let _lives = watch.lives();
+    s.healthy();
+}
