Test: a log that ends its stream and is gone then is warned of again

Seen: read in follow; a log that was down once, came up, ended its stream in good order and was refused then left no line at the usual level, as the flag of the first loss was never taken back. Ruled out: a flood: one line for each loss, however often the log is tried meanwhile. Change: the test alone. Seen to fail where the flag is not taken back at the connection: the second line never comes.

--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -352,6 +352,28 @@
     assert!((5..=12).contains(&came), "{came} connections in 3 s at a pause of 250 ms");
 }
 
+/// Who reads the gateway's log sees each time that it is lost, also where the stream was ended in good order before.
+#[test]
+fn a_log_that_ends_its_stream_and_is_gone_then_is_warned_of_again() {
+    let path = file(&Value::Null).with_extension("log");
+    let said = || std::fs::read_to_string(&path).unwrap().matches("change log lost").count();
+    let log = Log::start();
+    let address = log.address;
+    drop(log);
+    let _s = Service::by(
+        |config| config["changelog"] = json!(address.to_string()),
+        |config| serve_from(&file(config), std::fs::File::create(&path).unwrap().into()),
+    );
+    until("lost at the start", || said() == 1);
+    let log = Log::at(address);
+    let watch = log.opens();
+    drop(log);
+    drop(watch);
+    until("lost again", || said() == 2);
+    sleep(PAUSES * 2);
+    assert_eq!(said(), 2, "and told once");
+}
+
 // SIGHUP at each step of the watch.
 
 /// A gateway with a file that a test writes anew.
