--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -2,6 +2,7 @@
 
 use crate::desk::Desk;
 use crate::engines::Engines;
+use crate::reconnect::Reconnect;
 use bytes::Bytes;
 use garnetwall::api::Condition;
 use garnetwall_settings::Names;
@@ -10,13 +11,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch::{self, error::RecvError};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Protocol: the path of the log and the field that names the last event had.
 const PATH: &str = "/changes";
 pub const LAST_EVENT: &str = "last-event-id";
-/// Protocol: a comment comes each second; two and a half without one are a silent stream.
+/// Protocol: a comment comes each second, and what the log tells counts as told 7 s later. A stream of which no line has come
+/// whole for this long is silent, and so is a connection that has brought none this long after it was begun. Two comments
+/// are missed then, so that one that is late costs no new connection; and two silent connections in a row, with a pause after
+/// each (`reconnect`), are over 6 s after the last line, when the third is begun.
 const SILENT: Duration = Duration::from_millis(2500);
 /// More than any list in one event; what is longer is no event.
 const LONGEST_EVENT: usize = 4 << 20;
@@ -99,7 +103,11 @@
 #[derive(Default)]
 pub struct Stream {
     rest: Vec<u8>,
+    /// So many bytes of the rest have no line feed.
+    searched: usize,
     event: Sent,
+    /// Lines that have come whole.
+    pub lines: u64,
 }
 
 impl Stream {
@@ -107,11 +115,14 @@
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Sent>, String> {
         self.rest.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
-            let line: Vec<u8> = self.rest.drain(..=end).collect();
+        while let Some(end) = self.rest.iter().skip(self.searched).position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.rest.drain(..=self.searched + end).collect();
+            self.searched = 0;
+            self.lines += 1;
             let line = line.strip_suffix(b"\n").unwrap_or(&line);
             events.extend(self.line(line.strip_suffix(b"\r").unwrap_or(line)));
         }
+        self.searched = self.rest.len();
         if self.rest.len() + self.event.data.len() > LONGEST_EVENT {
             return Err("an event is too long".into());
         }
@@ -138,6 +149,11 @@
     }
 }
 
+/// Until the log is at another address than this.
+async fn moved(log: &mut watch::Receiver<SocketAddr>, from: SocketAddr) -> Result<(), RecvError> {
+    log.wait_for(|to| *to != from).await.map(drop)
+}
+
 /// Follows the log: where it is and how far it has been applied.
 pub struct Follower {
     /// Where the log is; a reload may name another address.
@@ -148,60 +164,65 @@
     pub desk: Arc<Desk>,
     /// The number of the event that was malformed last: it is passed over when it comes again.
     pub malformed: Option<u64>,
-    /// Connections that came up, and whether the last fault was logged.
-    pub connections: u64,
+    /// The log is lost, and that was logged.
     pub lost: bool,
 }
 
 impl Follower {
     /// Reads the log for as long as the gateway runs, with a fresh connection after every fault. Faults that
     /// follow one another with no connection between are logged once.
-    pub async fn follow(mut self, pause: Duration) {
+    pub async fn follow(mut self, mut reconnect: Reconnect) {
         let mut moves = self.log.clone();
         loop {
-            let before = self.connections;
             let log = *moves.borrow_and_update();
+            let begun = Instant::now();
             let end = tokio::select! {
-                end = self.one_connection(log) => end,
+                biased;
                 // An old stream is not listened to any more; the numbers go on.
-                Ok(()) = moves.changed() => continue,
+                Ok(()) = moved(&mut moves, log) => continue,
+                end = self.one_connection(log, begun + SILENT) => end,
             };
             match end {
                 Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
-                Err(fault) if self.connections > before || !self.lost => {
+                Err(fault) if !self.lost => {
                     tracing::warn!(%fault, last = self.last, "change log lost");
                     self.lost = true;
                 }
                 Err(fault) => tracing::debug!(%fault, last = self.last, "change log still lost"),
             }
             tokio::select! {
-                () = sleep(pause) => {}
-                Ok(()) = moves.changed() => {}
+                Ok(()) = moved(&mut moves, log) => {}
+                () = sleep(reconnect.wait(begun.elapsed())) => {}
             }
         }
     }
 
-    async fn one_connection(&mut self, log: SocketAddr) -> Result<(), String> {
-        let answer = timeout(SILENT, self.engines.open_log(log, PATH, LAST_EVENT, self.last));
+    /// One connection to its end. Only whole lines show that the log lives: the first is due by `due`, and each puts that off.
+    async fn one_connection(&mut self, log: SocketAddr, mut due: Instant) -> Result<(), String> {
+        let answer = timeout_at(due, self.engines.open_log(log, PATH, LAST_EVENT, self.last));
         let mut body = answer.await.map_err(|_| "no answer")??;
         tracing::info!(%log, last = self.last, "change log connected");
-        self.connections += 1;
+        self.lost = false;
         let mut stream = Stream::default();
         loop {
-            let Some(frame) = timeout(SILENT, body.frame()).await.map_err(|_| "silent")? else {
+            let Some(frame) = timeout_at(due, body.frame()).await.map_err(|_| "silent")? else {
                 return Ok(());
             };
             let bytes = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_else(|_| Bytes::new());
+            let lines = stream.lines;
             for sent in stream.feed(&bytes)? {
                 self.apply(&sent)?;
             }
+            if stream.lines > lines {
+                due = Instant::now() + SILENT;
+            }
         }
     }
 
     /// Applies an event once and in order. A malformed one ends the connection; when it comes again on the next
     /// it is passed over.
     fn apply(&mut self, sent: &Sent) -> Result<(), String> {
-        let expected = self.last + 1;
+        let expected = self.last.saturating_add(1);
         let json: Value = serde_json::from_slice(&sent.data).unwrap_or(Value::Null);
         let event = event(&json, &self.names);
         let number = event.as_ref().map_or(sent.number.unwrap_or(expected), |event| event.number);
@@ -214,7 +235,8 @@
                 self.last = number;
                 self.desk.listed(&self.engines.listed(&event), event.whole);
             }
-            Err(what) if self.malformed == Some(number) => {
+            // One that can't be read does not speak for those that were due before it.
+            Err(what) if self.malformed == Some(number) && number == expected => {
                 tracing::warn!(event = number, what, "event passed over");
                 self.last = number;
             }
