Bad input: a configuration is served, or refused with place, cause and what to do

Tried on the program as it was: limits.sockets of 2^64-1 passed check-config and panicked in serve (a semaphore's most permits); limits.memory_mb of that size wrapped to nothing; a key that nobody reads was refused where it held a list of lists or nulls, though sites bring new keys; a time limit of 0, below 0, absent or 1e308 ms, negative times, worths and shares, a group or tenant without a name or with another's, an index of no zone, a text for an object, and changes numbered past known.seq were all taken in silence. Errors are typed (Fault, ConfigError, with thiserror) and read 'place: cause; what to do'.

--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -45,7 +45,8 @@
 
 impl Instance {
     pub fn new(seed: u64, text: &str, clock: f64) -> Result<Self, String> {
-        let Decoded { settings, fields, .. } = decode(&Flat::from_text(text)?)?;
+        let decoded = Flat::from_text(text).and_then(|flat| decode(&flat));
+        let Decoded { settings, fields, .. } = decoded.map_err(|fault| fault.to_string())?;
         Ok(Instance {
             groups: settings.groups.len(),
             control: Control::new(settings, seed, clock),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,13 +2,13 @@
 
 use crate::changes::{self, Event};
 use crate::{plan_cli, planning};
-use garnetwall_plan::Plan;
-use garnetwall_settings::{decode, Decoded, Flat};
+use garnetwall_plan::{Faulty, Plan};
+use garnetwall_settings::{decode, shown, Cause, Decoded, Fault, Flat};
 use serde_json::Value;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use thiserror::Error;
 
 /// Names the file that holds the configuration.
 pub const FILE_VARIABLE: &str = "PROXY_CONFIG";
@@ -24,6 +24,8 @@
 /// Where no limit is told, and the least that the program itself needs.
 const USUAL_MEMORY_MB: u64 = 512;
 const LEAST_MEMORY_MB: u64 = 16;
+/// More than any machine has of either.
+const MOST: u64 = 1 << 30;
 
 /// Bodies may have a quarter of the memory: statements have an eighth and results a quarter.
 const BODIES_PART: u32 = 2;
@@ -61,22 +63,41 @@
     }
 }
 
-/// What is wrong, with the key it is under and what was expected.
-#[derive(Debug, PartialEq, Eq)]
-pub struct ConfigError(pub String);
-
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
+/// What is wrong: where, why, and what to do.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ConfigError {
+    #[error("{FILE_VARIABLE}: not set; name the file of the configuration there, or with --config")]
+    NoFile,
+    #[error("{file}: {cause}; name a file that can be read")]
+    Unreadable { file: String, cause: String },
+    #[error("{file}: not JSON: {cause}; mend it there")]
+    NotJson { file: String, cause: String },
+    #[error("configuration {0}")]
+    Key(#[from] Fault),
+    /// Settings that stand alone in their file.
+    #[error("{file}: {fault}")]
+    Settings { file: String, fault: Fault },
+    #[error("plan {file} is faulty\n{what}")]
+    Plan { file: String, what: String },
+    #[error(
+        "plan {file}: memory of bodies: {bodies} bytes, {most} at most by limits.memory_mb; give them less"
+    )]
+    Bodies { file: String, bodies: u64, most: u64 },
 }
 
-impl std::error::Error for ConfigError {}
-
 type Checked<T> = Result<T, ConfigError>;
 
-fn fault<T>(key: &str, expected: &str) -> Checked<T> {
-    Err(ConfigError(format!("configuration {key}: {expected}")))
+/// A key that holds what is not `expected`, or nothing.
+fn wrong_type(place: &str, expected: &'static str, found: Option<&Value>, remedy: &str) -> ConfigError {
+    match found {
+        Some(found) => Fault::wrong_type(place, expected, found, remedy),
+        None => Fault::new(place, Cause::Missing, remedy),
+    }
+    .into()
+}
+
+fn unusable(place: &str, cause: String, remedy: impl Into<String>) -> ConfigError {
+    Fault::new(place, Cause::Unusable(cause), remedy).into()
 }
 
 /// The files that a gateway is configured by, as the command line names them.
@@ -93,13 +114,12 @@
     if let Some(file) = plan {
         let settings = planning::settings(&config.decoded);
         let compiled = garnetwall_plan::compile(&plan_cli::Disk, &file, Some(&settings));
-        let compiled = compiled.map_err(|faulty| ConfigError(format!("plan {file} is faulty\n{faulty}")))?;
+        let faulty = |faulty: Faulty| ConfigError::Plan { file: file.clone(), what: faulty.to_string() };
+        let compiled = compiled.map_err(faulty)?;
         let bodies = compiled.plan.bodies.as_ref().map_or(0, |b| b.memory);
         let most = (config.memory_mb as u64) << 20 >> BODIES_PART;
         if bodies > most {
-            let what =
-                format!("plan {file}: memory of bodies: {bodies} bytes, {most} at most by limits.memory_mb");
-            return Err(ConfigError(what));
+            return Err(ConfigError::Bodies { file, bodies, most });
         }
         config.plan = Some(Arc::new(compiled.plan));
     }
@@ -108,51 +128,58 @@
 
 /// The settings of a gateway's configuration, or settings that stand alone in their file.
 pub fn settings(file: &str) -> Checked<Decoded> {
-    let text = std::fs::read(file).map_err(|e| ConfigError(format!("{file}: {e}")))?;
-    let json: Value =
-        serde_json::from_slice(&text).map_err(|e| ConfigError(format!("{file}: not JSON: {e}")))?;
-    let named = |what: String| ConfigError(format!("{file}: {what}"));
-    decode(&Flat::from_json(json.get("settings").unwrap_or(&json)).map_err(named)?).map_err(named)
+    let json = json(file)?;
+    let decoded = Flat::from_json(json.get("settings").unwrap_or(&json)).and_then(|flat| decode(&flat));
+    decoded.map_err(|fault| ConfigError::Settings { file: file.into(), fault })
+}
+
+fn json(file: &str) -> Checked<Value> {
+    let unreadable = |e: std::io::Error| ConfigError::Unreadable { file: file.into(), cause: e.to_string() };
+    let text = std::fs::read(file).map_err(unreadable)?;
+    serde_json::from_slice(&text)
+        .map_err(|e| ConfigError::NotJson { file: file.into(), cause: e.to_string() })
 }
 
 fn read_config(file: Option<String>, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
-    let Some(file) = file.or_else(|| variable(FILE_VARIABLE)) else {
-        return Err(ConfigError(format!("{FILE_VARIABLE}: not set, the path of the configuration expected")));
-    };
-    let text = std::fs::read(&file).map_err(|e| ConfigError(format!("{FILE_VARIABLE}: {file}: {e}")))?;
-    let json: Value = match serde_json::from_slice(&text) {
-        Ok(json) => json,
-        Err(e) => return Err(ConfigError(format!("{FILE_VARIABLE}: {file}: not JSON: {e}"))),
-    };
-    check(json, variable)
+    let file = file.or_else(|| variable(FILE_VARIABLE)).ok_or(ConfigError::NoFile)?;
+    check(json(&file)?, variable)
 }
 
 fn check(told: Value, variable: impl Fn(&str) -> Option<String>) -> Checked<Config> {
     let json = &told;
     if !json.is_object() {
-        return fault("file", "an object expected");
+        return Err(wrong_type("file", "an object", Some(json), "write {...} with the keys of a gateway"));
     }
     let listen = match variable(LISTEN_VARIABLE) {
         Some(word) => address(LISTEN_VARIABLE, &word)?,
         None => address("listen", text(json, "listen")?)?,
     };
     let seed = text(json, "seed")?;
-    let Ok(seed) = u64::from_str_radix(seed, 16) else {
-        return fault("seed", &format!("'{seed}': up to 16 hex digits expected"));
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| {
+        unusable("seed", format!("'{seed}' is no seed"), "write up to 16 hex digits, new at each start")
+    })?;
+    let flat = json.get("settings").ok_or_else(|| {
+        wrong_type("settings", "an object", None, "write {...} with the settings of the platform")
+    })?;
+    let decoded = decode(&Flat::from_json(flat)?)?;
+    decoded.check()?;
+    let (last_known, known) = match json.get("known") {
+        None | Some(Value::Null) => (0, Vec::new()),
+        Some(known) => self::known(known, &decoded)?,
+    };
+    let limits = match json.get("limits") {
+        None | Some(Value::Null) => &Value::Null,
+        Some(limits) if limits.is_object() => limits,
+        other => {
+            return Err(wrong_type("limits", "an object", other, "write {...} with sockets and memory_mb"))
+        }
     };
-    let flat = json.get("settings").map_or_else(|| fault("settings", "missing, an object expected"), Ok)?;
-    let named = |what: String| ConfigError(format!("configuration {what}"));
-    let decoded = decode(&Flat::from_json(flat).map_err(named)?).map_err(named)?;
-    if decoded.settings.groups.is_empty() {
-        return fault("settings.categories", "at least one service group expected");
-    }
-    let (last_known, known) = known(json.get("known").unwrap_or(&Value::Null), &decoded)?;
     Ok(Config {
         name: variable(NAME_VARIABLE).map_or_else(|| text(json, "name").map(String::from), Ok)?,
         listen,
         seed,
-        sockets: limit(json, "sockets", FEWEST_SOCKETS, USUAL_SOCKETS)?,
-        memory_mb: limit(json, "memory_mb", LEAST_MEMORY_MB, USUAL_MEMORY_MB)?,
+        sockets: limit(limits, "sockets", FEWEST_SOCKETS, USUAL_SOCKETS)?,
+        memory_mb: limit(limits, "memory_mb", LEAST_MEMORY_MB, USUAL_MEMORY_MB)?,
         changelog: address("changelog", text(json, "changelog")?)?,
         last_known,
         known,
@@ -164,38 +191,91 @@
 
 fn text<'a>(json: &'a Value, key: &str) -> Checked<&'a str> {
     match json.get(key) {
-        Some(Value::String(word)) if !word.is_empty() => Ok(word),
-        Some(other) => fault(key, &format!("{other}: a text expected")),
-        None => fault(key, "missing, a text expected"),
+        Some(Value::String(word)) if word.is_empty() => {
+            Err(Fault::new(key, Cause::Empty, "write a text there").into())
+        }
+        Some(Value::String(word)) => Ok(word),
+        other => Err(wrong_type(key, "a text", other, "write it in quotes")),
     }
 }
 
 fn address(key: &str, word: &str) -> Checked<SocketAddr> {
     match word.parse::<SocketAddr>() {
         Ok(address) if address.port() != 0 => Ok(address),
-        _ => fault(key, &format!("'{word}': an address with its port expected")),
+        _ => {
+            let what = format!("'{word}' is no address with a port");
+            Err(unusable(key, what, "write one, as 10.0.0.4:4100"))
+        }
     }
 }
 
-fn limit(json: &Value, key: &str, least: u64, usual: u64) -> Checked<usize> {
-    let told = json.get("limits").and_then(|limits| limits.get(key));
-    let told = told.map_or(Some(usual), Value::as_u64).filter(|n| *n >= least);
-    let told = told.and_then(|n| usize::try_from(n).ok());
-    told.map_or_else(|| fault(&format!("limits.{key}"), &format!("a number from {least} up expected")), Ok)
+fn limit(limits: &Value, key: &str, least: u64, usual: u64) -> Checked<usize> {
+    let told = match limits.get(key) {
+        None | Some(Value::Null) => return Ok(usual as usize),
+        Some(told) => told,
+    };
+    let (place, remedy) = (format!("limits.{key}"), format!("give a whole number from {least} to {MOST}"));
+    if !told.is_number() {
+        return Err(wrong_type(&place, "a number", Some(told), &remedy));
+    }
+    let whole = told.as_u64().filter(|n| (least..=MOST).contains(n)).and_then(|n| usize::try_from(n).ok());
+    whole.ok_or_else(|| {
+        let off = format!("not from {least} to {MOST}");
+        Fault::new(place, Cause::OutOfRange { found: shown(told), off }, remedy).into()
+    })
 }
 
 fn known(json: &Value, decoded: &Decoded) -> Checked<(u64, Vec<Event>)> {
-    if json.is_null() {
-        return Ok((0, Vec::new()));
+    if !json.is_object() {
+        return Err(wrong_type(
+            "known",
+            "an object",
+            Some(json),
+            "write {...} with seq and results, or leave it out",
+        ));
     }
-    let Some(last) = json.get("seq").and_then(Value::as_u64) else {
-        return fault("known.seq", "the number of a change expected");
-    };
-    let Some(results) = json.get("results").and_then(Value::as_array) else {
-        return fault("known.results", "a list of changes expected");
-    };
-    let event = |(i, one): (usize, &Value)| {
-        changes::event(one, &decoded.names).or_else(|what| fault(&format!("known.results.{i}"), &what))
-    };
-    Ok((last, results.iter().enumerate().map(event).collect::<Checked<_>>()?))
+    let last = json.get("seq").and_then(Value::as_u64).ok_or_else(|| {
+        wrong_type(
+            "known.seq",
+            "the number of a change",
+            json.get("seq"),
+            "write that of the last of the results",
+        )
+    })?;
+    let results = json.get("results").and_then(Value::as_array).ok_or_else(|| {
+        wrong_type(
+            "known.results",
+            "a list",
+            json.get("results"),
+            "write the change log's events up to known.seq",
+        )
+    })?;
+    let mut events: Vec<Event> = Vec::with_capacity(results.len());
+    for (i, one) in results.iter().enumerate() {
+        let place = format!("known.results.{i}");
+        let event = changes::event(one, &decoded.names).map_err(|what| in_event(&place, &what))?;
+        let before = events.last().map(|event| event.number);
+        if before.is_some_and(|before| event.number <= before) || event.number > last {
+            let after = before.map_or_else(|| "up".to_string(), |before| format!("after {before}, up"));
+            let what = format!("{} goes back or past known.seq, which is {last}", event.number);
+            return Err(unusable(
+                &format!("{place}.seq"),
+                what,
+                format!("number the events {after} to known.seq"),
+            ));
+        }
+        events.push(event);
+    }
+    Ok((last, events))
+}
+
+/// What is wrong with an event of the change log, whose reader names the place in it first.
+fn in_event(event: &str, what: &str) -> ConfigError {
+    let (key, cause) = what.split_once(": ").unwrap_or(("", what));
+    let place = if key.is_empty() { event.to_string() } else { format!("{event}.{key}") };
+    unusable(
+        &place,
+        cause.into(),
+        "write the event as the change log tells it, with the names of the settings",
+    )
 }
--- a/crates/settings/src/flat.rs
+++ b/crates/settings/src/flat.rs
@@ -1,5 +1,7 @@
 //! Settings as a map from path to word, whichever form they came in.
 
+use crate::fault::{Cause, Fault};
+use crate::shape::SETTINGS;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -9,51 +11,39 @@
 
 impl Flat {
     /// From `path=value` lines.
-    pub fn from_text(text: &str) -> Result<Self, String> {
+    pub fn from_text(text: &str) -> Result<Self, Fault> {
         let mut map = BTreeMap::new();
         for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
-            let pair = line.split_once('=');
-            let (path, value) = pair.ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
+            let none = || unusable(&format!("settings line {}", n + 1), "no '='".into(), "write path=value");
+            let (path, value) = line.split_once('=').ok_or_else(none)?;
             map.insert(path.trim().to_string(), value.trim().to_string());
         }
         Ok(Flat(map))
     }
 
-    /// From nested JSON under the same names.
-    pub fn from_json(settings: &Value) -> Result<Self, String> {
+    /// From nested JSON under the same names, where what is read is of the right type and in range.
+    pub fn from_json(settings: &Value) -> Result<Self, Fault> {
+        SETTINGS.check("settings", settings)?;
         let mut flat = Flat::default();
-        if !settings.is_object() {
-            return Err("settings: an object expected".into());
-        }
-        flat.put("", settings)?;
+        flat.put("", settings);
         Ok(flat)
     }
 
-    fn put(&mut self, path: &str, value: &Value) -> Result<(), String> {
+    /// What has no text form is under a key that nobody reads, and is passed over.
+    fn put(&mut self, path: &str, value: &Value) {
         let under = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
         match value {
-            Value::Null => {}
-            Value::Object(fields) => {
-                for (key, field) in fields {
-                    self.put(&under(key), field)?;
-                }
-            }
+            Value::Object(fields) => fields.iter().for_each(|(key, field)| self.put(&under(key), field)),
             Value::Array(items) if items.iter().any(Value::is_object) => {
                 self.0.insert(under("count"), items.len().to_string());
-                for (i, item) in items.iter().enumerate() {
-                    if !item.is_object() {
-                        return Err(format!("settings {}: an object expected", under(&i.to_string())));
-                    }
-                    self.put(&under(&i.to_string()), item)?;
-                }
+                items.iter().enumerate().for_each(|(i, item)| self.put(&under(&i.to_string()), item));
             }
             Value::Array(items) => {
-                let words = items.iter().map(|item| word(path, item));
-                self.0.insert(path.to_string(), words.collect::<Result<Vec<_>, _>>()?.join(","));
+                let words: Vec<_> = items.iter().filter_map(word).collect();
+                self.0.insert(path.to_string(), words.join(","));
             }
-            plain => drop(self.0.insert(path.to_string(), word(path, plain)?)),
+            plain => self.0.extend(word(plain).map(|word| (path.to_string(), word))),
         }
-        Ok(())
     }
 
     pub(crate) fn has(&self, path: &str) -> bool {
@@ -68,33 +58,36 @@
         self.0.get(path).map(String::as_str).filter(|v| !v.is_empty())
     }
 
-    pub(crate) fn number(&self, path: &str) -> Result<Option<f64>, String> {
+    pub(crate) fn number(&self, path: &str) -> Result<Option<f64>, Fault> {
         let Some(word) = self.word(path) else {
             return Ok(None);
         };
         match word.parse::<f64>() {
             Ok(v) if v.is_finite() => Ok(Some(v)),
-            _ => Err(format!("settings {path}: '{word}' is not a number")),
+            _ => Err(unusable(&at(path), format!("'{word}' is not a number"), "write a number")),
         }
     }
 
-    pub(crate) fn number_or(&self, path: &str, absent: f64) -> Result<f64, String> {
+    pub(crate) fn number_or(&self, path: &str, absent: f64) -> Result<f64, Fault> {
         Ok(self.number(path)?.unwrap_or(absent))
     }
 
-    pub(crate) fn seconds(&self, path: &str) -> Result<Option<f64>, String> {
+    pub(crate) fn seconds(&self, path: &str) -> Result<Option<f64>, Fault> {
         Ok(self.number(path)?.map(|ms| ms / 1000.0))
     }
 
-    pub(crate) fn seconds_or(&self, path: &str, absent: f64) -> Result<f64, String> {
+    pub(crate) fn seconds_or(&self, path: &str, absent: f64) -> Result<f64, Fault> {
         Ok(self.seconds(path)?.unwrap_or(absent))
     }
 
-    pub(crate) fn flag(&self, path: &str) -> Result<bool, String> {
+    pub(crate) fn flag(&self, path: &str) -> Result<bool, Fault> {
         match self.word(path) {
             None | Some("false") | Some("0") => Ok(false),
             Some("true") | Some("1") => Ok(true),
-            Some(other) => Err(format!("settings {path}: '{other}' is neither true nor false")),
+            Some(other) => {
+                let what = format!("'{other}' is neither true nor false");
+                Err(unusable(&at(path), what, "write one of them"))
+            }
         }
     }
 
@@ -109,7 +102,7 @@
     }
 
     /// Indices, or names of a list that they index.
-    pub(crate) fn indices(&self, path: &str, names: &[String]) -> Result<Option<Vec<u32>>, String> {
+    pub(crate) fn indices(&self, path: &str, names: &[String]) -> Result<Option<Vec<u32>>, Fault> {
         if !self.has(path) {
             return Ok(None);
         }
@@ -119,31 +112,45 @@
     }
 
     /// How many items a list of objects says it has; more than it can hold in this text is malformed.
-    pub(crate) fn count(&self, path: &str) -> Result<usize, String> {
+    pub(crate) fn count(&self, path: &str) -> Result<usize, Fault> {
         let said = self.number_or(&format!("{path}.count"), 0.0)?;
         if said < 0.0 || said.fract() != 0.0 || said > self.len() as f64 {
-            return Err(format!("settings {path}.count: {said} is not a possible count"));
+            let what = format!("{said} is not a possible count");
+            return Err(unusable(&at(&format!("{path}.count")), what, "write how many items follow"));
         }
         Ok(said as usize)
     }
 
     /// The names of a list of objects.
-    pub(crate) fn names(&self, path: &str) -> Result<Vec<String>, String> {
+    pub(crate) fn names(&self, path: &str) -> Result<Vec<String>, Fault> {
         let name = |i| self.word(&format!("{path}.{i}.name")).unwrap_or_default().to_string();
         Ok((0..self.count(path)?).map(name).collect())
     }
 }
 
-fn wrong_index(path: &str, word: &str) -> String {
-    format!("settings {path}: '{word}' is not an index")
+/// The place of a path in messages.
+pub(crate) fn at(path: &str) -> String {
+    format!("settings.{path}")
+}
+
+fn unusable(place: &str, what: String, remedy: &str) -> Fault {
+    Fault::new(place, Cause::Unusable(what), remedy)
+}
+
+fn wrong_index(path: &str, word: &str) -> Fault {
+    Fault::new(
+        at(path),
+        Cause::Unknown(word.into()),
+        "write a name of the settings' list, or its place from 0",
+    )
 }
 
 /// A plain value as the text form has it, with spaces and commas as underscores.
-fn word(path: &str, value: &Value) -> Result<String, String> {
+fn word(value: &Value) -> Option<String> {
     match value {
-        Value::String(s) => Ok(s.replace([' ', ','], "_")),
-        Value::Number(n) => Ok(n.to_string()),
-        Value::Bool(b) => Ok(b.to_string()),
-        _ => Err(format!("settings {path}: a plain value expected")),
+        Value::String(s) => Some(s.replace([' ', ','], "_")),
+        Value::Number(n) => Some(n.to_string()),
+        Value::Bool(b) => Some(b.to_string()),
+        _ => None,
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,9 +1,13 @@
 //! The named settings of a gateway, as flat text (`path=value` lines) or as nested JSON under the same names,
 //! decoded into the module's plain values; and the fields of an engine's report into a `Report`.
-//! Every error names the key that is at fault.
+//! Every error names the key that is at fault, the cause, and what to do.
 
+mod fault;
 mod flat;
+mod shape;
 
+pub use fault::{shown, Cause, Fault};
+use flat::at as place;
 pub use flat::Flat;
 use garnetwall::api::{ColdRule, Effect, FurtherBudget, Report, Reports, Scope, ServiceGroup, Settings};
 
@@ -57,7 +61,7 @@
     report
 }
 
-pub fn decode(t: &Flat) -> Result<Decoded, String> {
+pub fn decode(t: &Flat) -> Result<Decoded, Fault> {
     let words = |path: &str| t.list(path).into_iter().map(String::from).collect::<Vec<_>>();
     let names = Names {
         groups: t.names("categories")?,
@@ -118,7 +122,7 @@
     Ok(Decoded { settings, names, network, fields: words("telemetry.fields") })
 }
 
-fn group(t: &Flat, i: usize, names: &Names) -> Result<ServiceGroup, String> {
+fn group(t: &Flat, i: usize, names: &Names) -> Result<ServiceGroup, Fault> {
     let at = |key: &str| format!("categories.{i}.{key}");
     let scope = match t.word(&at("key-scope")) {
         Some("all") => Scope::Everywhere,
@@ -129,7 +133,10 @@
         Some("retryable") => Effect::Repeatable,
         Some("dedup") => Effect::Referenced { scope, window: t.seconds_or(&at("dedup-window"), 0.0)? },
         Some("fragile") => Effect::OnceOnly,
-        other => return Err(format!("settings {}: unknown kind {other:?}", at("semantics"))),
+        other => {
+            let cause = other.map_or(Cause::Missing, |word| Cause::Unknown(word.into()));
+            return Err(Fault::new(place(&at("semantics")), cause, "write retryable, dedup or fragile"));
+        }
     };
     let nth = |path: &str| t.list(path).get(i).copied();
     let limit = t.seconds_or(&at("give-up"), 0.0)?;
@@ -143,12 +150,68 @@
         in_order: t.flag(&at("one-at-a-time"))?,
         zones: t.indices(&at("zones-only"), &names.zones)?,
         kinds: t.indices(&at("allowed-on"), &names.kinds)?,
-        threads: nth("domain.parallelism").and_then(|v| v.parse().ok()).filter(|v| *v >= 1.0).unwrap_or(1.0),
+        threads: nth("domain.parallelism")
+            .and_then(|v| v.parse().ok())
+            .filter(|v| is_threads(*v))
+            .unwrap_or(1.0),
         is_load: nth("domain.loads") == Some("true"),
         waits_for_loads: nth("domain.waits-for-loads") == Some("true"),
         further: None,
     })
 }
 
+fn is_threads(v: f64) -> bool {
+    v.is_finite() && v >= 1.0
+}
+
+impl Decoded {
+    /// Whether a gateway can serve under these settings: it has named groups with a time limit, no name stands for two
+    /// things, and the zones and kinds that a group may go to are there.
+    pub fn check(&self) -> Result<(), Fault> {
+        let (groups, names) = (&self.settings.groups, &self.names);
+        if groups.is_empty() {
+            return Err(Fault::new("settings.categories", Cause::Empty, "name at least one service group"));
+        }
+        unlike("settings.categories", &names.groups)?;
+        unlike("settings.tenants", &names.tenants)?;
+        for (i, group) in groups.iter().enumerate() {
+            let at = |key: &str| format!("settings.categories.{i}.{key}");
+            if group.limit <= 0.0 {
+                let remedy = "write how long its clients wait, in milliseconds";
+                return Err(Fault::new(at("give-up"), Cause::Missing, remedy));
+            }
+            listed(&at("zones-only"), &group.zones, "settings.zones", &names.zones)?;
+            listed(&at("allowed-on"), &group.kinds, "settings.kinds", &names.kinds)?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether every item of a list has a name of its own.
+fn unlike(list: &str, names: &[String]) -> Result<(), Fault> {
+    for (i, name) in names.iter().enumerate() {
+        let fault = |cause, remedy| Err(Fault::new(format!("{list}.{i}.name"), cause, remedy));
+        if name.is_empty() {
+            return fault(Cause::Missing, "name it, as calls do");
+        }
+        if names[..i].contains(name) {
+            return fault(Cause::Twice(name.clone()), "give each a name of its own");
+        }
+    }
+    Ok(())
+}
+
+/// Whether every index is that of a name. Where nothing is named all is the first.
+fn listed(place: &str, indices: &Option<Vec<u32>>, list: &str, names: &[String]) -> Result<(), Fault> {
+    let beyond = |n: &&u32| **n as usize >= names.len().max(1);
+    match indices.iter().flatten().find(beyond) {
+        None => Ok(()),
+        Some(n) => {
+            let remedy = format!("write a name of {list}, or its place there from 0");
+            Err(Fault::new(place, Cause::Unknown(n.to_string()), remedy))
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -44,7 +44,7 @@
     ];
     for (settings, key) in wrong {
         let end = Flat::from_json(&settings).and_then(|flat| decode(&flat).map(drop));
-        let what = end.expect_err(key);
+        let what = end.expect_err(key).to_string();
         assert!(what.contains(key), "{key}: {what}");
     }
 }
