--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -37,7 +37,7 @@
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::coop::unconstrained;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use tower_service::Service;
 
 /// Protocol: names of the fields.
@@ -226,7 +226,7 @@
 {
     let first_call = sleep(FIRST_CALL);
     tokio::pin!(first_call);
-    let (mut looked, mut told) = (false, false);
+    let (mut looked, mut told, mut granted) = (false, false, false);
     let mut close = Close::Last;
     loop {
         tokio::select! {
@@ -255,11 +255,14 @@
                 close = Close::Evicted;
                 Pin::new(&mut *connection).graceful_shutdown();
             }
-            () = &mut first_call, if !first_call.is_elapsed() => {
-                if guest.said_nothing() && !peer.has_unread() {
+            () = &mut first_call, if guest.said_nothing() && !first_call.is_elapsed() => {
+                if guest.said_nothing() && (granted || !peer.has_unread()) {
                     tracing::debug!(client = ?client.0, "a silent connection is closed");
                     return Close::Gone;
                 }
+                // What had come while this process had no processor time is still read, but once.
+                granted = true;
+                first_call.as_mut().reset(Instant::now() + REST_EVERY);
             }
             Ok(_) = shut.wait_for(|shut| *shut), if !told => {
                 // A call that came before is read before the connection is told to end.
