--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -177,3 +177,19 @@
         writing.join().unwrap();
     }
 }
+
+/// The platform reads files again while it ends the gateway.
+#[test]
+fn sighup_after_sigterm_holds_nothing_up() {
+    let mut service = Service::start();
+    let stream = kept(&service);
+    service.signal("TERM");
+    let term = Instant::now();
+    for _ in 0..5 {
+        service.signal("HUP");
+    }
+    (&stream).write_all(text(&new_id(), "SELECT 2").as_bytes()).unwrap();
+    assert!(answered(&stream).expect("an answer").returned());
+    assert!(service.child.wait().unwrap().success());
+    assert!(term.elapsed() < ms(3700), "ended after {:?}", term.elapsed());
+}
