--- a/crates/gateway/tests/bad_input.rs
+++ b/crates/gateway/tests/bad_input.rs
@@ -10,15 +10,23 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// An answer comes within this.
 const LONGEST: Duration = Duration::from_secs(5);
 
+/// The helper's addresses come again after 254 numbers, and these tests use more: each has a port of its own.
+fn own_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+    SocketAddr::new(free_address().ip(), NEXT_PORT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A valid configuration that names every key that is read.
 fn whole(engine: SocketAddr, log: SocketAddr) -> Value {
     let mut c = config(engine, log);
+    c["listen"] = json!(own_address().to_string());
     c["peers"] = json!(["127.0.0.1:7946"]);
     c["settings"]["allowed"]["max-retry-after"] = json!(1000.0);
     c["settings"]["balancers"] = json!(2);
@@ -447,7 +455,7 @@
 fn assert_served(what: &str, config: &Value, returned: bool) {
     assert!(run("check-config", &file(config), what).0, "{what}");
     let mut config = config.clone();
-    config["listen"] = json!(free_address().to_string());
+    config["listen"] = json!(own_address().to_string());
     let mut gateway = Started::by(&config);
     gateway.healthy(200, what);
     // Its client waits for all the time that its group allows.
@@ -477,7 +485,7 @@
         let what = format!("known {known}");
         let starts = !known["results"][0].is_object();
         let mut config = world.with("known", known);
-        config["listen"] = json!(free_address().to_string());
+        config["listen"] = json!(own_address().to_string());
         assert!(run("check-config", &file(&config), &what).0, "{what}");
         let mut gateway = Started::by(&config);
         gateway.healthy(if starts { 503 } else { 200 }, &what);
@@ -514,7 +522,7 @@
             }
             served += 1;
             assert!(said.is_empty(), "{what}: {said}");
-            config["listen"] = json!(free_address().to_string());
+            config["listen"] = json!(own_address().to_string());
             let mut gateway = Started::by(&config);
             let starting = config["known"]["results"].as_array().is_none_or(Vec::is_empty);
             gateway.healthy(if starting { 503 } else { 200 }, &what);
