Cold budgets come due in small quanta that lapse; the sum of all gateways is judged

Seen: tests/cold_sum.rs plays 3, 20, 30 and 300 gateways against cold engines and judges the sum in every window by N + 2 roots of N + 2, N from the told start share alone.

A gateway that restarted, and one told late, began with half a window or more at once; that was read, not put back alone.

Now a gateway's part begins when it knows of the start, comes due in quanta of one batch, a tenth of the budget at most, and lapses after 0.6 windows. The constant has that reason: all gateways' parts over a window and what may be late make 0.82 N, and chance gets the rest.

A slip on purpose, each gateway with the whole budget, is found.

--- a/src/control.rs
+++ b/src/control.rs
@@ -49,6 +49,7 @@
 const FIRST_GUESS: f64 = 0.1; // share of the limit taken as usual work at first; high, for cold budgets
 const COLD_PART: f64 = 0.6; // part of a cold budget that we use; the rest is for chance, uneven gateways
 const COLD_LUMP: f64 = 0.1; // part of a cold budget one batch may be; few large ones add up by chance
+const COLD_SAVED: f64 = 0.6; // windows of our part that may be sent late; more adds up when all send in step
 const YIELD: f64 = 0.85; // share of cores that a pool keeps busy under load; what backlog is held against
 const SLACK_USE: f64 = 0.4; // part of the time to a goal that work ahead may take; both are guesses
 const MOST: f64 = 0.9; // part of goal and limit a service needs at most; no group may shut itself out
@@ -71,7 +72,6 @@
             chance: Chance::new(seed),
             g: s.groups.iter().map(|c| c.limit).fold(0.0, f64::max),
             clock_at: now,
-            born: now,
             queues: (0..s.tenants.max(1)).map(|_| Queue::new(s.groups.len())).collect(),
             learned: s.groups.iter().map(learned).collect(),
             due: BTreeSet::from([(micros(now), Due::Tick)]),
@@ -92,6 +92,7 @@
         }
         let work = self.work(&b);
         self.usual.add(now, KIND_LIFE, work);
+        self.latest = Some(b);
         // Bound batches count for their kind when they come: it must not look free because they are shed.
         for k in self.s.groups[b.group].kinds.iter().flatten() {
             self.kinds.entry(*k as usize).or_default().sent.add(now, KIND_LIFE, work);
@@ -145,7 +146,7 @@
             let another = |old: Listed| old.condition == Condition::Gone && l.came_up.is_none();
             if e.line.is_none_or(|old| old.came_up != l.came_up || another(old)) {
                 e.forget(unheard(cores, memory));
-                e.lot = self.chance.draw();
+                (e.known_at, e.sample, e.lot) = (self.clock_at, self.latest, self.chance.draw());
             }
             (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
         }
@@ -497,13 +498,17 @@
         let q = &mut self.queues[b.tenant];
         q.running += 1;
         q.start += self.g * c.threads;
-        let work = self.work(&b);
+        let (work, (due, gone)) = (self.work(&b), self.cold_part(now, engine));
         let e = &mut self.engines[engine];
         let k = self.kinds.entry(e.kind()).or_default();
         k.sent.add(now, KIND_LIFE, if c.kinds.is_none() { work } else { 0.0 });
         (k.threads, k.memory_used) = (k.threads + c.threads, k.memory_used + need);
         e.holds(c.threads, need);
-        e.work_sent += work;
+        e.work_sent = gone + work;
+        // What is left holds no such batch: the next quantum comes sooner for it.
+        if due - e.work_sent < work {
+            e.quanta_from = e.work_sent;
+        }
         let memory = self.grant(&b, engine);
         Place::To { engine, time_out, memory }
     }
@@ -688,17 +693,27 @@
         (e.cores * (c.starts_at + (1.0 - c.starts_at) * warmed)).max(LEAST)
     }
 
-    /// Keeps our part of a cold engine's work budget, which grows with the time since it started. Where the
-    /// part is under the largest batch, lots drawn for each engine decide which few gateways send up to that
-    /// one: the sum stays the same, and a cold engine is neither starved nor pushed over.
+    /// Keeps our part of a cold engine's work budget.
     fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
         let (e, able) = (&self.engines[engine], self.able_cores(now, engine));
         let (Some(c), true) = (self.s.cold, able < e.cores - LEAST) else { return true };
-        let lump = COLD_LUMP * c.multiple * c.window * able;
+        let (due, gone) = self.cold_part(now, engine);
+        work <= COLD_LUMP * c.multiple * c.window * able && gone + work <= due + LEAST
+    }
+
+    /// Work due to a started engine from us since we knew of it, and how much of that was sent or lapsed. It
+    /// comes due in quanta of a batch, as the part of many gateways is less, by a lot drawn for each start:
+    /// the sum over gateways stays the same, and chance adds little. What all of them save and send in step
+    /// would push it over, so what is not sent in time lapses.
+    fn cold_part(&self, now: f64, engine: EngineId) -> (f64, f64) {
+        let (e, Some(c)) = (&self.engines[engine], self.s.cold) else { return (0.0, 0.0) };
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
-        let known = e.line.and_then(|l| l.came_up).map_or(0.0, |at| now - at.max(self.born));
-        let part = rate * (known + c.window / 2.0);
-        e.lot * lump < part && work <= lump && e.work_sent + work <= part.max(lump)
+        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
+        let usual = self.usual.mean(now, KIND_LIFE, 0.0);
+        let quantum = e.sample.map_or(usual, |b| self.work(&b)).min(lump).max(LEAST);
+        let quanta = |at: f64| (rate * (at - e.known_at).max(0.0) - e.quanta_from) / quantum + 1.0 - e.lot;
+        let until = |at: f64| e.quanta_from + quantum * quanta(at).floor().max(0.0);
+        (until(now), until(now - COLD_SAVED * c.window).max(e.work_sent))
     }
 
     // ---- 4: shedding ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,7 +11,6 @@
     pub(crate) g: f64,
     pub(crate) clock: f64,
     pub(crate) clock_at: f64,
-    pub(crate) born: f64,
     /// When this gateway last found that it had stood still.
     pub(crate) woke: f64,
     pub(crate) running: f64,
@@ -29,6 +28,8 @@
     pub(crate) look: bool,
     /// Work of the batches taken lately.
     pub(crate) usual: Level,
+    /// The batch taken last.
+    pub(crate) latest: Option<Batch>,
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
     pub(crate) tells_cores: bool,
@@ -250,8 +251,12 @@
     pub rests_until: f64,
     pub failed_at: f64,
     pub probe_at: f64,
-    /// Work sent since it started, and the lot drawn then, for the cold budget.
+    /// For the cold budget: when we knew of its start, a batch taken before, a lot drawn then; the work sent
+    /// or lapsed since, and where the next quantum begins.
+    pub known_at: f64,
+    pub sample: Option<Batch>,
     pub work_sent: f64,
+    pub quanta_from: f64,
     pub lot: f64,
 }
 
--- /dev/null
+++ b/tests/cold_sum.rs
@@ -0,0 +1,454 @@
+//! What all gateways together send a cold engine, each of them deciding alone: a plain world that plays many
+//! instances of the module and judges the sum by the rule on cold engines.
+
+use garnetwall::api::*;
+use garnetwall::control::Control;
+
+/// Seconds between two moments of the world: all that falls into one is done in step.
+const STEP: f64 = 0.05;
+const COLD: ColdRule = ColdRule { starts_at: 0.35, warm_after: 10.0, multiple: 3.0, window: 2.0 };
+const CORES: [f64; 2] = [8.0, 16.0];
+
+/// SplitMix64.
+struct Dice(u64);
+
+impl Dice {
+    fn even(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ self.0 >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ z >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ z >> 31) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Between two arrivals, in means.
+    fn gap(&mut self) -> f64 {
+        -(1.0 - self.even()).ln()
+    }
+}
+
+/// A service group's share of the batches, its mean work in seconds and the limit.
+#[derive(Clone, Copy)]
+struct Class {
+    share: f64,
+    work: f64,
+    limit: f64,
+}
+
+const LIGHT: [Class; 2] =
+    [Class { share: 0.75, work: 0.1, limit: 2.0 }, Class { share: 0.25, work: 0.5, limit: 8.0 }];
+const HEAVY: [Class; 2] =
+    [Class { share: 0.8, work: 0.5, limit: 6.0 }, Class { share: 0.2, work: 1.5, limit: 20.0 }];
+
+#[derive(Clone)]
+struct Day {
+    gateways: usize,
+    /// Gateways that the settings tell of.
+    told: f64,
+    classes: [Class; 2],
+    /// When engines start, and their kind; and how many warm ones of each kind there are.
+    starts: Vec<(f64, usize)>,
+    warm: usize,
+    /// Seconds until gateways are told of a start, and those within which they all are.
+    blind: f64,
+    late: f64,
+    /// The engines were there before they started, so that gateways not told still send to them.
+    known: bool,
+    /// No batch comes before.
+    quiet: f64,
+    /// At these times these parts of the gateways end and start anew.
+    restarts: Vec<(f64, f64)>,
+    /// Work that comes, in what all engines could do once warm.
+    demand: f64,
+    /// Engines answer as though each batch had them alone: only the budget holds gateways back.
+    quick: bool,
+    /// Estimates come with the batches.
+    estimates: bool,
+    seed: u64,
+}
+
+impl Day {
+    fn new(gateways: usize, seed: u64) -> Day {
+        Day {
+            gateways,
+            told: gateways as f64,
+            classes: LIGHT,
+            starts: vec![(1.0, 0)],
+            warm: 0,
+            blind: 0.0,
+            late: 0.0,
+            known: false,
+            quiet: 0.0,
+            restarts: Vec::new(),
+            demand: 2.0,
+            quick: true,
+            estimates: false,
+            seed,
+        }
+    }
+
+    fn mean_work(&self) -> f64 {
+        self.classes.iter().map(|c| c.share * c.work).sum()
+    }
+
+    fn settings(&self) -> Settings {
+        let group = |c: &Class| ServiceGroup {
+            goal: c.limit / 3.0,
+            goal_stretch: 2.0,
+            limit: c.limit,
+            utility: c.work,
+            late_share: 0.3,
+            effect: Effect::Repeatable,
+            in_order: false,
+            zones: None,
+            kinds: None,
+            threads: 1.0,
+            is_load: false,
+            waits_for_loads: false,
+            further: None,
+        };
+        Settings {
+            groups: self.classes.iter().map(group).collect(),
+            tenants: 1,
+            gateways: self.told,
+            kind_cores: CORES.iter().copied().map(Some).collect(),
+            reports: Reports::WithAnswers,
+            may_cancel: true,
+            names_return: true,
+            longest_return: 1.0,
+            max_dispatches: 4,
+            cold: Some(COLD),
+            ..Settings::default()
+        }
+    }
+
+    fn line(&self, engine: EngineId, started: bool) -> Listed {
+        let (up, kind) = self.starts.get(engine).copied().unwrap_or((0.0, engine % 2));
+        let came_up = Some(up).filter(|_| started && engine < self.starts.len());
+        Listed { engine, zone: 0, kind, cell: 0, came_up, condition: Condition::Ready }
+    }
+
+    /// Cores that an engine can use.
+    fn able(&self, now: f64, engine: EngineId) -> f64 {
+        let up = self.starts.get(engine).map_or(f64::NEG_INFINITY, |(up, _)| *up);
+        let warmed = ((now - up) / COLD.warm_after).clamp(0.0, 1.0);
+        CORES[self.line(engine, false).kind] * (COLD.starts_at + (1.0 - COLD.starts_at) * warmed)
+    }
+
+    fn play(&self) -> Vec<Vec<Sent>> {
+        let mut dice = Dice(self.seed);
+        let engines = self.starts.len() + 2 * self.warm;
+        let work = self.demand * (0..engines).map(|e| CORES[self.line(e, false).kind]).sum::<f64>();
+        let weights: Vec<f64> =
+            (0..self.gateways).map(|_| if dice.even() < 0.1 { 5.0 } else { 0.5 + dice.even() }).collect();
+        let rate = work / self.mean_work() / weights.iter().sum::<f64>();
+        let mut gateways: Vec<Gateway> = Vec::new();
+        for weight in weights {
+            let seed = (dice.even() * 1e15) as u64;
+            let told = self.starts.iter().map(|(up, _)| up + self.blind + self.late * dice.even()).collect();
+            gateways.push(Gateway::new(self, 0.0, seed, rate * weight, told));
+        }
+        let mut world =
+            World { sent: self.starts.iter().map(|_| Vec::new()).collect(), held: vec![0.0; engines] };
+        let end = self.starts.iter().map(|(up, _)| up + COLD.warm_after).fold(0.0, f64::max);
+        let mut restarts = self.restarts.clone();
+        for now in (0..).map(|n| f64::from(n) * STEP).take_while(|now| *now < end) {
+            if let Some((_, part)) = restarts.first().copied().filter(|(at, _)| *at <= now) {
+                restarts.remove(0);
+                for g in &mut gateways {
+                    if dice.even() < part {
+                        let seed = (dice.even() * 1e15) as u64;
+                        let told = self.starts.iter().zip(&g.told).map(
+                            |((up, _), t)| {
+                                if *up <= now {
+                                    now
+                                } else {
+                                    *t
+                                }
+                            },
+                        );
+                        g.out.iter().for_each(|o| world.held[o.engine] -= 1.0);
+                        *g = Gateway::new(self, now, seed, g.rate, told.collect());
+                    }
+                }
+            }
+            gateways.iter_mut().for_each(|g| g.step(self, now, &mut dice, &mut world));
+        }
+        world.sent
+    }
+}
+
+/// Work that a gateway sent to a cold engine, and whether it had been told of the start.
+struct Sent {
+    at: f64,
+    work: f64,
+    told: bool,
+}
+
+struct World {
+    sent: Vec<Vec<Sent>>,
+    /// Batches that run on each engine; they share its cores.
+    held: Vec<f64>,
+}
+
+struct Out {
+    ends: f64,
+    latency: f64,
+    id: BatchId,
+    engine: EngineId,
+    dispatch: u32,
+}
+
+struct Gateway {
+    c: Control,
+    rate: f64,
+    next: f64,
+    wake: f64,
+    told: Vec<f64>,
+    listed: Vec<bool>,
+    /// Group, true work and dispatches of each batch.
+    batches: Vec<(usize, f64, u32)>,
+    out: Vec<Out>,
+}
+
+impl Gateway {
+    fn new(day: &Day, now: f64, seed: u64, rate: f64, told: Vec<f64>) -> Gateway {
+        let mut c = Control::new(day.settings(), seed, now);
+        let listed: Vec<bool> = told.iter().map(|t| *t <= now).collect();
+        let engines = 0..day.starts.len() + 2 * day.warm;
+        let there = |e: &EngineId| listed.get(*e).is_none_or(|l| *l || day.known);
+        let started = |e: EngineId| listed.get(e).copied().unwrap_or_default();
+        let lines: Vec<Listed> = engines.filter(there).map(|e| day.line(e, started(e))).collect();
+        c.listed(&lines, true);
+        Gateway { c, rate, next: now, wake: now, told, listed, batches: Vec::new(), out: Vec::new() }
+    }
+
+    fn step(&mut self, day: &Day, now: f64, dice: &mut Dice, world: &mut World) {
+        let mut due = self.wake <= now;
+        for e in 0..self.listed.len() {
+            if !self.listed[e] && self.told[e] <= now {
+                (self.listed[e], due) = (true, true);
+                self.c.listed(&[day.line(e, true)], false);
+            }
+        }
+        while let Some(n) = self.out.iter().position(|o| o.ends <= now) {
+            let o = self.out.remove(n);
+            world.held[o.engine] -= 1.0;
+            let work = Some(self.batches[o.id as usize].1);
+            self.over(now, o, End::Returned, work);
+            due = true;
+        }
+        while self.next <= now {
+            self.next += dice.gap() / self.rate;
+            let group = usize::from(dice.even() > day.classes[0].share);
+            let class = day.classes[group];
+            let work = class.work * (0.3 + 0.7 * dice.gap());
+            if now < day.quiet {
+                continue;
+            }
+            let id = self.batches.len() as BatchId;
+            let cost = day.estimates.then(|| work * (0.6 + 0.8 * dice.even()));
+            self.batches.push((group, work, 0));
+            let left = class.limit;
+            let b =
+                Batch { id, group, tenant: 0, key: None, left, cost, memory: None, data_set: 0, lane: None };
+            self.c.take(now, b);
+            due = true;
+        }
+        if due {
+            self.pump(day, now, dice, world);
+        }
+    }
+
+    fn over(&mut self, now: f64, o: Out, end: End, work: Option<f64>) {
+        let Out { latency, id, engine, dispatch, .. } = o;
+        let closed = end == End::Returned;
+        self.c.after(now, id, Outcome { engine, dispatch, end, latency, closed, work, memory: None });
+    }
+
+    fn pump(&mut self, day: &Day, now: f64, dice: &mut Dice, world: &mut World) {
+        loop {
+            match self.c.wait(now) {
+                Wait::For(span) => {
+                    self.wake = now + span;
+                    return;
+                }
+                Wait::Subscribe => {}
+                Wait::Probe(engine) => self.c.probed(now, engine, End::Returned),
+                Wait::Cancel(id, dispatch) => {
+                    if let Some(n) = self.out.iter().position(|o| (o.id, o.dispatch) == (id, dispatch)) {
+                        let o = self.out.remove(n);
+                        world.held[o.engine] -= 1.0;
+                        self.over(now, o, End::Withdrawn, None);
+                    }
+                }
+                Wait::Ask(id) => {
+                    let Place::To { engine, time_out, .. } = self.c.place(now, id) else { continue };
+                    let (_, work, dispatches) = &mut self.batches[id as usize];
+                    world.held[engine] += 1.0;
+                    let shared = world.held[engine] / day.able(now, engine);
+                    let latency = (*work
+                        * if day.quick { 0.2 } else { shared.max(1.0) * (1.0 + dice.even()) })
+                    .min(time_out);
+                    let dispatch = *dispatches;
+                    *dispatches += 1;
+                    if let Some(sent) = world.sent.get_mut(engine) {
+                        sent.push(Sent { at: now, work: *work, told: self.listed[engine] });
+                    }
+                    self.out.push(Out { ends: now + latency, latency, id, engine, dispatch });
+                }
+            }
+        }
+    }
+}
+
+/// What the judge saw of one engine or, by `worst`, of many.
+#[derive(Clone, Copy, Debug, Default)]
+struct Verdict {
+    /// Windows in which it fell and over two thirds came from gateways told of the start.
+    broken: usize,
+    /// At most in any window: what gateways told of the start sent over the budget, and its excess in roots.
+    filled: f64,
+    excess: f64,
+    /// At most in any window: the part of budget and chance that was filled.
+    near: f64,
+    /// Work from gateways told of the start, in budgets over the cold time; and of how many engines.
+    got: f64,
+    engines: f64,
+}
+
+impl Verdict {
+    fn worst(self, o: Verdict) -> Verdict {
+        Verdict {
+            broken: self.broken + o.broken,
+            filled: self.filled.max(o.filled),
+            excess: self.excess.max(o.excess),
+            near: self.near.max(o.near),
+            got: self.got + o.got,
+            engines: self.engines + o.engines,
+        }
+    }
+}
+
+/// Judges every window that ends at a dispatch while the engine is cold. Its capacity counts as the told
+/// share until it is warm: that is all that is told, and how it rises to the whole is not.
+fn judge(sent: &[Sent], up: f64, cores: f64, mean_work: f64) -> Verdict {
+    let mut v = Verdict { engines: 1.0, ..Verdict::default() };
+    let (mut first, mut all, mut told) = (0, 0.0, 0.0);
+    for s in sent.iter().filter(|s| s.told) {
+        v.got += s.work / (COLD.multiple * COLD.starts_at * cores * COLD.warm_after);
+    }
+    for (n, s) in sent.iter().enumerate() {
+        let part = |s: &Sent| (s.work / mean_work, if s.told { s.work / mean_work } else { 0.0 });
+        (all, told) = (all + part(s).0, told + part(s).1);
+        while sent[first].at <= s.at - COLD.window || sent[first].at < up {
+            let gone = part(&sent[first]);
+            (all, told) = (all - gone.0, told - gone.1);
+            first += 1;
+            if first > n {
+                break;
+            }
+        }
+        if s.at < up || s.at >= up + COLD.warm_after {
+            continue;
+        }
+        let budget = COLD.multiple * COLD.window * COLD.starts_at * cores / mean_work;
+        let most = budget + 2.0 * budget.sqrt() + 2.0;
+        v.broken += usize::from(all > most && told > all * 2.0 / 3.0);
+        v.filled = v.filled.max(told / budget);
+        v.excess = v.excess.max((told - budget) / budget.sqrt());
+        v.near = v.near.max(told / most);
+    }
+    v
+}
+
+fn judged(day: &Day) -> Verdict {
+    let sent = day.play();
+    let one =
+        |(sent, (up, kind)): (&Vec<Sent>, &(f64, usize))| judge(sent, *up, CORES[*kind], day.mean_work());
+    sent.iter().zip(&day.starts).map(one).reduce(Verdict::worst).expect("a cold engine")
+}
+
+fn over_seeds(seeds: u64, day: impl Fn(u64) -> Day) -> Verdict {
+    (0..seeds).map(|seed| judged(&day(seed * 7919 + 11))).reduce(Verdict::worst).expect("a seed")
+}
+
+fn at_once(kinds: &[usize]) -> Vec<(f64, usize)> {
+    kinds.iter().map(|kind| (1.0, *kind)).collect()
+}
+
+type Change = fn(Day) -> Day;
+const DAYS: [(&str, Change); 10] = [
+    ("one alone", |d| d),
+    ("one of five", |d| Day { warm: 2, ..d }),
+    ("heavy", |d| Day { classes: HEAVY, warm: 1, ..d }),
+    ("many", |d| Day { starts: at_once(&[0, 1, 0, 1]), warm: 1, late: 1.0, ..d }),
+    ("staggered", |d| Day {
+        starts: (0..4).map(|n| (1.0 + 0.7 * f64::from(n), n as usize % 2)).collect(),
+        warm: 1,
+        late: 1.0,
+        known: true,
+        ..d
+    }),
+    ("told late", |d| Day { warm: 1, blind: 3.0, ..d }),
+    ("quiet", |d| Day { warm: 1, quiet: 5.0, ..d }),
+    ("restarts", |d| Day {
+        warm: 1,
+        restarts: (0..8).map(|n| (1.5 + 0.5 * f64::from(n), 0.2)).collect(),
+        ..d
+    }),
+    ("all restart", |d| Day { warm: 1, restarts: vec![(2.5, 1.0)], ..d }),
+    ("estimates", |d| Day { warm: 1, estimates: true, classes: HEAVY, ..d }),
+];
+
+/// Over all days: under demand that the engines can't meet, and where only the budget holds gateways back.
+fn sum_of(gateways: usize, seeds: u64) -> Verdict {
+    let mut all = Verdict::default();
+    for (name, change) in DAYS {
+        for (quick, demand) in [(false, 2.0), (true, 2.0), (true, 5.0)] {
+            let v = over_seeds(seeds, |seed| Day { quick, demand, ..change(Day::new(gateways, seed)) });
+            let got = v.got / v.engines;
+            println!(
+                "{gateways:4} {name:12} quick {quick:5} demand {demand:.1}: broken {:3}, {:.2} N, \
+                 excess {:5.2} roots, {:.2} of budget and chance, got {got:.2}",
+                v.broken, v.filled, v.excess, v.near
+            );
+            all = all.worst(v);
+        }
+    }
+    all
+}
+
+fn keeps(gateways: usize, seeds: u64, least: f64) {
+    let v = sum_of(gateways, seeds);
+    assert!(v.broken == 0 && v.near <= 1.0, "{v:?}");
+    assert!(v.got >= least * v.engines, "starved: {:.3} of the budget", v.got / v.engines);
+}
+
+#[test]
+fn three_gateways_keep_the_budget_and_use_it() {
+    keeps(3, 2, 0.4);
+}
+
+#[test]
+fn twenty_gateways_keep_the_budget_and_use_it() {
+    keeps(20, 2, 0.4);
+}
+
+#[test]
+fn thirty_gateways_keep_the_budget_and_use_it() {
+    keeps(30, 2, 0.4);
+}
+
+#[test]
+fn three_hundred_gateways_keep_the_budget_and_use_it() {
+    keeps(300, 1, 0.25);
+}
+
+#[test]
+fn gateways_that_each_take_the_whole_budget_are_found() {
+    for (name, change) in DAYS.into_iter().filter(|(name, _)| ["one of five", "many", "quiet"].contains(name))
+    {
+        let v = over_seeds(1, |seed| Day { told: 1.0, demand: 5.0, ..change(Day::new(20, seed)) });
+        assert!(v.broken > 0 && v.near > 1.0, "{name}: {v:?}");
+    }
+}
