A first guess from a limit of hours shuts out no batch

At fault: control::service, capped by the group's limit alone. Until the first answer it is capped by the batch's own time too. rules.rs: a_limit_of_hours_shuts_out_no_batch fails without it (goal 1, limit 86400).

--- a/src/control.rs
+++ b/src/control.rs
@@ -755,8 +755,10 @@
 
     /// How long a batch is likely to be out.
     fn service(&self, b: &Batch) -> f64 {
-        let (c, slowdown) = (&self.s.groups[b.group], self.learned[b.group].slowdown);
-        (self.work(b) / c.threads * slowdown).min(c.limit * MOST)
+        let (c, l) = (&self.s.groups[b.group], &self.learned[b.group]);
+        // A first guess, made from a limit that may be hours, shuts out no batch: only answers make a better one.
+        let most = if l.answers == 0 { c.limit.min(b.left) } else { c.limit };
+        (self.work(b) / c.threads * l.slowdown).min(most * MOST)
     }
 
     /// The batches of a key for which those ahead leave no time. Guards against a hot key, which no engine helps.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -559,3 +559,16 @@
     assert!(w.records[second as usize].over, "answered in its time");
     assert_eq!(w.sent_to(third).len(), 1);
 }
+
+/// A group whose limit is a day, of which nothing is known yet, and a batch that has seconds.
+#[test]
+fn a_limit_of_hours_shuts_out_no_batch() {
+    for (goal, limit) in [(1.0, 86_400.0), (43_200.0, 86_400.0), (10.0, 3600.0)] {
+        let day = ServiceGroup { goal, limit, ..group(Effect::Repeatable) };
+        let mut w = World::new(settings(vec![day]), 4);
+        let id = w.take(0, 0, None, 1.5);
+        w.pass(0.3);
+        assert_eq!(w.sent_to(id).len(), 1, "goal {goal}, limit {limit}");
+        w.outcome(id, End::Returned);
+    }
+}
