--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -1,4 +1,13 @@
+use super::list::List;
 use super::*;
+use crate::attended::Attended;
+use crate::changes::EngineLine;
+use bytes::Bytes;
+use garnetwall::api::Condition;
+use http::HeaderValue;
+use std::collections::HashMap;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 fn line(id: &str, condition: Condition) -> EngineLine {
     let address = SocketAddr::from(([127, 0, 0, 1], 4100));
