--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -1,6 +1,7 @@
 //! A client's connection. It can be read ahead of who parses it: so a client that has left is noticed also behind bytes
 //! that nobody has asked for yet, and what has come already is known before the connection is closed.
 
+use crate::sockets::Stalled;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -16,8 +17,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
-use crate::sockets::STALLED;
-
 /// Read ahead at most: a head and a statement of the usual length.
 const AHEAD: usize = 8 << 10;
 /// Looked at this often while more than that stands before a client's close; the protocol's 0.1 s for a client that has left
@@ -38,7 +37,7 @@
     read: Instant,
     /// Until the next look at a connection that can't be read further ahead.
     looks: Option<Pin<Box<Sleep>>>,
-    stalled: Option<Pin<Box<Sleep>>>,
+    stalled: Stalled,
 }
 
 /// One client's connection, to be looked at from beside who parses it.
@@ -60,7 +59,7 @@
             unheard: false,
             read: Instant::now(),
             looks: None,
-            stalled: None,
+            stalled: Stalled::default(),
         };
         Peer(Arc::new(Mutex::new(held)))
     }
@@ -192,16 +191,6 @@
             self.took(read, &bytes);
         }
     }
-
-    /// Lets no write wait for ever.
-    fn bounded(&mut self, cx: &mut Context, end: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if end.is_ready() {
-            self.stalled = None;
-            return end;
-        }
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALLED)));
-        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
-    }
 }
 
 impl Read for Inbound {
@@ -226,7 +215,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let mut held = self.0.held();
         let end = Pin::new(&mut held.io).poll_write(cx, buf);
-        held.bounded(cx, end)
+        held.stalled.bounded(cx, end)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -248,6 +237,6 @@
     ) -> Poll<io::Result<usize>> {
         let mut held = self.0.held();
         let end = Pin::new(&mut held.io).poll_write_vectored(cx, bufs);
-        held.bounded(cx, end)
+        held.stalled.bounded(cx, end)
     }
 }
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -29,7 +29,23 @@
 
 /// A write that nothing is read of for this long ends the connection: far above any client's patience with
 /// its own network.
-pub const STALLED: Duration = Duration::from_secs(10);
+const STALLED: Duration = Duration::from_secs(10);
+
+/// How long a connection's write has waited; it lets none wait for ever.
+#[derive(Debug, Default)]
+pub struct Stalled(Option<Pin<Box<Sleep>>>);
+
+impl Stalled {
+    /// The end of a write as it is, or that of one that has waited too long.
+    pub fn bounded(&mut self, cx: &mut Context, end: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if end.is_ready() {
+            self.0 = None;
+            return end;
+        }
+        let stalled = self.0.get_or_insert_with(|| Box::pin(sleep(STALLED)));
+        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
 
 /// Parts of the told limit that may be open at once.
 #[derive(Clone, Debug)]
@@ -171,7 +187,7 @@
     abandoned: Abandoned,
     /// Of the start that goes out on it.
     gate: Option<Arc<Gate>>,
-    stalled: Option<Pin<Box<Sleep>>>,
+    stalled: Stalled,
     /// Its part of the budget, where no one else holds that.
     _permit: Option<OwnedSemaphorePermit>,
 }
@@ -185,7 +201,7 @@
             io: TokioIo::new(stream),
             abandoned: Abandoned::default(),
             gate: None,
-            stalled: None,
+            stalled: Stalled::default(),
             _permit: permit,
         }
     }
@@ -208,16 +224,6 @@
             false => Ok(()),
         }
     }
-
-    /// Lets no write wait for ever.
-    fn bounded(&mut self, cx: &mut Context, end: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if end.is_ready() {
-            self.stalled = None;
-            return end;
-        }
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALLED)));
-        stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
-    }
 }
 
 impl Drop for Line {
@@ -239,7 +245,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.lets_out()?;
         let end = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.bounded(cx, end)
+        self.stalled.bounded(cx, end)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -265,7 +271,7 @@
     ) -> Poll<io::Result<usize>> {
         self.lets_out()?;
         let end = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.bounded(cx, end)
+        self.stalled.bounded(cx, end)
     }
 }
 
