--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -89,6 +89,7 @@
                 cell: e.cell,
                 came_up: e.came_up,
                 condition,
+                holders: None,
             });
         }
         self.control.listed(&lines, kind != 0);
--- a/crates/gateway/src/engines/list.rs
+++ b/crates/gateway/src/engines/list.rs
@@ -59,6 +59,7 @@
             cell: line.cell,
             came_up: line.came_up,
             condition: line.condition,
+            holders: None,
         };
         Some(Told { listed, id: line.id.clone(), address: line.address })
     }
--- a/crates/gateway/tests/world.rs
+++ b/crates/gateway/tests/world.rs
@@ -304,7 +304,15 @@
             _ => Condition::Ready,
         };
         let came_up = (p.up > 0).then(|| seconds(p.up));
-        Some(Listed { engine, zone: self.zone(engine), kind: 0, cell: p.slot as u32, came_up, condition })
+        Some(Listed {
+            engine,
+            zone: self.zone(engine),
+            kind: 0,
+            cell: p.slot as u32,
+            came_up,
+            condition,
+            holders: None,
+        })
     }
 
     fn listens(&self, slot: usize) -> Option<usize> {
--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,66 @@
+//! `garnetwall-scale`: what the program costs at a size that no machine holds.
+
+mod beside;
+mod fleet;
+mod slopes;
+mod spread;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// Scale runs of garnetwall. Experiments are TOML files; docs/scale.md describes them.
+#[derive(Parser)]
+#[command(name = "garnetwall-scale", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Measures what one role costs as one quantity grows, and fits a slope.
+    Slopes(Run),
+    /// Plays thousands of hollow gateways in simulated time, and judges them.
+    Fleet(Run),
+    /// Plays real gateways on loopback beside what hollow ones predict.
+    Beside(Run),
+    /// Compares ways to choose subsets: spread over engines, moves on a change.
+    Spread(Run),
+}
+
+/// One experiment, and where its results go.
+#[derive(clap::Args)]
+pub struct Run {
+    /// The experiment's file.
+    pub experiment: PathBuf,
+    /// Writes results here as JSON lines, and beside it as CSV and SVG.
+    #[arg(long)]
+    pub results: Option<PathBuf>,
+    /// Overrides the experiment's seed.
+    #[arg(long)]
+    pub seed: Option<u64>,
+}
+
+/// Whether everything that was judged passed.
+pub type Verdict = Result<bool, Box<dyn std::error::Error>>;
+
+fn main() -> ExitCode {
+    let filter = EnvFilter::try_from_env("GARNETWALL_LOG").unwrap_or_else(|_| EnvFilter::new("warn"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+    let verdict = match Arguments::parse().command {
+        Command::Slopes(run) => slopes::run(&run),
+        Command::Fleet(run) => fleet::run(&run),
+        Command::Beside(run) => beside::run(&run),
+        Command::Spread(run) => spread::run(&run),
+    };
+    match verdict {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("garnetwall-scale: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -128,6 +128,8 @@
     pub cell: u32,
     pub came_up: Option<f64>,
     pub condition: Condition,
+    /// Gateways that work with this engine, this one included; all that the settings tell of where it is none.
+    pub holders: Option<f64>,
 }
 
 /// What an engine said of itself; shares are 0 to 1.
--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,7 @@
 use crate::api::*;
 pub use crate::state::Control;
 use crate::state::{
-    micros, Chance, Due, Engine, Guess, InHand, KeyLine, Learned, Level, Queue, Sent, Stage, Window,
+    micros, Chance, Due, Engine, Guess, InHand, KeyLine, Kind, Learned, Level, Queue, Sent, Stage, Window,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -77,6 +77,7 @@
             due: BTreeSet::from([(micros(now), Due::Tick)]),
             ran: (s.groups.iter().map(|c| c.threads).sum(), s.groups.len() as f64),
             subscribe: s.list_on_request,
+            holders: s.gateways,
             s,
             ..Control::default()
         }
@@ -135,8 +136,8 @@
     }
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
-        let named = |e: EngineId| !whole || lines.iter().any(|l| l.engine == e);
-        let old = self.engines.iter_mut().enumerate().filter(|(i, _)| !named(*i));
+        let named: BTreeSet<EngineId> = lines.iter().map(|l| l.engine).collect();
+        let old = self.engines.iter_mut().enumerate().filter(|(i, _)| whole && !named.contains(i));
         old.filter_map(|(_, e)| e.line.as_mut()).for_each(|line| line.condition = Condition::Gone);
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
@@ -149,11 +150,18 @@
                 (e.known_at, e.sample, e.lot) = (self.clock_at, self.latest, self.chance.draw());
             }
             (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
+            e.holders = l.holders.map_or(self.s.gateways, |n| n.clamp(1.0, self.s.gateways));
         }
-        self.kinds.values_mut().for_each(|k| (k.cores, k.memory) = (0.0, 0.0));
+        let (all, mut cores) = (self.s.gateways, 0.0);
+        self.holders = all;
+        self.kinds.values_mut().for_each(|k| (k.cores, k.memory, k.holders) = (0.0, 0.0, all));
         for e in self.engines.iter().filter(|e| e.ready()) {
-            let k = self.kinds.entry(e.kind()).or_default();
+            let k = self.kinds.entry(e.kind()).or_insert(Kind { holders: all, ..Kind::default() });
             (k.cores, k.memory) = (k.cores + e.cores, k.memory + e.memory.unwrap_or(0.0));
+            cores += e.cores;
+            // Means over cores, exact where all are alike.
+            k.holders += (e.holders - k.holders) * e.cores / k.cores.max(LEAST);
+            self.holders += (e.holders - self.holders) * e.cores / cores.max(LEAST);
         }
     }
 
@@ -213,9 +221,9 @@
     fn shared(&self, now: f64, kind: usize, cores: f64, b: &Batch) -> f64 {
         let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
-        let by_threads = (k.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let by_threads = (k.threads + threads) / (cores * MARK / k.holders).max(threads);
         let memory = k.memory * cores / k.cores.max(LEAST);
-        let slice = (memory * MEMORY_MARK / self.s.gateways).max(need).max(LEAST);
+        let slice = (memory * MEMORY_MARK / k.holders).max(need).max(LEAST);
         let by_memory = if k.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
         if pool < 1.0 {
             by_memory / UNEVEN
@@ -487,11 +495,11 @@
         let cores = self.able_cores(now, e);
         let told = self.level(now, pool, e);
         let e = &self.engines[e];
-        let ours = (e.threads + threads) / (cores * MARK / self.s.gateways).max(threads);
+        let ours = (e.threads + threads) / (cores * MARK / e.holders).max(threads);
         let told = if !self.tells_cores && pool < 1.0 { 0.0 } else { told };
         let by_threads = if told < 1.0 && ours <= FLOODED { told } else { told.max(ours) };
         let need = self.need(b);
-        let room = |m: f64| (m * MEMORY_MARK / self.s.gateways).max(need);
+        let room = |m: f64| (m * MEMORY_MARK / e.holders).max(need);
         let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
         by_threads.max(by_memory)
     }
@@ -731,7 +739,7 @@
     /// would push it over, so what is not sent in time lapses.
     fn cold_part(&self, now: f64, engine: EngineId) -> (f64, f64) {
         let (e, Some(c)) = (&self.engines[engine], self.s.cold) else { return (0.0, 0.0) };
-        let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / self.s.gateways;
+        let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / e.holders;
         let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
         let usual = self.usual.mean(now, KIND_LIFE, 0.0);
         let quantum = e.sample.map_or(usual, |b| self.work(&b)).min(lump).max(LEAST);
@@ -783,7 +791,7 @@
         late.into_iter().for_each(|id| self.give_up(id));
         let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
         let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
-        let rate = (cores * YIELD / self.s.gateways).max(LEAST);
+        let rate = (cores * YIELD / self.holders).max(LEAST);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
         let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
         waiting.sort_by(|a, b| b.0 .0.total_cmp(&a.0 .0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,8 @@
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
     pub(crate) tells_cores: bool,
+    /// Gateways that work with an engine, in the mean over the cores of those that are ready.
+    pub(crate) holders: f64,
     pub(crate) kinds: BTreeMap<usize, Kind>,
     /// Thread-seconds and seconds that dispatches were out.
     pub(crate) ran: (f64, f64),
@@ -175,6 +177,8 @@
     /// Of its engines that are ready.
     pub cores: f64,
     pub memory: f64,
+    /// Gateways that work with one of them, in the mean over their cores.
+    pub holders: f64,
     /// Of ours out there.
     pub threads: f64,
     pub memory_used: f64,
@@ -241,6 +245,8 @@
     pub line: Option<Listed>,
     pub cores: f64,
     pub memory: Option<f64>,
+    /// Gateways that work with it.
+    pub holders: f64,
     pub threads: f64,
     pub batches: u32,
     pub memory_used: f64,
--- a/tests/cold_sum.rs
+++ b/tests/cold_sum.rs
@@ -124,7 +124,7 @@
     fn line(&self, engine: EngineId, started: bool) -> Listed {
         let (up, kind) = self.starts.get(engine).copied().unwrap_or((0.0, engine % 2));
         let came_up = Some(up).filter(|_| started && engine < self.starts.len());
-        Listed { engine, zone: 0, kind, cell: 0, came_up, condition: Condition::Ready }
+        Listed { engine, zone: 0, kind, cell: 0, came_up, condition: Condition::Ready, holders: None }
     }
 
     /// Cores that an engine can use.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -94,6 +94,7 @@
         cell: engine as u32,
         came_up: None,
         condition: Condition::Ready,
+        holders: None,
     }
 }
 
