--- /dev/null
+++ b/crates/subset/examples/cost.rs
@@ -0,0 +1,128 @@
+//! Prints what a subset costs: a whole list, a changed line, and the memory of many subsets of one catalog.
+//!
+//! `cargo run --release -p garnetwall-subset --example cost`
+
+use garnetwall_subset::{
+    Action, Catalog, Condition, EngineFacts, EngineLine, RetryScope, Subset, SubsetError, SubsetSettings,
+};
+use std::time::Instant;
+
+const ENGINES: u32 = 6_500;
+const ZONES: u32 = 21;
+const GATEWAYS: usize = 4_400;
+const CHANGED_LINES: u32 = 20_000;
+const WHOLE_LISTS: u32 = 20;
+
+fn settings(retry_scope: RetryScope, near_weight: f64) -> SubsetSettings {
+    SubsetSettings {
+        size: 80,
+        class_floor: 0,
+        reserve: 20,
+        joins_per_second: 2.0,
+        zone: Some(0),
+        near_weight,
+        gateways: GATEWAYS as f64,
+        classes: Vec::new(),
+        retry_scope,
+    }
+}
+
+fn line(number: u32, condition: Condition) -> EngineLine {
+    let cores = [8.0, 16.0, 32.0][(number / ZONES % 3) as usize];
+    let facts =
+        EngineFacts { zone: number % ZONES, kind: number % 3, cell: number / ZONES % 15, cores, condition };
+    EngineLine { id: format!("engine-{number}"), facts }
+}
+
+/// Time on a processor since the process began, which other processes' load does not lengthen; the wall's where the
+/// system does not tell it.
+fn processor_nanoseconds(begun: Instant) -> f64 {
+    let told = std::fs::read_to_string("/proc/self/schedstat").ok();
+    let told = told.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    told.unwrap_or(begun.elapsed().as_nanos() as f64)
+}
+
+fn nanoseconds(times: u32, mut act: impl FnMut(u32)) -> f64 {
+    let begun = Instant::now();
+    let before = processor_nanoseconds(begun);
+    (0..times).for_each(&mut act);
+    (processor_nanoseconds(begun) - before) / f64::from(times)
+}
+
+/// Resident memory in KiB, where the system tells it.
+fn resident_kib() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?.split_whitespace().next()?.parse().ok()
+}
+
+fn main() -> Result<(), SubsetError> {
+    let lines: Vec<EngineLine> = (0..ENGINES).map(|number| line(number, Condition::Ready)).collect();
+    let first = nanoseconds(WHOLE_LISTS, |_| drop(Catalog::default().apply(&lines, true)));
+    println!("catalog: a first list of {ENGINES}: {:.0} us", first / 1e3);
+    let mut catalog = Catalog::default();
+    catalog.apply(&lines, true);
+    let again = nanoseconds(WHOLE_LISTS, |_| drop(catalog.apply(&lines, true)));
+    println!("catalog: the same list again: {:.0} us", again / 1e3);
+    let scopes = [
+        (RetryScope::Everywhere, 1.0),
+        (RetryScope::Everywhere, 4.0),
+        (RetryScope::Cell, 1.0),
+        (RetryScope::Cell, 4.0),
+    ];
+    for (scope, near_weight) in scopes {
+        measure(&mut catalog, scope, near_weight)?;
+    }
+    measure_memory(&catalog)
+}
+
+fn measure(catalog: &mut Catalog, scope: RetryScope, near_weight: f64) -> Result<(), SubsetError> {
+    let what = format!("subset of 80, retries {scope:?}, near weight {near_weight}");
+    let settings = settings(scope, near_weight);
+    let mut failed = None;
+    let fill = nanoseconds(WHOLE_LISTS, |gateway| {
+        match Subset::new(&format!("gateway-{gateway}"), settings.clone()) {
+            Ok(mut subset) => drop(subset.poll(0.0, catalog)),
+            Err(fault) => failed = Some(fault),
+        }
+    });
+    failed.map_or(Ok(()), Err)?;
+    println!("{what}: a first fill: {:.0} us", fill / 1e3);
+    let mut subset = Subset::new("gateway-0", settings)?;
+    subset.poll(0.0, catalog);
+    let mut now = 0.0;
+    let mut actions = 0;
+    let changed = nanoseconds(CHANGED_LINES, |number| {
+        let condition = if number % 2 == 0 { Condition::Draining } else { Condition::Ready };
+        let changes = catalog.apply(&[line(number / 2 * 7 % ENGINES, condition)], false);
+        now += 0.1;
+        subset.changed(now, catalog, &changes);
+        for action in subset.poll(now, catalog) {
+            actions += 1;
+            if let Action::Warm(engine) = action {
+                subset.warmed(now, engine, true);
+            }
+        }
+    });
+    println!("{what}: a changed line, catalog and poll included: {changed:.0} ns, {actions} actions");
+    Ok(())
+}
+
+fn measure_memory(catalog: &Catalog) -> Result<(), SubsetError> {
+    let before = resident_kib();
+    let mut subsets = Vec::with_capacity(GATEWAYS);
+    for gateway in 0..GATEWAYS {
+        let mut subset = Subset::new(&format!("gateway-{gateway}"), settings(RetryScope::Everywhere, 1.0))?;
+        subset.poll(0.0, catalog);
+        subsets.push(subset);
+    }
+    let grown = resident_kib().zip(before).map(|(after, before)| after.saturating_sub(before));
+    match grown {
+        Some(grown) => println!(
+            "{} subsets of one catalog: {:.1} KiB each",
+            subsets.len(),
+            grown as f64 / GATEWAYS as f64
+        ),
+        None => println!("resident memory is not told here"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/subset/src/candidates.rs
@@ -0,0 +1,83 @@
+//! The next engines in order of score: all that score below a limit, and none above it.
+
+use crate::score::Score;
+use crate::EngineKey;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// Candidates kept beyond those that are wanted, as a part of these: so many may leave before the list is read again.
+const SPARE_PART: f64 = 0.5;
+
+/// Spare candidates, at least.
+const LEAST_SPARE: usize = 8;
+
+/// Engines of a list in order of score, as far as they may be wanted soon.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidates {
+    by_score: BTreeSet<(Score, EngineKey)>,
+    scores: BTreeMap<EngineKey, Score>,
+    /// All engines with a lower score are candidates; none is where the list is known whole.
+    limit: Option<Score>,
+}
+
+impl Candidates {
+    /// The lowest scores of a list: those wanted and some spare ones.
+    pub fn collect(engines: impl Iterator<Item = (Score, EngineKey)>, wanted: usize) -> Self {
+        let keep = with_spare(wanted);
+        let mut lowest: BinaryHeap<(Score, EngineKey)> = BinaryHeap::new();
+        let mut limit: Option<Score> = None;
+        for engine in engines {
+            lowest.push(engine);
+            if lowest.len() > keep {
+                let left_out = lowest.pop().map(|(score, _)| score);
+                limit = limit.into_iter().chain(left_out).min();
+            }
+        }
+        let by_score: BTreeSet<(Score, EngineKey)> = lowest.into_iter().collect();
+        let scores = by_score.iter().map(|(score, engine)| (*engine, *score)).collect();
+        Candidates { by_score, scores, limit }
+    }
+
+    /// Takes in an engine that may be chosen; whether it is a candidate.
+    pub fn offer(&mut self, engine: EngineKey, score: Score, wanted: usize) -> bool {
+        if self.limit.is_some_and(|limit| score >= limit) {
+            return false;
+        }
+        self.withdraw(engine);
+        self.by_score.insert((score, engine));
+        self.scores.insert(engine, score);
+        if self.by_score.len() > with_spare(with_spare(wanted)) {
+            self.shorten(with_spare(wanted));
+        }
+        self.scores.contains_key(&engine)
+    }
+
+    fn shorten(&mut self, keep: usize) {
+        while self.by_score.len() > keep {
+            if let Some((score, engine)) = self.by_score.pop_last() {
+                self.scores.remove(&engine);
+                self.limit = Some(score);
+            }
+        }
+    }
+
+    /// Takes out an engine; whether it was a candidate.
+    pub fn withdraw(&mut self, engine: EngineKey) -> bool {
+        let Some(score) = self.scores.remove(&engine) else { return false };
+        self.by_score.remove(&(score, engine))
+    }
+
+    /// Whether the list holds further engines while fewer than wanted are candidates.
+    pub fn falls_short(&self, wanted: usize) -> bool {
+        self.limit.is_some() && self.by_score.len() < wanted
+    }
+
+    /// The candidates, lowest score first.
+    pub fn in_order(&self) -> impl Iterator<Item = EngineKey> + '_ {
+        self.by_score.iter().map(|(_, engine)| *engine)
+    }
+}
+
+fn with_spare(wanted: usize) -> usize {
+    let spare = (wanted as f64 * SPARE_PART) as usize;
+    wanted.saturating_add(spare.max(LEAST_SPARE))
+}
--- a/crates/subset/src/catalog.rs
+++ b/crates/subset/src/catalog.rs
@@ -1,6 +1,9 @@
 //! The whole list of engines, kept once and shared by all that choose from it.
 
-use std::collections::{BTreeMap, HashMap};
+use crate::holders::{HoldersCache, HoldersTable, HoldersTerms};
+use crate::ready::ReadyEngines;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
 
 /// Names one engine of a catalog. Keys are never used again for another engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,7 +23,7 @@
     pub zone: u32,
     pub kind: u32,
     pub cell: u32,
-    /// Its weight in the choice; more than 0.
+    /// More than 0. They tell how gateways are spread over zones, and make engines alike or not.
     pub cores: f64,
     pub condition: Condition,
 }
@@ -55,6 +58,10 @@
     by_id: HashMap<Box<str>, EngineKey>,
     entries: BTreeMap<EngineKey, Entry>,
     next_key: u64,
+    ready: ReadyEngines,
+    /// Lines that changed something, since the start.
+    changed_lines: u64,
+    holders: HoldersCache,
 }
 
 impl Catalog {
@@ -63,7 +70,7 @@
     pub fn apply(&mut self, lines: &[EngineLine], whole: bool) -> Vec<Change> {
         let mut changes = Vec::new();
         if whole {
-            let named: std::collections::HashSet<&str> = lines.iter().map(|line| line.id.as_str()).collect();
+            let named: HashSet<&str> = lines.iter().map(|line| line.id.as_str()).collect();
             let unnamed = |(key, entry): (&EngineKey, &Entry)| (!named.contains(&*entry.id)).then_some(*key);
             let unnamed: Vec<EngineKey> = self.entries.iter().filter_map(unnamed).collect();
             changes.extend(unnamed.into_iter().filter_map(|key| self.remove(key)));
@@ -81,7 +88,19 @@
         let entry = Entry { id: line.id.as_str().into(), facts: line.facts };
         let before = self.entries.insert(engine, entry).map(|entry| entry.facts);
         let after = Some(line.facts);
-        (before != after).then_some(Change { engine, before, after })
+        (before != after).then(|| self.note(Change { engine, before, after }))
+    }
+
+    /// Brings the counts up to date with a change.
+    fn note(&mut self, change: Change) -> Change {
+        if let Some(before) = ready(change.before) {
+            self.ready.remove(change.engine, &before);
+        }
+        if let Some(after) = ready(change.after) {
+            self.ready.insert(change.engine, &after);
+        }
+        self.changed_lines += 1;
+        change
     }
 
     fn assign_key(&mut self, id: &str) -> EngineKey {
@@ -94,7 +113,7 @@
     fn remove(&mut self, engine: EngineKey) -> Option<Change> {
         let entry = self.entries.remove(&engine)?;
         self.by_id.remove(&entry.id);
-        Some(Change { engine, before: Some(entry.facts), after: None })
+        Some(self.note(Change { engine, before: Some(entry.facts), after: None }))
     }
 
     /// The engines in it, those that drain included.
@@ -122,4 +141,24 @@
     pub fn engines(&self) -> impl Iterator<Item = (EngineKey, &str, EngineFacts)> {
         self.entries.iter().map(|(key, entry)| (*key, &*entry.id, entry.facts))
     }
+
+    /// Engines that take new work.
+    pub fn ready_count(&self) -> usize {
+        self.ready.count()
+    }
+
+    pub(crate) fn ready(&self) -> &ReadyEngines {
+        &self.ready
+    }
+
+    /// How many gateways hold each engine on these terms. Subsets on the same terms share one table, which is worked
+    /// out anew when the list has changed by more than a small part.
+    pub(crate) fn holders(&self, terms: &HoldersTerms) -> Arc<HoldersTable> {
+        self.holders.table(terms, &self.ready, self.changed_lines)
+    }
+}
+
+/// The facts of an engine that takes new work.
+fn ready(facts: Option<EngineFacts>) -> Option<EngineFacts> {
+    facts.filter(|facts| facts.condition == Condition::Ready)
 }
--- /dev/null
+++ b/crates/subset/src/class_shortage.rs
@@ -0,0 +1,45 @@
+//! How many members each placement class lacks.
+
+use crate::{EngineFacts, PlacementClass};
+
+/// The members that each placement class lacks; fewer than none where it has more than it needs.
+pub(crate) struct ClassShortage<'a> {
+    lacking: Vec<(&'a PlacementClass, i64)>,
+}
+
+impl<'a> ClassShortage<'a> {
+    /// `needed` tells how many members a class needs of which the target has so many.
+    pub fn new(
+        classes: &'a [PlacementClass],
+        target: &[EngineFacts],
+        members: &[EngineFacts],
+        needed: impl Fn(usize) -> usize,
+    ) -> Self {
+        let count = |class: &PlacementClass, engines: &[EngineFacts]| {
+            engines.iter().filter(|facts| class.admits_engine(facts)).count()
+        };
+        let lacking = |class: &'a PlacementClass| {
+            let needed = needed(count(class, target));
+            (class, needed as i64 - count(class, members) as i64)
+        };
+        ClassShortage { lacking: classes.iter().map(lacking).collect() }
+    }
+
+    /// Whether a class that this engine may serve lacks members.
+    pub fn concerns(&self, facts: &EngineFacts) -> bool {
+        self.lacking.iter().any(|(class, lacking)| *lacking > 0 && class.admits_engine(facts))
+    }
+
+    pub fn add(&mut self, facts: &EngineFacts) {
+        self.shift(facts, -1);
+    }
+
+    pub fn remove(&mut self, facts: &EngineFacts) {
+        self.shift(facts, 1);
+    }
+
+    fn shift(&mut self, facts: &EngineFacts, by: i64) {
+        let concerned = self.lacking.iter_mut().filter(|(class, _)| class.admits_engine(facts));
+        concerned.for_each(|(_, lacking)| *lacking += by);
+    }
+}
--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -3,14 +3,37 @@
 //! Each gateway chooses its subset for itself, from what it is told: its name, the number of gateways, and the
 //! list of engines. The crate has no I/O and no clock: callers hand in times, in seconds on a clock of theirs.
 //!
+//! An engine's score for a gateway is an exponential variate drawn from a hash of both names. A gateway holds the engines
+//! with the lowest scores: so many of the whole list, and so many of each placement class. What it does about them:
+//!
+//! | event | what follows |
+//! |---|---|
+//! | the first list, or no member left | all engines to hold join at once |
+//! | a member drains or goes | it leaves at once; up to `reserve` vacated places are refilled at once, others at the pace |
+//! | under the floor (half of the size, or of a class's floor) | engines join at once, untried |
+//! | an engine with a lower score than a member | it is warmed at the pace and joins; then the member leaves |
+//! | an engine is not reached | the next candidate takes its place; it is tried again, ever more seldom |
+//! | a member fails by the gateway's own evidence | the subset widens by one, up to `reserve`, and narrows slowly |
+//!
 //! A [`Catalog`] keeps the whole list once; many subsets may read one catalog. A [`Subset`] keeps only its members and
 //! a short reserve, and answers each change with [`Action`]s. A subset narrows what the decision module may choose
 //! from and never widens it.
 
+mod candidates;
 mod catalog;
+mod class_shortage;
+mod health;
+mod holders;
+mod newcomers;
+mod ready;
+mod score;
+mod selection;
 mod settings;
+mod size;
 mod subset;
 
 pub use catalog::{Catalog, Change, Condition, EngineFacts, EngineKey, EngineLine};
-pub use settings::{PlacementClass, RetryScope, SubsetError, SubsetSettings};
+pub use score::{GatewayHash, Score};
+pub use settings::{PlacementClass, RetryScope, SubsetError, SubsetSettings, MAX_CLASSES, MAX_NEAR_WEIGHT};
+pub use size::{EffectiveSize, SizeReason, MIN_HOLDERS};
 pub use subset::{Action, Subset};
--- /dev/null
+++ b/crates/subset/src/ready.rs
@@ -0,0 +1,141 @@
+//! Counts and an index of the engines that take new work, kept up to date line by line.
+
+use crate::{EngineFacts, EngineKey, PlacementClass, RetryScope};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A cell of a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Cell {
+    pub zone: u32,
+    pub cell: u32,
+}
+
+/// The engines among which a query may be retried: those of a zone, or of one cell of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RetryDomain {
+    pub zone: u32,
+    pub cell: Option<u32>,
+}
+
+impl From<Cell> for RetryDomain {
+    fn from(cell: Cell) -> Self {
+        RetryDomain { zone: cell.zone, cell: Some(cell.cell) }
+    }
+}
+
+impl RetryDomain {
+    /// The domain of an engine; none where retries may go everywhere.
+    pub fn of(facts: &EngineFacts, scope: RetryScope) -> Option<Self> {
+        match scope {
+            RetryScope::Everywhere => None,
+            RetryScope::Zone => Some(RetryDomain { zone: facts.zone, cell: None }),
+            RetryScope::Cell => Some(RetryDomain { zone: facts.zone, cell: Some(facts.cell) }),
+        }
+    }
+}
+
+/// Engines that are alike for the choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct EngineShape {
+    pub kind: u32,
+    /// The bits of the cores, so that shapes have an order.
+    cores: u64,
+}
+
+impl EngineShape {
+    pub fn of(facts: &EngineFacts) -> Self {
+        EngineShape { kind: facts.kind, cores: facts.cores.to_bits() }
+    }
+
+    pub fn cores(self) -> f64 {
+        f64::from_bits(self.cores)
+    }
+}
+
+/// How many engines of each shape there are.
+pub(crate) type ShapeCounts = BTreeMap<EngineShape, usize>;
+
+#[derive(Clone, Debug, Default)]
+struct CellEngines {
+    engines: BTreeSet<EngineKey>,
+    shapes: ShapeCounts,
+}
+
+/// The engines that take new work, by zone and cell.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReadyEngines {
+    count: usize,
+    cells: BTreeMap<Cell, CellEngines>,
+    zones: BTreeMap<u32, ShapeCounts>,
+}
+
+impl ReadyEngines {
+    pub fn insert(&mut self, engine: EngineKey, facts: &EngineFacts) {
+        let cell = self.cells.entry(Cell { zone: facts.zone, cell: facts.cell }).or_default();
+        if cell.engines.insert(engine) {
+            let shape = EngineShape::of(facts);
+            *cell.shapes.entry(shape).or_default() += 1;
+            *self.zones.entry(facts.zone).or_default().entry(shape).or_default() += 1;
+            self.count += 1;
+        }
+    }
+
+    pub fn remove(&mut self, engine: EngineKey, facts: &EngineFacts) {
+        let key = Cell { zone: facts.zone, cell: facts.cell };
+        let Some(cell) = self.cells.get_mut(&key) else { return };
+        if !cell.engines.remove(&engine) {
+            return;
+        }
+        let shape = EngineShape::of(facts);
+        subtract(&mut cell.shapes, shape);
+        if cell.engines.is_empty() {
+            self.cells.remove(&key);
+        }
+        if let Some(zone) = self.zones.get_mut(&facts.zone) {
+            subtract(zone, shape);
+            if zone.is_empty() {
+                self.zones.remove(&facts.zone);
+            }
+        }
+        self.count -= 1;
+    }
+
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// The shapes of each zone.
+    pub fn zones(&self) -> impl Iterator<Item = (u32, &ShapeCounts)> {
+        self.zones.iter().map(|(zone, shapes)| (*zone, shapes))
+    }
+
+    /// The shapes of each cell.
+    pub fn cells(&self) -> impl Iterator<Item = (Cell, &ShapeCounts)> {
+        self.cells.iter().map(|(cell, contents)| (*cell, &contents.shapes))
+    }
+
+    /// Engines that may serve a class.
+    pub fn count_in_class(&self, class: &PlacementClass) -> usize {
+        let admitted = |zone: u32| {
+            move |(shape, count): (&EngineShape, &usize)| class.admits(zone, shape.kind) as usize * *count
+        };
+        self.zones().map(|(zone, shapes)| shapes.iter().map(admitted(zone)).sum::<usize>()).sum()
+    }
+
+    /// The engines of a retry domain.
+    pub fn in_domain(&self, domain: RetryDomain) -> impl Iterator<Item = EngineKey> + '_ {
+        let first = domain.cell.unwrap_or(u32::MIN);
+        let last = domain.cell.unwrap_or(u32::MAX);
+        let cells = Cell { zone: domain.zone, cell: first }..=Cell { zone: domain.zone, cell: last };
+        self.cells.range(cells).flat_map(|(_, cell)| cell.engines.iter().copied())
+    }
+}
+
+fn subtract(shapes: &mut ShapeCounts, shape: EngineShape) {
+    if let Some(count) = shapes.get_mut(&shape) {
+        *count -= 1;
+        if *count == 0 {
+            shapes.remove(&shape);
+        }
+    }
+}
--- a/crates/subset/src/settings.rs
+++ b/crates/subset/src/settings.rs
@@ -1,7 +1,14 @@
 //! What an operator sets, and what is wrong with it.
 
+use crate::EngineFacts;
 use thiserror::Error;
 
+/// Placement classes, at most; each costs a gateway memory and a comparison for each changed line.
+pub const MAX_CLASSES: usize = 1_024;
+
+/// Beyond it a gateway would work with its own zone alone, whatever the exact figure.
+pub const MAX_NEAR_WEIGHT: f64 = 1e6;
+
 /// Where attempts of one service group may go; `None` leaves all open.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PlacementClass {
@@ -9,6 +16,20 @@
     pub kinds: Option<Vec<u32>>,
 }
 
+impl PlacementClass {
+    /// Whether an engine of this zone and kind may serve it.
+    pub fn admits(&self, zone: u32, kind: u32) -> bool {
+        let open =
+            |named: &Option<Vec<u32>>, value| named.as_ref().is_none_or(|named| named.contains(&value));
+        open(&self.zones, zone) && open(&self.kinds, kind)
+    }
+
+    /// Whether this engine may serve it.
+    pub fn admits_engine(&self, facts: &EngineFacts) -> bool {
+        self.admits(facts.zone, facts.kind)
+    }
+}
+
 /// Where a query that is idempotent by key may be retried after an attempt that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RetryScope {
@@ -43,11 +64,54 @@
     pub retry_scope: RetryScope,
 }
 
+impl SubsetSettings {
+    /// Whether a subset can be chosen by them.
+    pub fn validate(&self) -> Result<(), SubsetError> {
+        if self.size == 0 {
+            return Err(SubsetError::EmptySize);
+        }
+        if self.class_floor > self.size {
+            return Err(SubsetError::ClassFloorOverSize { class_floor: self.class_floor, size: self.size });
+        }
+        if self.classes.len() > MAX_CLASSES {
+            return Err(SubsetError::TooManyClasses { found: self.classes.len() });
+        }
+        self.validate_numbers()
+    }
+
+    fn validate_numbers(&self) -> Result<(), SubsetError> {
+        let faulty =
+            |place, found, expected, remedy| Err(SubsetError::OutOfRange { place, found, expected, remedy });
+        if !(self.joins_per_second.is_finite() && self.joins_per_second > 0.0) {
+            let remedy = "name how many engines may be added a second, such as 2";
+            return faulty("subset.joins_per_second", self.joins_per_second, "a number over 0", remedy);
+        }
+        if !(1.0..=MAX_NEAR_WEIGHT).contains(&self.near_weight) {
+            let remedy = "name 1 for no preference, or how many times more often a near engine is chosen";
+            return faulty("subset.near_weight", self.near_weight, "a number from 1 to 1000000", remedy);
+        }
+        if !(self.gateways.is_finite() && self.gateways >= 1.0) {
+            let remedy = "tell the number of gateways before these engines, this one included";
+            return faulty("subset.gateways", self.gateways, "a number of 1 or more", remedy);
+        }
+        Ok(())
+    }
+}
+
 /// Settings that no subset can be chosen by: where, why, and what to do.
 #[derive(Clone, Debug, PartialEq, Error)]
 pub enum SubsetError {
     #[error("subset.size: 0 engines; name at least 1, or leave the block out to work with the whole list")]
     EmptySize,
+    #[error(
+        "subset.class_floor: {class_floor} engines of each class are more than the subset.size of {size}; \
+         lower class_floor, or raise size"
+    )]
+    ClassFloorOverSize { class_floor: usize, size: usize },
+    #[error("subset.classes: {found} placement classes are more than {MAX_CLASSES}; let service groups share theirs")]
+    TooManyClasses { found: usize },
+    #[error("gateway name: empty, so that all such gateways would choose the same engines; give each its own name")]
+    UnnamedGateway,
     #[error("{place}: {found} is not {expected}; {remedy}")]
     OutOfRange { place: &'static str, found: f64, expected: &'static str, remedy: &'static str },
 }
--- /dev/null
+++ b/crates/subset/tests/change.rs
@@ -0,0 +1,166 @@
+//! How a subset changes: pace, refill, widening, and gateways that do not act in step.
+
+mod world;
+
+use garnetwall_subset::{Condition, EngineLine, SubsetSettings};
+use std::collections::BTreeSet;
+use world::{line, lines, plain_target, settings, Slip, World, GATEWAY, SETTLING_SECONDS};
+
+/// Whether newcomers came no faster than the pace, one at once allowed.
+fn within_pace(times: &[f64], joins_per_second: f64) -> bool {
+    let interval_respected = |(index, start): (usize, &f64)| {
+        let allowed = |end: &f64| 1.0 + joins_per_second * (end - start) + 1e-6;
+        times[index..].iter().enumerate().all(|(count, end)| (count + 1) as f64 <= allowed(end))
+    };
+    times.iter().enumerate().all(interval_respected)
+}
+
+/// When newcomers were warmed as a list doubled.
+fn newcomer_times(slip: Slip) -> Vec<f64> {
+    let mut world = World::new(settings(40), slip);
+    world.tell(&lines(200, 5), true);
+    world.advance(SETTLING_SECONDS);
+    assert_eq!(world.warmed_at, [0.0; 0]);
+    world.tell(&lines(400, 5), true);
+    assert_eq!(world.members.len(), 40);
+    world.settle();
+    assert_eq!(world.faults, BTreeSet::new());
+    world.warmed_at
+}
+
+#[test]
+fn newcomers_come_at_the_pace() {
+    let times = newcomer_times(Slip::None);
+    assert!(times.len() > 10, "{} newcomers", times.len());
+    assert!(within_pace(&times, 2.0));
+    assert!(!within_pace(&newcomer_times(Slip::TooFast), 2.0));
+}
+
+/// Gateways that warm one newcomer, by tenths of a second since it was listed.
+fn tenths(slip: Slip) -> BTreeSet<i64> {
+    let mut tenths = BTreeSet::new();
+    for gateway in 0..300 {
+        let mut world = World::named(&format!("gateway-{gateway}"), settings(8), slip);
+        world.tell(&lines(30, 5), true);
+        world.advance(1.0);
+        let listed = world.now;
+        world.tell(&[line(30, 5)], false);
+        world.advance(10.0);
+        let at = world.warmed_at.first().copied();
+        let at = if slip == Slip::InStep { at.and(Some(listed)) } else { at };
+        tenths.extend(at.map(|at| ((at - listed) * 10.0) as i64));
+    }
+    tenths
+}
+
+fn out_of_step(tenths: &BTreeSet<i64>) -> bool {
+    tenths.len() >= 15 && tenths.iter().all(|tenth| *tenth <= 20)
+}
+
+#[test]
+fn gateways_do_not_take_a_newcomer_in_step() {
+    assert!(out_of_step(&tenths(Slip::None)), "{:?}", tenths(Slip::None));
+    assert!(!out_of_step(&tenths(Slip::InStep)));
+}
+
+#[test]
+fn a_lost_zone_is_refilled_at_once_up_to_the_reserve_and_then_at_the_pace() {
+    let mut world = World::new(SubsetSettings { reserve: 4, ..settings(40) }, Slip::None);
+    world.tell(&lines(200, 5), true);
+    world.advance(10.0);
+    let left: Vec<EngineLine> = lines(200, 5).into_iter().filter(|line| line.facts.zone != 0).collect();
+    world.tell(&left, true);
+    let remaining = world.members.len();
+    assert!((20..35).contains(&remaining), "{remaining} members remain");
+    world.advance(0.1);
+    assert!((remaining + 4..=remaining + 5).contains(&world.members.len()), "{}", world.members.len());
+    world.advance(40.0);
+    assert_eq!(world.member_ids(), plain_target(GATEWAY, &world.settings, &world.list));
+    assert_eq!(world.faults, BTreeSet::new());
+}
+
+#[test]
+fn under_the_floor_engines_join_at_once() {
+    let mut world = World::new(settings(40), Slip::None);
+    world.tell(&lines(200, 5), true);
+    let members = world.member_ids();
+    let left: Vec<EngineLine> =
+        lines(200, 5).into_iter().filter(|line| !members.contains(&line.id)).collect();
+    world.tell(&left, true);
+    assert_eq!(world.members.len(), 40, "all members gone: a first fill");
+    let few: BTreeSet<String> = world.member_ids().into_iter().take(35).collect();
+    let left: Vec<EngineLine> = left.into_iter().filter(|line| !few.contains(&line.id)).collect();
+    world.tell(&left, true);
+    assert_eq!(world.members.len(), 20, "the floor");
+    assert_eq!(world.faults, BTreeSet::new());
+}
+
+#[test]
+fn late_empty_half_and_repeated_lists() {
+    let mut world = World::new(settings(40), Slip::None);
+    world.tell(&[], true);
+    assert_eq!(world.members.len(), 0);
+    world.tell(&lines(200, 5), true);
+    let members = world.member_ids();
+    let first = world.members.clone();
+    world.tell(&lines(200, 5), true);
+    world.tell(&lines(200, 5), false);
+    assert_eq!(world.members, first, "a repeated list changes nothing");
+    world.tell(&lines(100, 5), true);
+    assert!(world.members.len() >= 20);
+    world.tell(&lines(200, 5), true);
+    world.settle();
+    assert_eq!(world.member_ids(), members, "half and whole again");
+    world.tell(&[], true);
+    assert_eq!(world.members.len(), 0);
+    world.tell(&lines(200, 5), true);
+    assert_eq!(world.member_ids(), members);
+    assert_eq!(world.faults, BTreeSet::new());
+}
+
+#[test]
+fn failing_members_widen_the_subset_and_narrowing_is_slow() {
+    let mut world = World::new(SubsetSettings { reserve: 3, ..settings(20) }, Slip::None);
+    world.tell(&lines(200, 5), true);
+    let failing: Vec<_> = world.members.keys().copied().take(5).collect();
+    world.attempts(failing[0], true, 3);
+    assert_eq!(world.subset.widened_by(), 0, "three attempts are no evidence");
+    world.attempts(failing[1], false, 100);
+    world.attempts(failing[1], true, 50);
+    assert_eq!(world.subset.widened_by(), 0, "less than half failed");
+    failing.iter().for_each(|engine| world.attempts(*engine, true, 150));
+    assert_eq!((world.subset.failing(), world.subset.widened_by()), (5, 3));
+    world.advance(5.0);
+    assert_eq!(world.members.len(), 23);
+    world.advance(24.0);
+    assert_eq!(world.members.len(), 23, "held down");
+    let mut sizes = Vec::new();
+    for _ in 0..20 {
+        world.advance(1.0);
+        sizes.push(world.members.len());
+    }
+    assert_eq!(sizes.last(), Some(&20));
+    assert!(sizes.windows(2).all(|pair| pair[0] - pair[1] <= 1), "{sizes:?}");
+    assert!(sizes.iter().filter(|size| **size == 22).count() >= 4, "{sizes:?}");
+    world.settle();
+    assert_eq!(world.faults, BTreeSet::new());
+}
+
+#[test]
+fn an_unreached_newcomer_is_replaced_and_tried_again() {
+    let mut world = World::new(settings(20), Slip::None);
+    world.tell(&lines(100, 5), true);
+    world.advance(10.0);
+    let members = world.member_ids();
+    let gone = members.first().expect("members").clone();
+    world.tell_condition(&gone, Condition::Gone);
+    let expected = plain_target(GATEWAY, &world.settings, &world.list);
+    let next = expected.difference(&members).next().expect("a successor").clone();
+    world.unreachable.insert(next.clone());
+    world.advance(1.0);
+    assert!(!world.member_ids().contains(&next) && world.members.len() == 20);
+    assert_eq!(world.subset.unreached(), 1);
+    world.settle();
+    assert_eq!(world.member_ids(), expected, "reached in the end");
+    assert_eq!(world.faults, BTreeSet::new());
+}
--- /dev/null
+++ b/crates/subset/tests/holders.rs
@@ -0,0 +1,136 @@
+//! How many gateways hold an engine: what each is told beside a count over a fleet of names.
+
+mod world;
+
+use garnetwall_subset::{
+    Action, Catalog, EngineFacts, EngineKey, GatewayHash, PlacementClass, RetryScope, Subset, SubsetSettings,
+};
+use std::collections::BTreeMap;
+use world::{lines, settings, Slip};
+
+const GATEWAYS: usize = 800;
+const ENGINES: u32 = 400;
+const ZONES: u32 = 5;
+
+/// How many gateways hold each engine, and what they are told of it at most.
+struct Fleet {
+    counted: BTreeMap<EngineKey, f64>,
+    told: BTreeMap<EngineKey, f64>,
+}
+
+fn fleet(settings: &SubsetSettings, slip: Slip) -> Fleet {
+    let mut catalog = Catalog::default();
+    let changes = catalog.apply(&lines(ENGINES, ZONES), true);
+    let (mut counted, mut told) = (BTreeMap::new(), BTreeMap::new());
+    for gateway in 0..GATEWAYS {
+        let zone = settings.zone.map(|_| gateway as u32 % ZONES);
+        let settings = SubsetSettings { zone, gateways: GATEWAYS as f64, ..settings.clone() };
+        let mut subset = Subset::new(&format!("gateway-{gateway}"), settings).expect("good settings");
+        subset.changed(1.0, &catalog, &changes);
+        for action in subset.poll(1.0, &catalog) {
+            let Action::Join { engine, holders } = action else { panic!("{action:?} in a first fill") };
+            let holders = if slip == Slip::HoldersHalved { holders / 2.0 } else { holders };
+            *counted.entry(engine).or_insert(0.0) += 1.0;
+            told.insert(engine, holders);
+        }
+    }
+    Fleet { counted, told }
+}
+
+/// The part of the engines held by more gateways than these are told, and what is told over what is counted.
+fn compare(fleet: &Fleet) -> (f64, f64) {
+    let understated = fleet.counted.iter().filter(|(engine, counted)| fleet.told[engine] < **counted);
+    let ratio: f64 = fleet.counted.iter().map(|(engine, counted)| fleet.told[engine] / counted).sum();
+    (understated.count() as f64 / fleet.counted.len() as f64, ratio / fleet.counted.len() as f64)
+}
+
+fn cases() -> Vec<(&'static str, SubsetSettings)> {
+    let plain = settings(25);
+    let zone = PlacementClass { zones: Some(vec![1]), kinds: None };
+    let kind = PlacementClass { zones: Some(vec![2, 3]), kinds: Some(vec![1]) };
+    let classes = SubsetSettings { class_floor: 8, classes: vec![zone, kind], ..plain.clone() };
+    let near = SubsetSettings { zone: Some(0), near_weight: 4.0, ..plain.clone() };
+    let cells = SubsetSettings { retry_scope: RetryScope::Cell, ..plain.clone() };
+    let all =
+        SubsetSettings { retry_scope: RetryScope::Cell, zone: Some(0), near_weight: 4.0, ..classes.clone() };
+    vec![("plain", plain), ("classes", classes), ("near zone", near), ("cells", cells), ("all", all)]
+}
+
+#[test]
+fn what_is_told_covers_the_count_and_wastes_little() {
+    for (name, settings) in cases() {
+        let (understated, ratio) = compare(&fleet(&settings, Slip::None));
+        println!(
+            "{name}: understated for {:.1}% of the engines, told {ratio:.2} of the count",
+            understated * 100.0
+        );
+        assert!(understated <= 0.05, "{name}: {understated}");
+        assert!((1.0..1.8).contains(&ratio), "{name}: {ratio}");
+        let (understated, _) = compare(&fleet(&settings, Slip::HoldersHalved));
+        assert!(understated > 0.5, "{name}: halved holders must be found, {understated}");
+    }
+}
+
+#[test]
+fn no_engine_is_unheld_and_a_short_list_is_held_by_all() {
+    // 12 engines each, and so 24 gateways an engine, by the floor.
+    let fleet = fleet(&settings(1), Slip::None);
+    assert_eq!(fleet.counted.len(), ENGINES as usize);
+    let least = fleet.counted.values().copied().fold(f64::MAX, f64::min);
+    println!("least gateways that hold an engine: {least}");
+    assert!(least >= 1.0);
+
+    let mut catalog = Catalog::default();
+    catalog.apply(&lines(20, ZONES), true);
+    let mut subset = Subset::new("g", settings(20)).expect("good settings");
+    let joined = subset.poll(1.0, &catalog);
+    assert_eq!(joined.len(), 20);
+    assert!(joined
+        .iter()
+        .all(|action| matches!(action, Action::Join { holders, .. } if *holders == 1_000.0)));
+}
+
+/// What each engine gets per core when every gateway spreads the same traffic over its subset by cores, by cores.
+fn work_per_core_by_cores(weight: impl Fn(&EngineFacts) -> f64) -> BTreeMap<u64, f64> {
+    let lines = lines(ENGINES, ZONES);
+    let mut work: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+    for gateway in 0..GATEWAYS {
+        let hash = GatewayHash::new(&format!("gateway-{gateway}"));
+        let mut scored: Vec<_> =
+            lines.iter().map(|line| (hash.score(&line.id, weight(&line.facts)), line.facts.cores)).collect();
+        scored.sort_by_key(|(score, _)| *score);
+        let cores: f64 = scored[..25].iter().map(|(_, cores)| cores).sum();
+        scored[..25].iter().for_each(|(_, own)| work.entry(*own as u64).or_default().0 += own / cores);
+    }
+    lines.iter().for_each(|line| work.entry(line.facts.cores as u64).or_default().1 += line.facts.cores);
+    let all: f64 = lines.iter().map(|line| line.facts.cores).sum();
+    work.into_iter().map(|(kind, (work, cores))| (kind, work / cores / (GATEWAYS as f64 / all))).collect()
+}
+
+fn is_even(work: &BTreeMap<u64, f64>) -> bool {
+    work.values().all(|work| (0.9..1.1).contains(work))
+}
+
+#[test]
+fn work_per_core_is_even_over_kinds() {
+    let chosen = work_per_core_by_cores(|facts| settings(25).weight(facts));
+    let weighted = work_per_core_by_cores(|facts| facts.cores);
+    println!(
+        "work per core over the mean, by cores: {chosen:?}; if cores weighed in the choice: {weighted:?}"
+    );
+    assert!(is_even(&chosen) && !is_even(&weighted));
+}
+
+#[test]
+fn a_changed_line_does_not_update_all_members() {
+    let mut world = world::World::new(settings(40), Slip::None);
+    world.tell(&lines(ENGINES, ZONES), true);
+    let told = world.members.clone();
+    world.tell(&lines(ENGINES + 4, ZONES), false);
+    assert!(told.iter().all(|(engine, holders)| world.members.get(engine).is_none_or(|now| now == holders)));
+    world.tell(&lines(ENGINES * 2, ZONES), false);
+    world.settle();
+    let halved = |engine: &EngineKey| world.members[engine] < told[engine] * 0.7;
+    assert!(told.keys().filter(|engine| world.members.contains_key(engine)).all(halved));
+    assert_eq!(world.faults, Default::default());
+}
--- /dev/null
+++ b/crates/subset/tests/model.rs
@@ -0,0 +1,154 @@
+//! The subset beside a slow plain model, over lists that change at random.
+
+mod world;
+
+use garnetwall_subset::{Condition, EngineFacts, EngineLine, PlacementClass, RetryScope, SubsetSettings};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use world::{line, lines, plain_target, settings, Slip, World, GATEWAY};
+
+const ZONES: u32 = 5;
+const ENGINES: u32 = 120;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Tell { first: u32, count: u32, condition: Condition },
+    Rezone { engine: u32, zone: u32 },
+    WholeList { part: u32 },
+    LoseZone(u32),
+    Unreachable { first: u32, count: u32 },
+    Reachable,
+    MemberFails { member: usize, attempts: usize },
+    Wait(f64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let condition =
+        prop_oneof![4 => Just(Condition::Ready), 1 => Just(Condition::Draining), 1 => Just(Condition::Gone)];
+    prop_oneof![
+        6 => (0..ENGINES, 1..12_u32, condition).prop_map(|(first, count, condition)| Step::Tell { first, count, condition }),
+        1 => (0..ENGINES, 0..ZONES).prop_map(|(engine, zone)| Step::Rezone { engine, zone }),
+        1 => (1..4_u32).prop_map(|part| Step::WholeList { part }),
+        1 => (0..ZONES).prop_map(Step::LoseZone),
+        2 => (0..ENGINES, 1..40_u32).prop_map(|(first, count)| Step::Unreachable { first, count }),
+        1 => Just(Step::Reachable),
+        2 => (0..40_usize, 1..8_usize).prop_map(|(member, attempts)| Step::MemberFails { member, attempts }),
+        3 => (0.001..40.0).prop_map(Step::Wait),
+    ]
+}
+
+fn any_settings() -> impl Strategy<Value = SubsetSettings> {
+    let scope = prop_oneof![Just(RetryScope::Everywhere), Just(RetryScope::Zone), Just(RetryScope::Cell)];
+    let numbers = (1..30_usize, 0..6_usize, 0..8_usize, prop_oneof![Just(200.0), Just(1_000.0), Just(20.0)]);
+    (numbers, scope, proptest::option::of(0..ZONES), 0.2..5.0, proptest::bool::ANY).prop_map(
+        |((size, class_floor, reserve, gateways), retry_scope, zone, joins_per_second, classes)| {
+            let by_zone = PlacementClass { zones: Some(vec![0, 3]), kinds: None };
+            let by_kind = PlacementClass { zones: Some(vec![2]), kinds: Some(vec![1]) };
+            let nowhere = PlacementClass { zones: None, kinds: Some(vec![9]) };
+            SubsetSettings {
+                class_floor: class_floor.min(size),
+                reserve,
+                joins_per_second,
+                zone,
+                near_weight: 4.0,
+                gateways,
+                classes: if classes { vec![by_zone, by_kind, nowhere] } else { Vec::new() },
+                retry_scope,
+                ..settings(size)
+            }
+        },
+    )
+}
+
+fn play(world: &mut World, step: &Step) {
+    match *step {
+        Step::Tell { first, count, condition } => {
+            let told = |number| {
+                let line = line(number, ZONES);
+                EngineLine { facts: EngineFacts { condition, ..line.facts }, ..line }
+            };
+            world.tell(&(first..first + count).map(told).collect::<Vec<_>>(), false);
+        }
+        Step::Rezone { engine, zone } => {
+            let line = line(engine, ZONES);
+            world.tell(&[EngineLine { facts: EngineFacts { zone, ..line.facts }, ..line }], false);
+        }
+        Step::WholeList { part } => world.tell(&lines(ENGINES / part, ZONES), true),
+        Step::LoseZone(zone) => {
+            let lost = world.list.iter().filter(|(_, facts)| facts.zone == zone);
+            let gone = |facts: &EngineFacts| EngineFacts { condition: Condition::Gone, ..*facts };
+            let lost: Vec<EngineLine> =
+                lost.map(|(id, facts)| EngineLine { id: id.clone(), facts: gone(facts) }).collect();
+            world.tell(&lost, false);
+        }
+        Step::Unreachable { first, count } => {
+            world.unreachable.extend((first..first + count).map(|number| line(number, ZONES).id));
+        }
+        Step::Reachable => world.unreachable.clear(),
+        Step::MemberFails { member, attempts } => {
+            let engine = world.members.keys().nth(member % world.members.len().max(1)).copied();
+            engine.into_iter().for_each(|engine| world.attempts(engine, true, attempts));
+        }
+        Step::Wait(seconds) => world.advance(seconds),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn settles_as_the_plain_model(settings in any_settings(), steps in proptest::collection::vec(step(), 1..24)) {
+        let mut world = World::new(settings, Slip::None);
+        for step in &steps {
+            play(&mut world, step);
+            prop_assert_eq!(&world.faults, &BTreeSet::new(), "after {:?}", step);
+        }
+        world.settle();
+        prop_assert_eq!(&world.faults, &BTreeSet::new());
+    }
+
+    /// An engine more or less moves at most the members that it displaces or leaves room for, with their company.
+    #[test]
+    fn one_engine_moves_the_least(settings in any_settings(), engine in 0..ENGINES) {
+        let mut world = World::new(settings.clone(), Slip::None);
+        world.tell(&lines(ENGINES, ZONES), true);
+        let before = plain_target(GATEWAY, &settings, &world.list);
+        world.tell_condition(&line(engine, ZONES).id, Condition::Gone);
+        world.settle();
+        let (after, choices) = (world.member_ids(), 1 + settings.classes.len());
+        let per_choice = if settings.retry_scope == RetryScope::Everywhere { 1 } else { 2 };
+        // A size that follows the list may shrink by one.
+        prop_assert!(before.difference(&after).count() <= 1 + choices * per_choice);
+        prop_assert!(after.difference(&before).count() <= choices * per_choice);
+        prop_assert_eq!(&world.faults, &BTreeSet::new());
+    }
+}
+
+/// Steps in which every judged thing happens, for worlds with a slip.
+fn faults_with(slip: Slip) -> BTreeSet<String> {
+    let by_zone = PlacementClass { zones: Some(vec![1]), kinds: None };
+    let settings = SubsetSettings { class_floor: 4, classes: vec![by_zone], ..settings(12) };
+    let mut world = World::new(settings, slip);
+    world.tell(&lines(ENGINES, ZONES), true);
+    world.advance(10.0);
+    let members = world.member_ids();
+    members.iter().take(2).for_each(|id| world.tell_condition(id, Condition::Draining));
+    world.advance(10.0);
+    world.settle();
+    world.faults
+}
+
+#[test]
+fn the_judge_finds_each_slip() {
+    let slips = [
+        (Slip::KeepsUnready, "a member takes no new work"),
+        (Slip::JoinsUntried, "joins untried over the floor"),
+        (Slip::UnderFloor, "under the floor"),
+        (Slip::UnderClassFloor, "a class under its floor"),
+        (Slip::WrongEngine, "settled members are not those of the plain model"),
+    ];
+    assert_eq!(faults_with(Slip::None), BTreeSet::new());
+    for (slip, fault) in slips {
+        assert!(faults_with(slip).contains(fault), "{slip:?}: {:?}", faults_with(slip));
+    }
+}
--- /dev/null
+++ b/crates/subset/tests/world/mod.rs
@@ -0,0 +1,339 @@
+//! A gateway's subset driven in played time, a slow plain model of what it should hold, and a judge of its actions.
+
+#![allow(dead_code)]
+
+use garnetwall_subset::{
+    Action, Catalog, Condition, EffectiveSize, EngineFacts, EngineKey, EngineLine, GatewayHash,
+    PlacementClass, RetryScope, Subset, SubsetSettings,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const GATEWAY: &str = "gateway-7";
+
+/// Time in which all that was put off is done: failures are held down, pauses between tries have passed.
+pub const SETTLING_SECONDS: f64 = 600.0;
+
+/// A connection comes up, or is known not to, after this time.
+const WARM_SECONDS: f64 = 0.01;
+
+/// Polls in one step of the played time; more mean that the subset asks to be polled for nothing.
+const MAX_POLLS: usize = 20_000;
+
+pub fn settings(size: usize) -> SubsetSettings {
+    SubsetSettings {
+        size,
+        class_floor: 0,
+        reserve: 4,
+        joins_per_second: 2.0,
+        zone: None,
+        near_weight: 1.0,
+        gateways: 1_000.0,
+        classes: Vec::new(),
+        retry_scope: RetryScope::Everywhere,
+    }
+}
+
+pub fn line(number: u32, zones: u32) -> EngineLine {
+    let cores = [4.0, 8.0, 16.0][(number / zones % 3) as usize];
+    let cell = number / zones % 4;
+    let facts = EngineFacts {
+        zone: number % zones,
+        kind: number / zones % 2,
+        cell,
+        cores,
+        condition: Condition::Ready,
+    };
+    EngineLine { id: format!("engine-{number}"), facts }
+}
+
+pub fn lines(count: u32, zones: u32) -> Vec<EngineLine> {
+    (0..count).map(|number| line(number, zones)).collect()
+}
+
+/// A deliberate fault between the subset and its judge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Slip {
+    None,
+    KeepsUnready,
+    JoinsUntried,
+    UnderFloor,
+    UnderClassFloor,
+    WrongEngine,
+    TooFast,
+    InStep,
+    HoldersHalved,
+}
+
+pub struct World {
+    pub now: f64,
+    pub catalog: Catalog,
+    pub subset: Subset,
+    pub settings: SubsetSettings,
+    pub list: BTreeMap<String, EngineFacts>,
+    pub unreachable: BTreeSet<String>,
+    /// What the actions told so far amount to.
+    pub members: BTreeMap<EngineKey, f64>,
+    pub warmed_at: Vec<f64>,
+    pub faults: BTreeSet<String>,
+    slip: Slip,
+    /// Whether the actions in hand found no member.
+    filling: bool,
+    pending: Vec<(f64, EngineKey)>,
+    reached: BTreeSet<EngineKey>,
+}
+
+impl World {
+    pub fn new(settings: SubsetSettings, slip: Slip) -> Self {
+        World::named(GATEWAY, settings, slip)
+    }
+
+    pub fn named(gateway: &str, settings: SubsetSettings, slip: Slip) -> Self {
+        World {
+            now: 100.0,
+            catalog: Catalog::default(),
+            subset: Subset::new(gateway, settings.clone()).expect("good settings"),
+            settings,
+            list: BTreeMap::new(),
+            unreachable: BTreeSet::new(),
+            members: BTreeMap::new(),
+            warmed_at: Vec::new(),
+            faults: BTreeSet::new(),
+            slip,
+            filling: false,
+            pending: Vec::new(),
+            reached: BTreeSet::new(),
+        }
+    }
+
+    pub fn tell(&mut self, lines: &[EngineLine], whole: bool) {
+        if whole {
+            self.list.clear();
+        }
+        for line in lines {
+            match line.facts.condition {
+                Condition::Gone => drop(self.list.remove(&line.id)),
+                _ => drop(self.list.insert(line.id.clone(), line.facts)),
+            }
+        }
+        let changes = self.catalog.apply(lines, whole);
+        self.subset.changed(self.now, &self.catalog, &changes);
+        self.poll();
+    }
+
+    pub fn tell_condition(&mut self, id: &str, condition: Condition) {
+        if let Some(facts) = self.list.get(id).copied() {
+            self.tell(&[EngineLine { id: id.into(), facts: EngineFacts { condition, ..facts } }], false);
+        }
+    }
+
+    pub fn attempts(&mut self, engine: EngineKey, failed: bool, count: usize) {
+        (0..count).for_each(|_| self.subset.attempted(self.now, engine, failed));
+        self.poll();
+    }
+
+    pub fn advance(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        for _ in 0..MAX_POLLS {
+            let reply = self.pending.iter().map(|(at, _)| *at).reduce(f64::min);
+            let next = reply.into_iter().chain(self.subset.wake()).reduce(f64::min);
+            let Some(next) = next.filter(|next| *next <= end) else {
+                self.now = end;
+                return;
+            };
+            self.now = self.now.max(next);
+            self.deliver();
+            self.poll();
+        }
+        self.faults.insert("asks to be polled without end".into());
+    }
+
+    fn deliver(&mut self) {
+        let due = |(at, _): &(f64, EngineKey)| *at <= self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.pending.iter().copied().partition(due);
+        self.pending = later;
+        for (_, engine) in due {
+            let reached = self.catalog.id(engine).is_some_and(|id| !self.unreachable.contains(id));
+            if reached {
+                self.reached.insert(engine);
+            }
+            self.subset.warmed(self.now, engine, reached);
+        }
+    }
+
+    fn poll(&mut self) {
+        let actions = self.subset.poll(self.now, &self.catalog);
+        self.filling = false;
+        for action in actions {
+            self.slip_in(action);
+        }
+        self.judge();
+    }
+
+    fn slip_in(&mut self, action: Action) {
+        match (self.slip, action) {
+            (Slip::KeepsUnready, Action::Leave(_)) => {}
+            (Slip::JoinsUntried, Action::Warm(engine)) => self.take(Action::Join { engine, holders: 1.0 }),
+            (Slip::UnderFloor, Action::Join { .. }) if self.members.len() >= self.floor().max(1) - 1 => {}
+            (Slip::UnderClassFloor, Action::Join { engine, .. }) if self.of_a_class(engine) => {}
+            (Slip::WrongEngine, Action::Join { holders, .. }) => {
+                let other = self.catalog.engines().find(|(engine, ..)| !self.members.contains_key(engine));
+                let engine = other.map(|(engine, ..)| engine).expect("the list is longer than the subset");
+                self.members.insert(engine, holders);
+            }
+            (Slip::TooFast, Action::Warm(_)) => {
+                self.take(action);
+                self.take(action);
+            }
+            (Slip::HoldersHalved, Action::Join { engine, holders }) => {
+                self.take(Action::Join { engine, holders: holders / 2.0 });
+            }
+            _ => self.take(action),
+        }
+    }
+
+    fn take(&mut self, action: Action) {
+        match action {
+            Action::Warm(engine) => {
+                self.warmed_at.push(self.now);
+                self.reached.remove(&engine);
+                self.pending.push((self.now + WARM_SECONDS, engine));
+            }
+            Action::Join { engine, holders } => {
+                self.filling |= self.members.is_empty();
+                let untried = !self.reached.remove(&engine);
+                let needed = self.filling || self.members.len() < self.floor() || self.class_needs(engine);
+                if untried && !needed {
+                    self.faults.insert("joins untried over the floor".into());
+                }
+                self.members.insert(engine, holders);
+            }
+            Action::Update { engine, holders } => match self.members.get_mut(&engine) {
+                Some(known) => *known = holders,
+                None => drop(self.faults.insert("updates an engine that is no member".into())),
+            },
+            Action::Leave(engine) => {
+                if self.members.remove(&engine).is_none() {
+                    self.faults.insert("an engine leaves that is no member".into());
+                }
+            }
+        }
+    }
+
+    fn ready(&self) -> BTreeMap<&str, EngineFacts> {
+        let ready = self.list.iter().filter(|(_, facts)| facts.condition == Condition::Ready);
+        ready.map(|(id, facts)| (id.as_str(), *facts)).collect()
+    }
+
+    pub fn floor(&self) -> usize {
+        EffectiveSize::new(&self.settings, self.ready().len()).size.div_ceil(2)
+    }
+
+    fn in_class(&self, class: &PlacementClass) -> (usize, usize) {
+        let admits = |facts: &EngineFacts| {
+            class.zones.as_ref().is_none_or(|zones| zones.contains(&facts.zone))
+                && class.kinds.as_ref().is_none_or(|kinds| kinds.contains(&facts.kind))
+        };
+        let members = self.members.keys().filter_map(|engine| self.catalog.facts(*engine));
+        (self.ready().values().filter(|facts| admits(facts)).count(), members.filter(admits).count())
+    }
+
+    fn class_under_floor(&self, class: &PlacementClass) -> bool {
+        let (ready, members) = self.in_class(class);
+        members < ready.min(self.settings.class_floor).div_ceil(2)
+    }
+
+    fn of_a_class(&self, engine: EngineKey) -> bool {
+        let facts = self.catalog.facts(engine).expect("joins are in the list");
+        self.settings.classes.iter().any(|class| class.admits_engine(&facts))
+    }
+
+    fn class_needs(&self, engine: EngineKey) -> bool {
+        let facts = self.catalog.facts(engine).expect("joins are in the list");
+        let needs = |class: &&PlacementClass| class.admits_engine(&facts) && self.class_under_floor(class);
+        self.settings.classes.iter().any(|class| needs(&class))
+    }
+
+    fn judge(&mut self) {
+        let mut faults = Vec::new();
+        let ready: BTreeSet<&str> = self.ready().into_keys().collect();
+        let unready = |engine: &EngineKey| self.catalog.id(*engine).is_none_or(|id| !ready.contains(id));
+        if self.members.keys().any(unready) {
+            faults.push("a member takes no new work");
+        }
+        if self.members.len() < self.floor().min(ready.len()) {
+            faults.push("under the floor");
+        }
+        if self.settings.classes.iter().any(|class| self.class_under_floor(class)) {
+            faults.push("a class under its floor");
+        }
+        if !self.members.values().all(|holders| (1.0..=self.settings.gateways).contains(holders)) {
+            faults.push("holders out of range");
+        }
+        if !self.subset.members().eq(self.members.iter().map(|(engine, holders)| (*engine, *holders))) {
+            faults.push("the actions are not the members");
+        }
+        self.faults.extend(faults.into_iter().map(String::from));
+    }
+
+    pub fn member_ids(&self) -> BTreeSet<String> {
+        self.members.keys().filter_map(|engine| self.catalog.id(*engine)).map(String::from).collect()
+    }
+
+    /// Lets all that was put off be done, and compares with the plain model.
+    pub fn settle(&mut self) {
+        self.unreachable.clear();
+        self.advance(SETTLING_SECONDS);
+        if self.member_ids() != plain_target(GATEWAY, &self.settings, &self.list) {
+            self.faults.insert("settled members are not those of the plain model".into());
+        }
+    }
+}
+
+/// What a gateway should hold, worked out from the whole list.
+pub fn plain_target(
+    gateway: &str,
+    settings: &SubsetSettings,
+    list: &BTreeMap<String, EngineFacts>,
+) -> BTreeSet<String> {
+    let hash = GatewayHash::new(gateway);
+    let mut ready: Vec<(f64, &str, EngineFacts)> = Vec::new();
+    for (id, facts) in list.iter().filter(|(_, facts)| facts.condition == Condition::Ready) {
+        ready.push((hash.score(id, settings.weight(facts)).0, id.as_str(), *facts));
+    }
+    ready.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let size = EffectiveSize::new(settings, ready.len()).size;
+    let everything = PlacementClass::default();
+    let mut target = plain_choice(&ready, &everything, size, settings.retry_scope);
+    for class in &settings.classes {
+        target.extend(plain_choice(&ready, class, settings.class_floor, settings.retry_scope));
+    }
+    target
+}
+
+/// The first engines of a class, as many as make the quota when each has company in its retry domain.
+fn plain_choice(
+    ready: &[(f64, &str, EngineFacts)],
+    class: &PlacementClass,
+    quota: usize,
+    scope: RetryScope,
+) -> BTreeSet<String> {
+    let of_class: Vec<_> = ready.iter().filter(|(_, _, facts)| class.admits_engine(facts)).collect();
+    let mut chosen = BTreeSet::new();
+    for (_, id, facts) in &of_class {
+        if chosen.len() >= quota {
+            break;
+        }
+        chosen.insert(id.to_string());
+        let near = |other: &EngineFacts| {
+            scope != RetryScope::Everywhere
+                && other.zone == facts.zone
+                && (scope == RetryScope::Zone || other.cell == facts.cell)
+        };
+        if of_class.iter().any(|(_, other, at)| other != id && near(at) && chosen.contains(*other)) {
+            continue;
+        }
+        let company = of_class.iter().copied().chain(ready).find(|(_, other, at)| other != id && near(at));
+        chosen.extend(company.map(|(_, other, _)| other.to_string()));
+    }
+    chosen
+}
