--- a/crates/plan/src/diff.rs
+++ b/crates/plan/src/diff.rs
@@ -102,7 +102,7 @@
     let side = |plan, first_set| {
         let plan: &Plan = plan;
         let regions: Vec<Region> = plan.routes.iter().map(|r| classes.region(r, first_set)).collect();
-        let reach = region::reach(&regions, &crate::build::whole(&classes));
+        let reach = region::reach(&regions, &region::whole(&classes));
         Side { plan, held: cells.as_ref().map(|cells| cells.held(plan, first_set)), reach }
     };
     let sides = [side(old, 0), side(new, old.addresses.len())];
--- a/crates/plan/src/region.rs
+++ b/crates/plan/src/region.rs
@@ -288,3 +288,13 @@
     let routes = regions.iter().enumerate().map(|(n, region)| left(region, &regions[..n]));
     routes.chain(std::iter::once(left(whole, regions))).collect()
 }
+
+/// Every batch.
+pub(crate) fn whole(classes: &Classes) -> Region {
+    let counts = classes.counts();
+    std::array::from_fn(|d| {
+        let mut bits = FixedBitSet::with_capacity(counts[d]);
+        bits.insert_range(..);
+        bits
+    })
+}
