tests/world.rs comes apart: the tests there, the world, its judge and its parts in world/

No assertion is touched: sorted line by line, old and new differ only in the uses, visibility, heads of `impl` blocks and three comment lines that divided the old file.

--- /dev/null
+++ b/crates/gateway/tests/world/exchange.rs
@@ -0,0 +1,183 @@
+//! The calls of one dispatch: its connection, its start, asking for it, giving it up.
+
+use super::figures::{DIAL, NEWS, SLACK, STEP};
+use super::gateway::{Call, Doing, Reply};
+use super::{Slip, World};
+use garnetwall::api::End;
+use garnetwall_ledger::{weigh, Fact, Lost, Next as Then, Step, Verdict};
+
+impl World {
+    pub(super) fn drive(&mut self, n: usize) {
+        if self.now >= self.out[n].time_out && !self.out[n].late {
+            (self.out[n].late, self.out[n].unwanted) = (true, true);
+            let unsent = matches!(self.out[n].doing, Doing::Connects { then: Call::Start, .. });
+            if !unsent || self.slip == Slip::StartsLate {
+                self.in_doubt(n, End::TimedOut);
+            }
+        }
+        match self.out[n].doing {
+            Doing::Connects { since, then } => self.connect(n, since, then),
+            Doing::Calls { since, call, reached } => self.await_reply(n, since, call, reached),
+            Doing::Pauses { until } if self.now >= until => {
+                self.out[n].doing = Doing::Connects { since: self.now, then: Call::News };
+            }
+            Doing::Pauses { .. } => {}
+            Doing::GivesUp => {
+                let (now, id) = (self.ledger_now(), self.out[n].id);
+                let trusted = self.slip == Slip::TrustsRefusals && self.out[n].refused;
+                match self.ledger.next(now, id) {
+                    Then::Over(proof) => {
+                        let never = proof == garnetwall_ledger::Proof::NeverCame;
+                        let end = self.out[n].end.unwrap_or(End::Withdrawn);
+                        self.over(n, if never { End::Unconnected } else { end });
+                    }
+                    _ if trusted => self.over(n, End::Broken),
+                    Then::Wait(_) => {}
+                    Then::FindOut => {
+                        self.out[n].doing = Doing::Connects { since: self.now, then: Call::News };
+                    }
+                    Then::GiveUp(_) => {
+                        self.out[n].doing = Doing::Connects { since: self.now, then: Call::GiveUp };
+                    }
+                }
+            }
+        }
+    }
+
+    fn connect(&mut self, n: usize, since: u64, then: Call) {
+        if then == Call::Start && self.out[n].unwanted && self.slip != Slip::StartsLate {
+            self.tell(n, Fact::NeverCame);
+            return self.over(n, if self.out[n].late { End::Moot } else { End::Unconnected });
+        }
+        let slot = self.processes[self.out[n].engine].slot;
+        if self.out[n].up.is_none() {
+            if self.is_cut(slot) {
+                if self.now >= since + DIAL {
+                    self.lost(n, then, Lost::OnItsWay);
+                }
+                return;
+            }
+            let Some(process) = self.listens(slot) else {
+                self.tell(n, Fact::Refused);
+                self.out[n].refused = true;
+                self.lost(n, then, Lost::Refused);
+                return;
+            };
+            // Some connections come up late, and the batch may have its answer meanwhile.
+            let late = if self.dice.one_in(5) { self.dice.between(STEP, DIAL) } else { 0 };
+            if self.now < *self.out[n].comes_up.get_or_insert(self.now + late) {
+                return;
+            }
+            self.out[n].comes_up = None;
+            self.out[n].up = Some(process);
+            self.out[n].connection += 1;
+        }
+        if then != Call::GiveUp {
+            self.out[n].may_have_come = true;
+            self.tell(n, Fact::Asked);
+        }
+        // A cut takes what is written into it; a reset may come under it.
+        let lost = self.is_cut(slot) || self.dice.one_in(12);
+        if lost && !self.is_cut(slot) {
+            self.out[n].up = None;
+        }
+        self.out[n].doing = Doing::Calls { since: self.now, call: then, reached: !lost };
+        if !lost {
+            self.arrives(n, then);
+        }
+    }
+
+    fn await_reply(&mut self, n: usize, since: u64, call: Call, reached: bool) {
+        if self.out[n].up.is_none() {
+            self.tell(n, Fact::Reset(self.out[n].connection));
+            return self.lost(n, call, Lost::OnItsWay);
+        }
+        let reply = if reached { self.reply(n, since, call) } else { None };
+        let Some(reply) = reply else {
+            if self.now > since + NEWS + SLACK {
+                self.drops(n);
+                self.lost(n, call, Lost::OnItsWay);
+            }
+            return;
+        };
+        let on = self.out[n].connection;
+        let now = self.ledger_now();
+        match reply {
+            Reply::Spoilt => {
+                self.drops(n);
+                self.lost(n, call, Lost::Spoilt);
+            }
+            Reply::Good => {
+                self.tell(n, Fact::Ended);
+                if self.out[n].end.is_some() {
+                    return self.out[n].doing = Doing::GivesUp;
+                }
+                let unwanted = self.out[n].unwanted && self.out[n].late;
+                self.over(n, if unwanted { End::Withdrawn } else { End::Returned });
+            }
+            Reply::Full => {
+                self.tell(n, Fact::Ended);
+                self.over(n, End::Full);
+            }
+            Reply::Unknown => {
+                self.tell(n, Fact::Failed(on));
+                if self.out[n].end.is_some() {
+                    return self.out[n].doing = Doing::GivesUp;
+                }
+                let id = self.out[n].id;
+                let over = self.ledger.may_run_until(id).is_none() || self.slip == Slip::TrustsAddresses;
+                match weigh(call == Call::Start, true, over) {
+                    Verdict::AsTold => self.over(n, End::Errored),
+                    Verdict::CutShort => self.over(n, End::Broken),
+                    Verdict::InDoubt => self.doubts(n),
+                }
+            }
+            Reply::GivenUp => {
+                self.tell(n, Fact::GivenUp(on));
+                self.out[n].doing = Doing::GivesUp;
+            }
+            Reply::NotYet => {
+                self.tell(n, Fact::Runs(on));
+                self.out[n].asking.heard(now);
+                match self.out[n].unwanted {
+                    _ if self.out[n].end.is_some() => self.out[n].doing = Doing::GivesUp,
+                    true => self.give_up(n, End::Withdrawn),
+                    false => self.out[n].doing = Doing::Connects { since: self.now, then: Call::News },
+                }
+            }
+        }
+    }
+
+    /// A connection of no further use; the process's machine hears of it, but for one that is cut off.
+    fn drops(&mut self, n: usize) {
+        self.tell(n, Fact::Useless(self.out[n].connection));
+        let (batch, up) = (self.out[n].batch, self.out[n].up.take());
+        let held = self.ran.iter_mut().filter(|r| r.batch == batch && Some(r.process) == up);
+        held.for_each(|r| r.held = None);
+    }
+
+    fn lost(&mut self, n: usize, call: Call, how: Lost) {
+        if call == Call::GiveUp || self.out[n].end.is_some() {
+            if how != Lost::Refused {
+                self.tell(n, Fact::Missed);
+            }
+            self.out[n].doing = Doing::GivesUp;
+            return;
+        }
+        if call == Call::Start && !self.out[n].may_have_come {
+            self.tell(n, Fact::NeverCame);
+            return self.over(n, End::Unconnected);
+        }
+        if self.out[n].unwanted {
+            return self.give_up(n, End::Withdrawn);
+        }
+        let now = self.ledger_now();
+        match self.out[n].asking.lost(now, how) {
+            Step::Ask(after) => {
+                let until = self.now + after.as_millis() as u64;
+                self.out[n].doing = Doing::Pauses { until };
+            }
+            Step::Stop => self.doubts(n),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/world/gateway.rs
@@ -0,0 +1,197 @@
+//! The gateway's side: the module's orders, answers, and the dispatches that are out.
+
+use super::figures::{BOUNDS, DIAL, KEPT, SLACK, STEP};
+use super::{seconds, Rule, Slip, World};
+use garnetwall::api::*;
+use garnetwall_ledger::{Asking, DispatchId, Fact};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Call {
+    Start,
+    News,
+    GiveUp,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Doing {
+    Connects { since: u64, then: Call },
+    Calls { since: u64, call: Call, reached: bool },
+    Pauses { until: u64 },
+    GivesUp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reply {
+    Good,
+    NotYet,
+    Full,
+    Unknown,
+    GivenUp,
+    Spoilt,
+}
+
+/// A dispatch as the gateway sees it.
+pub(super) struct Out {
+    pub(super) batch: BatchId,
+    pub(super) engine: EngineId,
+    pub(super) number: u32,
+    pub(super) id: DispatchId,
+    pub(super) sent: u64,
+    pub(super) time_out: u64,
+    pub(super) doing: Doing,
+    pub(super) asking: Asking,
+    /// The connection that is up, to which process.
+    pub(super) up: Option<usize>,
+    pub(super) connection: u32,
+    pub(super) refused: bool,
+    /// When the connection that is coming up is there.
+    pub(super) comes_up: Option<u64>,
+    pub(super) may_have_come: bool,
+    pub(super) unwanted: bool,
+    pub(super) late: bool,
+    /// What the module is told once it is proved over.
+    pub(super) end: Option<End>,
+}
+
+pub(super) struct Held {
+    pub(super) group: usize,
+    pub(super) key: Option<u64>,
+    /// Where it stands among all that came.
+    pub(super) place: usize,
+    pub(super) limit: u64,
+    pub(super) left: bool,
+    pub(super) answered: Option<(u64, bool)>,
+    pub(super) dispatches: Vec<(u64, EngineId)>,
+}
+
+impl World {
+    pub(super) fn gateway(&mut self) {
+        for n in (0..self.out.len()).rev() {
+            self.drive(n);
+        }
+        self.pump();
+    }
+
+    fn pump(&mut self) {
+        loop {
+            match self.control.wait(seconds(self.now)) {
+                Wait::For(_) => return,
+                Wait::Subscribe | Wait::Probe(_) => {}
+                Wait::Cancel(id, n) => {
+                    if let Some(o) = self.out.iter_mut().find(|o| o.batch == id && o.number == n) {
+                        o.unwanted = true;
+                    }
+                }
+                Wait::Ask(id) => match self.control.place(seconds(self.now), id) {
+                    Place::NotYet => {}
+                    Place::Over(answer) => self.answer(id, answer),
+                    Place::To { engine, time_out, .. } => self.send(id, engine, time_out),
+                },
+            }
+        }
+    }
+
+    pub(super) fn answer(&mut self, id: BatchId, answer: Answer) {
+        let pushed_back = matches!(answer, Answer::PushBack { .. });
+        if self.slip == Slip::LosesAnswers && self.dice.one_in(20) {
+            return;
+        }
+        self.answered(id, pushed_back);
+    }
+
+    pub(super) fn answered(&mut self, id: BatchId, pushed_back: bool) {
+        let (now, starved) = (self.now, self.starved);
+        let h = &mut self.batches[id as usize];
+        if h.left {
+            return;
+        }
+        if h.answered.replace((now, pushed_back)).is_some() {
+            self.breaks(Rule::Answer, format!("batch {id} has two answers"));
+            return;
+        }
+        // A gateway that gets no time can't answer; it does so at once when it does.
+        let woke = if (starved.0..=starved.1 + STEP).contains(&h.limit) { starved.1 + STEP } else { 0 };
+        if now > h.limit.max(woke) + SLACK {
+            let limit = h.limit;
+            self.breaks(Rule::Answer, format!("batch {id} answered after its limit {limit}"));
+        }
+        let ran = self.ran.iter().any(|r| r.batch == id);
+        if pushed_back && ran && self.batches[id as usize].group != 0 {
+            self.breaks(Rule::Effect, format!("batch {id} ran and was pushed back"));
+        }
+    }
+
+    pub(super) fn send(&mut self, id: BatchId, engine: EngineId, time_out: f64) {
+        self.judge_send(id, engine);
+        let now = self.now;
+        let h = &mut self.batches[id as usize];
+        let number = h.dispatches.len() as u32;
+        h.dispatches.push((now, engine));
+        self.out.push(Out {
+            batch: id,
+            engine,
+            number,
+            id: self.ledger.open(Duration::from_millis(now), Duration::from_millis(KEPT)),
+            sent: now,
+            time_out: now + (time_out * 1000.0) as u64,
+            doing: Doing::Connects { since: now, then: Call::Start },
+            asking: Asking::new(Duration::from_millis(now), BOUNDS, Duration::from_millis(DIAL)),
+            up: None,
+            connection: 0,
+            refused: false,
+            comes_up: None,
+            may_have_come: false,
+            unwanted: false,
+            late: false,
+            end: None,
+        });
+    }
+
+    pub(super) fn tell(&mut self, n: usize, fact: Fact) {
+        let now = self.ledger_now();
+        self.ledger.tell(now, self.out[n].id, fact);
+    }
+
+    fn outcome(&self, n: usize, end: End) -> Outcome {
+        let o = &self.out[n];
+        let closed = self.batches[o.batch as usize].answered.is_some() || self.batches[o.batch as usize].left;
+        let latency = (self.now - o.sent) as f64 / 1000.0;
+        let work = (end == End::Returned).then_some(latency);
+        Outcome { engine: o.engine, dispatch: o.number, end, latency, closed, work, memory: None }
+    }
+
+    pub(super) fn in_doubt(&mut self, n: usize, end: End) {
+        let (id, outcome) = (self.out[n].batch, self.outcome(n, end));
+        if let Next::Over(answer) = self.control.in_doubt(seconds(self.now), id, outcome) {
+            self.answer(id, answer);
+        }
+    }
+
+    /// The dispatch is over as far as the gateway can know.
+    pub(super) fn over(&mut self, n: usize, end: End) {
+        let end = if self.out[n].late && end != End::Moot { End::TimedOut } else { end };
+        let (id, outcome) = (self.out[n].batch, self.outcome(n, end));
+        let closed = outcome.closed;
+        let next = self.control.after(seconds(self.now), id, outcome);
+        self.ledger.close(self.out[n].id);
+        self.out.remove(n);
+        match next {
+            _ if end == End::Returned && !closed => self.answered(id, false),
+            Next::Over(answer) => self.answer(id, answer),
+            Next::Nothing => {}
+        }
+    }
+
+    pub(super) fn give_up(&mut self, n: usize, end: End) {
+        self.out[n].end = Some(end);
+        self.out[n].doing = Doing::GivesUp;
+    }
+
+    pub(super) fn doubts(&mut self, n: usize) {
+        if !self.out[n].unwanted {
+            self.in_doubt(n, End::Broken);
+        }
+        self.give_up(n, End::Broken);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/world/mod.rs
@@ -0,0 +1,105 @@
+//! One gateway's world: what is there, and what can be looked up in it.
+
+mod day;
+mod engines;
+mod exchange;
+mod figures;
+mod gateway;
+mod judge;
+mod random;
+mod start;
+
+use engines::{Process, Ran, Slot};
+use garnetwall::api::{Condition, EngineId, Listed};
+use garnetwall::control::Control;
+use garnetwall_ledger::Ledger;
+use gateway::{Held, Out};
+use random::Dice;
+use std::time::Duration;
+
+pub use judge::Rule;
+
+/// What the gateway does wrong on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Slip {
+    None,
+    LosesAnswers,
+    TrustsRefusals,
+    TrustsAddresses,
+    OverlooksDrains,
+    OverlooksColdness,
+    RestsNoKeys,
+    MixesArrivals,
+    OverlooksZones,
+    OverlooksBudget,
+    OverlooksNotes,
+    StartsLate,
+}
+
+pub struct World {
+    slip: Slip,
+    /// Engines tell notes, each of which keeps its dispatch running.
+    notes: bool,
+    dice: Dice,
+    now: u64,
+    starved: (u64, u64),
+    control: Control,
+    ledger: Ledger,
+    processes: Vec<Process>,
+    slots: Vec<Slot>,
+    ran: Vec<Ran>,
+    out: Vec<Out>,
+    batches: Vec<Held>,
+    further: Vec<u64>,
+    broken: Vec<(Rule, String)>,
+}
+
+fn seconds(ms: u64) -> f64 {
+    1000.0 + ms as f64 / 1000.0
+}
+
+impl World {
+    pub(super) fn zone(&self, engine: EngineId) -> u32 {
+        (self.processes[engine].slot % 2) as u32
+    }
+
+    /// What the list says of a process at a time.
+    pub(super) fn line(&self, engine: EngineId, at: u64) -> Option<Listed> {
+        let p = &self.processes[engine];
+        let condition = match at {
+            _ if at < p.told_up => return None,
+            _ if at >= p.told_gone => Condition::Gone,
+            _ if at >= p.told && self.slip != Slip::OverlooksDrains => Condition::Draining,
+            _ => Condition::Ready,
+        };
+        let came_up = (p.up > 0).then(|| seconds(p.up));
+        Some(Listed {
+            engine,
+            zone: self.zone(engine),
+            kind: 0,
+            cell: p.slot as u32,
+            came_up,
+            condition,
+            holders: None,
+        })
+    }
+
+    pub(super) fn listens(&self, slot: usize) -> Option<usize> {
+        let t = self.now;
+        let there = |p: &Process| p.slot == slot && p.up <= t && t < p.drains && t < p.dies;
+        self.processes.iter().rposition(there)
+    }
+
+    pub(super) fn is_cut(&self, slot: usize) -> bool {
+        let (from, to) = self.slots[slot].cut;
+        (from..to).contains(&self.now)
+    }
+
+    pub(super) fn is_starved(&self) -> bool {
+        (self.starved.0..self.starved.1).contains(&self.now)
+    }
+
+    pub(super) fn ledger_now(&self) -> Duration {
+        Duration::from_millis(self.now)
+    }
+}
