Subsets narrow after a failing member has left; floors of classes count unreached engines

A failing member that left took the reason to poll with it, so that the subset stayed wide. The floor of a class was taken of the engines that can be reached, not of those listed. Cores near the largest float summed up to infinity, and holders were not a number.

Change: the narrowing begins when a failing member leaves; the floor of a class follows from the list; cores are reckoned as 1e-3 to 1e6.

--- a/crates/subset/src/class_shortage.rs
+++ b/crates/subset/src/class_shortage.rs
@@ -8,18 +8,18 @@
 }
 
 impl<'a> ClassShortage<'a> {
-    /// `needed` tells how many members a class needs of which the target has so many.
+    /// `needed` tells how many members a class needs, if the target has as many of it.
     pub fn new(
         classes: &'a [PlacementClass],
         target: &[EngineFacts],
         members: &[EngineFacts],
-        needed: impl Fn(usize) -> usize,
+        needed: impl Fn(&PlacementClass) -> usize,
     ) -> Self {
         let count = |class: &PlacementClass, engines: &[EngineFacts]| {
             engines.iter().filter(|facts| class.admits_engine(facts)).count()
         };
         let lacking = |class: &'a PlacementClass| {
-            let needed = needed(count(class, target));
+            let needed = needed(class).min(count(class, target));
             (class, needed as i64 - count(class, members) as i64)
         };
         ClassShortage { lacking: classes.iter().map(lacking).collect() }
--- a/crates/subset/src/health.rs
+++ b/crates/subset/src/health.rs
@@ -58,10 +58,12 @@
         fails && self.failing.insert(member, now + HOLD_DOWN_SECONDS).is_none()
     }
 
-    /// Forgets an engine that is no member any more.
-    pub fn forget(&mut self, engine: EngineKey) {
+    /// Forgets an engine that is no member any more. If it failed, the subset begins to narrow.
+    pub fn forget(&mut self, now: f64, engine: EngineKey) {
         self.histories.remove(&engine);
-        self.failing.remove(&engine);
+        if self.failing.remove(&engine).is_some() && self.failing.len() < self.widened_by {
+            self.narrow_at.get_or_insert(now + NARROW_SECONDS);
+        }
     }
 
     /// Brings the widening up to date; whether it changed.
--- a/crates/subset/src/score.rs
+++ b/crates/subset/src/score.rs
@@ -12,6 +12,9 @@
 /// Stands for cores that are told as 0, negative or not a number.
 const LEAST_CORES: f64 = 1e-3;
 
+/// Stands for more cores than any engine has, so that sums over the list stay finite.
+const MOST_CORES: f64 = 1e6;
+
 /// How the weight of an engine grows with its cores: 1 in proportion, 0 not at all.
 ///
 /// The decision module spreads a gateway's work over its members by their cores. If cores counted in the choice too, work
@@ -68,10 +71,10 @@
 
 /// The cores of an engine, as far as they can be reckoned with.
 pub(crate) fn usable_cores(cores: f64) -> f64 {
-    if cores.is_finite() {
-        cores.max(LEAST_CORES)
-    } else {
+    if cores.is_nan() {
         LEAST_CORES
+    } else {
+        cores.clamp(LEAST_CORES, MOST_CORES)
     }
 }
 
--- a/crates/subset/src/subset.rs
+++ b/crates/subset/src/subset.rs
@@ -157,7 +157,7 @@
     }
 
     fn leave(&mut self, engine: EngineKey) -> bool {
-        self.health.forget(engine);
+        self.health.forget(self.last_call, engine);
         let left = self.members.remove(&engine).is_some();
         if left {
             self.due.push(Action::Leave(engine));
@@ -283,13 +283,18 @@
         let facts: Vec<EngineFacts> =
             self.target.engines.iter().filter_map(|engine| catalog.facts(*engine)).collect();
         let class_under_floor = |class: &PlacementClass| {
-            let floor = floor_of(self.settings.class_floor.min(catalog.ready().count_in_class(class)));
+            let floor = self.floor_of_class(catalog, class);
             facts.iter().filter(|facts| class.admits_engine(facts)).count() < floor
         };
         facts.len() < self.effective_size(catalog).floor()
             || self.settings.classes.iter().any(class_under_floor)
     }
 
+    /// So many members of a class the subset has at least.
+    fn floor_of_class(&self, catalog: &Catalog, class: &PlacementClass) -> usize {
+        floor_of(self.settings.class_floor.min(catalog.ready().count_in_class(class)))
+    }
+
     fn refill_candidates(&mut self, catalog: &Catalog) {
         let chooser = Chooser { gateway: self.gateway, settings: &self.settings, catalog };
         let wanted = wanted(&self.settings, &self.newcomers, catalog);
@@ -340,9 +345,8 @@
         let fill = self.members.is_empty();
         let floor = self.effective_size(catalog).floor().min(self.target.engines.len());
         let classes = self.settings.classes.clone();
-        let class_floor = self.settings.class_floor;
-        let under_floor = |in_target: usize| floor_of(in_target.min(class_floor));
-        let mut shortage = self.class_shortage(catalog, &classes, under_floor);
+        let mut shortage =
+            self.class_shortage(catalog, &classes, |class| self.floor_of_class(catalog, class));
         let (mut of_no_class, mut waiting) = (Vec::new(), Vec::new());
         for engine in missing {
             let Some(facts) = catalog.facts(engine) else { continue };
@@ -374,7 +378,7 @@
         &self,
         catalog: &Catalog,
         classes: &'a [PlacementClass],
-        needed: impl Fn(usize) -> usize,
+        needed: impl Fn(&PlacementClass) -> usize,
     ) -> ClassShortage<'a> {
         let facts = |engine: &EngineKey| catalog.facts(*engine);
         let target: Vec<EngineFacts> = self.target.engines.iter().filter_map(facts).collect();
@@ -385,8 +389,7 @@
     /// Has connections brought up to the engines that wait.
     fn warm(&mut self, now: f64, catalog: &Catalog, waiting: &[EngineKey]) {
         let classes = self.settings.classes.clone();
-        let class_floor = self.settings.class_floor;
-        let mut shortage = self.class_shortage(catalog, &classes, |in_target| in_target.min(class_floor));
+        let mut shortage = self.class_shortage(catalog, &classes, |_| self.settings.class_floor);
         let mut waits_for_pace = false;
         for engine in waiting {
             let Some(facts) = catalog.facts(*engine) else { continue };
@@ -429,9 +432,8 @@
     /// joined in their stead, unless a class would fall under its floor or a member lose its only companion.
     fn dispensable(&self, catalog: &Catalog, surplus: &[EngineKey]) -> Vec<EngineKey> {
         let mut excess = self.members.len().saturating_sub(self.target.engines.len());
-        let class_floor = self.settings.class_floor;
-        let quota = |in_target: usize| in_target.min(class_floor);
-        let mut shortage = self.class_shortage(catalog, &self.settings.classes, quota);
+        let mut shortage =
+            self.class_shortage(catalog, &self.settings.classes, |_| self.settings.class_floor);
         let mut in_domain = self.members_by_domain(catalog);
         let mut leaving = Vec::new();
         for engine in surplus {
