--- a/crates/subset/tests/change.rs
+++ b/crates/subset/tests/change.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use garnetwall_subset::{Condition, EngineLine, SubsetSettings};
+use garnetwall_subset::{Condition, EngineLine, PlacementClass, SubsetSettings};
 use std::collections::BTreeSet;
 use world::{line, lines, plain_target, settings, Slip, World, GATEWAY, SETTLING_SECONDS};
 
@@ -164,3 +164,51 @@
     assert_eq!(world.member_ids(), expected, "reached in the end");
     assert_eq!(world.faults, BTreeSet::new());
 }
+
+#[test]
+fn the_subset_narrows_also_when_a_failing_member_was_displaced() {
+    let mut world = World::new(SubsetSettings { reserve: 3, ..settings(20) }, Slip::None);
+    world.tell(&lines(200, 5), true);
+    // With one engine of these the member with the highest score is displaced; while it fails there is room for one.
+    let displaces = |world: &World, newcomer: &EngineLine| {
+        let mut list = world.list.clone();
+        list.insert(newcomer.id.clone(), newcomer.facts);
+        let target = plain_target(GATEWAY, &world.settings, &list);
+        world.member_ids().difference(&target).next().cloned()
+    };
+    let newcomers: Vec<EngineLine> = (200..400)
+        .map(|number| line(number, 5))
+        .filter(|line| displaces(&world, line).is_some())
+        .take(2)
+        .collect();
+    let last = displaces(&world, &newcomers[0]).expect("it displaces a member");
+    let failing = world.catalog.key(&last).expect("listed");
+    world.attempts(failing, true, 4);
+    world.advance(5.0);
+    assert_eq!((world.subset.widened_by(), world.members.len()), (1, 21));
+    world.tell(&newcomers, false);
+    world.settle();
+    assert_eq!((world.subset.widened_by(), world.members.len()), (0, 20));
+    assert_eq!(world.faults, BTreeSet::new());
+}
+
+/// Found by the model: the floor of a class is a part of what is listed of it, not of what was reached.
+#[test]
+fn the_floor_of_a_class_counts_engines_that_could_not_be_reached() {
+    let by_zone = PlacementClass { zones: Some(vec![0, 3]), kinds: None };
+    let by_kind = PlacementClass { zones: Some(vec![2]), kinds: Some(vec![1]) };
+    let classes = vec![by_zone, by_kind];
+    let reserve = 0;
+    let slow = SubsetSettings { class_floor: 3, reserve, joins_per_second: 0.2, classes, ..settings(3) };
+    let mut world = World::new(slow, Slip::None);
+    let tell = |world: &mut World, first: u32| {
+        world.tell(&(first..first + 8).map(|number| line(number, 5)).collect::<Vec<_>>(), false);
+    };
+    world.unreachable.extend((23..38).map(|number| line(number, 5).id));
+    tell(&mut world, 70);
+    tell(&mut world, 21);
+    world.advance(29.0);
+    tell(&mut world, 0);
+    world.settle();
+    assert_eq!(world.faults, BTreeSet::new());
+}
