The list of engines is a thing of its own below the desk and the engines

Cause: changes, desk and engines of the gateway knew one another in a circle: the follower called both, the engines took the follower's events, and the desk took its lines from the engines.

Change: a folder discovery/ has the events' decoding, the server-sent event stream, the connection to the change log, the watch and the list under the module's indices. It knows neither desk nor engines; the gateway joins them by a closure. Told is EngineUpdate, Follower is Watch. Code is moved, no behaviour changes; log lines of it name their new modules.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,6 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
 
-use crate::changes::{self, Event};
+use crate::discovery::{self, Event};
 use crate::{plan_cli, planning};
 use garnetwall_plan::{Faulty, Plan};
 use garnetwall_settings::{decode, shown, Cause, Decoded, Fault, Flat};
@@ -253,7 +253,7 @@
     let mut events: Vec<Event> = Vec::with_capacity(results.len());
     for (i, one) in results.iter().enumerate() {
         let place = format!("known.results.{i}");
-        let event = changes::event(one, &decoded.names).map_err(|what| in_event(&place, &what))?;
+        let event = discovery::event(one, &decoded.names).map_err(|what| in_event(&place, &what))?;
         let before = events.last().map(|event| event.number);
         if before.is_some_and(|before| event.number <= before) || event.number > last {
             let after = before.map_or_else(|| "up".to_string(), |before| format!("after {before}, up"));
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -3,7 +3,8 @@
 
 use crate::attended::Attended;
 use crate::clock::{minute_of_day, Clock};
-use crate::engines::{Call, Told};
+use crate::discovery::EngineUpdate;
+use crate::engines::Call;
 use crate::keeping::millis;
 use crate::planning::{LaneTold, Passage, Planner, Turned};
 use bytes::Bytes;
@@ -248,7 +249,7 @@
         }
     }
 
-    pub fn listed(&self, lines: &[Told], whole: bool) {
+    pub fn listed(&self, lines: &[EngineUpdate], whole: bool) {
         let told: Vec<_> = lines.iter().map(|line| line.listed).collect();
         self.fact(|seats, _| {
             seats.control.listed(&told, whole);
--- /dev/null
+++ b/crates/gateway/src/discovery/connection.rs
@@ -0,0 +1,44 @@
+//! The connection to the change log.
+
+use crate::sockets::{Line, LONGEST_HEAD};
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Protocol: the path of the log and the field that names the last event had.
+const PATH: &str = "/changes";
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+/// Opens the change log after an event, for its stream. It takes nothing of the engines' budget, which keeps a descriptor
+/// back for it: engines that hold all of that must not keep out the news of them.
+pub(super) async fn open(log: SocketAddr, last: u64, dial: Duration) -> Result<Incoming, String> {
+    let up = timeout(dial, TcpStream::connect(log)).await.map_err(|_| "no connection in time")?;
+    let line = Line::new(up.map_err(|e| e.to_string())?, None);
+    let mut builder = http1::Builder::new();
+    let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await;
+    let (mut sender, connection) = up.map_err(|e| e.to_string())?;
+    tokio::spawn(async move { drop(connection.await) });
+    let answer = sender.send_request(request(log, last)).await.map_err(|e| e.to_string())?;
+    match answer.status() {
+        StatusCode::OK => Ok(answer.into_body()),
+        status => Err(format!("status {status}")),
+    }
+}
+
+fn request(log: SocketAddr, last: u64) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = PATH.parse().unwrap_or_default();
+    if let Ok(host) = HeaderValue::try_from(log.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request.headers_mut().insert(LAST_EVENT, HeaderValue::from(last));
+    request
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -1,29 +1,25 @@
-//! Engines over HTTP: the connections to them and the budget of those, dispatches, probes, the change log's stream.
+//! Engines over HTTP: the connections to them and the budget of those, dispatches, probes.
 
 mod call;
-mod list;
 mod outgoing;
 mod reply;
 #[cfg(test)]
 mod tests;
 mod way;
 
+pub use crate::discovery::Target;
 pub use call::{Call, Ended, Start, Statement, Tidings, Wish};
-pub use list::Told;
 
-use crate::changes::Event;
 use crate::clock::span;
-use crate::sockets::{Abandoned, Budget, Gate, Line};
-use garnetwall::api::{Condition, End, EngineId, Report};
+use crate::discovery::EngineList;
+use crate::sockets::{Abandoned, Budget, Gate, Line, LONGEST_HEAD};
+use garnetwall::api::{End, EngineId, Report};
 use garnetwall_ledger::{Bounds, Ledger};
 use garnetwall_settings::Network;
-use http::{HeaderName, HeaderValue, Method, StatusCode};
-use hyper::body::Incoming;
+use http::{Method, StatusCode};
 use hyper::client::conn::http1;
-use list::{lock, List};
 use outgoing::{request, Sender};
 use reply::Fault;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -42,21 +38,15 @@
 /// Protocol: a dispatch that nobody asks for ends after this.
 const UNASKED: Duration = Duration::from_secs(2);
 
-/// More than any head of an answer; hyper asks for 8 KB at least.
-const LONGEST_HEAD: usize = 16 << 10;
-
-/// Where a dispatch goes; it stays there though the list changes.
-#[derive(Clone, Copy, Debug)]
-pub struct Target {
-    pub engine: EngineId,
-    address: SocketAddr,
+/// How long batches may know of an engine after it has gone, where the longest time limit is this one in seconds.
+pub fn known_for(longest: f64) -> Duration {
+    span(longest) + UNASKED
 }
 
 pub struct Engines {
     budget: Arc<Semaphore>,
     dial: Duration,
-    listed: Arc<Mutex<List>>,
-    known: watch::Sender<bool>,
+    list: Arc<EngineList>,
     ledger: Mutex<Ledger>,
     bounds: Bounds,
     /// The longest time limit of any service group.
@@ -66,16 +56,19 @@
 
 impl Engines {
     /// `notes_every` is the time between an engine's notes on a dispatch; 0 where there are none.
-    pub fn new(network: Network, notes_every: f64, budget: &Budget, longest: f64) -> Self {
+    pub fn new(
+        network: Network,
+        notes_every: f64,
+        budget: &Budget,
+        longest: f64,
+        list: Arc<EngineList>,
+    ) -> Self {
         let dial = span(network.dial);
-        let kept = span(longest) + UNASKED;
-        let listed = Arc::new(Mutex::new(List { ids: HashMap::new(), known: Vec::new(), kept }));
         let bounds = Bounds { news: NEWS, notes: notes_every > 0.0, unasked: UNASKED, pause: LONGER };
         Engines {
             budget: budget.engines.clone(),
             dial,
-            listed,
-            known: watch::Sender::new(false),
+            list,
             ledger: Mutex::new(Ledger::new(bounds)),
             bounds,
             longest: span(longest),
@@ -137,36 +130,12 @@
         }
     }
 
-    fn list(&self) -> MutexGuard<'_, List> {
-        lock(&self.listed)
-    }
-
-    /// Takes in a change of the list and gives it under the module's indices.
-    pub fn listed(&self, event: &Event) -> Vec<Told> {
-        let mut list = self.list();
-        let now = Instant::now();
-        if event.whole {
-            list.known.iter_mut().for_each(|known| known.goes(now));
-        }
-        let lines = event.lines.iter().filter_map(|line| list.take(line, now)).collect();
-        // An event without a list tells none.
-        if event.whole || !event.lines.is_empty() {
-            self.known.send_replace(true);
-        }
-        let count = |c: Condition| list.known.iter().filter(|k| k.line.condition == c).count();
-        let (ready, draining) = (count(Condition::Ready), count(Condition::Draining));
-        tracing::info!(change = event.number, ready, draining, "engine list");
-        lines
-    }
-
-    /// Until a list of engines is known.
-    pub async fn known(&self) {
-        // It fails only with the sender gone, which these engines hold.
-        let _ = self.known.subscribe().wait_for(|known| *known).await;
+    fn list(&self) -> &EngineList {
+        &self.list
     }
 
     pub fn target(&self, engine: EngineId) -> Option<Target> {
-        self.list().known.get(engine).map(|known| Target { engine, address: known.line.address })
+        self.list.target(engine)
     }
 
     /// Starts a dispatch and asks for it without gap until it is over: it has ended, or can't be running any more.
@@ -184,11 +153,11 @@
         // cut that outlasts every limit is not covered.
         let kept = if call.in_order { self.longest } else { Duration::ZERO };
         let id = self.ledger().open(self.now(), kept);
-        let (wish, attended, list) = (wishes.clone(), start.attended.clone(), self.listed.clone());
+        let (wish, attended, list) = (wishes.clone(), start.attended.clone(), self.list.clone());
         let ends = start.until.min(start.comes_by);
         let wanted = move || *wish.borrow() == Wish::Answer && attended.is() && Instant::now() < ends;
         // Its first byte counts as sending it: what has begun to leave may go on while its engine drains.
-        let gate = Gate::new(move || lock(&list).takes(target), wanted);
+        let gate = Gate::new(move || list.takes(target), wanted);
         let comes_by = Some(start.comes_by).filter(|by| *by < start.until);
         let gate = Some(Arc::new(gate));
         let mut way = Way { dispatch: Some(id), gate, comes_by, ..self.way(target) };
@@ -209,30 +178,6 @@
         }
     }
 
-    /// Opens the change log after an event, for its stream. It takes nothing of the engines' budget, which keeps a descriptor
-    /// back for it: engines that hold all of that must not keep out the news of them.
-    pub async fn open_log(
-        &self,
-        log: SocketAddr,
-        path: &str,
-        field: &'static str,
-        last: u64,
-    ) -> Result<Incoming, String> {
-        let mut request = request(Method::GET, log, path);
-        request.headers_mut().insert(HeaderName::from_static(field), HeaderValue::from(last));
-        let up = timeout(self.dial, TcpStream::connect(log)).await.map_err(|_| "no connection in time")?;
-        let line = Line::new(up.map_err(|e| e.to_string())?, None);
-        let mut builder = http1::Builder::new();
-        let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await;
-        let (mut sender, connection) = up.map_err(|e| e.to_string())?;
-        tokio::spawn(async move { drop(connection.await) });
-        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
-        match answer.status() {
-            StatusCode::OK => Ok(answer.into_body()),
-            status => Err(format!("status {status}")),
-        }
-    }
-
     /// Logs an engine that goes out of reach or comes back, once each.
     fn heard(&self, target: Target, fault: Option<&Fault>) {
         let Target { engine, address } = target;
@@ -242,12 +187,12 @@
             Some(Fault::Silent | Fault::Broken | Fault::Garbled) => return,
             None => false,
         };
-        let mut list = self.list();
-        let Some(known) = list.known.get_mut(engine).filter(|k| k.line.address == address) else { return };
-        match (std::mem::replace(&mut known.out_of_reach, out), out) {
-            (true, false) => tracing::info!(engine, %address, "engine reached again"),
-            (false, true) => tracing::warn!(engine, %address, ?fault, "engine out of reach"),
-            _ => {}
+        if !self.list.reached(target, !out) {
+            return;
+        }
+        match out {
+            false => tracing::info!(engine, %address, "engine reached again"),
+            true => tracing::warn!(engine, %address, ?fault, "engine out of reach"),
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,10 +1,10 @@
 //! The gateway as one object: its phases from start to exit, and what runs in each.
 
-use crate::changes::Follower;
 use crate::clock::{span, Clock};
 use crate::config::Config;
 use crate::desk::Desk;
-use crate::engines::Engines;
+use crate::discovery::{EngineList, Event, Watch};
+use crate::engines::{self, Engines};
 use crate::front::{self, Front};
 use crate::guests::Guests;
 use crate::keeping::{self, Keeper};
@@ -49,6 +49,7 @@
     config: Config,
     phase: watch::Sender<Phase>,
     budget: Budget,
+    list: Arc<EngineList>,
     engines: Arc<Engines>,
     desk: Arc<Desk>,
     /// Engines to probe, until the task that probes them has them.
@@ -78,11 +79,13 @@
         let (desk, probes) = Desk::new(control, planner, clock, longest);
         desk.grouped(&groups);
         let notes_every = config.decoded.settings.notes_every;
-        let engines = Arc::new(Engines::new(config.decoded.network, notes_every, &budget, longest));
+        let list = Arc::new(EngineList::new(engines::known_for(longest)));
+        let engines = Engines::new(config.decoded.network, notes_every, &budget, longest, list.clone());
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
             budget,
-            engines,
+            list,
+            engines: Arc::new(engines),
             desk: Arc::new(desk),
             probes: Some(probes),
             config,
@@ -177,28 +180,21 @@
 
     /// Healthy from the first list of engines on; batches are taken before that, too.
     async fn serving(&self) {
-        self.engines.known().await;
+        self.list.known().await;
         self.enter(Phase::Serving);
         std::future::pending().await
     }
 
     /// The list known at the start, and the tasks that run beside the front.
     fn start(&mut self, reloads: UnboundedReceiver<Config>) {
-        for event in &self.config.known {
-            self.desk.listed(&self.engines.listed(event), event.whole);
-        }
+        let (list, desk) = (self.list.clone(), self.desk.clone());
+        let mut apply = move |event: Event| desk.listed(&list.apply(&event), event.whole);
+        self.config.known.iter().cloned().for_each(&mut apply);
         let log = watch::Sender::new(self.config.changelog);
-        let follower = Follower {
-            log: log.subscribe(),
-            last: self.config.last_known,
-            names: self.config.decoded.names.clone(),
-            engines: self.engines.clone(),
-            desk: self.desk.clone(),
-            malformed: None,
-            lost: false,
-        };
-        let reconnect = Reconnect::new(span(self.config.decoded.network.dial), self.config.seed);
-        tokio::spawn(follower.follow(reconnect));
+        let dial = span(self.config.decoded.network.dial);
+        let names = self.config.decoded.names.clone();
+        let watch = Watch::new(log.subscribe(), self.config.last_known, names, dial, Box::new(apply));
+        tokio::spawn(watch.follow(Reconnect::new(dial, self.config.seed)));
         tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,11 +3,11 @@
 //! Embed it with [`config::Config`] and [`gateway::Gateway`]; `src/main.rs` does no more.
 
 pub mod attended;
-pub mod changes;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod desk;
+pub mod discovery;
 pub mod engines;
 pub mod front;
 pub mod gateway;
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -1,7 +1,7 @@
 //! The plan beside the module: a plan compiled with the engines of its pools, its limits, and the lanes that the module
 //! knows its ways by. It hands facts over and decides nothing; `garnetwall_routing` does.
 
-use crate::engines::Told;
+use crate::discovery::EngineUpdate;
 use garnetwall::api::{Condition, EngineSet, FurtherBudget, Scope, ServiceGroup};
 use garnetwall_plan::model::{self, EngineFacts, Plan, FURTHER_FLOOR, FURTHER_WINDOW};
 use garnetwall_plan::{Settings, SettingsGroup};
@@ -123,7 +123,7 @@
     /// The last is in force.
     versions: Vec<(Arc<Version>, Engines)>,
     next_lane: u32,
-    listed: Vec<Option<Told>>,
+    listed: Vec<Option<EngineUpdate>>,
 }
 
 impl Planner {
@@ -166,7 +166,7 @@
     }
 
     /// Takes in a change of the list of engines; what the module is to know of lanes.
-    pub fn listed(&mut self, lines: &[Told], whole: bool) -> Vec<LaneTold> {
+    pub fn listed(&mut self, lines: &[EngineUpdate], whole: bool) -> Vec<LaneTold> {
         if whole {
             let named = |n: &usize| lines.iter().any(|l| l.listed.engine == *n);
             for engine in (0..self.listed.len()).filter(|n| !named(n)).collect::<Vec<_>>() {
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -20,6 +20,9 @@
 /// One in so many descriptors is kept for clients' connections over their third.
 const SPARE: usize = 16;
 
+/// More than any head of an answer; hyper asks for 8 KB at least.
+pub const LONGEST_HEAD: usize = 16 << 10;
+
 /// One in so many bytes of the told memory is for statements, and one in so many for results in hand; the rest is
 /// for the program, the buffers of connections and what an allocator can't give back.
 const STATEMENTS: usize = 8;
