A changed line of the list costs O(log n): no search for indices, no counting, no tree of JSON

Cause: each new engine looked through all that was ever listed for an index that is long gone, each event counted the whole list, the planner compared each line of a whole list with each, names of zones and kinds were searched for, each event became a tree of JSON first, and the configuration kept the JSON of `known` and its events for the life of the process.

Change: ordered sets of engines that have gone and of free indices, counts kept as conditions change, a set in the planner, a map of names, events decoded straight from their bytes with the same texts and order of faults, `known` dropped after the start.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,6 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
 
-use crate::discovery::{self, Event};
+use crate::discovery::{self, Event, NameIndex};
 use crate::{plan_cli, planning};
 use garnetwall_plan::{Faulty, Plan};
 use garnetwall_settings::{decode, shown, Cause, Decoded, Fault, Flat};
@@ -44,7 +44,7 @@
     pub decoded: Decoded,
     /// The plan, checked against the settings.
     pub plan: Option<Arc<Plan>>,
-    /// The file as it was read, to tell what a later one changes.
+    /// The file as it was read but for `known`, to tell what a later one changes.
     pub told: Value,
 }
 
@@ -174,7 +174,7 @@
             return Err(wrong_type("limits", "an object", other, "write {...} with sockets and memory_mb"))
         }
     };
-    Ok(Config {
+    let mut config = Config {
         name: variable(NAME_VARIABLE).map_or_else(|| text(json, "name").map(String::from), Ok)?,
         listen,
         seed,
@@ -186,7 +186,12 @@
         decoded,
         plan: None,
         told,
-    })
+    };
+    // It grows with the fleet, and is not compared with a later one.
+    if let Some(told) = config.told.as_object_mut() {
+        told.remove("known");
+    }
+    Ok(config)
 }
 
 fn text<'a>(json: &'a Value, key: &str) -> Checked<&'a str> {
@@ -250,10 +255,11 @@
             "write the change log's events up to known.seq",
         )
     })?;
+    let names = NameIndex::new(&decoded.names);
     let mut events: Vec<Event> = Vec::with_capacity(results.len());
     for (i, one) in results.iter().enumerate() {
         let place = format!("known.results.{i}");
-        let event = discovery::event(one, &decoded.names).map_err(|what| in_event(&place, &what))?;
+        let event = discovery::event(one, &names).map_err(|what| in_event(&place, &what))?;
         let before = events.last().map(|event| event.number);
         if before.is_some_and(|before| event.number <= before) || event.number > last {
             let after = before.map_or_else(|| "up".to_string(), |before| format!("after {before}, up"));
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -3,10 +3,11 @@
 
 mod connection;
 mod event;
+mod lenient;
 mod list;
 mod stream;
 mod watch;
 
-pub use event::{event, EngineLine, Event};
+pub use event::{event, EngineLine, Event, NameIndex};
 pub use list::{EngineList, EngineUpdate, Target};
 pub use watch::Watch;
--- /dev/null
+++ b/crates/gateway/src/discovery/lenient.rs
@@ -0,0 +1,181 @@
+//! JSON read without a detour over a tree, where what has the wrong type is kept until the place is asked for. Of a key
+//! that is there twice the last counts.
+
+use serde::de::value::{MapAccessDeserializer, SeqAccessDeserializer};
+use serde::de::{Deserialize, DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_json::Value;
+use std::borrow::Cow;
+use std::fmt;
+
+/// What stands at a key.
+#[derive(Debug, Default)]
+pub(super) enum Field<'a> {
+    #[default]
+    Absent,
+    Null,
+    Flag(bool),
+    Number(u64),
+    Text(Cow<'a, str>),
+    Other(Value),
+}
+
+impl Field<'_> {
+    pub(super) fn text(&self) -> Option<&str> {
+        match self {
+            Field::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
+    pub(super) fn number(&self) -> Option<u64> {
+        match self {
+            Field::Number(number) => Some(*number),
+            _ => None,
+        }
+    }
+
+    pub(super) fn flag(&self) -> Option<bool> {
+        match self {
+            Field::Flag(flag) => Some(*flag),
+            _ => None,
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        matches!(self, Field::Absent | Field::Null)
+    }
+}
+
+/// As JSON.
+impl fmt::Display for Field<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Field::Absent | Field::Null => f.write_str("null"),
+            Field::Flag(flag) => flag.fmt(f),
+            Field::Number(number) => number.fmt(f),
+            Field::Text(text) => Value::from(text.as_ref()).fmt(f),
+            Field::Other(value) => value.fmt(f),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Field<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(FieldVisitor)
+    }
+}
+
+struct FieldVisitor;
+
+impl<'de> Visitor<'de> for FieldVisitor {
+    type Value = Field<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("any JSON")
+    }
+
+    fn visit_unit<E>(self) -> Result<Field<'de>, E> {
+        Ok(Field::Null)
+    }
+
+    fn visit_bool<E>(self, flag: bool) -> Result<Field<'de>, E> {
+        Ok(Field::Flag(flag))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Field<'de>, E> {
+        Ok(Field::Number(number))
+    }
+
+    fn visit_i64<E>(self, number: i64) -> Result<Field<'de>, E> {
+        Ok(Field::Other(number.into()))
+    }
+
+    fn visit_f64<E>(self, number: f64) -> Result<Field<'de>, E> {
+        Ok(Field::Other(number.into()))
+    }
+
+    fn visit_borrowed_str<E>(self, text: &'de str) -> Result<Field<'de>, E> {
+        Ok(Field::Text(Cow::Borrowed(text)))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Field<'de>, E> {
+        Ok(Field::Text(Cow::Owned(text.into())))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, items: A) -> Result<Field<'de>, A::Error> {
+        Value::deserialize(SeqAccessDeserializer::new(items)).map(Field::Other)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Field<'de>, A::Error> {
+        Value::deserialize(MapAccessDeserializer::new(map)).map(Field::Other)
+    }
+}
+
+/// What is read key by key, or item by item.
+pub(super) trait Parts<'de>: Sized {
+    /// Reads what stands at a key.
+    fn key<A: MapAccess<'de>>(&mut self, _key: &str, map: &mut A) -> Result<(), A::Error> {
+        map.next_value::<IgnoredAny>().map(drop)
+    }
+
+    /// Reads the items of a list.
+    fn items<A: SeqAccess<'de>>(&mut self, mut items: A) -> Result<(), A::Error> {
+        while items.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(())
+    }
+}
+
+/// Reads into something; it stays as it was where it is given what it has no parts for.
+pub(super) struct ReadInto<T>(pub(super) T);
+
+impl<'de, T: Parts<'de>> DeserializeSeed<'de> for ReadInto<T> {
+    type Value = T;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<T, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de, T: Parts<'de>> Visitor<'de> for ReadInto<T> {
+    type Value = T;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("any JSON")
+    }
+
+    fn visit_unit<E>(self) -> Result<T, E> {
+        Ok(self.0)
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<T, E> {
+        Ok(self.0)
+    }
+
+    fn visit_u64<E>(self, _: u64) -> Result<T, E> {
+        Ok(self.0)
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<T, E> {
+        Ok(self.0)
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<T, E> {
+        Ok(self.0)
+    }
+
+    fn visit_str<E>(self, _: &str) -> Result<T, E> {
+        Ok(self.0)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(mut self, items: A) -> Result<T, A::Error> {
+        self.0.items(items)?;
+        Ok(self.0)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(mut self, mut map: A) -> Result<T, A::Error> {
+        while let Some(key) = map.next_key::<Field>()? {
+            self.0.key(key.text().unwrap_or_default(), &mut map)?;
+        }
+        Ok(self.0)
+    }
+}
--- a/crates/gateway/src/discovery/list.rs
+++ b/crates/gateway/src/discovery/list.rs
@@ -2,7 +2,7 @@
 
 use super::event::{EngineLine, Event};
 use garnetwall::api::{Condition, EngineId, Listed};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -41,19 +41,15 @@
     }
 
     /// Takes in a change of the list and gives it under the module's indices.
-    pub fn apply(&self, event: &Event) -> Vec<EngineUpdate> {
+    pub fn apply(&self, event: Event) -> Vec<EngineUpdate> {
         let mut list = self.list();
-        let now = Instant::now();
-        if event.whole {
-            list.known.iter_mut().for_each(|known| known.goes(now));
-        }
-        let lines = event.lines.iter().filter_map(|line| list.take(line, now)).collect();
         // An event without a list tells none.
-        if event.whole || !event.lines.is_empty() {
+        let tells = event.whole || !event.lines.is_empty();
+        let lines = list.apply(event.lines, event.whole, Instant::now());
+        if tells {
             self.known.send_replace(true);
         }
-        let count = |c: Condition| list.known.iter().filter(|k| k.line.condition == c).count();
-        let (ready, draining) = (count(Condition::Ready), count(Condition::Draining));
+        let Counts { ready, draining } = list.counts;
         tracing::info!(change = event.number, ready, draining, "engine list");
         lines
     }
@@ -86,8 +82,15 @@
     ids: HashMap<String, EngineId>,
     /// By the module's index.
     known: Vec<Known>,
+    counts: Counts,
+    /// How many changes were applied.
+    changes: u64,
     /// An index is another engine's once its own has been gone for this long: no query knows of it then.
     kept: Duration,
+    /// Engines that have gone and whose indices are still kept, by when they went.
+    gone: BTreeSet<(Instant, EngineId)>,
+    /// Indices that were kept for long enough.
+    free: BTreeSet<EngineId>,
 }
 
 struct Known {
@@ -95,29 +98,73 @@
     gone: Option<Instant>,
     /// Its last call came to nothing.
     out_of_reach: bool,
+    /// The change that named it last.
+    named_by: u64,
+}
+
+/// Engines in the list by their conditions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Counts {
+    ready: usize,
+    draining: usize,
+}
+
+impl Counts {
+    fn add(&mut self, condition: Condition) {
+        match condition {
+            Condition::Ready => self.ready += 1,
+            Condition::Draining => self.draining += 1,
+            Condition::Gone => {}
+        }
+    }
+
+    fn remove(&mut self, condition: Condition) {
+        match condition {
+            Condition::Ready => self.ready -= 1,
+            Condition::Draining => self.draining -= 1,
+            Condition::Gone => {}
+        }
+    }
 }
 
 impl List {
     fn new(kept: Duration) -> Self {
-        List { ids: HashMap::new(), known: Vec::new(), kept }
+        List {
+            ids: HashMap::new(),
+            known: Vec::new(),
+            counts: Counts::default(),
+            changes: 0,
+            kept,
+            gone: BTreeSet::new(),
+            free: BTreeSet::new(),
+        }
     }
 
-    /// Whether its engine is listed as one that takes new dispatches, at this address.
+    /// Whether its engine is listed as one that takes new attempts, at this address.
     fn takes(&self, target: Target) -> bool {
         let line = self.known.get(target.engine).map(|known| &known.line);
         line.is_some_and(|l| l.condition == Condition::Ready && l.address == target.address)
     }
 
+    /// Takes in lines; engines that a whole list does not name have gone.
+    fn apply(&mut self, lines: Vec<EngineLine>, whole: bool, now: Instant) -> Vec<EngineUpdate> {
+        self.changes += 1;
+        let updates = lines.into_iter().filter_map(|line| self.take(line, now)).collect();
+        if whole {
+            let unnamed = |known: &Known| known.named_by != self.changes;
+            let unnamed: Vec<EngineId> = (0..self.known.len()).filter(|n| unnamed(&self.known[*n])).collect();
+            unnamed.into_iter().for_each(|engine| self.turn(engine, Condition::Gone, now));
+        }
+        updates
+    }
+
     /// Takes in a line; one of an engine that was never known and has gone says nothing.
-    fn take(&mut self, line: &EngineLine, now: Instant) -> Option<EngineUpdate> {
+    fn take(&mut self, line: EngineLine, now: Instant) -> Option<EngineUpdate> {
         let engine = match self.ids.get(&line.id) {
             Some(engine) => *engine,
             None if line.condition == Condition::Gone => return None,
-            None => self.index(line, now),
+            None => self.index(&line, now),
         };
-        let known = self.known.get_mut(engine)?;
-        let gone = (line.condition == Condition::Gone).then(|| known.gone.unwrap_or(now));
-        (known.line, known.gone) = (line.clone(), gone);
         let listed = Listed {
             engine,
             zone: line.zone,
@@ -127,27 +174,48 @@
             condition: line.condition,
             holders: None,
         };
-        Some(EngineUpdate { listed, id: line.id.clone(), address: line.address })
+        self.turn(engine, line.condition, now);
+        let update = EngineUpdate { listed, id: line.id.clone(), address: line.address };
+        let known = self.known.get_mut(engine)?;
+        (known.line, known.named_by) = (line, self.changes);
+        Some(update)
     }
 
-    /// An index for a new engine: that of one long gone, or the next.
+    /// An index for a new engine: the lowest of those long gone, or the next.
     fn index(&mut self, line: &EngineLine, now: Instant) -> EngineId {
-        let long_gone = |k: &Known| k.gone.is_some_and(|at| now - at > self.kept);
-        let engine = self.known.iter().position(long_gone).unwrap_or(self.known.len());
-        let new = Known { line: line.clone(), gone: None, out_of_reach: false };
+        while let Some((_, engine)) = self.gone.first().copied().filter(|(at, _)| now - *at > self.kept) {
+            self.gone.pop_first();
+            self.free.insert(engine);
+        }
+        let engine = self.free.pop_first().unwrap_or(self.known.len());
+        let line = EngineLine { condition: Condition::Gone, ..line.clone() };
+        self.ids.insert(line.id.clone(), engine);
+        let new = Known { line, gone: None, out_of_reach: false, named_by: 0 };
         match self.known.get_mut(engine) {
             Some(old) => drop(self.ids.remove(&std::mem::replace(old, new).line.id)),
             None => self.known.push(new),
         }
-        self.ids.insert(line.id.clone(), engine);
         engine
     }
-}
 
-impl Known {
-    fn goes(&mut self, now: Instant) {
-        self.line.condition = Condition::Gone;
-        self.gone.get_or_insert(now);
+    /// Gives an engine another condition; one that has gone before went then.
+    fn turn(&mut self, engine: EngineId, condition: Condition, now: Instant) {
+        let Some(known) = self.known.get_mut(engine) else { return };
+        self.counts.remove(known.line.condition);
+        self.counts.add(condition);
+        known.line.condition = condition;
+        let went = known.gone;
+        known.gone = (condition == Condition::Gone).then(|| went.unwrap_or(now));
+        if went == known.gone {
+            return;
+        }
+        if let Some(at) = went {
+            self.gone.remove(&(at, engine));
+            self.free.remove(&engine);
+        }
+        if let Some(at) = known.gone {
+            self.gone.insert((at, engine));
+        }
     }
 }
 
--- a/crates/gateway/src/discovery/list/tests.rs
+++ b/crates/gateway/src/discovery/list/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn line(id: &str, condition: Condition) -> EngineLine {
     let address = SocketAddr::from(([127, 0, 0, 1], 4100));
@@ -12,7 +14,7 @@
     let mut now = Instant::now();
     let mut take = |id: &str, condition, wait: u64| {
         now += Duration::from_secs(wait);
-        let engine = list.take(&line(id, condition), now).map(|l| l.listed.engine);
+        let engine = list.take(line(id, condition), now).map(|l| l.listed.engine);
         (engine, list.known.len(), list.ids.len())
     };
     assert_eq!(take("a", Condition::Ready, 0), (Some(0), 1, 1));
@@ -26,3 +28,80 @@
         assert!(take(&format!("d{n}"), Condition::Gone, 30).1 <= 4);
     }
 }
+
+/// The list as it was before counts and free indices were kept: it looks through all that is known.
+#[derive(Default)]
+struct PlainList {
+    known: Vec<(EngineLine, Option<Instant>)>,
+    kept: Duration,
+}
+
+impl PlainList {
+    fn apply(&mut self, lines: &[EngineLine], whole: bool, now: Instant) -> Vec<(EngineId, Condition)> {
+        if whole {
+            for (line, gone) in &mut self.known {
+                line.condition = Condition::Gone;
+                gone.get_or_insert(now);
+            }
+        }
+        lines.iter().filter_map(|line| self.take(line, now)).collect()
+    }
+
+    fn take(&mut self, line: &EngineLine, now: Instant) -> Option<(EngineId, Condition)> {
+        let engine = match self.known.iter().position(|(known, _)| known.id == line.id) {
+            Some(engine) => engine,
+            None if line.condition == Condition::Gone => return None,
+            None => {
+                let long_gone = |gone: &Option<Instant>| gone.is_some_and(|at| now - at > self.kept);
+                let engine = self.known.iter().position(|(_, gone)| long_gone(gone));
+                let engine = engine.unwrap_or(self.known.len());
+                match self.known.get_mut(engine) {
+                    Some(known) => *known = (line.clone(), None),
+                    None => self.known.push((line.clone(), None)),
+                }
+                engine
+            }
+        };
+        let (known, gone) = &mut self.known[engine];
+        *gone = (line.condition == Condition::Gone).then(|| gone.unwrap_or(now));
+        *known = line.clone();
+        Some((engine, line.condition))
+    }
+
+    fn counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        self.known.iter().for_each(|(line, _)| counts.add(line.condition));
+        counts
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(37), ..ProptestConfig::default() })]
+
+    /// Whatever the log tells, indices, their order and the counts are those of the plain list.
+    #[test]
+    fn the_list_is_the_plain_one(
+        events in proptest::collection::vec(
+            (any::<bool>(), proptest::collection::vec((0_u8..12, 0_u8..3), 0..8), 0_u64..9), 1..40)
+    ) {
+        let kept = Duration::from_secs(10);
+        let (mut list, mut plain) = (List::new(kept), PlainList { kept, ..PlainList::default() });
+        let mut now = Instant::now();
+        for (whole, lines, wait) in events {
+            now += Duration::from_secs(wait);
+            let conditions = [Condition::Ready, Condition::Draining, Condition::Gone];
+            let lines: Vec<EngineLine> =
+                lines.iter().map(|(id, c)| line(&id.to_string(), conditions[*c as usize])).collect();
+            let told = plain.apply(&lines, whole, now);
+            let updates = list.apply(lines, whole, now);
+            let updates: Vec<_> = updates.iter().map(|u| (u.listed.engine, u.listed.condition)).collect();
+            prop_assert_eq!(updates, told);
+            prop_assert_eq!(list.counts, plain.counts());
+            prop_assert_eq!(list.known.len(), plain.known.len());
+            for (known, (line, gone)) in list.known.iter().zip(&plain.known) {
+                prop_assert_eq!((&known.line, &known.gone), (line, gone));
+            }
+            prop_assert!(list.gone.len() + list.free.len() <= list.known.len());
+        }
+    }
+}
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,13 +1,11 @@
 //! The watch on the change log: numbered events about the list of engines, applied once and in order.
 
 use super::connection;
-use super::event::{event, Event};
+use super::event::{event_of_text, Event, NameIndex};
 use super::stream::{Sent, Stream};
 use crate::reconnect::Reconnect;
 use bytes::Bytes;
-use garnetwall_settings::Names;
 use http_body_util::BodyExt;
-use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch::{self, error::RecvError};
@@ -30,7 +28,7 @@
     log: watch::Receiver<SocketAddr>,
     /// The number of the event that was applied last.
     last: u64,
-    names: Names,
+    names: NameIndex,
     /// A connection that is not up by then counts as never made.
     dial: Duration,
     /// Takes each event that is due.
@@ -46,7 +44,7 @@
     pub fn new(
         log: watch::Receiver<SocketAddr>,
         last: u64,
-        names: Names,
+        names: NameIndex,
         dial: Duration,
         apply: Box<dyn FnMut(Event) + Send>,
     ) -> Self {
@@ -107,8 +105,7 @@
     /// it is passed over.
     fn take(&mut self, sent: &Sent) -> Result<(), String> {
         let expected = self.last.saturating_add(1);
-        let json: Value = serde_json::from_slice(&sent.data).unwrap_or(Value::Null);
-        let event = event(&json, &self.names);
+        let event = event_of_text(&sent.data, &self.names);
         let number = event.as_ref().map_or(sent.number.unwrap_or(expected), |event| event.number);
         match event {
             _ if number < expected => {}
--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -33,7 +33,7 @@
     fn lists(&self, condition: Condition) {
         let address = self.listener.local_addr().unwrap();
         let lines = vec![EngineLine { address, ..line("a", condition) }];
-        self.engines.list.apply(&Event { number: 1, whole: true, lines });
+        self.engines.list.apply(Event { number: 1, whole: true, lines });
     }
 
     /// Holds all connections that there may be to engines.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::clock::{span, Clock};
 use crate::config::Config;
 use crate::desk::Desk;
-use crate::discovery::{EngineList, Event, Watch};
+use crate::discovery::{EngineList, Event, NameIndex, Watch};
 use crate::engines::{self, Engines};
 use crate::front::{self, Front};
 use crate::guests::Guests;
@@ -188,11 +188,14 @@
     /// The list known at the start, and the tasks that run beside the front.
     fn start(&mut self, reloads: UnboundedReceiver<Config>) {
         let (list, desk) = (self.list.clone(), self.desk.clone());
-        let mut apply = move |event: Event| desk.listed(&list.apply(&event), event.whole);
-        self.config.known.iter().cloned().for_each(&mut apply);
+        let mut apply = move |event: Event| {
+            let whole = event.whole;
+            desk.listed(&list.apply(event), whole);
+        };
+        std::mem::take(&mut self.config.known).into_iter().for_each(&mut apply);
         let log = watch::Sender::new(self.config.changelog);
         let dial = span(self.config.decoded.network.dial);
-        let names = self.config.decoded.names.clone();
+        let names = NameIndex::new(&self.config.decoded.names);
         let watch = Watch::new(log.subscribe(), self.config.last_known, names, dial, Box::new(apply));
         tokio::spawn(watch.follow(Reconnect::new(dial, self.config.seed)));
         tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -7,6 +7,7 @@
 use garnetwall_plan::{Settings, SettingsGroup};
 use garnetwall_routing::{Batch, Engines, Limits, Names, Over, Routing, Ticket, Verdict};
 use garnetwall_settings::Decoded;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -168,8 +169,8 @@
     /// Takes in a change of the list of engines; what the module is to know of lanes.
     pub fn listed(&mut self, lines: &[EngineUpdate], whole: bool) -> Vec<LaneTold> {
         if whole {
-            let named = |n: &usize| lines.iter().any(|l| l.listed.engine == *n);
-            for engine in (0..self.listed.len()).filter(|n| !named(n)).collect::<Vec<_>>() {
+            let named: HashSet<usize> = lines.iter().map(|l| l.listed.engine).collect();
+            for engine in (0..self.listed.len()).filter(|n| !named.contains(n)) {
                 self.listed[engine] = None;
                 self.place(engine);
             }
