A gateway can work with a subset of its engines: configuration, list, newcomers, outcomes

Cause: before 6,500 engines what a gateway keeps and decides over grows with the fleet. crates/subset chooses the engines; nothing drove it.

Change: a configuration block `subset` (size; class_floor, reserve, joins_per_second, zone, near_weight with defaults), off unless named, start-only at SIGHUP; bad values get the place, the cause and what to do. With it the whole list goes into a catalog and the module and the list see members only, with the number of gateways that hold each; one that leaves is told gone with its zone and cell, so its index and what runs there stay as for any engine that goes, and its gates send it nothing new. A newcomer is warmed (a probe where engines may be probed, otherwise a connection; eight at once) before it is told. Outcomes of attempts go to the subset; one task polls it when it is due. Changes are applied and handed on under one lock. A plan whose pools name engines by id, address or exception is refused beside a subset, which could hold none of them. The size that is raised by the floor and classes without an engine are logged.

Tests: without the block the module is told what the log told (lines, order, whole flag); members are ready and as listed over random lists (fixed seed); leaving, moving, raised size, widening by failing attempts; faulty blocks in bad_input.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,9 +1,12 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
 
+pub mod subset;
+
 use crate::discovery::{self, Event, NameIndex};
 use crate::{plan_cli, planning};
 use garnetwall_plan::{Faulty, Plan};
 use garnetwall_settings::{decode, shown, Cause, Decoded, Fault, Flat};
+use garnetwall_subset::{SubsetError, SubsetSettings};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -42,6 +45,8 @@
     pub last_known: u64,
     pub known: Vec<Event>,
     pub decoded: Decoded,
+    /// How large a subset of the engines the gateway works with, and how it changes; the whole list where it is none.
+    pub subset: Option<SubsetSettings>,
     /// The plan, checked against the settings.
     pub plan: Option<Arc<Plan>>,
     /// The file as it was read but for `known`, to tell what a later one changes.
@@ -64,7 +69,7 @@
 }
 
 /// What is wrong: where, why, and what to do.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Error)]
 pub enum ConfigError {
     #[error("{FILE_VARIABLE}: not set; name the file of the configuration there, or with --config")]
     NoFile,
@@ -74,6 +79,8 @@
     NotJson { file: String, cause: String },
     #[error("configuration {0}")]
     Key(#[from] Fault),
+    #[error("configuration {0}")]
+    Subset(#[from] SubsetError),
     /// Settings that stand alone in their file.
     #[error("{file}: {fault}")]
     Settings { file: String, fault: Fault },
@@ -83,6 +90,11 @@
         "plan {file}: memory of bodies: {bodies} bytes, {most} at most by limits.memory_mb; give them less"
     )]
     Bodies { file: String, bodies: u64, most: u64 },
+    #[error(
+        "plan {file}: pool {pool}: names engines by id, address or exception, which may be in no subset; name zones \
+         and kinds there, or leave subset out of the configuration"
+    )]
+    SubsetPool { file: String, pool: String },
 }
 
 type Checked<T> = Result<T, ConfigError>;
@@ -121,6 +133,10 @@
         if bodies > most {
             return Err(ConfigError::Bodies { file, bodies, most });
         }
+        if let Some(settings) = &mut config.subset {
+            let unkept = |pool| ConfigError::SubsetPool { file, pool };
+            subset::add_pools(settings, &compiled.plan, &config.decoded.names).map_err(unkept)?;
+        }
         config.plan = Some(Arc::new(compiled.plan));
     }
     Ok(config)
@@ -174,8 +190,10 @@
             return Err(wrong_type("limits", "an object", other, "write {...} with sockets and memory_mb"))
         }
     };
+    let name = variable(NAME_VARIABLE).map_or_else(|| text(json, "name").map(String::from), Ok)?;
+    let subset = subset::read(json.get("subset"), &name, &decoded)?;
     let mut config = Config {
-        name: variable(NAME_VARIABLE).map_or_else(|| text(json, "name").map(String::from), Ok)?,
+        name,
         listen,
         seed,
         sockets: limit(limits, "sockets", FEWEST_SOCKETS, USUAL_SOCKETS)?,
@@ -184,6 +202,7 @@
         last_known,
         known,
         decoded,
+        subset,
         plan: None,
         told,
     };
--- a/crates/gateway/src/discovery/list.rs
+++ b/crates/gateway/src/discovery/list.rs
@@ -1,12 +1,15 @@
 //! The list of engines, under the indices that the module knows them by.
 
 use super::event::{EngineLine, Event};
+use super::selection::{Candidate, Selected, Selection, Status};
+use crate::clock::{span, Clock};
 use garnetwall::api::{Condition, EngineId, Listed};
+use garnetwall_subset::SizeReason;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 /// Where an attempt goes; it stays there though the list changes.
 #[derive(Clone, Copy, Debug)]
@@ -23,35 +26,95 @@
     pub address: SocketAddr,
 }
 
-/// The list of engines, shared by all that read it.
+/// What an event changes for the module.
+#[derive(Debug)]
+pub struct ListChange {
+    pub updates: Vec<EngineUpdate>,
+    /// Engines that are not named have gone.
+    pub whole: bool,
+}
+
+/// The list of engines, shared by all that read it: the whole list, or the gateway's subset of it.
 pub struct EngineList {
-    list: Mutex<List>,
+    state: Mutex<State>,
+    clock: Clock,
     /// Whether a list was told.
     known: watch::Sender<bool>,
+    /// The subset may want to be polled earlier, or have other candidates.
+    subset_changed: Notify,
+}
+
+struct State {
+    list: List,
+    /// None where the gateway works with the whole list.
+    selection: Option<Selection>,
+    /// The subset as it was logged last.
+    told: Option<Status>,
 }
 
 impl EngineList {
     /// An empty list. `kept` is how long queries may know of an engine after it has gone.
-    pub fn new(kept: Duration) -> Self {
-        EngineList { list: Mutex::new(List::new(kept)), known: watch::Sender::new(false) }
+    pub fn new(kept: Duration, clock: Clock, selection: Option<Selection>) -> Self {
+        let state = Mutex::new(State { list: List::new(kept), selection, told: None });
+        EngineList { state, clock, known: watch::Sender::new(false), subset_changed: Notify::new() }
     }
 
-    fn list(&self) -> MutexGuard<'_, List> {
-        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes in a change of the list and gives it under the module's indices.
-    pub fn apply(&self, event: Event) -> Vec<EngineUpdate> {
-        let mut list = self.list();
+    pub fn apply(&self, event: Event) -> ListChange {
+        let mut state = self.state();
         // An event without a list tells none.
         let tells = event.whole || !event.lines.is_empty();
-        let lines = list.apply(event.lines, event.whole, Instant::now());
+        let change = state.apply(event, self.clock.now());
         if tells {
             self.known.send_replace(true);
         }
-        let Counts { ready, draining } = list.counts;
-        tracing::info!(change = event.number, ready, draining, "engine list");
-        lines
+        self.subset_changed.notify_one();
+        change
+    }
+
+    /// What the subset changes by now.
+    pub(super) fn poll_subset(&self) -> Vec<EngineUpdate> {
+        self.state().poll_subset(self.clock.now())
+    }
+
+    /// Until the subset may have something to do that was not due before.
+    pub(super) async fn subset_changed(&self) {
+        self.subset_changed.notified().await;
+    }
+
+    /// How long until the subset wants to be polled.
+    pub(super) fn subset_due(&self) -> Option<Duration> {
+        let wake = self.state().selection.as_ref()?.wake()?;
+        Some(span(wake - self.clock.now()))
+    }
+
+    /// The next engine that a connection is to be brought up to.
+    pub(super) fn next_candidate(&self) -> Option<Candidate> {
+        self.state().selection.as_mut()?.next_candidate(self.clock.now())
+    }
+
+    /// Whether the connection to a candidate came up; the engine's id, where it is still in the list.
+    pub(super) fn candidate_warmed(&self, candidate: Candidate, reached: bool) -> Option<String> {
+        let mut state = self.state();
+        let selection = state.selection.as_mut()?;
+        selection.warmed(self.clock.now(), candidate.engine, reached);
+        selection.id(candidate.engine).map(String::from)
+    }
+
+    /// Tells the subset how an attempt ended: whether its engine failed.
+    pub fn attempted(&self, engine: EngineId, failed: bool) {
+        let mut state = self.state();
+        let State { list, selection: Some(selection), .. } = &mut *state else { return };
+        let Some(known) = list.known.get(engine) else { return };
+        let before = selection.wake();
+        selection.attempted(self.clock.now(), &known.line.id, failed);
+        if selection.wake() != before {
+            self.subset_changed.notify_one();
+        }
     }
 
     /// Until a list of engines is known.
@@ -62,22 +125,65 @@
 
     /// Where attempts at an engine go.
     pub fn target(&self, engine: EngineId) -> Option<Target> {
-        self.list().known.get(engine).map(|known| Target { engine, address: known.line.address })
+        self.state().list.known.get(engine).map(|known| Target { engine, address: known.line.address })
     }
 
     /// Whether an engine is listed as one that takes new attempts, at this address.
     pub fn takes(&self, target: Target) -> bool {
-        self.list().takes(target)
+        self.state().list.takes(target)
     }
 
     /// Notes whether an engine could be reached at this address; whether that was otherwise before.
     pub fn reached(&self, target: Target, reached: bool) -> bool {
-        let mut list = self.list();
-        let known = list.known.get_mut(target.engine).filter(|k| k.line.address == target.address);
+        let known = &mut self.state().list.known;
+        let known = known.get_mut(target.engine).filter(|k| k.line.address == target.address);
         known.is_some_and(|known| std::mem::replace(&mut known.out_of_reach, !reached) == reached)
     }
 }
 
+impl State {
+    fn apply(&mut self, event: Event, now: f64) -> ListChange {
+        let Event { number, whole, lines } = event;
+        let Some(selection) = &mut self.selection else {
+            let updates = self.list.apply(lines, whole, Instant::now());
+            let Counts { ready, draining } = self.list.counts;
+            tracing::info!(change = number, ready, draining, "engine list");
+            return ListChange { updates, whole };
+        };
+        let selected = selection.apply(now, lines, whole);
+        let status = selection.status();
+        let updates = self.list.select(selected);
+        let (Status { known, .. }, updated) = (status, updates.len());
+        tracing::info!(change = number, known, updated, "engine list");
+        self.tell_status(status);
+        ListChange { updates, whole: false }
+    }
+
+    fn poll_subset(&mut self, now: f64) -> Vec<EngineUpdate> {
+        let Some(selection) = &mut self.selection else { return Vec::new() };
+        let selected = selection.poll(now);
+        let status = selection.status();
+        let updates = self.list.select(selected);
+        if !updates.is_empty() {
+            self.tell_status(status);
+        }
+        updates
+    }
+
+    /// Logs the subset, with a warning where it begins to differ from what the settings ask for.
+    fn tell_status(&mut self, status: Status) {
+        let Status { members, size, reason, widened_by, failing, unreached, unserved_classes, .. } = status;
+        tracing::info!(members, size, ?reason, widened_by, failing, unreached, "engine subset");
+        let before = self.told.replace(status);
+        if reason == SizeReason::MinHolders && before.is_none_or(|before| before.reason != reason) {
+            tracing::warn!(size, "subset.size is too small for so few gateways: raised");
+        }
+        if unserved_classes > before.map_or(0, |before| before.unserved_classes) {
+            tracing::warn!(unserved_classes, "the list has no engine for a set of zones and kinds");
+        }
+    }
+}
+
 struct List {
     ids: HashMap<String, EngineId>,
     /// By the module's index.
@@ -146,10 +252,17 @@
         line.is_some_and(|l| l.condition == Condition::Ready && l.address == target.address)
     }
 
+    /// Takes in lines of the subset.
+    fn select(&mut self, selected: Vec<Selected>) -> Vec<EngineUpdate> {
+        let now = Instant::now();
+        let take = |Selected { line, holders }| self.take(line, Some(holders), now);
+        selected.into_iter().filter_map(take).collect()
+    }
+
     /// Takes in lines; engines that a whole list does not name have gone.
     fn apply(&mut self, lines: Vec<EngineLine>, whole: bool, now: Instant) -> Vec<EngineUpdate> {
         self.changes += 1;
-        let updates = lines.into_iter().filter_map(|line| self.take(line, now)).collect();
+        let updates = lines.into_iter().filter_map(|line| self.take(line, None, now)).collect();
         if whole {
             let unnamed = |known: &Known| known.named_by != self.changes;
             let unnamed: Vec<EngineId> = (0..self.known.len()).filter(|n| unnamed(&self.known[*n])).collect();
@@ -159,7 +272,7 @@
     }
 
     /// Takes in a line; one of an engine that was never known and has gone says nothing.
-    fn take(&mut self, line: EngineLine, now: Instant) -> Option<EngineUpdate> {
+    fn take(&mut self, line: EngineLine, holders: Option<f64>, now: Instant) -> Option<EngineUpdate> {
         let engine = match self.ids.get(&line.id) {
             Some(engine) => *engine,
             None if line.condition == Condition::Gone => return None,
@@ -172,7 +285,7 @@
             cell: line.cell,
             came_up: line.came_up,
             condition: line.condition,
-            holders: None,
+            holders,
         };
         self.turn(engine, line.condition, now);
         let update = EngineUpdate { listed, id: line.id.clone(), address: line.address };
--- a/crates/gateway/src/discovery/list/tests.rs
+++ b/crates/gateway/src/discovery/list/tests.rs
@@ -14,7 +14,7 @@
     let mut now = Instant::now();
     let mut take = |id: &str, condition, wait: u64| {
         now += Duration::from_secs(wait);
-        let engine = list.take(line(id, condition), now).map(|l| l.listed.engine);
+        let engine = list.take(line(id, condition), None, now).map(|l| l.listed.engine);
         (engine, list.known.len(), list.ids.len())
     };
     assert_eq!(take("a", Condition::Ready, 0), (Some(0), 1, 1));
@@ -105,3 +105,29 @@
         }
     }
 }
+
+/// Without a subset the module is told what the log told: the same lines in the same order, and whether they are whole.
+#[test]
+fn without_a_subset_the_module_is_told_what_the_log_told() {
+    let list = EngineList::new(Duration::from_secs(20), Clock::start(), None);
+    let ready = |id: &str| line(id, Condition::Ready);
+    let gone = |id: &str| line(id, Condition::Gone);
+    for (whole, lines, engines) in [
+        (true, vec![ready("b"), ready("a"), ready("c")], vec![0, 1, 2]),
+        (false, vec![ready("c"), ready("c"), gone("a"), gone("x")], vec![2, 2, 1]),
+        (false, vec![], vec![]),
+        (true, vec![ready("d"), line("b", Condition::Draining)], vec![3, 0]),
+        (true, vec![], vec![]),
+    ] {
+        let change = list.apply(Event { number: 1, whole, lines: lines.clone() });
+        assert_eq!(change.whole, whole);
+        assert_eq!(change.updates.iter().map(|u| u.listed.engine).collect::<Vec<_>>(), engines);
+        let told = lines.iter().filter(|line| line.id != "x");
+        for (update, line) in change.updates.iter().zip(told) {
+            let Listed { zone, kind, cell, came_up, condition, holders, .. } = update.listed;
+            assert_eq!((&update.id, update.address), (&line.id, line.address));
+            assert_eq!((zone, kind, cell), (line.zone, line.kind, line.cell));
+            assert_eq!((came_up, condition, holders), (line.came_up, line.condition, None));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/discovery/selection/tests.rs
@@ -0,0 +1,138 @@
+use super::*;
+use garnetwall_subset::RetryScope;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+const ENGINES: u8 = 30;
+
+fn settings(size: usize) -> SubsetSettings {
+    SubsetSettings {
+        size,
+        class_floor: 2,
+        reserve: 4,
+        joins_per_second: 5.0,
+        zone: None,
+        near_weight: 1.0,
+        gateways: 500.0,
+        classes: Vec::new(),
+        retry_scope: RetryScope::Everywhere,
+    }
+}
+
+fn line(number: u8, condition: Condition, started: u8) -> EngineLine {
+    let address = SocketAddr::from(([127, 0, 0, 1], 4100 + u16::from(number)));
+    let (zone, came_up) = (u32::from(number % 3), Some(f64::from(started)));
+    EngineLine { id: format!("e{number}"), address, zone, kind: 0, cell: 0, came_up, condition }
+}
+
+/// What the module was told last of each engine.
+#[derive(Default)]
+struct Module(BTreeMap<String, EngineLine>);
+
+impl Module {
+    fn told(&mut self, selected: Vec<Selected>) {
+        self.0.extend(selected.into_iter().map(|s| (s.line.id.clone(), s.line)));
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &EngineLine> {
+        self.0.values().filter(|line| line.condition == Condition::Ready)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(37), ..ProptestConfig::default() })]
+
+    /// What the module may choose from are engines that the list has as ready, as the list has them; at once after a change
+    /// nothing is left that drains or has gone; and there is something while the list has something.
+    #[test]
+    fn members_are_ready_and_as_listed(
+        events in proptest::collection::vec(
+            (any::<bool>(), proptest::collection::vec((0..ENGINES, 0_u8..6, 0_u8..3), 0..40), any::<bool>()), 1..20)
+    ) {
+        let mut selection = Selection::new("g0", settings(8), vec![Some(16.0)]).unwrap();
+        let (mut module, mut list, mut now) = (Module::default(), BTreeMap::new(), 100.0);
+        for (whole, lines, reached) in events {
+            let condition = |c| [Condition::Draining, Condition::Gone].get(usize::from(c)).copied();
+            let of = |(n, c, started): &(u8, u8, u8)| line(*n, condition(*c).unwrap_or(Condition::Ready), *started);
+            let lines: Vec<EngineLine> = lines.iter().map(of).collect();
+            if whole {
+                list.clear();
+            }
+            list.extend(lines.iter().map(|line| (line.id.clone(), line.clone())));
+            module.told(selection.apply(now, lines, whole));
+            for step in 0..5 {
+                for line in module.ready() {
+                    prop_assert_eq!(Some(line), list.get(&line.id), "at {} of {}", step, now);
+                }
+                let ready = list.values().filter(|line| line.condition == Condition::Ready).count();
+                prop_assert!(module.ready().count() >= ready.min(1), "at {} of {}", step, now);
+                prop_assert_eq!(module.ready().count(), selection.status().members);
+                while let Some(candidate) = selection.next_candidate(now) {
+                    selection.warmed(now, candidate.engine, reached);
+                }
+                now += 0.5;
+                module.told(selection.poll(now));
+            }
+        }
+    }
+}
+
+/// A member that leaves is told gone once, with its zone and cell, which say where its queries may be tried again.
+#[test]
+fn a_member_that_leaves_is_told_gone_as_it_was_listed() {
+    let mut selection = Selection::new("g0", settings(8), Vec::new()).unwrap();
+    let lines = (0..4).map(|n| line(n, Condition::Ready, 1)).collect();
+    assert_eq!(selection.apply(0.0, lines, true).len(), 4);
+    let told = selection.apply(1.0, vec![line(2, Condition::Draining, 1)], false);
+    assert_eq!(told.iter().map(|s| &s.line).collect::<Vec<_>>(), [&line(2, Condition::Gone, 1)]);
+    assert_eq!(selection.apply(2.0, vec![line(2, Condition::Gone, 1)], false), []);
+}
+
+/// What the choice does not depend on reaches the module for members.
+#[test]
+fn a_member_that_moved_or_started_anew_is_told_again() {
+    let mut selection = Selection::new("g0", settings(8), Vec::new()).unwrap();
+    assert_eq!(selection.apply(0.0, vec![line(1, Condition::Ready, 1)], true).len(), 1);
+    assert_eq!(selection.apply(1.0, vec![line(1, Condition::Ready, 1)], true), [], "nothing is new");
+    let told = selection.apply(2.0, vec![line(1, Condition::Ready, 2)], true);
+    assert_eq!(told.iter().map(|s| &s.line).collect::<Vec<_>>(), [&line(1, Condition::Ready, 2)]);
+}
+
+/// With too few gateways for so small a subset the size is a floor, and the status says so.
+#[test]
+fn a_size_under_the_floor_is_raised_and_said() {
+    let of = |gateways| SubsetSettings { gateways, ..settings(8) };
+    for (gateways, size, reason) in [(500.0, 8, SizeReason::Told), (60.0, 12, SizeReason::MinHolders)] {
+        let mut selection = Selection::new("g0", of(gateways), Vec::new()).unwrap();
+        selection.apply(0.0, (0..ENGINES).map(|n| line(n, Condition::Ready, 1)).collect(), true);
+        let status = selection.status();
+        assert_eq!((status.known, status.members), (usize::from(ENGINES), size));
+        assert_eq!((status.size, status.reason, status.widened_by), (size, reason, 0));
+    }
+}
+
+/// A member whose attempts fail widens the subset; the newcomer is told once its connection has come up.
+#[test]
+fn failing_attempts_widen_the_subset_by_engines_that_were_reached() {
+    let mut selection = Selection::new("g0", settings(8), Vec::new()).unwrap();
+    let mut module = Module::default();
+    module.told(selection.apply(0.0, (0..ENGINES).map(|n| line(n, Condition::Ready, 1)).collect(), true));
+    let failing = module.ready().next().unwrap().id.clone();
+    for n in 0..50 {
+        selection.attempted(1.0 + f64::from(n) * 0.01, &failing, true);
+    }
+    let mut now = 2.0;
+    while selection.status().members == 8 && now < 20.0 {
+        assert!(module.ready().count() == 8, "not before it was reached");
+        module.told(selection.poll(now));
+        while let Some(candidate) = selection.next_candidate(now) {
+            selection.warmed(now, candidate.engine, true);
+        }
+        now += 0.25;
+    }
+    module.told(selection.poll(now));
+    let status = selection.status();
+    assert_eq!((status.members, status.widened_by, status.failing), (9, 1, 1), "by {now}");
+    assert_eq!(module.ready().count(), 9);
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -11,7 +11,7 @@
 pub use call::{Call, Ended, Start, Statement, Tidings, Wish};
 
 use crate::clock::span;
-use crate::discovery::EngineList;
+use crate::discovery::{EngineList, Warmed};
 use crate::sockets::{Abandoned, Budget, Gate, Line, LONGEST_HEAD};
 use garnetwall::api::{End, EngineId, Report};
 use garnetwall_ledger::{Bounds, Ledger};
@@ -38,6 +38,9 @@
 /// Protocol: a dispatch that nobody asks for ends after this.
 const UNASKED: Duration = Duration::from_secs(2);
 
+/// In place of the index of an engine that the module does not know.
+const NOT_LISTED: EngineId = EngineId::MAX;
+
 /// How long batches may know of an engine after it has gone, where the longest time limit is this one in seconds.
 pub fn known_for(longest: f64) -> Duration {
     span(longest) + UNASKED
@@ -166,8 +169,38 @@
         over
     }
 
+    /// Tells the list's subset how an attempt ended, where that says something of the engine.
+    pub fn attempted(&self, engine: EngineId, end: End) {
+        match end {
+            End::Returned | End::Full => self.list.attempted(engine, false),
+            End::Errored | End::TimedOut | End::Unconnected | End::Broken => {
+                self.list.attempted(engine, true)
+            }
+            End::Withdrawn | End::Moot => {}
+        }
+    }
+
+    /// Brings up a connection to an engine that the module does not know yet, with a probe where engines may be probed.
+    pub async fn warm(&self, address: SocketAddr, may_probe: bool) -> Warmed {
+        let target = Target { engine: NOT_LISTED, address };
+        let (end, report) = match may_probe {
+            true => self.probe_at(target).await,
+            false => match self.connect(address, None).await {
+                Ok(_) => (End::Returned, None),
+                Err(_) => (End::Unconnected, None),
+            },
+        };
+        Warmed { end, report }
+    }
+
     pub async fn probe(&self, engine: EngineId) -> (End, Option<Report>) {
-        let Some(target) = self.target(engine) else { return (End::Unconnected, None) };
+        match self.target(engine) {
+            Some(target) => self.probe_at(target).await,
+            None => (End::Unconnected, None),
+        }
+    }
+
+    async fn probe_at(&self, target: Target) -> (End, Option<Report>) {
         let stats = request(Method::GET, target.address, "/stats");
         match self.way(target).call(stats, None, self.dial + self.dial, false).await {
             Ok(reply) if reply.status == StatusCode::OK => (End::Returned, reply.report()),
--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::attended::Attended;
+use crate::clock::Clock;
 use crate::discovery::{EngineLine, Event};
 use bytes::Bytes;
 use garnetwall::api::Condition;
@@ -23,7 +24,7 @@
     async fn start() -> Silent {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let budget = Budget::of(64, 64);
-        let list = Arc::new(EngineList::new(known_for(5.0)));
+        let list = Arc::new(EngineList::new(known_for(5.0), Clock::start(), None));
         let engines = Engines::new(Network { dial: 2.0, idle: 15.0 }, 0.0, &budget, 5.0, list);
         let silent = Silent { listener, engines, budget };
         silent.lists(Condition::Ready);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,9 +1,9 @@
 //! The gateway as one object: its phases from start to exit, and what runs in each.
 
 use crate::clock::{span, Clock};
-use crate::config::Config;
+use crate::config::{subset, Config};
 use crate::desk::Desk;
-use crate::discovery::{EngineList, Event, NameIndex, Watch};
+use crate::discovery::{Discovery, EngineList, EngineUpdate, NameIndex, Selection, Watch};
 use crate::engines::{self, Engines};
 use crate::front::{self, Front};
 use crate::guests::Guests;
@@ -12,7 +12,7 @@
 use crate::reconnect::Reconnect;
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
-use garnetwall::api::{EngineId, Settings};
+use garnetwall::api::{EngineId, ServiceGroup, Settings};
 use garnetwall::control::Control;
 use garnetwall_bodies::Store;
 use std::future::Future;
@@ -79,7 +79,8 @@
         let (desk, probes) = Desk::new(control, planner, clock, longest);
         desk.grouped(&groups);
         let notes_every = config.decoded.settings.notes_every;
-        let list = Arc::new(EngineList::new(engines::known_for(longest)));
+        let selection = selection(&config, &groups);
+        let list = Arc::new(EngineList::new(engines::known_for(longest), clock, selection));
         let engines = Engines::new(config.decoded.network, notes_every, &budget, longest, list.clone());
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
@@ -187,26 +188,54 @@
 
     /// The list known at the start, and the tasks that run beside the front.
     fn start(&mut self, reloads: UnboundedReceiver<Config>) {
-        let (list, desk) = (self.list.clone(), self.desk.clone());
-        let mut apply = move |event: Event| {
-            let whole = event.whole;
-            desk.listed(&list.apply(event), whole);
-        };
-        std::mem::take(&mut self.config.known).into_iter().for_each(&mut apply);
+        let desk = self.desk.clone();
+        let deliver = move |updates: &[EngineUpdate], whole| desk.listed(updates, whole);
+        let discovery = Arc::new(Discovery::new(self.list.clone(), Box::new(deliver)));
+        std::mem::take(&mut self.config.known).into_iter().for_each(|event| discovery.apply(event));
         let log = watch::Sender::new(self.config.changelog);
         let dial = span(self.config.decoded.network.dial);
         let names = NameIndex::new(&self.config.decoded.names);
-        let watch = Watch::new(log.subscribe(), self.config.last_known, names, dial, Box::new(apply));
+        let applying = discovery.clone();
+        let apply = Box::new(move |event| applying.apply(event));
+        let watch = Watch::new(log.subscribe(), self.config.last_known, names, dial, apply);
         tokio::spawn(watch.follow(Reconnect::new(dial, self.config.seed)));
         tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
+        if self.config.subset.is_some() {
+            let may_probe = self.config.decoded.settings.may_probe;
+            tokio::spawn(keep_subset(discovery, self.engines.clone(), self.desk.clone(), may_probe));
+        }
         if let Some(wanted) = self.probes.take() {
             tokio::spawn(probe(wanted, self.engines.clone(), self.desk.clone()));
         }
     }
 }
 
+/// The subset that the configuration asks for; without one the gateway works with the whole list.
+fn selection(config: &Config, groups: &[ServiceGroup]) -> Option<Selection> {
+    let mut settings = config.subset.clone()?;
+    // A plan may narrow where a query is tried again.
+    settings.retry_scope = settings.retry_scope.max(subset::retry_scope(groups));
+    let kind_cores = config.decoded.settings.kind_cores.clone();
+    match Selection::new(&config.name, settings, kind_cores) {
+        Ok(selection) => Some(selection),
+        Err(fault) => {
+            tracing::error!(%fault, "no subset: the gateway works with the whole list");
+            None
+        }
+    }
+}
+
+/// Keeps the subset for as long as the gateway runs.
+async fn keep_subset(discovery: Arc<Discovery>, engines: Arc<Engines>, desk: Arc<Desk>, may_probe: bool) {
+    let warm = |address| {
+        let engines = engines.clone();
+        async move { engines.warm(address, may_probe).await }
+    };
+    discovery.keep_subset(warm, |engine, warmed| desk.probed(engine, warmed.end, warmed.report)).await;
+}
+
 /// Takes configurations read again for as long as the gateway runs: the change log's address and the plan take effect.
 async fn reload(
     started: Config,
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -169,6 +169,7 @@
             tracing::warn!(engine = out.engine, what, "result out of the protocol");
             ended = Ended { report: ended.report, ..Ended::of(End::Errored) };
         }
+        self.engines.attempted(out.engine, ended.end);
         let outcome = out.outcome(&ended, answered);
         let Out { engine, dispatch, .. } = out;
         tracing::debug!(batch = self.id, engine, dispatch, end = ?ended.end, latency = outcome.latency, "outcome");
--- a/crates/gateway/tests/bad_input.rs
+++ b/crates/gateway/tests/bad_input.rs
@@ -321,6 +321,39 @@
     }
 }
 
+#[test]
+fn a_subset_that_can_not_be_kept_is_refused() {
+    let world = World::new();
+    assert_refused(&world.with("subset", json!([])), "subset", "an object expected", "subset=[]");
+    assert_refused(&world.with("subset", json!({})), "subset.size", "missing", "subset={}");
+    for (key, value, cause) in [
+        ("size", json!(0), "0 is not from 1"),
+        ("size", json!(-1), "-1 is not from 1"),
+        ("size", json!(2.5), "2.5 is not from 1"),
+        ("size", json!(u64::MAX), "is not from 1"),
+        ("size", json!("all"), "a number expected, not \"all\""),
+        ("class_floor", json!(-1), "-1 is not from 0"),
+        ("class_floor", json!(81), "81 engines of each class are more than the subset.size of 80"),
+        ("class_floor", json!([]), "a number expected, not []"),
+        ("reserve", json!(1e308), "is not from 0"),
+        ("reserve", json!("some"), "a number expected"),
+        ("joins_per_second", json!(0), "0 is not more than 0"),
+        ("joins_per_second", json!(-0.5), "-0.5 is not more than 0"),
+        ("joins_per_second", json!(1e308), "more than 1000000"),
+        ("joins_per_second", json!({}), "a number expected, not {}"),
+        ("zone", json!("mars"), "'mars' is unknown"),
+        ("zone", json!(0), "a text expected, not 0"),
+        ("near_weight", json!(0.5), "0.5 is not from 1"),
+        ("near_weight", json!(1e308), "is not from 1"),
+        ("near_weight", json!("much"), "a number expected"),
+    ] {
+        let mut subset = json!({"size": 80});
+        subset[key] = value.clone();
+        let place = format!("subset.{key}");
+        assert_refused(&world.with("subset", subset), &place, cause, &format!("{place}={value}"));
+    }
+}
+
 #[test]
 fn missing_keys_are_refused() {
     let world = World::new();
@@ -426,6 +459,18 @@
         ("unknown key in a group", world.with("settings.categories.0.more", json!([[1], [{}]])), true),
         ("odd unread keys", world.with("settings.prices", json!([null, {"a": 1}, 3])), true),
         ("no limits", world.with("limits", json!(null)), true),
+        ("subset of null", world.with("subset", json!(null)), true),
+        ("subset of one", world.with("subset", json!({"size": 1})), true),
+        ("subset over the list", world.with("subset", json!({"size": 1 << 20})), true),
+        (
+            "subset with all that is read, and more",
+            world.with(
+                "subset",
+                json!({"size": 80, "class_floor": 0, "reserve": 0, "joins_per_second": 1e-3, "zone": "east",
+                    "near_weight": 1, "weather": [null]}),
+            ),
+            true,
+        ),
         ("least limits", world.with("limits", json!({"sockets": 64, "memory_mb": 16})), true),
         ("most limits", world.with("limits", json!({"sockets": 1 << 30, "memory_mb": 1 << 30})), true),
         ("no peers", world.with("peers", json!([])), true),
