--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,10 +1,10 @@
 //! The gateway as one object: its phases from start to exit, and what runs in each.
 
-use crate::changes::Follower;
 use crate::clock::{span, Clock};
-use crate::config::Config;
+use crate::config::{subset, Config};
 use crate::desk::Desk;
-use crate::engines::Engines;
+use crate::discovery::{Discovery, EngineList, EngineUpdate, NameIndex, Selection, Watch};
+use crate::engines::{self, Engines};
 use crate::front::{self, Front};
 use crate::guests::Guests;
 use crate::keeping::{self, Keeper};
@@ -12,7 +12,7 @@
 use crate::reconnect::Reconnect;
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
-use garnetwall::api::{EngineId, Settings};
+use garnetwall::api::{EngineId, ServiceGroup, Settings};
 use garnetwall::control::Control;
 use garnetwall_bodies::Store;
 use std::future::Future;
@@ -49,6 +49,7 @@
     config: Config,
     phase: watch::Sender<Phase>,
     budget: Budget,
+    list: Arc<EngineList>,
     engines: Arc<Engines>,
     desk: Arc<Desk>,
     /// Engines to probe, until the task that probes them has them.
@@ -78,11 +79,14 @@
         let (desk, probes) = Desk::new(control, planner, clock, longest);
         desk.grouped(&groups);
         let notes_every = config.decoded.settings.notes_every;
-        let engines = Arc::new(Engines::new(config.decoded.network, notes_every, &budget, longest));
+        let selection = selection(&config, &groups);
+        let list = Arc::new(EngineList::new(engines::known_for(longest), clock, selection));
+        let engines = Engines::new(config.decoded.network, notes_every, &budget, longest, list.clone());
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
             budget,
-            engines,
+            list,
+            engines: Arc::new(engines),
             desk: Arc::new(desk),
             probes: Some(probes),
             config,
@@ -177,37 +181,61 @@
 
     /// Healthy from the first list of engines on; batches are taken before that, too.
     async fn serving(&self) {
-        self.engines.known().await;
+        self.list.known().await;
         self.enter(Phase::Serving);
         std::future::pending().await
     }
 
     /// The list known at the start, and the tasks that run beside the front.
     fn start(&mut self, reloads: UnboundedReceiver<Config>) {
-        for event in &self.config.known {
-            self.desk.listed(&self.engines.listed(event), event.whole);
-        }
+        let desk = self.desk.clone();
+        let deliver = move |updates: &[EngineUpdate], whole| desk.listed(updates, whole);
+        let discovery = Arc::new(Discovery::new(self.list.clone(), Box::new(deliver)));
+        std::mem::take(&mut self.config.known).into_iter().for_each(|event| discovery.apply(event));
         let log = watch::Sender::new(self.config.changelog);
-        let follower = Follower {
-            log: log.subscribe(),
-            last: self.config.last_known,
-            names: self.config.decoded.names.clone(),
-            engines: self.engines.clone(),
-            desk: self.desk.clone(),
-            malformed: None,
-            lost: false,
-        };
-        let reconnect = Reconnect::new(span(self.config.decoded.network.dial), self.config.seed);
-        tokio::spawn(follower.follow(reconnect));
+        let dial = span(self.config.decoded.network.dial);
+        let names = NameIndex::new(&self.config.decoded.names);
+        let applying = discovery.clone();
+        let apply = Box::new(move |event| applying.apply(event));
+        let watch = Watch::new(log.subscribe(), self.config.last_known, names, dial, apply);
+        tokio::spawn(watch.follow(Reconnect::new(dial, self.config.seed)));
         tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.keep_time().await });
+        if self.config.subset.is_some() {
+            let may_probe = self.config.decoded.settings.may_probe;
+            tokio::spawn(keep_subset(discovery, self.engines.clone(), self.desk.clone(), may_probe));
+        }
         if let Some(wanted) = self.probes.take() {
             tokio::spawn(probe(wanted, self.engines.clone(), self.desk.clone()));
         }
     }
 }
 
+/// The subset that the configuration asks for; without one the gateway works with the whole list.
+fn selection(config: &Config, groups: &[ServiceGroup]) -> Option<Selection> {
+    let mut settings = config.subset.clone()?;
+    // A plan may narrow where a query is tried again.
+    settings.retry_scope = settings.retry_scope.max(subset::retry_scope(groups));
+    let kind_cores = config.decoded.settings.kind_cores.clone();
+    match Selection::new(&config.name, settings, kind_cores) {
+        Ok(selection) => Some(selection),
+        Err(fault) => {
+            tracing::error!(%fault, "no subset: the gateway works with the whole list");
+            None
+        }
+    }
+}
+
+/// Keeps the subset for as long as the gateway runs.
+async fn keep_subset(discovery: Arc<Discovery>, engines: Arc<Engines>, desk: Arc<Desk>, may_probe: bool) {
+    let warm = |address| {
+        let engines = engines.clone();
+        async move { engines.warm(address, may_probe).await }
+    };
+    discovery.keep_subset(warm, |engine, warmed| desk.probed(engine, warmed.end, warmed.report)).await;
+}
+
 /// Takes configurations read again for as long as the gateway runs: the change log's address and the plan take effect.
 async fn reload(
     started: Config,
