front.rs comes apart: accepting, one connection, submitting, streaming, intake, answers

Public paths stay: front::{accept, router, Front}.

No behaviour changes, the same awaits in the same order: sorted line by line, old and new differ only in the uses, visibility, one signature that is wrapped now, and a doc line of a constant.

--- /dev/null
+++ b/crates/gateway/src/front/intake.rs
@@ -0,0 +1,92 @@
+//! The head of a call: what decisions need is taken out of it and checked.
+
+use crate::desk::Arrival;
+use crate::engines::{Call, Statement};
+use crate::statement;
+use axum::http::header::{HeaderMap, HeaderValue};
+use garnetwall_settings::Decoded;
+use std::net::IpAddr;
+
+/// Protocol: names of the fields.
+pub(super) const ID: &str = "x-job-id";
+const ALLOWED: &str = "x-allow-ms";
+const TENANT: &str = "x-team";
+const KEY: &str = "x-item";
+const MARK: &str = "x-unique";
+const COST: &str = "x-size-ms";
+const MEMORY: &str = "x-memory";
+/// Protocol: digits of an id and of a key.
+const DIGITS: usize = 16;
+
+/// Takes out of a call what decisions need, and checks it; its limit counts from when it was sent.
+pub(super) fn arrival(
+    decoded: &Decoded,
+    group: &str,
+    head: &HeaderMap,
+    client: IpAddr,
+    statement: bytes::Bytes,
+) -> Result<(Arrival, Call), String> {
+    let names = &decoded.names;
+    let unknown = || format!("unknown service group '{group}'");
+    let index = names.groups.iter().position(|g| g == group).ok_or_else(unknown)?;
+    let id = field(head, ID)?;
+    let job = hex(ID, id)?;
+    let most = decoded.settings.groups[index].limit * 1000.0;
+    let allowed = field(head, ALLOWED)?.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let allowed = allowed.ok_or_else(|| format!("{ALLOWED}: no number"))?;
+    if !(allowed > 0.0 && allowed <= most) {
+        return Err(format!("{ALLOWED}: more than 0 and {most} at most expected"));
+    }
+    if statement.is_empty() {
+        return Err("no statement".into());
+    }
+    let tenant = match head.contains_key(TENANT) || !names.tenants.is_empty() {
+        true => {
+            let name = field(head, TENANT)?.to_str().unwrap_or_default();
+            names.tenants.iter().position(|t| t == name).ok_or_else(|| format!("{TENANT}: unknown"))?
+        }
+        false => 0,
+    };
+    let key = match head.contains_key(KEY) {
+        true => Some(hex(KEY, field(head, KEY)?)?),
+        false => None,
+    };
+    let limit = allowed / 1000.0;
+    let data_set = statement::data_set(&statement).unwrap_or(0);
+    let group_name = HeaderValue::from_str(group).map_err(|_| unknown())?;
+    let bytes = statement.len() as u64;
+    let mark = head.contains_key(MARK).then(|| field(head, MARK)).transpose()?.cloned();
+    let cost = estimate(head, COST)?.map(|ms| ms / 1000.0);
+    let memory = estimate(head, MEMORY)?;
+    let in_order = key.is_some() && decoded.settings.groups[index].in_order;
+    let statement = Statement::Whole(statement);
+    let call = Call { id: id.clone(), group: group_name, mark, in_order, statement };
+    Ok((Arrival { job, group: index, tenant, key, limit, cost, memory, data_set, client, bytes }, call))
+}
+
+/// An estimate that may come with a batch; 0 says nothing.
+fn estimate(head: &HeaderMap, name: &str) -> Result<Option<f64>, String> {
+    if !head.contains_key(name) {
+        return Ok(None);
+    }
+    let told = field(head, name)?.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let told = told.filter(|v| v.is_finite() && *v >= 0.0);
+    Ok(Some(told.ok_or_else(|| format!("{name}: a number of 0 or more expected"))?).filter(|v| *v > 0.0))
+}
+
+/// The one value of a field.
+pub(super) fn field<'a>(head: &'a HeaderMap, name: &str) -> Result<&'a HeaderValue, String> {
+    let mut values = head.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (Some(value), None) => Ok(value),
+        (None, _) => Err(format!("{name}: missing")),
+        (Some(_), Some(_)) => Err(format!("{name}: repeated")),
+    }
+}
+
+pub(super) fn hex(name: &str, value: &HeaderValue) -> Result<u64, String> {
+    let text = value.to_str().unwrap_or_default();
+    let digits = text.len() == DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+    let parsed = u64::from_str_radix(text, 16).ok().filter(|_| digits);
+    parsed.ok_or_else(|| format!("{name}: {DIGITS} hex digits expected"))
+}
--- /dev/null
+++ b/crates/gateway/src/front/streaming.rs
@@ -0,0 +1,126 @@
+//! A body too long to be read whole before its batch is taken.
+
+use super::answers::{answer, last, not_kept, wrong};
+use super::intake::arrival;
+use super::submit::take;
+use super::{Front, FIRST_CALL};
+use crate::engines::Statement;
+use crate::inbound::Peer;
+use crate::statement;
+use axum::body::Body;
+use axum::http::header::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::Response;
+use garnetwall_bodies::room::Refused;
+use garnetwall_bodies::{Body as Kept, Store};
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use std::net::IpAddr;
+use std::sync::Arc;
+use tokio::time::timeout;
+
+/// Bytes of a long body in which its data set is looked for before it is taken.
+const FIRST_BYTES: usize = 64 << 10;
+/// Until a long body has its own.
+const STANDS_IN: bytes::Bytes = bytes::Bytes::from_static(b"-");
+
+/// A body too long to be read whole first: it goes on while it comes in, and is kept as it passes.
+pub(super) async fn streamed(
+    front: &Front,
+    store: &Arc<Store>,
+    group: &str,
+    head: &HeaderMap,
+    client: IpAddr,
+    peer: &Peer,
+    mut body: Body,
+) -> Response {
+    let length = body.size_hint().exact();
+    let came = front.desk.clock().at(peer.read_at());
+    let (mut arrival, mut call) = match arrival(&front.decoded, group, head, client, STANDS_IN) {
+        Ok(taken) => taken,
+        Err(what) => return last(wrong(StatusCode::BAD_REQUEST, &what)),
+    };
+    let once_only = front.desk.is_once_only(arrival.group);
+    let kept = match store.admit_as(arrival.tenant, arrival.group, length, once_only) {
+        Ok(kept) => kept,
+        Err(refused) => return last(not_kept(refused)),
+    };
+    let _writing = Writing(kept.clone());
+    let mut first = Vec::new();
+    while first.len() < FIRST_BYTES {
+        match timeout(FIRST_CALL, next_chunk(&mut body)).await {
+            Ok(Ok(Some(bytes))) => {
+                first.extend_from_slice(&bytes);
+                if kept.push(bytes).await.is_err() {
+                    return last(not_kept(Refused::NoRoom));
+                }
+            }
+            Ok(Ok(None)) => break,
+            Ok(Err(())) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
+            Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
+        }
+    }
+    if first.is_empty() {
+        return last(wrong(StatusCode::BAD_REQUEST, "no statement"));
+    }
+    arrival.data_set = statement::data_set(&first).unwrap_or(0);
+    arrival.bytes = length.unwrap_or(first.len() as u64);
+    drop(first);
+    call.statement = Statement::Streamed(kept.clone());
+    let job = arrival.job;
+    let Ok(memory) = front.statements.clone().try_acquire_many_owned(0) else {
+        return last(wrong(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
+    };
+    let waiter = match take(front, arrival, call, came, memory, peer) {
+        Ok(waiter) => waiter,
+        Err(refused) => return last(*refused),
+    };
+    let answering = answer(waiter);
+    tokio::pin!(answering);
+    let pumped = tokio::select! {
+        biased;
+        // Whatever still comes is not wanted any more.
+        answer = &mut answering => return last(answer),
+        pumped = pump(&mut body, &kept) => pumped,
+    };
+    match pumped {
+        Ok(()) => answering.await,
+        Err(what) => {
+            front.desk.withdraw(job);
+            last(wrong(StatusCode::BAD_REQUEST, what))
+        }
+    }
+}
+
+/// Whoever stops to take a body in, for whatever reason, tells who reads it; where it is whole that changes nothing.
+struct Writing(Arc<Kept>);
+
+impl Drop for Writing {
+    fn drop(&mut self) {
+        self.0.cut_off();
+    }
+}
+
+/// Takes in the rest of a body. It ends at the latest with its batch, which its limit bounds.
+async fn pump(body: &mut Body, kept: &Kept) -> Result<(), &'static str> {
+    while let Some(bytes) = next_chunk(body).await.map_err(|()| "statement cut off")? {
+        kept.push(bytes).await.map_err(|_| "the body can't be kept, or is longer than it may be")?;
+    }
+    kept.finish().await;
+    Ok(())
+}
+
+async fn next_chunk(body: &mut Body) -> Result<Option<bytes::Bytes>, ()> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(()),
+            // Trailers say nothing here.
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Ok(Some(bytes));
+                }
+            }
+        }
+    }
+}
