desk.rs comes apart: what the lock guards, intake, endings, waiters, plain values

Public paths stay: desk::{Desk, Arrival, Final, Order, Taken, Waiter}.

No behaviour changes, the same locks in the same order: sorted line by line, old and new differ only in the uses, visibility and heads of `impl` blocks.

--- /dev/null
+++ b/crates/gateway/src/desk/ending.rs
@@ -0,0 +1,40 @@
+//! A query ends: it is answered, let go, or withdrawn.
+
+use super::in_hand::Job;
+use super::{Desk, Final};
+use garnetwall::api::BatchId;
+
+impl Desk {
+    /// Gives a batch its final answer; only the first counts.
+    pub fn answer(&self, id: BatchId, last: Final) {
+        if let Some(b) = self.seats().in_hand.get(&id).filter(|b| !b.is_over()) {
+            tracing::debug!(batch = id, left = b.limit - self.clock.now(), end = last.name(), "answer");
+            b.answer.send_replace(Some(last));
+        }
+    }
+
+    /// Lets a batch go: it is over and every dispatch has its outcome.
+    pub fn let_go(&self, id: BatchId) {
+        let mut seats = self.seats();
+        if let Some(b) = seats.in_hand.remove(&id) {
+            seats.jobs.insert(b.job, Job::Over);
+            let now = self.clock.now();
+            seats.over.push_back((now + self.remembered, b.job));
+            if let Some((planner, passage)) = seats.planner.as_mut().zip(b.passage) {
+                planner.over(now, passage);
+            }
+        }
+        self.in_hand.send_replace(seats.in_hand.len());
+    }
+
+    /// The client of this id withdraws it; whether it was in hand.
+    pub fn withdraw(&self, job: u64) -> bool {
+        self.fact(|seats, now| match seats.jobs.get(&job) {
+            Some(&Job::InHand(id)) => {
+                seats.gone(now, id);
+                true
+            }
+            _ => false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/in_hand.rs
@@ -0,0 +1,105 @@
+//! What the desk's lock guards: the module, and the queries in hand.
+
+use super::{Final, Order};
+use crate::attended::Attended;
+use crate::clock::Clock;
+use crate::engines::Call;
+use crate::planning::{LaneTold, Passage, Planner};
+use garnetwall::api::{BatchId, Place};
+use garnetwall::control::Control;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+pub(super) struct Seats {
+    pub(super) control: Control,
+    pub(super) planner: Option<Planner>,
+    pub(super) next: BatchId,
+    pub(super) jobs: HashMap<u64, Job>,
+    pub(super) in_hand: HashMap<BatchId, InHand>,
+    pub(super) over: VecDeque<(f64, u64)>,
+    /// Once-only batches that an earlier process sent, and until when their ids count.
+    pub(super) recovered: HashMap<u64, f64>,
+    /// By service group.
+    pub(super) once_only: Vec<bool>,
+    pub(super) wake: f64,
+}
+
+pub(super) enum Job {
+    InHand(BatchId),
+    Over,
+}
+
+/// A batch in hand, until it is over and every dispatch has its outcome.
+pub(super) struct InHand {
+    pub(super) job: u64,
+    pub(super) tenant: usize,
+    pub(super) key: Option<u64>,
+    pub(super) call: Arc<Call>,
+    pub(super) orders: UnboundedSender<Order>,
+    pub(super) answer: watch::Sender<Option<Final>>,
+    pub(super) waiters: usize,
+    /// How many waiters it has had, so that one who has left is told from one who came after.
+    pub(super) waited: u64,
+    pub(super) attended: Attended,
+    pub(super) limit: f64,
+    /// What the plan let it in with.
+    pub(super) passage: Option<Passage>,
+}
+
+impl InHand {
+    pub(super) fn order(&self, order: Order) {
+        // A task that no longer listens has nothing out and owes nothing.
+        let _ = self.orders.send(order);
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.answer.borrow().is_some()
+    }
+}
+
+impl Seats {
+    /// Tells the module of ways that batches may go.
+    pub(super) fn tell(&mut self, lanes: Vec<LaneTold>) {
+        for (lane, tiers) in lanes {
+            self.control.lane(lane, tiers);
+        }
+    }
+
+    pub(super) fn order(&self, id: BatchId, order: Order) {
+        if let Some(b) = self.in_hand.get(&id) {
+            b.order(order);
+        }
+    }
+
+    pub(super) fn ask(&mut self, clock: &Clock, now: f64, id: BatchId) {
+        match self.control.place(now, id) {
+            Place::NotYet => {}
+            Place::Over(answer) => self.order(id, Order::Over(answer)),
+            Place::To { engine, time_out, within, .. } => {
+                let (until, comes_by) = (clock.instant(now + time_out), clock.instant(now + within));
+                self.order(id, Order::Go { engine, until, comes_by });
+            }
+        }
+    }
+
+    /// Nobody waits for this batch any more; whoever still asks for it finds it errored.
+    pub(super) fn gone(&mut self, now: f64, id: BatchId) {
+        let Some(b) = self.in_hand.get(&id).filter(|b| !b.is_over()) else { return };
+        tracing::debug!(batch = id, left = b.limit - now, "client gone");
+        b.answer.send_replace(Some(Final::Errored));
+        b.order(Order::Gone);
+        self.control.client_gone(now, id);
+    }
+
+    pub(super) fn forget_over(&mut self, now: f64) {
+        while let Some((_, job)) = self.over.front().copied().filter(|(until, _)| *until < now) {
+            self.over.pop_front();
+            self.jobs.remove(&job);
+        }
+        if !self.recovered.is_empty() {
+            self.recovered.retain(|_, until| *until > now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/intake.rs
@@ -0,0 +1,105 @@
+//! A query comes in: it is new, joins the one of its id that is in hand, or is refused.
+
+use super::in_hand::{InHand, Job, Seats};
+use super::{Arrival, Desk, Taken, Waiter};
+use crate::attended::Attended;
+use crate::clock::minute_of_day;
+use crate::engines::Call;
+use crate::keeping::millis;
+use garnetwall::api::{Batch, BatchId};
+use garnetwall_ledger::book::{Sent, CLEAR};
+use std::sync::Arc;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
+
+/// An id or a key as clients write it, for the log.
+struct Hex(u64);
+
+impl std::fmt::Debug for Hex {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl Desk {
+    /// Takes a batch, or finds the one that has its id.
+    pub fn take(self: &Arc<Self>, a: Arrival, call: Arc<Call>) -> Taken {
+        self.fact(|seats, now| {
+            seats.forget_over(now);
+            match seats.jobs.get(&a.job) {
+                Some(Job::Over) => return Taken::Over,
+                Some(&Job::InHand(id)) => return self.join(seats, now, id, &a, &call),
+                None => {}
+            }
+            if seats.recovered.contains_key(&a.job) {
+                return Taken::MayHaveRun;
+            }
+            let passage = match seats.planner.as_mut().map(|planner| planner.admit(now, &routed(now, &a))) {
+                Some(Err(turned)) => return Taken::Turned(turned),
+                Some(Ok(passage)) => Some(passage),
+                None => None,
+            };
+            let Arrival { group, tenant, key, cost, memory, data_set, .. } = a;
+            let group = passage.as_ref().map_or(group, |p| p.group);
+            let lane = passage.as_ref().and_then(|p| p.lane);
+            let shorter = passage.as_ref().and_then(|p| p.limit).map(|limit| now + limit.as_secs_f64());
+            let limit = shorter.map_or(a.limit, |at| a.limit.min(at));
+            let id = seats.next;
+            seats.next = id.wrapping_add(1);
+            let (sender, orders) = unbounded_channel();
+            let (answer, receiver) = watch::channel(None);
+            seats.jobs.insert(a.job, Job::InHand(id));
+            let attended = Attended::default();
+            let new = InHand {
+                job: a.job,
+                tenant,
+                key,
+                call,
+                orders: sender,
+                answer,
+                waiters: 1,
+                waited: 1,
+                attended: attended.clone(),
+                limit,
+                passage,
+            };
+            seats.in_hand.insert(id, new);
+            self.in_hand.send_replace(seats.in_hand.len());
+            let left = self.ends.borrow().map_or(limit, |at| limit.min(at)) - now;
+            let b = Batch { id, group, tenant, key, left, cost, memory, data_set, lane };
+            let (job, line) = (Hex(a.job), key.map(Hex));
+            tracing::debug!(batch = id, ?job, group, key = ?line, left, "taken");
+            seats.control.take(now, b);
+            let until = millis(limit + CLEAR.as_secs_f64());
+            let once_only = seats.once_only.get(group).copied().unwrap_or_default();
+            let once_only = once_only.then_some(Sent { id: a.job, key, until });
+            let waiter = Waiter { desk: self.clone(), id, answer: receiver };
+            Taken::New { id, orders, waiter, once_only, attended }
+        })
+    }
+
+    fn join(self: &Arc<Self>, seats: &mut Seats, now: f64, id: BatchId, a: &Arrival, call: &Call) -> Taken {
+        let Some(b) = seats.in_hand.get_mut(&id) else { return Taken::Over };
+        if (b.tenant, b.key) != (a.tenant, a.key) || *b.call != *call {
+            return Taken::Other;
+        }
+        (b.waiters, b.waited) = (b.waiters + 1, b.waited + 1);
+        b.attended.set(true);
+        let waiter = Waiter { desk: self.clone(), id, answer: b.answer.subscribe() };
+        seats.control.attended(now, id, true);
+        Taken::Joined(waiter)
+    }
+}
+
+/// A batch as routing sees it.
+fn routed(now: f64, a: &Arrival) -> garnetwall_routing::Batch {
+    garnetwall_routing::Batch {
+        group: a.group,
+        tenant: a.tenant,
+        client: a.client,
+        key: a.key.is_some(),
+        data_set: a.data_set,
+        minute: minute_of_day(now),
+        bytes: a.bytes,
+    }
+}
