engines/way.rs comes apart: start, polling, pages, giving up, one exchange

No behaviour changes, the same awaits in the same order: sorted line by line, old and new differ only in the uses, visibility and heads of `impl` blocks.

--- /dev/null
+++ b/crates/gateway/src/engines/way/exchange.rs
@@ -0,0 +1,105 @@
+//! One call and its answer, on a connection that is up or comes up.
+
+use super::{Feed, Way};
+use crate::engines::outgoing::{Outgoing, Sender};
+use crate::engines::reply::{exchange, Fault, Reply};
+use garnetwall_bodies::body::ReadFault;
+use garnetwall_ledger::Fact;
+use http::{Method, Request};
+use std::time::Duration;
+use tokio::time::timeout;
+
+impl Way<'_> {
+    /// One call, on a connection that is up or comes up within its own bound. `asks` for one that keeps its dispatch
+    /// running.
+    pub(in crate::engines) async fn call(
+        &mut self,
+        request: Request<Outgoing>,
+        feed: Option<Feed>,
+        within: Duration,
+        asks: bool,
+    ) -> Result<Reply, Fault> {
+        let answer = self.bounded(request, feed, within, asks).await;
+        self.silent = matches!(answer, Err(Fault::Silent));
+        self.engines.heard(self.target, answer.as_ref().err());
+        match answer {
+            Err(Fault::Refused) => self.tell(Fact::Refused),
+            Err(Fault::Broken) => self.tell(Fact::Reset(self.connection)),
+            Err(Fault::Silent | Fault::Garbled) => {
+                self.abandoned.set();
+                self.tell(Fact::Useless(self.connection));
+            }
+            Err(Fault::Unconnected) | Ok(_) => {}
+        }
+        answer
+    }
+
+    async fn bounded(
+        &mut self,
+        request: Request<Outgoing>,
+        feed: Option<Feed>,
+        within: Duration,
+        asks: bool,
+    ) -> Result<Reply, Fault> {
+        let is_start = request.method() == Method::POST;
+        let up = self.sender.take();
+        if up.as_ref().is_some_and(|sender| sender.is_closed()) {
+            self.tell(Fact::Reset(self.connection));
+        }
+        let mut sender = match up.filter(|s| !s.is_closed()) {
+            Some(sender) => sender,
+            None => {
+                self.connection += 1;
+                let gate = self.gate.clone().filter(|_| is_start);
+                let (sender, abandoned) = self.engines.connect(self.target.address, gate).await?;
+                self.abandoned = abandoned;
+                sender
+            }
+        };
+        if let Some(gate) = &self.gate {
+            if is_start {
+                gate.begins();
+            } else {
+                gate.passed();
+            }
+        }
+        let Some(feed) = feed else {
+            if asks {
+                self.comes();
+            }
+            let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
+            self.sender = answer.is_ok().then_some(sender);
+            return answer;
+        };
+        let answer = self.streamed(&mut sender, request, feed, within).await;
+        // What was not sent to its end leaves a connection of no use.
+        self.sender = (answer.is_ok() && self.may_have_come).then_some(sender);
+        answer
+    }
+
+    /// A start whose body goes on as it comes. It takes as long as the body, which its batch's limit bounds; the answer
+    /// may come before the body is sent.
+    async fn streamed(
+        &mut self,
+        sender: &mut Sender,
+        request: Request<Outgoing>,
+        feed: Feed,
+        within: Duration,
+    ) -> Result<Reply, Fault> {
+        let exchanging = exchange(sender, request);
+        tokio::pin!(exchanging);
+        let fed = tokio::select! {
+            biased;
+            answer = &mut exchanging => return answer,
+            fed = self.feed(feed) => fed,
+        };
+        match fed {
+            Ok(()) => timeout(within, exchanging).await.unwrap_or(Err(Fault::Silent)),
+            Err(fault) => {
+                tracing::debug!(%fault, "a body could not be sent to its end");
+                self.unreadable = !matches!(fault, ReadFault::CutOff);
+                Err(Fault::Broken)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines/way/giving_up.rs
@@ -0,0 +1,72 @@
+//! Has an engine give a dispatch up, until it is proved that it does not run any more.
+
+use super::Way;
+use crate::engines::call::Call;
+use crate::engines::outgoing::{path, request};
+use crate::engines::reply::{news, Fault, News};
+use garnetwall_ledger as ledger;
+use garnetwall_ledger::{Fact, Next};
+use http::{Method, StatusCode};
+use tokio::time::sleep;
+
+impl Way<'_> {
+    /// Has the engine give the dispatch up, on the connection that it was asked on as long as that is of use;
+    /// until it is proved that it does not run any more.
+    pub(super) async fn give_up(&mut self, call: &Call) -> ledger::Proof {
+        let Some(id) = self.dispatch else { return ledger::Proof::NeverCame };
+        let engine = self.target.engine;
+        loop {
+            let next = self.engines.ledger().next(self.engines.now(), id);
+            match next {
+                Next::Over(proof) => {
+                    tracing::debug!(engine, id = path(call, None), ?proof, "given up");
+                    return proof;
+                }
+                Next::Wait(span) => sleep(span).await,
+                Next::FindOut => {
+                    if self.finds_out(call).await.is_err_and(|fault| fault != Fault::Refused) {
+                        self.tell(Fact::Missed);
+                    }
+                }
+                Next::GiveUp(left) => {
+                    let delete = request(Method::DELETE, self.target.address, &path(call, None));
+                    let within = left.min(self.engines.dial * 2);
+                    match self.call(delete, None, within, false).await {
+                        // An engine that does not know it says so by the second.
+                        Ok(r)
+                            if [StatusCode::NO_CONTENT, StatusCode::INTERNAL_SERVER_ERROR]
+                                .contains(&r.status) =>
+                        {
+                            self.tell(Fact::GivenUp(self.connection));
+                        }
+                        Ok(_) => {
+                            self.drop_after(Err(Fault::Garbled));
+                            self.tell(Fact::Missed);
+                        }
+                        Err(fault) => {
+                            tracing::debug!(engine, id = path(call, None), ?fault, "not given up yet");
+                            if fault != Fault::Refused {
+                                self.tell(Fact::Missed);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks who listens there now whether it has the dispatch.
+    async fn finds_out(&mut self, call: &Call) -> Result<(), Fault> {
+        let reply = self.call(self.asking(call, 0), None, self.patience(), true).await?;
+        match news(&reply) {
+            News::NotYet(_) => self.tell(Fact::Runs(self.connection)),
+            News::Good(_) => self.tell(Fact::Ended),
+            News::Over(_) => self.tell(Fact::Failed(self.connection)),
+            News::Garbled => {
+                self.drop_after(Err(Fault::Garbled));
+                return Err(Fault::Garbled);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines/way/pages.rs
@@ -0,0 +1,43 @@
+//! The pages of an answer after the first.
+
+use super::Way;
+use crate::engines::call::{Call, Ended};
+use crate::engines::reply::{Fault, Reply, MEMORY, THIS_PAGE, WORK};
+use crate::rows;
+use garnetwall::api::End;
+use http::StatusCode;
+
+impl Way<'_> {
+    /// The pages after the first, so that a lost one is still an outcome.
+    pub(super) async fn fetch(&mut self, call: &Call, first: Reply, pages: usize) -> Ended {
+        let mut ended = Ended {
+            work: first.number(WORK).map(|ms| ms / 1000.0).filter(|v| *v > 0.0),
+            memory: first.number(MEMORY).filter(|v| *v > 0.0),
+            report: first.report(),
+            ..Ended::of(End::Returned)
+        };
+        ended.pages.push(first.body);
+        let mut asking = self.asked_on();
+        for page in 1..pages {
+            let mut told = Ok(());
+            loop {
+                if !self.ask_on(&mut asking, told).await {
+                    return Ended { end: End::Broken, ..ended };
+                }
+                told = match self.call(self.asking(call, page), None, self.patience(), true).await {
+                    Ok(r) if r.status == StatusCode::INTERNAL_SERVER_ERROR => {
+                        tracing::debug!(engine = self.target.engine, page, "page lost");
+                        return Ended { end: End::Errored, ..ended };
+                    }
+                    Ok(r) if r.number(THIS_PAGE) == Some(page as f64) && rows::whole(&r.body) => {
+                        ended.pages.push(r.body);
+                        break;
+                    }
+                    Ok(_) => Err(Fault::Garbled),
+                    Err(fault) => Err(fault),
+                };
+            }
+        }
+        ended
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines/way/polling.rs
@@ -0,0 +1,169 @@
+//! Asks for a dispatch until its end is known, or asking can't tell any more.
+
+use super::{Feed, Way};
+use crate::engines::call::{Call, Ended, Start, Tidings, Wish};
+use crate::engines::outgoing::Outgoing;
+use crate::engines::reply::{news, Fault, News, Reply};
+use crate::engines::NEWS;
+use garnetwall::api::End;
+use garnetwall_ledger as ledger;
+use garnetwall_ledger::{Asking, Fact, Step};
+use http::{Method, Request};
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until, timeout};
+
+/// How asking for a dispatch ends.
+pub(super) enum Heard {
+    /// A good end: the answer that tells so, and its number of pages.
+    Good(Reply, usize),
+    Over(Ended),
+    /// Asking can't tell any more.
+    InDoubt,
+    /// Nobody waits for the answer any more.
+    Unwanted,
+}
+
+impl Way<'_> {
+    /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
+    /// not answered may have come whole all the same, and a good end is given again: asking tells.
+    pub(super) async fn end(
+        &mut self,
+        call: &Call,
+        start: Start,
+        wishes: &mut watch::Receiver<Wish>,
+        tidings: &Tidings,
+    ) -> Heard {
+        let mut asking = self.asked_on();
+        let Some((mut next, mut feed)) = self.starting(call, &start) else {
+            self.tell(Fact::NeverCame);
+            return Heard::Over(Ended::of(End::Unconnected));
+        };
+        let mut started = false;
+        loop {
+            let Some(answer) = self.wanted(next, feed.take(), wishes).await else { return Heard::Unwanted };
+            let first = !std::mem::replace(&mut started, true);
+            if std::mem::take(&mut self.unreadable) {
+                // What went on is not whole, so that nothing ran; the batch has no body any more.
+                self.tell(Fact::NeverCame);
+                return Heard::Over(Ended::of(End::Errored));
+            }
+            if first && answer.is_err() && self.gate.as_ref().is_some_and(|gate| gate.is_stopped()) {
+                // It was stopped at its last bytes, before who wished so was heard.
+                self.tell(Fact::NeverCame);
+                let elsewhere = *wishes.borrow() == Wish::Back || !self.engines.list().takes(self.target);
+                return Heard::Over(Ended::of(if elsewhere { End::Unconnected } else { End::Moot }));
+            }
+            if first && answer.is_err() && !self.may_have_come {
+                self.tell(Fact::NeverCame);
+                return Heard::Over(Ended::of(End::Unconnected));
+            }
+            let told = match answer {
+                Ok(reply) => match news(&reply) {
+                    News::Good(pages) => {
+                        self.tell(Fact::Ended);
+                        return Heard::Good(reply, pages);
+                    }
+                    News::Over(end) => {
+                        self.tell(if first { Fact::Ended } else { Fact::Failed(self.connection) });
+                        let end = match ledger::weigh(first, end == End::Errored, !self.may_run()) {
+                            ledger::Verdict::AsTold => end,
+                            ledger::Verdict::CutShort => End::Broken,
+                            ledger::Verdict::InDoubt => return Heard::InDoubt,
+                        };
+                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
+                    }
+                    News::NotYet(note) => {
+                        self.tell(Fact::Runs(self.connection));
+                        if note.is_some() {
+                            tidings.note.send_replace(note);
+                        }
+                        Ok(())
+                    }
+                    News::Garbled => Err(Fault::Garbled),
+                },
+                Err(fault) => Err(fault),
+            };
+            if !wishes.borrow().asks() {
+                self.drop_after(told);
+                return Heard::Unwanted;
+            }
+            if !self.ask_on(&mut asking, told).await {
+                return Heard::InDoubt;
+            }
+            next = self.asking(call, 0);
+        }
+    }
+
+    /// One call, which is let end for as long as news is held back where nobody waits for it any more; none where
+    /// it has not ended then. A start is not: what the machine has not sent of it, or what has not come, would come after the
+    /// batch's answer.
+    async fn wanted(
+        &mut self,
+        request: Request<Outgoing>,
+        feed: Option<Feed>,
+        wishes: &mut watch::Receiver<Wish>,
+    ) -> Option<Result<Reply, Fault>> {
+        let within = self.patience();
+        let is_start = request.method() == Method::POST;
+        let gate = self.gate.clone();
+        let stops = || gate.as_ref().is_some_and(|gate| gate.stop());
+        let comes_by = self.comes_by;
+        let too_late = async {
+            match comes_by {
+                Some(by) => sleep_until(by.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        // It fails only with who wished gone, who waits for this.
+        let unwanted = async {
+            tokio::select! {
+                _ = wishes.wait_for(|wish| *wish != Wish::Answer) => {}
+                () = too_late => {}
+            }
+            if !stops() {
+                let _ = wishes.wait_for(|wish| !wish.asks()).await;
+            }
+        };
+        let answer = {
+            let calling = self.call(request, feed, within, true);
+            tokio::pin!(calling);
+            tokio::select! {
+                biased;
+                answer = &mut calling => Some(answer),
+                () = unwanted => match stops() || is_start && *wishes.borrow() == Wish::Over {
+                    true => None,
+                    false => timeout(NEWS, calling).await.ok(),
+                },
+            }
+        };
+        if answer.is_none() {
+            // Whatever comes there yet would be taken for the next call's answer.
+            self.abandoned.set();
+            self.sender = None;
+            self.tell(Fact::Useless(self.connection));
+            if stops() {
+                self.tell(Fact::NeverCame);
+            }
+        }
+        answer
+    }
+
+    /// After what came of the last call, waits until asking may go on; whether it may.
+    pub(super) async fn ask_on(&mut self, asking: &mut Asking, told: Result<(), Fault>) -> bool {
+        let now = self.engines.now();
+        let step = match told {
+            Ok(()) => asking.heard(now),
+            Err(fault) => asking.lost(now, fault.lost()),
+        };
+        self.drop_after(told);
+        match step {
+            Step::Ask(after) => {
+                if !after.is_zero() {
+                    sleep(after).await;
+                }
+                true
+            }
+            Step::Stop => false,
+        }
+    }
+}
