The played world in the field's terms: query, attempt, execution, retries, idempotency, slow start

Names of the test's own parts only (Held, Out, Ran, Dice, COLD, FURTHER, ONCE, KEPT and the like), with doc comments on constants and values that had none. No assertion, message, figure or draw is touched; the slips keep their names.

--- a/crates/gateway/tests/world/day.rs
+++ b/crates/gateway/tests/world/day.rs
@@ -1,21 +1,21 @@
 //! The day that is played: batches come, clients leave, lists are told, until all is over.
 
 use super::figures::{DAY, STEP};
-use super::gateway::Held;
+use super::gateway::Query;
 use super::{seconds, Rule, Slip, World};
 use garnetwall::api::{Batch, BatchId};
 
 impl World {
     fn comes(&mut self, waiting: &mut Vec<(usize, Option<u64>, u64)>) {
-        let (group, key) = (self.dice.roll(3) as usize, self.dice.roll(3));
+        let (group, key) = (self.rng.draw(3) as usize, self.rng.draw(3));
         waiting.push((group, (group != 0).then_some(key), self.now));
     }
 
     fn take(&mut self, place: usize, group: usize, key: Option<u64>, came: u64) {
-        let id = self.batches.len() as BatchId;
-        let limit = came + if self.dice.one_in(6) { 900 } else { 5000 };
-        let held = Held { group, key, place, limit, left: false, answered: None, dispatches: Vec::new() };
-        self.batches.push(held);
+        let id = self.queries.len() as BatchId;
+        let limit = came + if self.rng.one_in(6) { 900 } else { 5000 };
+        let held = Query { group, key, place, limit, left: false, answered: None, dispatches: Vec::new() };
+        self.queries.push(held);
         let left = limit.saturating_sub(self.now) as f64 / 1000.0;
         let data_set = id % 3;
         let b = Batch { id, group, tenant: 0, key, left, cost: None, memory: None, data_set, lane: None };
@@ -23,8 +23,8 @@
     }
 
     fn leaves(&mut self) {
-        let n = self.dice.roll(self.batches.len() as u64) as usize;
-        let h = &mut self.batches[n];
+        let n = self.rng.draw(self.queries.len() as u64) as usize;
+        let h = &mut self.queries[n];
         if h.answered.is_none() && !h.left {
             h.left = true;
             self.control.client_gone(seconds(self.now), n as BatchId);
@@ -37,7 +37,7 @@
         let mut told = 0;
         while self.now < DAY + 10_000 {
             self.engines();
-            if self.now < DAY && self.dice.one_in(6) {
+            if self.now < DAY && self.rng.one_in(6) {
                 self.comes(&mut waiting);
             }
             if !self.is_starved() {
@@ -56,14 +56,14 @@
                     self.take(places + n, group, key, at);
                 }
                 places += all;
-                if !self.batches.is_empty() && self.dice.one_in(60) {
+                if !self.queries.is_empty() && self.rng.one_in(60) {
                     self.leaves();
                 }
                 self.gateway();
             }
             self.now += STEP;
         }
-        let open = self.batches.iter().filter(|b| b.answered.is_none() && !b.left).count();
+        let open = self.queries.iter().filter(|b| b.answered.is_none() && !b.left).count();
         if open > 0 {
             self.breaks(Rule::Answer, format!("{open} batches have no answer"));
         }
--- a/crates/gateway/tests/world/engines.rs
+++ b/crates/gateway/tests/world/engines.rs
@@ -1,7 +1,7 @@
 //! Engines as they really are: processes at addresses, what runs there, and what they answer.
 
-use super::figures::{KEPT, NEWS, UNASKED};
-use super::gateway::{Call, Out, Reply};
+use super::figures::{LONGEST_DEADLINE, POLL_HOLD, UNASKED_RUN};
+use super::gateway::{Attempt, Call, Reply};
 use super::World;
 use garnetwall::api::BatchId;
 
@@ -26,7 +26,8 @@
     pub(super) resets: Vec<u64>,
 }
 
-pub(super) struct Ran {
+/// What an engine made of an attempt.
+pub(super) struct Execution {
     pub(super) batch: BatchId,
     pub(super) process: usize,
     pub(super) from: u64,
@@ -43,15 +44,15 @@
 impl World {
     /// Engines: what ends by itself, with its process, or unasked.
     pub(super) fn engines(&mut self) {
-        for r in self.ran.iter_mut().filter(|r| r.to.is_none()) {
+        for r in self.executions.iter_mut().filter(|r| r.to.is_none()) {
             let p = &self.processes[r.process];
             // A call for news is answered by then, whether or not the answer comes through.
-            if let Some(since) = r.held.filter(|since| self.now >= since + NEWS) {
-                (r.asked, r.held) = (since + NEWS, None);
+            if let Some(since) = r.held.filter(|since| self.now >= since + POLL_HOLD) {
+                (r.asked, r.held) = (since + POLL_HOLD, None);
             }
             let unasked = match self.notes {
                 true => self.now >= r.stops,
-                false => r.held.is_none() && self.now >= r.asked + UNASKED,
+                false => r.held.is_none() && self.now >= r.asked + UNASKED_RUN,
             };
             r.good = self.now >= r.ends && self.now < p.dies;
             if self.now >= r.ends || self.now >= p.dies || unasked {
@@ -59,16 +60,20 @@
             }
         }
         // What a cut, a reset or a dead process leaves of connections.
-        let broken: Vec<usize> = (0..self.out.len()).filter(|n| self.loses(&self.out[*n])).collect();
+        let broken: Vec<usize> =
+            (0..self.attempts.len()).filter(|n| self.loses(&self.attempts[*n])).collect();
         for n in broken {
-            let held = self.out[n].batch;
-            let o = &mut self.out[n];
-            self.ran.iter_mut().filter(|r| r.batch == held && r.to.is_none()).for_each(|r| r.held = None);
+            let held = self.attempts[n].batch;
+            let o = &mut self.attempts[n];
+            self.executions
+                .iter_mut()
+                .filter(|r| r.batch == held && r.to.is_none())
+                .for_each(|r| r.held = None);
             o.up = None;
         }
     }
 
-    fn loses(&self, o: &Out) -> bool {
+    fn loses(&self, o: &Attempt) -> bool {
         o.up.is_some_and(|p| {
             let p = &self.processes[p];
             self.now >= p.dies || self.slots[p.slot].resets.contains(&self.now) && !self.is_cut(p.slot)
@@ -77,29 +82,29 @@
 
     /// A call has come whole to the process at the end of the connection.
     pub(super) fn arrives(&mut self, n: usize, call: Call) {
-        let (now, Some(process)) = (self.now, self.out[n].up) else { return };
-        let batch = self.out[n].batch;
+        let (now, Some(process)) = (self.now, self.attempts[n].up) else { return };
+        let batch = self.attempts[n].batch;
         match call {
-            Call::Start if self.dice.one_in(15) => {}
+            Call::Start if self.rng.one_in(15) => {}
             Call::Start => {
-                let ends = now + if self.dice.one_in(4) { 6000 } else { self.dice.between(20, 900) };
+                let ends = now + if self.rng.one_in(4) { 6000 } else { self.rng.between(20, 900) };
                 self.judge_start(batch, process);
-                let ran = Ran {
+                let ran = Execution {
                     batch,
                     process,
                     from: now,
                     ends,
                     asked: now,
-                    stops: now + KEPT,
+                    stops: now + LONGEST_DEADLINE,
                     held: Some(now),
                     to: None,
                     good: false,
                 };
-                self.ran.push(ran);
+                self.executions.push(ran);
             }
             Call::News | Call::GiveUp => {
-                let mine = |r: &&mut Ran| r.batch == batch && r.process == process && r.to.is_none();
-                if let Some(r) = self.ran.iter_mut().find(mine) {
+                let mine = |r: &&mut Execution| r.batch == batch && r.process == process && r.to.is_none();
+                if let Some(r) = self.executions.iter_mut().find(mine) {
                     match call {
                         Call::GiveUp => r.to = Some(now),
                         _ => (r.asked, r.held) = (now, Some(now)),
@@ -111,22 +116,22 @@
 
     /// What the process at the end of the connection answers by now.
     pub(super) fn reply(&mut self, n: usize, since: u64, call: Call) -> Option<Reply> {
-        let (batch, process) = (self.out[n].batch, self.out[n].up?);
+        let (batch, process) = (self.attempts[n].batch, self.attempts[n].up?);
         if self.is_cut(self.processes[process].slot) {
             return None;
         }
-        let mine = |r: &&Ran| r.batch == batch && r.process == process;
-        let sent = self.out[n].sent;
-        let spoilt = self.dice.one_in(40);
-        let reply = match self.ran.iter().rfind(mine).filter(|r| r.from >= sent) {
+        let mine = |r: &&Execution| r.batch == batch && r.process == process;
+        let sent = self.attempts[n].sent;
+        let spoilt = self.rng.one_in(40);
+        let reply = match self.executions.iter().rfind(mine).filter(|r| r.from >= sent) {
             _ if call == Call::GiveUp => Reply::GivenUp,
             None if call == Call::Start => Reply::Full,
             None => Reply::Unknown,
             // It was answered when its time was up, however late the gateway gets to reading that.
-            Some(r) if r.to.is_some_and(|to| to >= since + NEWS) => Reply::NotYet,
+            Some(r) if r.to.is_some_and(|to| to >= since + POLL_HOLD) => Reply::NotYet,
             Some(r) if r.good => Reply::Good,
             Some(r) if r.to.is_some() => Reply::Unknown,
-            Some(_) if self.now >= since + NEWS => Reply::NotYet,
+            Some(_) if self.now >= since + POLL_HOLD => Reply::NotYet,
             Some(_) => return None,
         };
         Some(if spoilt { Reply::Spoilt } else { reply })
--- a/crates/gateway/tests/world/exchange.rs
+++ b/crates/gateway/tests/world/exchange.rs
@@ -1,6 +1,6 @@
-//! The calls of one dispatch: its connection, its start, asking for it, giving it up.
+//! The calls of one attempt: its connection, its start, asking for it, giving it up.
 
-use super::figures::{DIAL, NEWS, SLACK, STEP};
+use super::figures::{CONNECT_TIMEOUT, POLL_HOLD, SLACK, STEP};
 use super::gateway::{Call, Doing, Reply};
 use super::{Slip, World};
 use garnetwall::api::End;
@@ -8,36 +8,36 @@
 
 impl World {
     pub(super) fn drive(&mut self, n: usize) {
-        if self.now >= self.out[n].time_out && !self.out[n].late {
-            (self.out[n].late, self.out[n].unwanted) = (true, true);
-            let unsent = matches!(self.out[n].doing, Doing::Connects { then: Call::Start, .. });
+        if self.now >= self.attempts[n].time_out && !self.attempts[n].late {
+            (self.attempts[n].late, self.attempts[n].unwanted) = (true, true);
+            let unsent = matches!(self.attempts[n].doing, Doing::Connects { then: Call::Start, .. });
             if !unsent || self.slip == Slip::StartsLate {
                 self.in_doubt(n, End::TimedOut);
             }
         }
-        match self.out[n].doing {
+        match self.attempts[n].doing {
             Doing::Connects { since, then } => self.connect(n, since, then),
             Doing::Calls { since, call, reached } => self.await_reply(n, since, call, reached),
             Doing::Pauses { until } if self.now >= until => {
-                self.out[n].doing = Doing::Connects { since: self.now, then: Call::News };
+                self.attempts[n].doing = Doing::Connects { since: self.now, then: Call::News };
             }
             Doing::Pauses { .. } => {}
             Doing::GivesUp => {
-                let (now, id) = (self.ledger_now(), self.out[n].id);
-                let trusted = self.slip == Slip::TrustsRefusals && self.out[n].refused;
+                let (now, id) = (self.ledger_now(), self.attempts[n].id);
+                let trusted = self.slip == Slip::TrustsRefusals && self.attempts[n].refused;
                 match self.ledger.next(now, id) {
                     Then::Over(proof) => {
                         let never = proof == garnetwall_ledger::Proof::NeverCame;
-                        let end = self.out[n].end.unwrap_or(End::Withdrawn);
+                        let end = self.attempts[n].end.unwrap_or(End::Withdrawn);
                         self.over(n, if never { End::Unconnected } else { end });
                     }
                     _ if trusted => self.over(n, End::Broken),
                     Then::Wait(_) => {}
                     Then::FindOut => {
-                        self.out[n].doing = Doing::Connects { since: self.now, then: Call::News };
+                        self.attempts[n].doing = Doing::Connects { since: self.now, then: Call::News };
                     }
                     Then::GiveUp(_) => {
-                        self.out[n].doing = Doing::Connects { since: self.now, then: Call::GiveUp };
+                        self.attempts[n].doing = Doing::Connects { since: self.now, then: Call::GiveUp };
                     }
                 }
             }
@@ -45,62 +45,62 @@
     }
 
     fn connect(&mut self, n: usize, since: u64, then: Call) {
-        if then == Call::Start && self.out[n].unwanted && self.slip != Slip::StartsLate {
+        if then == Call::Start && self.attempts[n].unwanted && self.slip != Slip::StartsLate {
             self.tell(n, Fact::NeverCame);
-            return self.over(n, if self.out[n].late { End::Moot } else { End::Unconnected });
+            return self.over(n, if self.attempts[n].late { End::Moot } else { End::Unconnected });
         }
-        let slot = self.processes[self.out[n].engine].slot;
-        if self.out[n].up.is_none() {
+        let slot = self.processes[self.attempts[n].engine].slot;
+        if self.attempts[n].up.is_none() {
             if self.is_cut(slot) {
-                if self.now >= since + DIAL {
+                if self.now >= since + CONNECT_TIMEOUT {
                     self.lost(n, then, Lost::OnItsWay);
                 }
                 return;
             }
             let Some(process) = self.listens(slot) else {
                 self.tell(n, Fact::Refused);
-                self.out[n].refused = true;
+                self.attempts[n].refused = true;
                 self.lost(n, then, Lost::Refused);
                 return;
             };
             // Some connections come up late, and the batch may have its answer meanwhile.
-            let late = if self.dice.one_in(5) { self.dice.between(STEP, DIAL) } else { 0 };
-            if self.now < *self.out[n].comes_up.get_or_insert(self.now + late) {
+            let late = if self.rng.one_in(5) { self.rng.between(STEP, CONNECT_TIMEOUT) } else { 0 };
+            if self.now < *self.attempts[n].comes_up.get_or_insert(self.now + late) {
                 return;
             }
-            self.out[n].comes_up = None;
-            self.out[n].up = Some(process);
-            self.out[n].connection += 1;
+            self.attempts[n].comes_up = None;
+            self.attempts[n].up = Some(process);
+            self.attempts[n].connection += 1;
         }
         if then != Call::GiveUp {
-            self.out[n].may_have_come = true;
+            self.attempts[n].may_have_come = true;
             self.tell(n, Fact::Asked);
         }
         // A cut takes what is written into it; a reset may come under it.
-        let lost = self.is_cut(slot) || self.dice.one_in(12);
+        let lost = self.is_cut(slot) || self.rng.one_in(12);
         if lost && !self.is_cut(slot) {
-            self.out[n].up = None;
+            self.attempts[n].up = None;
         }
-        self.out[n].doing = Doing::Calls { since: self.now, call: then, reached: !lost };
+        self.attempts[n].doing = Doing::Calls { since: self.now, call: then, reached: !lost };
         if !lost {
             self.arrives(n, then);
         }
     }
 
     fn await_reply(&mut self, n: usize, since: u64, call: Call, reached: bool) {
-        if self.out[n].up.is_none() {
-            self.tell(n, Fact::Reset(self.out[n].connection));
+        if self.attempts[n].up.is_none() {
+            self.tell(n, Fact::Reset(self.attempts[n].connection));
             return self.lost(n, call, Lost::OnItsWay);
         }
         let reply = if reached { self.reply(n, since, call) } else { None };
         let Some(reply) = reply else {
-            if self.now > since + NEWS + SLACK {
+            if self.now > since + POLL_HOLD + SLACK {
                 self.drops(n);
                 self.lost(n, call, Lost::OnItsWay);
             }
             return;
         };
-        let on = self.out[n].connection;
+        let on = self.attempts[n].connection;
         let now = self.ledger_now();
         match reply {
             Reply::Spoilt => {
@@ -109,10 +109,10 @@
             }
             Reply::Good => {
                 self.tell(n, Fact::Ended);
-                if self.out[n].end.is_some() {
-                    return self.out[n].doing = Doing::GivesUp;
+                if self.attempts[n].end.is_some() {
+                    return self.attempts[n].doing = Doing::GivesUp;
                 }
-                let unwanted = self.out[n].unwanted && self.out[n].late;
+                let unwanted = self.attempts[n].unwanted && self.attempts[n].late;
                 self.over(n, if unwanted { End::Withdrawn } else { End::Returned });
             }
             Reply::Full => {
@@ -121,10 +121,10 @@
             }
             Reply::Unknown => {
                 self.tell(n, Fact::Failed(on));
-                if self.out[n].end.is_some() {
-                    return self.out[n].doing = Doing::GivesUp;
+                if self.attempts[n].end.is_some() {
+                    return self.attempts[n].doing = Doing::GivesUp;
                 }
-                let id = self.out[n].id;
+                let id = self.attempts[n].id;
                 let over = self.ledger.may_run_until(id).is_none() || self.slip == Slip::TrustsAddresses;
                 match weigh(call == Call::Start, true, over) {
                     Verdict::AsTold => self.over(n, End::Errored),
@@ -134,15 +134,15 @@
             }
             Reply::GivenUp => {
                 self.tell(n, Fact::GivenUp(on));
-                self.out[n].doing = Doing::GivesUp;
+                self.attempts[n].doing = Doing::GivesUp;
             }
             Reply::NotYet => {
                 self.tell(n, Fact::Runs(on));
-                self.out[n].asking.heard(now);
-                match self.out[n].unwanted {
-                    _ if self.out[n].end.is_some() => self.out[n].doing = Doing::GivesUp,
+                self.attempts[n].asking.heard(now);
+                match self.attempts[n].unwanted {
+                    _ if self.attempts[n].end.is_some() => self.attempts[n].doing = Doing::GivesUp,
                     true => self.give_up(n, End::Withdrawn),
-                    false => self.out[n].doing = Doing::Connects { since: self.now, then: Call::News },
+                    false => self.attempts[n].doing = Doing::Connects { since: self.now, then: Call::News },
                 }
             }
         }
@@ -150,32 +150,32 @@
 
     /// A connection of no further use; the process's machine hears of it, but for one that is cut off.
     fn drops(&mut self, n: usize) {
-        self.tell(n, Fact::Useless(self.out[n].connection));
-        let (batch, up) = (self.out[n].batch, self.out[n].up.take());
-        let held = self.ran.iter_mut().filter(|r| r.batch == batch && Some(r.process) == up);
+        self.tell(n, Fact::Useless(self.attempts[n].connection));
+        let (batch, up) = (self.attempts[n].batch, self.attempts[n].up.take());
+        let held = self.executions.iter_mut().filter(|r| r.batch == batch && Some(r.process) == up);
         held.for_each(|r| r.held = None);
     }
 
     fn lost(&mut self, n: usize, call: Call, how: Lost) {
-        if call == Call::GiveUp || self.out[n].end.is_some() {
+        if call == Call::GiveUp || self.attempts[n].end.is_some() {
             if how != Lost::Refused {
                 self.tell(n, Fact::Missed);
             }
-            self.out[n].doing = Doing::GivesUp;
+            self.attempts[n].doing = Doing::GivesUp;
             return;
         }
-        if call == Call::Start && !self.out[n].may_have_come {
+        if call == Call::Start && !self.attempts[n].may_have_come {
             self.tell(n, Fact::NeverCame);
             return self.over(n, End::Unconnected);
         }
-        if self.out[n].unwanted {
+        if self.attempts[n].unwanted {
             return self.give_up(n, End::Withdrawn);
         }
         let now = self.ledger_now();
-        match self.out[n].asking.lost(now, how) {
+        match self.attempts[n].asking.lost(now, how) {
             Step::Ask(after) => {
                 let until = self.now + after.as_millis() as u64;
-                self.out[n].doing = Doing::Pauses { until };
+                self.attempts[n].doing = Doing::Pauses { until };
             }
             Step::Stop => self.doubts(n),
         }
--- a/crates/gateway/tests/world/figures.rs
+++ b/crates/gateway/tests/world/figures.rs
@@ -4,25 +4,35 @@
 use garnetwall_ledger::Bounds;
 use std::time::Duration;
 
+/// What the world moves on by at a time.
 pub(super) const STEP: u64 = 10;
+/// How long batches come.
 pub(super) const DAY: u64 = 14_000;
-pub(super) const DIAL: u64 = 250;
-pub(super) const NEWS: u64 = 250;
-pub(super) const UNASKED: u64 = 2000;
-/// The longest time limit: for so long notes keep a dispatch running at most.
-pub(super) const KEPT: u64 = 5000;
-/// What the protocol adds to each limit, and the world's steps.
+/// Within this a connection comes up, or the call is lost.
+pub(super) const CONNECT_TIMEOUT: u64 = 250;
+/// How long an engine holds a poll back for the end of its attempt.
+pub(super) const POLL_HOLD: u64 = 250;
+/// An attempt that nobody polls for so long is ended by its engine.
+pub(super) const UNASKED_RUN: u64 = 2000;
+/// For so long notes keep an attempt running at most.
+pub(super) const LONGEST_DEADLINE: u64 = 5000;
+/// What the protocol adds to each deadline, and the world's steps.
 pub(super) const SLACK: u64 = 50 + 2 * STEP;
-pub(super) const REST: u64 = 500;
+/// How long a key rests after an attempt that did not end well.
+pub(super) const KEY_REST: u64 = 500;
 pub(super) const BOUNDS: Bounds = Bounds {
-    news: Duration::from_millis(NEWS),
+    news: Duration::from_millis(POLL_HOLD),
     notes: false,
-    unasked: Duration::from_millis(UNASKED),
+    unasked: Duration::from_millis(UNASKED_RUN),
     pause: Duration::from_millis(50),
 };
 pub(super) const ENGINES: usize = 4;
-pub(super) const ONCE: usize = 1;
-pub(super) const WINDOW: f64 = 1.5;
-pub(super) const COLD: ColdRule = ColdRule { starts_at: 0.4, warm_after: 6.0, multiple: 3.0, window: 2.0 };
+/// The service group whose queries are not idempotent.
+pub(super) const NON_IDEMPOTENT: usize = 1;
+/// How long engines know an idempotency key, in seconds.
+pub(super) const IDEMPOTENCY_WINDOW: f64 = 1.5;
+pub(super) const SLOW_START: ColdRule =
+    ColdRule { starts_at: 0.4, warm_after: 6.0, multiple: 3.0, window: 2.0 };
+/// Of an engine.
 pub(super) const CORES: f64 = 2.0;
-pub(super) const FURTHER: FurtherBudget = FurtherBudget { floor: 2.0, per_batch: 0.2, window: 3.0 };
+pub(super) const RETRY_BUDGET: FurtherBudget = FurtherBudget { floor: 2.0, per_batch: 0.2, window: 3.0 };
--- a/crates/gateway/tests/world/gateway.rs
+++ b/crates/gateway/tests/world/gateway.rs
@@ -1,6 +1,6 @@
-//! The gateway's side: the module's orders, answers, and the dispatches that are out.
+//! The gateway's side: the module's orders, answers, and the attempts that are out.
 
-use super::figures::{BOUNDS, DIAL, KEPT, SLACK, STEP};
+use super::figures::{BOUNDS, CONNECT_TIMEOUT, LONGEST_DEADLINE, SLACK, STEP};
 use super::{seconds, Rule, Slip, World};
 use garnetwall::api::*;
 use garnetwall_ledger::{Asking, DispatchId, Fact};
@@ -31,8 +31,8 @@
     Spoilt,
 }
 
-/// A dispatch as the gateway sees it.
-pub(super) struct Out {
+/// An attempt as the gateway sees it.
+pub(super) struct Attempt {
     pub(super) batch: BatchId,
     pub(super) engine: EngineId,
     pub(super) number: u32,
@@ -54,7 +54,8 @@
     pub(super) end: Option<End>,
 }
 
-pub(super) struct Held {
+/// A query in hand, or one that is over.
+pub(super) struct Query {
     pub(super) group: usize,
     pub(super) key: Option<u64>,
     /// Where it stands among all that came.
@@ -67,7 +68,7 @@
 
 impl World {
     pub(super) fn gateway(&mut self) {
-        for n in (0..self.out.len()).rev() {
+        for n in (0..self.attempts.len()).rev() {
             self.drive(n);
         }
         self.pump();
@@ -79,7 +80,7 @@
                 Wait::For(_) => return,
                 Wait::Subscribe | Wait::Probe(_) => {}
                 Wait::Cancel(id, n) => {
-                    if let Some(o) = self.out.iter_mut().find(|o| o.batch == id && o.number == n) {
+                    if let Some(o) = self.attempts.iter_mut().find(|o| o.batch == id && o.number == n) {
                         o.unwanted = true;
                     }
                 }
@@ -94,7 +95,7 @@
 
     pub(super) fn answer(&mut self, id: BatchId, answer: Answer) {
         let pushed_back = matches!(answer, Answer::PushBack { .. });
-        if self.slip == Slip::LosesAnswers && self.dice.one_in(20) {
+        if self.slip == Slip::LosesAnswers && self.rng.one_in(20) {
             return;
         }
         self.answered(id, pushed_back);
@@ -102,7 +103,7 @@
 
     pub(super) fn answered(&mut self, id: BatchId, pushed_back: bool) {
         let (now, starved) = (self.now, self.starved);
-        let h = &mut self.batches[id as usize];
+        let h = &mut self.queries[id as usize];
         if h.left {
             return;
         }
@@ -116,8 +117,8 @@
             let limit = h.limit;
             self.breaks(Rule::Answer, format!("batch {id} answered after its limit {limit}"));
         }
-        let ran = self.ran.iter().any(|r| r.batch == id);
-        if pushed_back && ran && self.batches[id as usize].group != 0 {
+        let ran = self.executions.iter().any(|r| r.batch == id);
+        if pushed_back && ran && self.queries[id as usize].group != 0 {
             self.breaks(Rule::Effect, format!("batch {id} ran and was pushed back"));
         }
     }
@@ -125,18 +126,18 @@
     pub(super) fn send(&mut self, id: BatchId, engine: EngineId, time_out: f64) {
         self.judge_send(id, engine);
         let now = self.now;
-        let h = &mut self.batches[id as usize];
+        let h = &mut self.queries[id as usize];
         let number = h.dispatches.len() as u32;
         h.dispatches.push((now, engine));
-        self.out.push(Out {
+        self.attempts.push(Attempt {
             batch: id,
             engine,
             number,
-            id: self.ledger.open(Duration::from_millis(now), Duration::from_millis(KEPT)),
+            id: self.ledger.open(Duration::from_millis(now), Duration::from_millis(LONGEST_DEADLINE)),
             sent: now,
             time_out: now + (time_out * 1000.0) as u64,
             doing: Doing::Connects { since: now, then: Call::Start },
-            asking: Asking::new(Duration::from_millis(now), BOUNDS, Duration::from_millis(DIAL)),
+            asking: Asking::new(Duration::from_millis(now), BOUNDS, Duration::from_millis(CONNECT_TIMEOUT)),
             up: None,
             connection: 0,
             refused: false,
@@ -150,19 +151,19 @@
 
     pub(super) fn tell(&mut self, n: usize, fact: Fact) {
         let now = self.ledger_now();
-        self.ledger.tell(now, self.out[n].id, fact);
+        self.ledger.tell(now, self.attempts[n].id, fact);
     }
 
     fn outcome(&self, n: usize, end: End) -> Outcome {
-        let o = &self.out[n];
-        let closed = self.batches[o.batch as usize].answered.is_some() || self.batches[o.batch as usize].left;
+        let o = &self.attempts[n];
+        let closed = self.queries[o.batch as usize].answered.is_some() || self.queries[o.batch as usize].left;
         let latency = (self.now - o.sent) as f64 / 1000.0;
         let work = (end == End::Returned).then_some(latency);
         Outcome { engine: o.engine, dispatch: o.number, end, latency, closed, work, memory: None }
     }
 
     pub(super) fn in_doubt(&mut self, n: usize, end: End) {
-        let (id, outcome) = (self.out[n].batch, self.outcome(n, end));
+        let (id, outcome) = (self.attempts[n].batch, self.outcome(n, end));
         if let Next::Over(answer) = self.control.in_doubt(seconds(self.now), id, outcome) {
             self.answer(id, answer);
         }
@@ -170,12 +171,12 @@
 
     /// The dispatch is over as far as the gateway can know.
     pub(super) fn over(&mut self, n: usize, end: End) {
-        let end = if self.out[n].late && end != End::Moot { End::TimedOut } else { end };
-        let (id, outcome) = (self.out[n].batch, self.outcome(n, end));
+        let end = if self.attempts[n].late && end != End::Moot { End::TimedOut } else { end };
+        let (id, outcome) = (self.attempts[n].batch, self.outcome(n, end));
         let closed = outcome.closed;
         let next = self.control.after(seconds(self.now), id, outcome);
-        self.ledger.close(self.out[n].id);
-        self.out.remove(n);
+        self.ledger.close(self.attempts[n].id);
+        self.attempts.remove(n);
         match next {
             _ if end == End::Returned && !closed => self.answered(id, false),
             Next::Over(answer) => self.answer(id, answer),
@@ -184,12 +185,12 @@
     }
 
     pub(super) fn give_up(&mut self, n: usize, end: End) {
-        self.out[n].end = Some(end);
-        self.out[n].doing = Doing::GivesUp;
+        self.attempts[n].end = Some(end);
+        self.attempts[n].doing = Doing::GivesUp;
     }
 
     pub(super) fn doubts(&mut self, n: usize) {
-        if !self.out[n].unwanted {
+        if !self.attempts[n].unwanted {
             self.in_doubt(n, End::Broken);
         }
         self.give_up(n, End::Broken);
--- a/crates/gateway/tests/world/judge.rs
+++ b/crates/gateway/tests/world/judge.rs
@@ -1,7 +1,7 @@
 //! The rules, judged by what really ran where.
 
-use super::engines::Ran;
-use super::figures::{COLD, CORES, FURTHER, ONCE, REST, SLACK, WINDOW};
+use super::engines::Execution;
+use super::figures::{CORES, IDEMPOTENCY_WINDOW, KEY_REST, NON_IDEMPOTENT, RETRY_BUDGET, SLACK, SLOW_START};
 use super::World;
 use garnetwall::api::{BatchId, EngineId};
 
@@ -24,7 +24,7 @@
 
     /// As the gateway decides to send.
     pub(super) fn judge_send(&mut self, id: BatchId, engine: EngineId) {
-        let (now, h, p) = (self.now, &self.batches[id as usize], self.processes[engine]);
+        let (now, h, p) = (self.now, &self.queries[id as usize], self.processes[engine]);
         let (group, first) = (h.group, h.dispatches.is_empty());
         if h.answered.is_some() || h.left {
             self.breaks(Rule::Answer, format!("batch {id} is sent after its end"));
@@ -36,23 +36,23 @@
             self.breaks(Rule::Placement, format!("batch {id} goes to zone {}", self.zone(engine)));
         }
         if !first {
-            self.further.push(now);
-            let since = now.saturating_sub((FURTHER.window * 1000.0) as u64);
-            let made = self.further.iter().filter(|t| **t >= since).count() as f64;
-            let taken = self.batches.len() as f64;
-            if made > FURTHER.floor + FURTHER.per_batch * taken {
+            self.retries.push(now);
+            let since = now.saturating_sub((RETRY_BUDGET.window * 1000.0) as u64);
+            let made = self.retries.iter().filter(|t| **t >= since).count() as f64;
+            let taken = self.queries.len() as f64;
+            if made > RETRY_BUDGET.floor + RETRY_BUDGET.per_batch * taken {
                 self.breaks(Rule::Budget, format!("{made} further dispatches"));
             }
         }
         // Work of the first guess a batch; half as much again for chance.
-        let warm = p.up + (COLD.warm_after * 1000.0) as u64;
+        let warm = p.up + (SLOW_START.warm_after * 1000.0) as u64;
         if p.up > 0 && now < warm {
-            let since = now.saturating_sub((COLD.window * 1000.0) as u64);
-            let sent = self.batches.iter().flat_map(|b| &b.dispatches);
+            let since = now.saturating_sub((SLOW_START.window * 1000.0) as u64);
+            let sent = self.queries.iter().flat_map(|b| &b.dispatches);
             let sent = sent.filter(|(at, e)| *at >= since && *e == engine).count() as f64 + 1.0;
-            let able = COLD.starts_at
-                + (1.0 - COLD.starts_at) * (now.saturating_sub(p.up)) as f64 / (warm - p.up) as f64;
-            if sent * 0.5 > COLD.multiple * able * CORES * COLD.window {
+            let able = SLOW_START.starts_at
+                + (1.0 - SLOW_START.starts_at) * (now.saturating_sub(p.up)) as f64 / (warm - p.up) as f64;
+            if sent * 0.5 > SLOW_START.multiple * able * CORES * SLOW_START.window {
                 self.breaks(Rule::Cold, format!("{sent} batches in a window to engine {engine}"));
             }
         }
@@ -60,21 +60,22 @@
 
     /// As a start comes whole to a process, which runs it from now on.
     pub(super) fn judge_start(&mut self, id: BatchId, process: usize) {
-        let h = &self.batches[id as usize];
+        let h = &self.queries[id as usize];
         let ended = h.answered.map(|(at, _)| at).filter(|at| *at < self.now);
         if let Some(at) = ended {
             self.breaks(Rule::Answer, format!("batch {id} was sent on after its answer at {at} ms"));
         }
-        let h = &self.batches[id as usize];
+        let h = &self.queries[id as usize];
         let (group, key, place) = (h.group, h.key, h.place);
         let zone = self.zone(process);
-        let mine: Vec<&Ran> = self.ran.iter().filter(|r| r.batch == id).collect();
+        let mine: Vec<&Execution> = self.executions.iter().filter(|r| r.batch == id).collect();
         let runs = mine.iter().any(|r| r.to.is_none());
         let again = match (group, mine.first()) {
             (_, None) | (0, _) => false,
-            (ONCE, _) => true,
+            (NON_IDEMPOTENT, _) => true,
             (_, Some(r)) => {
-                self.now > r.from + (WINDOW * 1000.0) as u64 + SLACK || self.zone(r.process) != zone
+                self.now > r.from + (IDEMPOTENCY_WINDOW * 1000.0) as u64 + SLACK
+                    || self.zone(r.process) != zone
             }
         };
         if runs || again {
@@ -83,17 +84,17 @@
         if group == 0 || key.is_none() {
             return;
         }
-        let earlier = self.batches.iter().enumerate().filter(|(_, b)| b.key == key && b.place < place);
+        let earlier = self.queries.iter().enumerate().filter(|(_, b)| b.key == key && b.place < place);
         let mut what = None;
         for (other, b) in earlier {
             if b.answered.is_none() && !b.left {
                 what = Some(format!("batch {id} passes batch {other}, which is not over"));
             }
-            for r in self.ran.iter().filter(|r| r.batch as usize == other) {
+            for r in self.executions.iter().filter(|r| r.batch as usize == other) {
                 let cancelled = !r.good;
                 match r.to {
                     None => what = Some(format!("batch {id} runs beside batch {other} of its key")),
-                    Some(to) if cancelled && self.now + SLACK < to + REST => {
+                    Some(to) if cancelled && self.now + SLACK < to + KEY_REST => {
                         what = Some(format!("batch {id} starts before its key has rested from {other}"));
                     }
                     Some(_) => {}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -9,12 +9,12 @@
 mod random;
 mod start;
 
-use engines::{Process, Ran, Slot};
+use engines::{Execution, Process, Slot};
 use garnetwall::api::{Condition, EngineId, Listed};
 use garnetwall::control::Control;
 use garnetwall_ledger::Ledger;
-use gateway::{Held, Out};
-use random::Dice;
+use gateway::{Attempt, Query};
+use random::Rng;
 use std::time::Duration;
 
 pub use judge::Rule;
@@ -38,19 +38,19 @@
 
 pub struct World {
     slip: Slip,
-    /// Engines tell notes, each of which keeps its dispatch running.
+    /// Engines tell notes, each of which keeps its attempt running.
     notes: bool,
-    dice: Dice,
+    rng: Rng,
     now: u64,
     starved: (u64, u64),
     control: Control,
     ledger: Ledger,
     processes: Vec<Process>,
     slots: Vec<Slot>,
-    ran: Vec<Ran>,
-    out: Vec<Out>,
-    batches: Vec<Held>,
-    further: Vec<u64>,
+    executions: Vec<Execution>,
+    attempts: Vec<Attempt>,
+    queries: Vec<Query>,
+    retries: Vec<u64>,
     broken: Vec<(Rule, String)>,
 }
 
--- a/crates/gateway/tests/world/start.rs
+++ b/crates/gateway/tests/world/start.rs
@@ -1,8 +1,10 @@
 //! How a world begins: its engines, cuts and resets, and the module with its settings, all drawn from one seed.
 
 use super::engines::{Process, Slot};
-use super::figures::{BOUNDS, COLD, CORES, DAY, ENGINES, FURTHER, REST, STEP, WINDOW};
-use super::random::Dice;
+use super::figures::{
+    BOUNDS, CORES, DAY, ENGINES, IDEMPOTENCY_WINDOW, KEY_REST, RETRY_BUDGET, SLOW_START, STEP,
+};
+use super::random::Rng;
 use super::{seconds, Slip, World};
 use garnetwall::api::*;
 use garnetwall::control::Control;
@@ -10,34 +12,34 @@
 
 impl World {
     pub fn new(seed: u64, slip: Slip) -> World {
-        let mut dice = Dice(seed ^ 0x9e37_79b9_7f4a_7c15);
-        dice.roll(2);
+        let mut rng = Rng(seed ^ 0x9e37_79b9_7f4a_7c15);
+        rng.draw(2);
         let mut processes = Vec::new();
         for slot in 0..ENGINES {
-            let drains = dice.between(1000, 9000);
-            let dies = drains + dice.between(0, 5000);
-            let told = drains + dice.roll(3000);
-            let next = drains + dice.between(20, 4000);
+            let drains = rng.between(1000, 9000);
+            let dies = drains + rng.between(0, 5000);
+            let told = drains + rng.draw(3000);
+            let next = drains + rng.between(20, 4000);
             let far = 10 * DAY;
-            let lasts = slot == 0 || dice.one_in(3);
+            let lasts = slot == 0 || rng.one_in(3);
             let (drains, dies, told) = if lasts { (far, far, far) } else { (drains, dies, told) };
-            let told_gone = dies.max(told) + dice.roll(2000);
+            let told_gone = dies.max(told) + rng.draw(2000);
             processes.push(Process { slot, up: 0, drains, dies, told_up: 0, told, told_gone });
             if !lasts {
                 // It takes the address, perhaps while the old one runs on.
-                let told_up = next + dice.roll(1000);
+                let told_up = next + rng.draw(1000);
                 let heir =
                     Process { slot, up: next, drains: far, dies: far, told_up, told: far, told_gone: far };
                 processes.push(heir);
             }
         }
         let slots = (0..ENGINES).map(|_| {
-            let from = dice.between(500, DAY);
-            let cut = if dice.one_in(3) { (from, from + dice.between(500, 6000)) } else { (0, 0) };
-            Slot { cut, resets: (0..dice.roll(5)).map(|_| dice.between(300, DAY) / STEP * STEP).collect() }
+            let from = rng.between(500, DAY);
+            let cut = if rng.one_in(3) { (from, from + rng.between(500, 6000)) } else { (0, 0) };
+            Slot { cut, resets: (0..rng.draw(5)).map(|_| rng.between(300, DAY) / STEP * STEP).collect() }
         });
         let slots = slots.collect();
-        let referenced = Effect::Referenced { scope: Scope::Zone, window: WINDOW };
+        let referenced = Effect::Referenced { scope: Scope::Zone, window: IDEMPOTENCY_WINDOW };
         let mut groups =
             vec![group(Effect::Repeatable, false), group(Effect::OnceOnly, true), group(referenced, true)];
         groups[0].zones = (slip != Slip::OverlooksZones).then(|| vec![0]);
@@ -50,13 +52,13 @@
             names_return: true,
             longest_return: 1.0,
             max_dispatches: 4,
-            key_rest: if slip == Slip::RestsNoKeys { 0.0 } else { REST as f64 / 1000.0 },
-            further: (slip != Slip::OverlooksBudget).then_some(FURTHER),
-            cold: (slip != Slip::OverlooksColdness).then_some(COLD),
+            key_rest: if slip == Slip::RestsNoKeys { 0.0 } else { KEY_REST as f64 / 1000.0 },
+            further: (slip != Slip::OverlooksBudget).then_some(RETRY_BUDGET),
+            cold: (slip != Slip::OverlooksColdness).then_some(SLOW_START),
             ..Settings::default()
         };
-        let starved = dice.between(1000, DAY);
-        let starved = if dice.one_in(2) { (starved, starved + dice.between(100, 2500)) } else { (0, 0) };
+        let starved = rng.between(1000, DAY);
+        let starved = if rng.one_in(2) { (starved, starved + rng.between(100, 2500)) } else { (0, 0) };
         let notes = (seed >> 8) % 4 == 1;
         let bounds = Bounds { notes: notes && slip != Slip::OverlooksNotes, ..BOUNDS };
         let mut world = World {
@@ -68,12 +70,12 @@
             ledger: Ledger::new(bounds),
             processes,
             slots,
-            ran: Vec::new(),
-            out: Vec::new(),
-            batches: Vec::new(),
-            further: Vec::new(),
+            executions: Vec::new(),
+            attempts: Vec::new(),
+            queries: Vec::new(),
+            retries: Vec::new(),
             broken: Vec::new(),
-            dice,
+            rng,
         };
         let lines: Vec<Listed> = (0..world.processes.len()).filter_map(|e| world.line(e, 0)).collect();
         world.control.listed(&lines, true);
