The HTTP front in the field's terms: lingering close, timeouts, retry-after, error responses

Names inside front/ only: part, converse, pump, wrong, last, pushed_back, IDLE, PARTING, REST, COME_BACK, MARK and the like become linger, serve_requests, receive_rest, error_response, closing, rejected, IDLE_TIMEOUT, LINGER_*, RETRY_AFTER, IDEMPOTENCY_KEY. The names on the wire, texts, times and the public paths stay.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,7 +15,7 @@
 use crate::gateway::Phase;
 use crate::keeping::Keeper;
 use crate::spacing::Spacing;
-use answers::wrong;
+use answers::error_response;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
@@ -33,7 +33,7 @@
 
 /// Protocol: a client that can't be served is owed a close within 3 s of connecting. The first call has this long
 /// to bring its head, and a statement as long as that.
-const FIRST_CALL: Duration = Duration::from_secs(2);
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What every call needs.
 pub struct Front {
@@ -65,8 +65,10 @@
     Router::new()
         .route("/healthz", get(health))
         .route("/v1/{group}", post(submit).delete(withdraw))
-        .fallback(|| async { wrong(StatusCode::NOT_FOUND, "no such path") })
-        .method_not_allowed_fallback(|| async { wrong(StatusCode::METHOD_NOT_ALLOWED, "method not served") })
+        .fallback(|| async { error_response(StatusCode::NOT_FOUND, "no such path") })
+        .method_not_allowed_fallback(|| async {
+            error_response(StatusCode::METHOD_NOT_ALLOWED, "method not served")
+        })
         .with_state(front)
 }
 
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 
 /// After a fault of accepting: descriptors come back as clients leave.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
 
 /// Accepts connections for as long as it is polled, or, once it is `closing`, until none waits to be accepted; each is
 /// served in a task of its own.
@@ -59,7 +59,7 @@
             }
             Err(fault) => {
                 tracing::warn!(%fault, "a connection could not be accepted");
-                sleep(ACCEPT_AGAIN).await;
+                sleep(ACCEPT_RETRY_PAUSE).await;
             }
         }
     }
--- a/crates/gateway/src/front/answers.rs
+++ b/crates/gateway/src/front/answers.rs
@@ -10,35 +10,35 @@
 use serde_json::json;
 
 /// Protocol: the name of the field.
-const COME_BACK: HeaderName = HeaderName::from_static("x-wait-ms");
+const RETRY_AFTER: HeaderName = HeaderName::from_static("x-wait-ms");
 
 pub(super) fn not_kept(refused: Refused) -> Response {
     match refused {
         Refused::TooLarge { most } => {
-            wrong(StatusCode::PAYLOAD_TOO_LARGE, &format!("a body has {most} bytes at most"))
+            error_response(StatusCode::PAYLOAD_TOO_LARGE, &format!("a body has {most} bytes at most"))
         }
         Refused::UnknownLength => {
-            wrong(StatusCode::LENGTH_REQUIRED, "a statement comes with its Content-Length")
+            error_response(StatusCode::LENGTH_REQUIRED, "a statement comes with its Content-Length")
         }
-        Refused::NoRoom => pushed_back(&json!({"error": "Busy", "reason": "no room for the body"}), None),
+        Refused::NoRoom => rejected(&json!({"error": "Busy", "reason": "no room for the body"}), None),
     }
 }
 
-pub(super) async fn answer(waiter: Waiter) -> Response {
+pub(super) async fn final_response(waiter: Waiter) -> Response {
     let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
     match waiter.answer().await {
         Final::Returned(body) => (StatusCode::OK, [json], body).into_response(),
-        Final::PushedBack { come_back } => pushed_back(&json!({"error": "Busy"}), come_back),
-        Final::Errored => wrong(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
+        Final::PushedBack { come_back } => rejected(&json!({"error": "Busy"}), come_back),
+        Final::Errored => error_response(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
     }
 }
 
 /// Trying again is harmless, after so many seconds.
-fn pushed_back(body: &serde_json::Value, come_back: Option<f64>) -> Response {
+fn rejected(body: &serde_json::Value, come_back: Option<f64>) -> Response {
     let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let mut response = (StatusCode::SERVICE_UNAVAILABLE, [json], body.to_string()).into_response();
     if let Some(seconds) = come_back {
-        response.headers_mut().insert(COME_BACK, HeaderValue::from((seconds * 1000.0) as u64));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from((seconds * 1000.0) as u64));
     }
     response
 }
@@ -46,27 +46,28 @@
 /// What the plan does not let in is answered at once.
 pub(super) fn turned_away(front: &Front, turned: Turned) -> Response {
     match turned {
-        Turned::TooLong { most } => {
-            last(wrong(StatusCode::PAYLOAD_TOO_LARGE, &format!("the plan allows statements of {most} bytes")))
-        }
+        Turned::TooLong { most } => closing(error_response(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            &format!("the plan allows statements of {most} bytes"),
+        )),
         Turned::Away { reason, come_back } => {
             tracing::debug!(reason, ?come_back, "turned away");
             let settings = &front.decoded.settings;
             let body = json!({"error": "Busy", "reason": reason});
             let seconds = come_back.map(|span| span.as_secs_f64().min(settings.longest_return));
-            pushed_back(&body, seconds.filter(|_| settings.names_return))
+            rejected(&body, seconds.filter(|_| settings.names_return))
         }
     }
 }
 
 /// The last answer on its connection: what may follow is not read as a call.
-pub(super) fn last(mut answer: Response) -> Response {
+pub(super) fn closing(mut answer: Response) -> Response {
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
 
 /// A short answer that says what is wrong.
-pub(super) fn wrong(status: StatusCode, what: &str) -> Response {
+pub(super) fn error_response(status: StatusCode, what: &str) -> Response {
     let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
     (status, [json], json!({"error": what}).to_string()).into_response()
 }
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -1,6 +1,6 @@
 //! One client's connection: its calls one after another, and how it is closed.
 
-use super::{Client, FIRST_CALL};
+use super::{Client, FIRST_REQUEST_TIMEOUT};
 use crate::guests::Guest;
 use crate::inbound::{Inbound, Peer};
 use axum::body::Body;
@@ -18,11 +18,11 @@
 use tower_service::Service;
 
 /// Far above the protocol's 4 s after which clients close idle connections, so that no call crosses ours.
-const IDLE: Duration = Duration::from_secs(10);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// After the last answer a client has this long to read it and close; what it sends meanwhile is read slowly.
-const PARTING: Duration = Duration::from_millis(500);
-const REST_EVERY: Duration = Duration::from_millis(20);
-const REST: usize = 4096;
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+const LINGER_READ_PAUSE: Duration = Duration::from_millis(20);
+const LINGER_READ_BYTES: usize = 4096;
 /// More than any head.
 const LONGEST_HEAD: usize = 16 << 10;
 
@@ -64,9 +64,9 @@
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new()).max_buf_size(LONGEST_HEAD).keep_alive(!closing);
-        builder.header_read_timeout(if closing { FIRST_CALL } else { IDLE });
+        builder.header_read_timeout(if closing { FIRST_REQUEST_TIMEOUT } else { IDLE_TIMEOUT });
         let mut connection = builder.serve_connection(peer.stream(), service);
-        let close = converse(&mut connection, &peer, &guest, client, &mut shut).await;
+        let close = serve_requests(&mut connection, &peer, &guest, client, &mut shut).await;
         if close == Close::Gone {
             return;
         }
@@ -83,7 +83,7 @@
     if !evicted {
         guest.leaves();
         tokio::select! {
-            () = part(&peer) => {}
+            () = linger(&peer) => {}
             () = guest.leave.notified() => {}
         }
     }
@@ -91,7 +91,7 @@
 }
 
 /// Answers a connection's calls, one after another.
-async fn converse<S>(
+async fn serve_requests<S>(
     connection: &mut http1::Connection<Inbound, S>,
     peer: &Peer,
     guest: &Guest,
@@ -103,7 +103,7 @@
     S::Future: Unpin,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let first_call = sleep(FIRST_CALL);
+    let first_call = sleep(FIRST_REQUEST_TIMEOUT);
     tokio::pin!(first_call);
     let (mut looked, mut told, mut granted) = (false, false, false);
     let mut close = Close::Last;
@@ -141,7 +141,7 @@
                 }
                 // What had come while this process had no processor time is still read, but once.
                 granted = true;
-                first_call.as_mut().reset(Instant::now() + REST_EVERY);
+                first_call.as_mut().reset(Instant::now() + LINGER_READ_PAUSE);
             }
             Ok(_) = shut.wait_for(|shut| *shut), if !told => {
                 // A call that came before is read before the connection is told to end.
@@ -159,14 +159,14 @@
 
 /// Lets a client that is still sending read its answer: closed with bytes unread, the connection would be reset
 /// and the answer lost.
-async fn part(peer: &Peer) {
+async fn linger(peer: &Peer) {
     let mut stream = TokioIo::new(peer.stream());
-    let mut rest = [0; REST];
+    let mut rest = [0; LINGER_READ_BYTES];
     let all = async {
         while let Ok(1..) = stream.read(&mut rest).await {
-            sleep(REST_EVERY).await;
+            sleep(LINGER_READ_PAUSE).await;
         }
     };
     // Whoever goes on sending is cut off.
-    let _ = timeout(PARTING, all).await;
+    let _ = timeout(LINGER_TIMEOUT, all).await;
 }
--- a/crates/gateway/src/front/intake.rs
+++ b/crates/gateway/src/front/intake.rs
@@ -8,11 +8,11 @@
 use std::net::IpAddr;
 
 /// Protocol: names of the fields.
-pub(super) const ID: &str = "x-job-id";
-const ALLOWED: &str = "x-allow-ms";
+pub(super) const QUERY_ID: &str = "x-job-id";
+const DEADLINE: &str = "x-allow-ms";
 const TENANT: &str = "x-team";
 const KEY: &str = "x-item";
-const MARK: &str = "x-unique";
+const IDEMPOTENCY_KEY: &str = "x-unique";
 const COST: &str = "x-size-ms";
 const MEMORY: &str = "x-memory";
 /// Protocol: digits of an id and of a key.
@@ -29,13 +29,13 @@
     let names = &decoded.names;
     let unknown = || format!("unknown service group '{group}'");
     let index = names.groups.iter().position(|g| g == group).ok_or_else(unknown)?;
-    let id = field(head, ID)?;
-    let job = hex(ID, id)?;
+    let id = field(head, QUERY_ID)?;
+    let job = hex(QUERY_ID, id)?;
     let most = decoded.settings.groups[index].limit * 1000.0;
-    let allowed = field(head, ALLOWED)?.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
-    let allowed = allowed.ok_or_else(|| format!("{ALLOWED}: no number"))?;
+    let allowed = field(head, DEADLINE)?.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let allowed = allowed.ok_or_else(|| format!("{DEADLINE}: no number"))?;
     if !(allowed > 0.0 && allowed <= most) {
-        return Err(format!("{ALLOWED}: more than 0 and {most} at most expected"));
+        return Err(format!("{DEADLINE}: more than 0 and {most} at most expected"));
     }
     if statement.is_empty() {
         return Err("no statement".into());
@@ -55,7 +55,7 @@
     let data_set = statement::data_set(&statement).unwrap_or(0);
     let group_name = HeaderValue::from_str(group).map_err(|_| unknown())?;
     let bytes = statement.len() as u64;
-    let mark = head.contains_key(MARK).then(|| field(head, MARK)).transpose()?.cloned();
+    let mark = head.contains_key(IDEMPOTENCY_KEY).then(|| field(head, IDEMPOTENCY_KEY)).transpose()?.cloned();
     let cost = estimate(head, COST)?.map(|ms| ms / 1000.0);
     let memory = estimate(head, MEMORY)?;
     let in_order = key.is_some() && decoded.settings.groups[index].in_order;
--- a/crates/gateway/src/front/streaming.rs
+++ b/crates/gateway/src/front/streaming.rs
@@ -1,9 +1,9 @@
 //! A body too long to be read whole before its batch is taken.
 
-use super::answers::{answer, last, not_kept, wrong};
+use super::answers::{closing, error_response, final_response, not_kept};
 use super::intake::arrival;
 use super::submit::take;
-use super::{Front, FIRST_CALL};
+use super::{Front, FIRST_REQUEST_TIMEOUT};
 use crate::engines::Statement;
 use crate::inbound::Peer;
 use crate::statement;
@@ -20,12 +20,12 @@
 use tokio::time::timeout;
 
 /// Bytes of a long body in which its data set is looked for before it is taken.
-const FIRST_BYTES: usize = 64 << 10;
+const PREFIX_BYTES: usize = 64 << 10;
 /// Until a long body has its own.
-const STANDS_IN: bytes::Bytes = bytes::Bytes::from_static(b"-");
+const PLACEHOLDER: bytes::Bytes = bytes::Bytes::from_static(b"-");
 
 /// A body too long to be read whole first: it goes on while it comes in, and is kept as it passes.
-pub(super) async fn streamed(
+pub(super) async fn submit_streamed(
     front: &Front,
     store: &Arc<Store>,
     group: &str,
@@ -36,32 +36,34 @@
 ) -> Response {
     let length = body.size_hint().exact();
     let came = front.desk.clock().at(peer.read_at());
-    let (mut arrival, mut call) = match arrival(&front.decoded, group, head, client, STANDS_IN) {
+    let (mut arrival, mut call) = match arrival(&front.decoded, group, head, client, PLACEHOLDER) {
         Ok(taken) => taken,
-        Err(what) => return last(wrong(StatusCode::BAD_REQUEST, &what)),
+        Err(what) => return closing(error_response(StatusCode::BAD_REQUEST, &what)),
     };
     let once_only = front.desk.is_once_only(arrival.group);
     let kept = match store.admit_as(arrival.tenant, arrival.group, length, once_only) {
         Ok(kept) => kept,
-        Err(refused) => return last(not_kept(refused)),
+        Err(refused) => return closing(not_kept(refused)),
     };
     let _writing = Writing(kept.clone());
     let mut first = Vec::new();
-    while first.len() < FIRST_BYTES {
-        match timeout(FIRST_CALL, next_chunk(&mut body)).await {
+    while first.len() < PREFIX_BYTES {
+        match timeout(FIRST_REQUEST_TIMEOUT, next_chunk(&mut body)).await {
             Ok(Ok(Some(bytes))) => {
                 first.extend_from_slice(&bytes);
                 if kept.push(bytes).await.is_err() {
-                    return last(not_kept(Refused::NoRoom));
+                    return closing(not_kept(Refused::NoRoom));
                 }
             }
             Ok(Ok(None)) => break,
-            Ok(Err(())) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
-            Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
+            Ok(Err(())) => return closing(error_response(StatusCode::BAD_REQUEST, "statement cut off")),
+            Err(_) => {
+                return closing(error_response(StatusCode::REQUEST_TIMEOUT, "statement came too slowly"))
+            }
         }
     }
     if first.is_empty() {
-        return last(wrong(StatusCode::BAD_REQUEST, "no statement"));
+        return closing(error_response(StatusCode::BAD_REQUEST, "no statement"));
     }
     arrival.data_set = statement::data_set(&first).unwrap_or(0);
     arrival.bytes = length.unwrap_or(first.len() as u64);
@@ -69,25 +71,25 @@
     call.statement = Statement::Streamed(kept.clone());
     let job = arrival.job;
     let Ok(memory) = front.statements.clone().try_acquire_many_owned(0) else {
-        return last(wrong(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
+        return closing(error_response(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
     };
     let waiter = match take(front, arrival, call, came, memory, peer) {
         Ok(waiter) => waiter,
-        Err(refused) => return last(*refused),
+        Err(refused) => return closing(*refused),
     };
-    let answering = answer(waiter);
+    let answering = final_response(waiter);
     tokio::pin!(answering);
     let pumped = tokio::select! {
         biased;
         // Whatever still comes is not wanted any more.
-        answer = &mut answering => return last(answer),
-        pumped = pump(&mut body, &kept) => pumped,
+        answer = &mut answering => return closing(answer),
+        pumped = receive_rest(&mut body, &kept) => pumped,
     };
     match pumped {
         Ok(()) => answering.await,
         Err(what) => {
             front.desk.withdraw(job);
-            last(wrong(StatusCode::BAD_REQUEST, what))
+            closing(error_response(StatusCode::BAD_REQUEST, what))
         }
     }
 }
@@ -102,7 +104,7 @@
 }
 
 /// Takes in the rest of a body. It ends at the latest with its batch, which its limit bounds.
-async fn pump(body: &mut Body, kept: &Kept) -> Result<(), &'static str> {
+async fn receive_rest(body: &mut Body, kept: &Kept) -> Result<(), &'static str> {
     while let Some(bytes) = next_chunk(body).await.map_err(|()| "statement cut off")? {
         kept.push(bytes).await.map_err(|_| "the body can't be kept, or is longer than it may be")?;
     }
--- a/crates/gateway/src/front/submit.rs
+++ b/crates/gateway/src/front/submit.rs
@@ -1,9 +1,9 @@
 //! A batch comes in, or is withdrawn.
 
-use super::answers::{answer, last, turned_away, wrong};
-use super::intake::{arrival, field, hex, ID};
-use super::streaming::streamed;
-use super::{Client, Front, FIRST_CALL};
+use super::answers::{closing, error_response, final_response, turned_away};
+use super::intake::{arrival, field, hex, QUERY_ID};
+use super::streaming::submit_streamed;
+use super::{Client, Front, FIRST_REQUEST_TIMEOUT};
 use crate::desk::{Arrival, Taken, Waiter};
 use crate::engines::Call;
 use crate::inbound::Peer;
@@ -32,35 +32,38 @@
 ) -> Response {
     let length = body.size_hint().exact();
     if let Some(store) = front.store.clone().filter(|_| length.is_none_or(|n| n > LONGEST_STATEMENT)) {
-        return streamed(&front, &store, &group, &head, client, &peer, body).await;
+        return submit_streamed(&front, &store, &group, &head, client, &peer, body).await;
     }
     if head.contains_key(TRANSFER_ENCODING) {
         // Told in two ways, a length may hide another call in the body: only Content-Length counts.
-        return last(wrong(StatusCode::LENGTH_REQUIRED, "a statement comes with its Content-Length"));
+        return closing(error_response(
+            StatusCode::LENGTH_REQUIRED,
+            "a statement comes with its Content-Length",
+        ));
     }
     let length = length.unwrap_or(u64::MAX);
     if length > LONGEST_STATEMENT {
-        return last(wrong(StatusCode::PAYLOAD_TOO_LARGE, "statement too long"));
+        return closing(error_response(StatusCode::PAYLOAD_TOO_LARGE, "statement too long"));
     }
     let Ok(memory) = front.statements.clone().try_acquire_many_owned(length as u32) else {
         // Not pushed back: the id may be that of a batch in hand.
-        return last(wrong(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
+        return closing(error_response(StatusCode::INSUFFICIENT_STORAGE, "too many statements in hand"));
     };
-    let body = match timeout(FIRST_CALL, to_bytes(body, LONGEST_STATEMENT as usize)).await {
+    let body = match timeout(FIRST_REQUEST_TIMEOUT, to_bytes(body, LONGEST_STATEMENT as usize)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return last(wrong(StatusCode::BAD_REQUEST, "statement cut off")),
-        Err(_) => return last(wrong(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
+        Ok(Err(_)) => return closing(error_response(StatusCode::BAD_REQUEST, "statement cut off")),
+        Err(_) => return closing(error_response(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
     };
     let came = front.desk.clock().at(peer.read_at());
     let (arrival, call) = match arrival(&front.decoded, &group, &head, client, body) {
         Ok(taken) => taken,
         Err(what) => {
             tracing::debug!(what, "no batch");
-            return wrong(StatusCode::BAD_REQUEST, &what);
+            return error_response(StatusCode::BAD_REQUEST, &what);
         }
     };
     match take(&front, arrival, call, came, memory, &peer) {
-        Ok(waiter) => answer(waiter).await,
+        Ok(waiter) => final_response(waiter).await,
         Err(refused) => *refused,
     }
 }
@@ -77,7 +80,7 @@
     if peer.has_left() {
         // Its call stood behind another one, or waited for its slot: nothing is owed, and nothing is sent for it.
         tracing::debug!(job = arrival.job, "its client has left");
-        return Err(last(wrong(StatusCode::BAD_REQUEST, "the client has left")).into());
+        return Err(closing(error_response(StatusCode::BAD_REQUEST, "the client has left")).into());
     }
     arrival.limit += front.sent(arrival.key, came);
     let call = Arc::new(call);
@@ -89,17 +92,19 @@
             waiter
         }
         Taken::Joined(waiter) => waiter,
-        Taken::Other => return Err(wrong(StatusCode::CONFLICT, "this id is that of another batch").into()),
-        Taken::Over => return Err(wrong(StatusCode::CONFLICT, "this id has had its answer").into()),
-        Taken::MayHaveRun => return Err(wrong(StatusCode::INTERNAL_SERVER_ERROR, "Failed").into()),
+        Taken::Other => {
+            return Err(error_response(StatusCode::CONFLICT, "this id is that of another batch").into())
+        }
+        Taken::Over => return Err(error_response(StatusCode::CONFLICT, "this id has had its answer").into()),
+        Taken::MayHaveRun => return Err(error_response(StatusCode::INTERNAL_SERVER_ERROR, "Failed").into()),
         Taken::Turned(turned) => return Err(turned_away(front, turned).into()),
     })
 }
 
 pub(super) async fn withdraw(State(front): State<Arc<Front>>, head: HeaderMap) -> Response {
-    match field(&head, ID).and_then(|id| hex(ID, id)) {
+    match field(&head, QUERY_ID).and_then(|id| hex(QUERY_ID, id)) {
         Ok(job) if front.desk.withdraw(job) => StatusCode::NO_CONTENT.into_response(),
-        Ok(_) => wrong(StatusCode::NOT_FOUND, "no batch of this id is in hand"),
-        Err(what) => wrong(StatusCode::BAD_REQUEST, &what),
+        Ok(_) => error_response(StatusCode::NOT_FOUND, "no batch of this id is in hand"),
+        Err(what) => error_response(StatusCode::BAD_REQUEST, &what),
     }
 }
