garnetwall-scale slopes: cost of seven roles by size, fitted, and checked outside of the range

What a role costs at 4,400 gateways and 6,500 engines was known from scratch programs only. slopes reads an experiment (TOML), measures each point in a process of its own by its processor time, resident pages and bytes, fits a line and a power, flags what grows faster than linear, and prints a prediction outside of the fitted range beside what was measured there. Limits in the experiment make it a check.

--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,7 +1,10 @@
 //! `garnetwall-scale`: what the program costs at a size that no machine holds.
 
 mod beside;
+mod experiment;
 mod fleet;
+mod process;
+mod results;
 mod slopes;
 mod spread;
 
@@ -22,6 +25,9 @@
 enum Command {
     /// Measures what one role costs as one quantity grows, and fits a slope.
     Slopes(Run),
+    /// Measures one point of a slope, told and answered as JSON. `slopes` runs it; not for use by hand.
+    #[command(hide = true)]
+    SlopePoint,
     /// Plays thousands of hollow gateways in simulated time, and judges them.
     Fleet(Run),
     /// Plays real gateways on loopback beside what hollow ones predict.
@@ -51,6 +57,7 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
     let verdict = match Arguments::parse().command {
         Command::Slopes(run) => slopes::run(&run),
+        Command::SlopePoint => slopes::measure_point(),
         Command::Fleet(run) => fleet::run(&run),
         Command::Beside(run) => beside::run(&run),
         Command::Spread(run) => spread::run(&run),
--- /dev/null
+++ b/crates/scale/src/slopes/fit.rs
@@ -0,0 +1,142 @@
+//! Fits: a line, and a power, with what they leave over.
+
+/// Exponents over this grow faster than linear.
+pub const LINEAR: f64 = 1.1;
+/// Standard errors that an exponent must be over [`LINEAR`] to be beyond its spread.
+const BEYOND_SPREAD: f64 = 2.0;
+/// Values under this have no logarithm of use.
+const LEAST: f64 = 1e-12;
+
+/// All runs at one size.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sample {
+    pub size: f64,
+    /// In rising order.
+    values: Vec<f64>,
+}
+
+impl Sample {
+    pub fn new(size: f64, mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+        Sample { size, values }
+    }
+
+    pub fn least(&self) -> f64 {
+        self.values.first().copied().unwrap_or(0.0)
+    }
+
+    pub fn most(&self) -> f64 {
+        self.values.last().copied().unwrap_or(0.0)
+    }
+
+    pub fn median(&self) -> f64 {
+        let middle = self.values.len() / 2;
+        match self.values.len() {
+            0 => 0.0,
+            n if n % 2 == 1 => self.values[middle],
+            _ => (self.values[middle - 1] + self.values[middle]) / 2.0,
+        }
+    }
+}
+
+/// How a metric grows with the size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    pub slope: f64,
+    pub intercept: f64,
+    /// Largest distance of a median from the line, over the largest median.
+    pub residual: f64,
+    /// Of the power law over all sizes.
+    pub exponent: f64,
+    pub exponent_error: f64,
+    /// Of the power law between the two largest sizes, where an intercept hides least.
+    pub last_exponent: f64,
+    /// Whether it grows faster than linear beyond its spread.
+    pub superlinear: bool,
+    /// The largest size and its median, from where a power is carried on.
+    last: (f64, f64),
+}
+
+impl Fit {
+    /// A fit over four sizes or more, the smallest first.
+    pub fn new(samples: &[Sample]) -> Self {
+        let medians: Vec<(f64, f64)> = samples.iter().map(|s| (s.size, s.median())).collect();
+        let line = Line::new(&medians);
+        let largest = medians.iter().map(|(_, value)| value.abs()).fold(LEAST, f64::max);
+        let distance = |(size, value): &(f64, f64)| (value - line.at(*size)).abs();
+        let logarithms: Vec<(f64, f64)> = samples.iter().flat_map(logarithms).collect();
+        let power = Line::new(&logarithms);
+        let exponent_error = power.slope_error(&logarithms);
+        let (last_exponent, last_least) = last_exponents(samples);
+        Fit {
+            slope: line.slope,
+            intercept: line.intercept,
+            residual: medians.iter().map(distance).fold(0.0, f64::max) / largest,
+            exponent: power.slope,
+            exponent_error,
+            last_exponent,
+            superlinear: power.slope - BEYOND_SPREAD * exponent_error > LINEAR || last_least > LINEAR,
+            last: medians.last().copied().unwrap_or((1.0, 0.0)),
+        }
+    }
+
+    /// The value at another size: where it grows faster than linear by the larger exponent from the last size on, else by
+    /// the line.
+    pub fn predict(&self, size: f64) -> f64 {
+        let (last_size, last_median) = self.last;
+        match self.superlinear {
+            true => last_median * (size / last_size).powf(self.exponent.max(self.last_exponent)),
+            false => self.intercept + self.slope * size,
+        }
+    }
+}
+
+fn logarithms(sample: &Sample) -> impl Iterator<Item = (f64, f64)> + '_ {
+    sample.values.iter().map(|value| (sample.size.ln(), value.max(LEAST).ln()))
+}
+
+/// The exponent between the two largest sizes by the medians, and the least that the spread allows.
+fn last_exponents(samples: &[Sample]) -> (f64, f64) {
+    let [.., before, last] = samples else { return (0.0, 0.0) };
+    let steps = (last.size / before.size).ln();
+    let exponent = |above: f64, below: f64| (above.max(LEAST) / below.max(LEAST)).ln() / steps;
+    (exponent(last.median(), before.median()), exponent(last.least(), before.most()))
+}
+
+/// A line by least squares.
+#[derive(Clone, Copy, Debug)]
+struct Line {
+    slope: f64,
+    intercept: f64,
+}
+
+impl Line {
+    fn new(points: &[(f64, f64)]) -> Self {
+        let count = points.len().max(1) as f64;
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+        let slope = covariance / squares(points).max(LEAST);
+        Line { slope, intercept: mean_y - slope * mean_x }
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+
+    /// The standard error of the slope.
+    fn slope_error(&self, points: &[(f64, f64)]) -> f64 {
+        let left_over: f64 = points.iter().map(|(x, y)| (y - self.at(*x)).powi(2)).sum();
+        let freedom = points.len().saturating_sub(2).max(1) as f64;
+        (left_over / freedom / squares(points).max(LEAST)).sqrt()
+    }
+}
+
+/// The sum of the squared distances of all x from their mean.
+fn squares(points: &[(f64, f64)]) -> f64 {
+    let mean = points.iter().map(|(x, _)| x).sum::<f64>() / points.len().max(1) as f64;
+    points.iter().map(|(x, _)| (x - mean).powi(2)).sum()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/slopes/fit/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+const SIZES: [f64; 5] = [80.0, 160.0, 320.0, 640.0, 1024.0];
+
+fn samples(value: impl Fn(f64) -> f64) -> Vec<Sample> {
+    let around = |value: f64| vec![value * 1.01, value, value * 0.99];
+    SIZES.iter().map(|size| Sample::new(*size, around(value(*size)))).collect()
+}
+
+#[test]
+fn a_line_is_found_again_and_predicts_outside_its_range() {
+    let fit = Fit::new(&samples(|size| 6.0 + 0.15 * size));
+    assert!((fit.slope - 0.15).abs() < 1e-9 && (fit.intercept - 6.0).abs() < 1e-6, "{fit:?}");
+    assert!(fit.residual < 1e-9 && !fit.superlinear, "{fit:?}");
+    assert!((fit.predict(6500.0) - 981.0).abs() < 1e-6);
+}
+
+#[test]
+fn growth_by_a_power_is_flagged_and_predicted_by_it() {
+    let fit = Fit::new(&samples(|size| 2e-4 * size.powf(1.7)));
+    assert!(fit.superlinear && (fit.exponent - 1.7).abs() < 1e-6, "{fit:?}");
+    let true_value = 2e-4 * 6500f64.powf(1.7);
+    assert!((fit.predict(6500.0) / true_value - 1.0).abs() < 0.01);
+}
+
+/// Over all sizes the constant part hides it; the two largest show it.
+#[test]
+fn a_square_behind_a_large_intercept_is_flagged() {
+    let fit = Fit::new(&samples(|size| 100.0 + 0.001 * size * size));
+    assert!(fit.exponent < LINEAR && fit.superlinear, "{fit:?}");
+}
+
+#[test]
+fn what_is_linear_or_flat_within_its_spread_is_not_flagged() {
+    assert!(!Fit::new(&samples(|size| size * (1.0 + 0.02 * size.sin()))).superlinear);
+    assert!(!Fit::new(&samples(|_| 18.0)).superlinear);
+    assert!(!Fit::new(&samples(|_| 0.0)).superlinear);
+}
+
+#[test]
+fn medians_and_spread_are_those_of_the_values() {
+    let odd = Sample::new(1.0, vec![3.0, 1.0, 2.0]);
+    assert_eq!((odd.least(), odd.median(), odd.most()), (1.0, 2.0, 3.0));
+    assert_eq!(Sample::new(1.0, vec![4.0, 1.0]).median(), 2.5);
+}
--- /dev/null
+++ b/crates/scale/src/slopes/ledger.rs
@@ -0,0 +1,48 @@
+//! The role of the ledger of open attempts.
+
+use super::measurement::{Measured, Metric, Point, Role, RoleError};
+use super::stopwatch::{growth, repeated};
+use garnetwall_ledger::{Bounds, DispatchId, Fact, Ledger};
+use std::hint::black_box;
+use std::time::Duration;
+
+/// As in the gateway.
+const BOUNDS: Bounds = Bounds {
+    news: Duration::from_millis(250),
+    notes: false,
+    unasked: Duration::from_secs(2),
+    pause: Duration::from_millis(50),
+};
+
+pub struct OpenAttempts;
+
+impl Role for OpenAttempts {
+    fn measure(&self, point: &Point) -> Result<Vec<Measured>, RoleError> {
+        let open = point.quantities.open_attempts;
+        let now = Duration::from_secs(1);
+        let (resident, (mut ledger, mut attempts)) = growth(|| {
+            let mut ledger = Ledger::new(BOUNDS);
+            let attempts: Vec<DispatchId> = (0..open).map(|_| begin(&mut ledger, now)).collect();
+            (ledger, attempts)
+        })?;
+        // One ends and another begins, so that as many stay open.
+        let attempt = repeated(|repeat| {
+            let slot = &mut attempts[(repeat % open) as usize];
+            ledger.tell(now, *slot, Fact::Ended);
+            black_box(ledger.next(now, *slot));
+            ledger.close(*slot);
+            *slot = begin(&mut ledger, now);
+        });
+        Ok(vec![
+            Measured { metric: Metric::Attempt, value: attempt },
+            Measured { metric: Metric::Resident, value: resident },
+        ])
+    }
+}
+
+fn begin(ledger: &mut Ledger, now: Duration) -> DispatchId {
+    let attempt = ledger.open(now, Duration::ZERO);
+    ledger.tell(now, attempt, Fact::Asked);
+    ledger.tell(now, attempt, Fact::Runs(1));
+    attempt
+}
--- /dev/null
+++ b/crates/scale/src/slopes/list.rs
@@ -0,0 +1,49 @@
+//! The role of the list of engines in a gateway: decode and apply.
+
+use super::gateway_list::GatewayList;
+use super::measurement::{Measured, Metric, Point, Role, RoleError};
+use super::pool;
+use super::stopwatch::{growth, repeated, timed};
+
+pub struct List;
+
+impl Role for List {
+    fn measure(&self, point: &Point) -> Result<Vec<Measured>, RoleError> {
+        let engines = point.quantities.engines;
+        let text = pool::whole_list(engines);
+        let changed = engine_changes(engines);
+        let list = GatewayList::new();
+        // Read once before, so that a fault in it is told.
+        list.decode(&text)?;
+        list.decode(&changed[0])?;
+        let (resident, (decode_list, decoded)) = growth(|| timed(|| list.decode(&text)))?;
+        let whole = decoded?;
+        let (first_list, _) = timed(|| list.apply(&whole));
+        let whole_list = repeated(|_| list.apply(&whole));
+        let line = |repeat: u64| &changed[repeat as usize % changed.len()];
+        let decode_line = repeated(|repeat| list.decode(line(repeat)));
+        let events = changed.iter().map(|text| list.decode(text)).collect::<Result<Vec<_>, _>>()?;
+        let changed_line = repeated(|repeat| list.apply(&events[repeat as usize % events.len()]));
+        Ok(vec![
+            Measured { metric: Metric::ListBytes, value: text.len() as f64 },
+            Measured { metric: Metric::LineBytes, value: changed[0].len() as f64 },
+            Measured { metric: Metric::DecodeList, value: decode_list },
+            Measured { metric: Metric::DecodeLine, value: decode_line },
+            Measured { metric: Metric::FirstList, value: first_list },
+            Measured { metric: Metric::WholeList, value: whole_list },
+            Measured { metric: Metric::ChangedLine, value: changed_line },
+            Measured { metric: Metric::Resident, value: resident },
+        ])
+    }
+}
+
+/// Events that each change one line, spread over the list: engines drain, and serve again.
+fn engine_changes(engines: u64) -> Vec<String> {
+    const CHANGES: u64 = 64;
+    let change = |number: u64| {
+        let state = if number.is_multiple_of(2) { "DRAINING" } else { "SERVING" };
+        let engine = pool::engine(number / 2 * engines / CHANGES * 2 % engines);
+        pool::log_event(number + 2, false, vec![engine.log_line(state)])
+    };
+    (0..CHANGES).map(change).collect()
+}
--- a/crates/scale/src/slopes/mod.rs
+++ b/crates/scale/src/slopes/mod.rs
@@ -1,8 +1,182 @@
-//! Slopes: what one role costs as one quantity grows.
+//! Slopes: what one role costs as one quantity grows. Each point is measured several times, each time in a fresh process;
+//! a line and a power are fitted, and a size outside of the fitted range is predicted and then measured.
 
+mod chart;
+mod configuration;
+mod fit;
+mod gateway_list;
+mod leases;
+mod ledger;
+mod list;
+mod measurement;
+mod membership;
+mod module;
+mod pool;
+mod report;
+mod runner;
+mod settings;
+mod stopwatch;
+mod subset;
+
+use crate::results::Results;
 use crate::{Run, Verdict};
+use fit::{Fit, Sample};
+use indicatif::{ProgressBar, ProgressStyle};
+use measurement::{Measured, Metric, Point, Role};
+use report::{number, Prediction, Series, ValueRow};
+use runner::Runner;
+use settings::{Experiment, Limit, RoleName};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Values by metric and size.
+type Values = BTreeMap<Metric, BTreeMap<u64, Vec<f64>>>;
+
+impl RoleName {
+    fn role(self) -> &'static dyn Role {
+        match self {
+            RoleName::Module => &module::Module,
+            RoleName::List => &list::List,
+            RoleName::Subset => &subset::SubsetChoice,
+            RoleName::Membership => &membership::Membership,
+            RoleName::Ledger => &ledger::OpenAttempts,
+            RoleName::Configuration => &configuration::Configuration,
+            RoleName::Leases => &leases::Leases,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            RoleName::Module => "module",
+            RoleName::List => "list",
+            RoleName::Subset => "subset",
+            RoleName::Membership => "membership",
+            RoleName::Ledger => "ledger",
+            RoleName::Configuration => "configuration",
+            RoleName::Leases => "leases",
+        }
+    }
+}
+
+/// Measures the point that standard input tells, and writes the values to standard output.
+pub fn measure_point() -> Verdict {
+    let point: Point = serde_json::from_reader(std::io::stdin())?;
+    let measured = point.role.role().measure(&point)?;
+    println!("{}", serde_json::to_string(&measured)?);
+    Ok(true)
+}
 
 /// Runs one experiment.
 pub fn run(run: &Run) -> Verdict {
-    Err(format!("{}: slopes are not here yet", run.experiment.display()).into())
+    let mut experiment = Experiment::read(&run.experiment)?;
+    experiment.seed = run.seed.unwrap_or(experiment.seed);
+    let mut results = Results::create(run.results.as_deref())?;
+    let values = measure_all(&experiment, &mut results)?;
+    let all_series: Vec<Series> =
+        values.into_iter().map(|(metric, sizes)| series(&experiment, metric, sizes)).collect();
+    print(&experiment, &all_series);
+    if let Some(path) = &run.results {
+        for one in &all_series {
+            chart::draw(&chart_path(path, one.metric), one, experiment.sweep)?;
+        }
+    }
+    Ok(judge(&experiment, &all_series))
+}
+
+/// Measures all points. The sizes come in turn in each run, so that a change of the machine's load meets all of them.
+fn measure_all(experiment: &Experiment, results: &mut Results) -> Result<Values, Box<dyn std::error::Error>> {
+    let runner = Runner::new(Duration::from_secs_f64(experiment.point_limit))?;
+    let sizes: Vec<u64> = experiment.sizes.iter().copied().chain(experiment.predict).collect();
+    let progress = progress(sizes.len() as u64 * u64::from(experiment.runs));
+    let mut values = Values::new();
+    for run in 0..experiment.runs {
+        for size in &sizes {
+            progress.set_message(format!("{} {}", size, experiment.sweep.label()));
+            let seed = experiment.seed + u64::from(run);
+            let quantities = experiment.fixed.with(experiment.sweep, *size);
+            let measured = runner.measure(&Point { role: experiment.role, seed, quantities })?;
+            for Measured { metric, value } in measured {
+                values.entry(metric).or_default().entry(*size).or_default().push(value);
+                results.add(&ValueRow {
+                    role: experiment.role.label(),
+                    metric: metric.label(),
+                    quantity: experiment.sweep.label(),
+                    size: *size,
+                    run,
+                    seed,
+                    value,
+                })?;
+            }
+            progress.inc(1);
+        }
+    }
+    progress.finish_and_clear();
+    Ok(values)
+}
+
+/// A bar on standard error, hidden where that is no terminal.
+fn progress(points: u64) -> ProgressBar {
+    let bar = ProgressBar::new(points);
+    let style = ProgressStyle::with_template("{bar:30} {pos}/{len} {msg} {elapsed}");
+    bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+fn series(experiment: &Experiment, metric: Metric, mut sizes: BTreeMap<u64, Vec<f64>>) -> Series {
+    let outside = experiment.predict.and_then(|size| Some((size, sizes.remove(&size)?)));
+    let sample = |(size, values): (u64, Vec<f64>)| Sample::new(size as f64, values);
+    let samples: Vec<Sample> = sizes.into_iter().map(sample).collect();
+    let fit = Fit::new(&samples);
+    let predicted = outside.map(|(size, values)| Prediction {
+        value: fit.predict(size as f64),
+        measured: sample((size, values)),
+    });
+    Series { metric, samples, fit, predicted }
+}
+
+fn print(experiment: &Experiment, all_series: &[Series]) {
+    let (role, quantity) = (experiment.role.label(), experiment.sweep.label());
+    println!("{role} by {quantity}, {} runs, seed {}, processor time\n", experiment.runs, experiment.seed);
+    for series in all_series {
+        println!("{}", series.table(experiment.sweep));
+    }
+    let rows: String = all_series.iter().map(Series::fit_row).collect();
+    println!("{}{rows}", report::fit_head(experiment.predict));
+}
+
+/// Whether all limits are kept. Each is printed with its figure.
+fn judge(experiment: &Experiment, all_series: &[Series]) -> bool {
+    let verdicts: Vec<bool> =
+        experiment.limits.iter().flat_map(|limit| judge_limit(limit, all_series)).collect();
+    let passed = verdicts.iter().filter(|verdict| **verdict).count();
+    println!("{passed} passed, {} failed", verdicts.len() - passed);
+    passed == verdicts.len()
+}
+
+fn judge_limit(limit: &Limit, all_series: &[Series]) -> Vec<bool> {
+    let label = limit.metric.label();
+    let Some(series) = all_series.iter().find(|series| series.metric == limit.metric) else {
+        println!("FAILED {label}: not measured by this role");
+        return vec![false];
+    };
+    let measured = series.predicted.iter().map(|prediction| prediction.measured.median());
+    let worst = series.samples.iter().map(Sample::median).chain(measured).fold(0.0, f64::max);
+    let smallest = series.samples.first().map_or(0.0, Sample::median);
+    let most = limit.most.map(|most| ("", worst, most));
+    let ratio = limit.most_over_smallest.map(|most| (" over the smallest", worst / smallest, most));
+    let verdict = |(what, found, most): (&str, f64, f64)| {
+        let passed = found <= most;
+        let word = if passed { "passed" } else { "FAILED" };
+        println!("{word} {label}{what}: {} at worst, {} at most", number(found), number(most));
+        passed
+    };
+    most.into_iter().chain(ratio).map(verdict).collect()
+}
+
+/// Beside the results, by the metric's name.
+fn chart_path(results: &Path, metric: Metric) -> PathBuf {
+    let stem = results.file_stem().unwrap_or_default().to_string_lossy();
+    let words: Vec<&str> =
+        metric.label().split(|c: char| !c.is_alphanumeric()).filter(|w| !w.is_empty()).collect();
+    results.with_file_name(format!("{stem}-{}.svg", words.join("-")))
 }
--- /dev/null
+++ b/crates/scale/src/slopes/pool.rs
@@ -0,0 +1,88 @@
+//! The pool of engines that all roles measure: zones, kinds and cells as at the size told.
+
+use garnetwall_subset::{Condition, EngineFacts, EngineLine, PlacementClass, RetryScope, SubsetSettings};
+use serde_json::{json, Value};
+
+/// At the size told.
+pub const ZONES: u64 = 21;
+/// Cores of an engine by its kind.
+pub const KIND_CORES: [f64; 2] = [8.0, 16.0];
+/// Engines that share a cell.
+const CELL_ENGINES: u64 = 20;
+
+/// One engine of the pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolEngine {
+    pub number: u64,
+    pub zone: u32,
+    pub kind: usize,
+    pub cell: u32,
+}
+
+/// The engine of this number.
+pub fn engine(number: u64) -> PoolEngine {
+    let kind = (number / ZONES) as usize % KIND_CORES.len();
+    PoolEngine { number, zone: (number % ZONES) as u32, kind, cell: (number / CELL_ENGINES) as u32 }
+}
+
+impl PoolEngine {
+    pub fn id(&self) -> String {
+        format!("engine-{:05}", self.number)
+    }
+
+    /// The line of a catalog.
+    pub fn catalog_line(&self, condition: Condition) -> EngineLine {
+        let cores = KIND_CORES[self.kind];
+        let kind = self.kind as u32;
+        let facts = EngineFacts { zone: self.zone, kind, cell: self.cell, cores, condition };
+        EngineLine { id: self.id(), facts }
+    }
+
+    /// The line of the change log.
+    pub fn log_line(&self, state: &str) -> Value {
+        let [high, low] = (self.number as u16).to_be_bytes();
+        json!({
+            "id": self.id(),
+            "addr": format!("10.1.{high}.{low}:4100"),
+            "zone": zone_name(self.zone.into()),
+            "kind": kind_name(self.kind),
+            "cell": self.cell,
+            "state": state,
+            "weight": 1,
+            "started_ms": 0,
+        })
+    }
+}
+
+pub fn zone_name(zone: u64) -> String {
+    format!("zone-{zone:02}")
+}
+
+pub fn kind_name(kind: usize) -> String {
+    format!("kind-{kind}")
+}
+
+/// An event of the change log, as text.
+pub fn log_event(number: u64, whole: bool, servers: Vec<Value>) -> String {
+    json!({"seq": number, "fleet": {"version": number, "full": whole, "servers": servers}}).to_string()
+}
+
+/// The whole list as an event of the change log, as text.
+pub fn whole_list(engines: u64) -> String {
+    log_event(1, true, (0..engines).map(|number| engine(number).log_line("SERVING")).collect())
+}
+
+/// Settings of a subset for the service groups of the module's role.
+pub fn subset_settings(size: u64, gateways: u64) -> SubsetSettings {
+    SubsetSettings {
+        size: size as usize,
+        class_floor: 4,
+        reserve: 16,
+        joins_per_second: 4.0,
+        zone: None,
+        near_weight: 1.0,
+        gateways: gateways as f64,
+        classes: vec![PlacementClass::default()],
+        retry_scope: RetryScope::Everywhere,
+    }
+}
--- /dev/null
+++ b/crates/scale/src/slopes/report.rs
@@ -0,0 +1,87 @@
+//! What is printed: tables in Markdown, as the pages quote them.
+
+use super::fit::{Fit, Sample};
+use super::measurement::Metric;
+use super::settings::Quantity;
+use serde::Serialize;
+
+/// A metric over all sizes, with its fit and the check outside of the fitted range.
+pub struct Series {
+    pub metric: Metric,
+    pub samples: Vec<Sample>,
+    pub fit: Fit,
+    pub predicted: Option<Prediction>,
+}
+
+/// What the fit said of a size, and what was measured there.
+pub struct Prediction {
+    pub value: f64,
+    pub measured: Sample,
+}
+
+/// A measured value, as a row of the results.
+#[derive(Serialize)]
+pub struct ValueRow {
+    pub role: &'static str,
+    pub metric: &'static str,
+    pub quantity: &'static str,
+    pub size: u64,
+    pub run: u32,
+    pub seed: u64,
+    pub value: f64,
+}
+
+impl Series {
+    /// The medians at all sizes, each with the spread.
+    pub fn table(&self, quantity: Quantity) -> String {
+        let mut table =
+            format!("| {} | {} | min | max |\n|---|---|---|---|\n", quantity.label(), self.metric.label());
+        let measured = self.predicted.iter().map(|prediction| &prediction.measured);
+        for sample in self.samples.iter().chain(measured) {
+            let (median, least, most) = (sample.median(), sample.least(), sample.most());
+            table +=
+                &format!("| {} | {} | {} | {} |\n", sample.size, number(median), number(least), number(most));
+        }
+        table
+    }
+
+    /// One row: slope, intercept, exponents, what is left over, and prediction beside measured.
+    pub fn fit_row(&self) -> String {
+        let Fit { slope, intercept, residual, exponent, exponent_error, last_exponent, superlinear, .. } =
+            self.fit;
+        let growth = if superlinear { "**faster than linear**" } else { "" };
+        let predicted = self.predicted.as_ref().map_or_else(String::new, |prediction| {
+            let measured = prediction.measured.median();
+            let ratio = measured / prediction.value;
+            format!("{} / {} = {ratio:.2}", number(measured), number(prediction.value))
+        });
+        format!(
+            "| {} | {} | {} | {exponent:.2} +- {exponent_error:.2} | {last_exponent:.2} | {:.0}% | {growth} | {predicted} |\n",
+            self.metric.label(),
+            number(slope),
+            number(intercept),
+            residual * 100.0,
+        )
+    }
+}
+
+/// The head of the table of fits.
+pub fn fit_head(predict: Option<u64>) -> String {
+    let outside = predict.map_or_else(String::new, |size| format!("measured / predicted at {size}"));
+    format!(
+        "| metric | slope | intercept | exponent | at the last two | residual | growth | {outside} |\n\
+         |---|---|---|---|---|---|---|---|\n"
+    )
+}
+
+/// Three digits that count.
+pub fn number(value: f64) -> String {
+    let size = value.abs();
+    match size {
+        _ if size >= 100.0 || size == 0.0 => format!("{value:.0}"),
+        _ if size >= 10.0 => format!("{value:.1}"),
+        _ if size >= 1.0 => format!("{value:.2}"),
+        _ if size >= 0.001 => format!("{value:.4}"),
+        _ => format!("{value:.1e}"),
+    }
+}
--- /dev/null
+++ b/crates/scale/src/slopes/stopwatch.rs
@@ -0,0 +1,48 @@
+//! Processor time and memory of pieces of work.
+
+use crate::process;
+use std::hint::black_box;
+use std::io;
+use std::time::Duration;
+
+/// Short work is repeated until it has taken so long: the clock itself takes a fraction of a microsecond.
+const LONG_ENOUGH: Duration = Duration::from_millis(20);
+/// However short, it is repeated no more often.
+const MOST_REPEATS: u64 = 100_000;
+
+/// Processor time of a piece of work, in microseconds, and what it gave.
+pub fn timed<T>(work: impl FnOnce() -> T) -> (f64, T) {
+    let before = process::processor_time();
+    let result = work();
+    (microseconds(process::processor_time() - before), result)
+}
+
+/// The mean processor time of a repeated piece of work, in microseconds. It is told how often it was done before.
+pub fn repeated<T>(mut work: impl FnMut(u64) -> T) -> f64 {
+    let before = process::processor_time();
+    let mut repeats = 0;
+    loop {
+        drop(black_box(work(repeats)));
+        repeats += 1;
+        let taken = process::processor_time() - before;
+        if taken >= LONG_ENOUGH || repeats >= MOST_REPEATS {
+            return microseconds(taken) / repeats as f64;
+        }
+    }
+}
+
+/// Resident bytes that a piece of work added, and what it gave.
+///
+/// # Errors
+///
+/// Where the system does not tell.
+pub fn growth<T>(work: impl FnOnce() -> T) -> io::Result<(f64, T)> {
+    let before = process::resident_bytes()?;
+    let result = work();
+    let after = process::resident_bytes()?;
+    Ok((after.saturating_sub(before) as f64, result))
+}
+
+fn microseconds(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
--- /dev/null
+++ b/crates/scale/src/slopes/subset.rs
@@ -0,0 +1,118 @@
+//! The role of the catalog and the choice of a subset.
+
+use super::measurement::{Measured, Metric, Point, Role, RoleError};
+use super::pool;
+use super::stopwatch::{growth, repeated, timed};
+use garnetwall_subset::{Action, Catalog, Condition, EngineLine, Subset};
+
+/// Further subsets of one catalog, whose memory is told apart from the catalog's by their number.
+const FURTHER_SUBSETS: usize = 200;
+/// Times that a subset is asked what to do until it has settled.
+const MOST_POLLS: usize = 10_000;
+
+/// One gateway's subset and the catalog that it chooses from.
+pub struct Chosen {
+    pub catalog: Catalog,
+    pub subset: Subset,
+    /// Simulated time, in seconds.
+    pub now: f64,
+}
+
+impl Chosen {
+    /// The subset of one gateway of a pool, settled.
+    ///
+    /// # Errors
+    ///
+    /// Where its settings can't be used.
+    pub fn new(engines: u64, gateways: u64, size: u64) -> Result<Self, RoleError> {
+        let lines = catalog_lines(engines);
+        let mut catalog = Catalog::default();
+        let changes = catalog.apply(&lines, true);
+        let mut subset = Subset::new("gateway-0", pool::subset_settings(size, gateways))?;
+        subset.changed(0.0, &catalog, &changes);
+        let mut chosen = Chosen { catalog, subset, now: 0.0 };
+        chosen.settle();
+        Ok(chosen)
+    }
+
+    /// Takes in lines and settles; what is to be done about engines.
+    pub fn apply(&mut self, lines: &[EngineLine], whole: bool) -> Vec<Action> {
+        let changes = self.catalog.apply(lines, whole);
+        self.subset.changed(self.now, &self.catalog, &changes);
+        self.settle()
+    }
+
+    /// Polls until nothing is due any more, with each connection up at once.
+    fn settle(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for _ in 0..MOST_POLLS {
+            let due = self.subset.poll(self.now, &self.catalog);
+            for action in &due {
+                if let Action::Warm(engine) = action {
+                    self.subset.warmed(self.now, *engine, true);
+                }
+            }
+            actions.extend(due);
+            match self.subset.wake() {
+                Some(at) => self.now = self.now.max(at),
+                None => break,
+            }
+        }
+        actions
+    }
+}
+
+/// All engines of a pool, ready.
+pub fn catalog_lines(engines: u64) -> Vec<EngineLine> {
+    (0..engines).map(|number| pool::engine(number).catalog_line(Condition::Ready)).collect()
+}
+
+pub struct SubsetChoice;
+
+impl Role for SubsetChoice {
+    fn measure(&self, point: &Point) -> Result<Vec<Measured>, RoleError> {
+        let quantities = &point.quantities;
+        let (engines, gateways) = (quantities.engines, quantities.gateways);
+        let size = if quantities.subset_size == 0 { engines } else { quantities.subset_size };
+        let lines = catalog_lines(engines);
+        let (resident, (first_list, chosen)) = growth(|| timed(|| Chosen::new(engines, gateways, size)))?;
+        let mut chosen = chosen?;
+        let members: Vec<f64> = chosen.subset.members().map(|(_, holders)| holders).collect();
+        let whole_list = repeated(|_| chosen.apply(&lines, true));
+        let changed_line = repeated(|repeat| chosen.apply(&[changed(engines, repeat)], false));
+        let (further, _kept) = growth(|| further_subsets(&chosen.catalog, gateways, size))?;
+        Ok(vec![
+            Measured { metric: Metric::FirstList, value: first_list },
+            Measured { metric: Metric::WholeList, value: whole_list },
+            Measured { metric: Metric::ChangedLine, value: changed_line },
+            Measured { metric: Metric::Resident, value: resident },
+            Measured { metric: Metric::SubsetBytes, value: further / FURTHER_SUBSETS as f64 },
+            Measured { metric: Metric::SubsetEngines, value: members.len() as f64 },
+            Measured {
+                metric: Metric::Holders,
+                value: members.iter().sum::<f64>() / members.len().max(1) as f64,
+            },
+        ])
+    }
+}
+
+/// A line that changes: each engine of some that are spread over the pool drains, and is ready again.
+pub fn changed(engines: u64, repeat: u64) -> EngineLine {
+    /// A prime, so that all engines come up in turn.
+    const STRIDE: u64 = 7919;
+    let condition = if repeat.is_multiple_of(2) { Condition::Draining } else { Condition::Ready };
+    pool::engine(repeat / 2 * STRIDE % engines).catalog_line(condition)
+}
+
+fn further_subsets(catalog: &Catalog, gateways: u64, size: u64) -> Vec<Subset> {
+    let all = |(engine, _, facts)| garnetwall_subset::Change { engine, before: None, after: Some(facts) };
+    let changes: Vec<_> = catalog.engines().map(all).collect();
+    let choose = |number: usize| {
+        let settings = pool::subset_settings(size, gateways);
+        let mut subset = Subset::new(&format!("gateway-{number}"), settings).ok()?;
+        subset.changed(0.0, catalog, &changes);
+        subset.poll(0.0, catalog);
+        Some(subset)
+    };
+    (1..=FURTHER_SUBSETS).filter_map(choose).collect()
+}
