slopes: draws a query, played time before, falling values, memory that is not hidden by what a role writes first

Cause: texts built as trees left freed pages behind, in which the list's and the configuration's memory then hid (0 bytes at small sizes, and a prediction of 9e22 from it); a value that falls with the size was predicted by a line (-27 us).

Change: texts are written line by line; zeros have no power law; what falls is predicted by its power; settling is a key of the experiment; the module's draws are counted.

Tests: fit of falling and of zero values fail without the change.

--- a/crates/scale/src/slopes/configuration.rs
+++ b/crates/scale/src/slopes/configuration.rs
@@ -4,47 +4,47 @@
 use super::pool::{kind_name, log_event, whole_list, zone_name, KIND_CORES, ZONES};
 use super::stopwatch::{growth, timed};
 use garnetwall_gateway::config::{self, Files};
-use serde_json::{json, Value};
+use serde_json::json;
 use std::path::PathBuf;
 
 pub struct Configuration;
 
 impl Role for Configuration {
     fn measure(&self, point: &Point) -> Result<Vec<Measured>, RoleError> {
-        let text = configuration(point.quantities.engines)?;
+        let text = configuration(point.quantities.engines);
+        let bytes = text.len() as f64;
         let file = TemporaryFile::write(&text)?;
+        drop(text);
         let files = || Files { config: Some(file.path.display().to_string()), plan: None };
         let (resident, (read, config)) = growth(|| timed(|| config::read(files(), |_| None)))?;
         config.map_err(|error| RoleError::Data(error.to_string()))?;
         Ok(vec![
             Measured { metric: Metric::Read, value: read },
             Measured { metric: Metric::Resident, value: resident },
-            Measured { metric: Metric::ListBytes, value: text.len() as f64 },
+            Measured { metric: Metric::ListBytes, value: bytes },
         ])
     }
 }
 
-/// A gateway's configuration with so many engines under `known`.
-fn configuration(engines: u64) -> Result<String, RoleError> {
-    let data = |cause: serde_json::Error| RoleError::Data(cause.to_string());
-    let list: Value = serde_json::from_str(&whole_list(engines)).map_err(data)?;
-    let nothing: Value = serde_json::from_str(&log_event(2, false, Vec::new())).map_err(data)?;
+/// A gateway's configuration with so many engines under `known`, as text.
+fn configuration(engines: u64) -> String {
+    let nothing = log_event(2, false, std::iter::empty());
+    let known = format!("{{\"seq\":2,\"results\":[{},{nothing}]}}", whole_list(engines));
     let zones: Vec<String> = (0..ZONES).map(zone_name).collect();
     let kinds: Vec<String> = (0..KIND_CORES.len()).map(kind_name).collect();
-    let configuration = json!({
-        "name": "gateway-0", "listen": "127.0.0.1:8080", "seed": "8c1f30d27a5be964",
-        "limits": {"sockets": 1024, "memory_mb": 64}, "changelog": "127.0.0.1:4222",
-        "known": {"seq": 2, "results": [list, nothing]},
-        "settings": {
-            "kinds": kinds, "zones": zones, "tenants": [{"name": "tenant"}],
-            "allowed": {"max-attempts": 3, "cancelling": true},
-            "domain": {"kind-cores": KIND_CORES, "parallelism": [1]},
-            "categories": [
-                {"name": "query", "semantics": "retryable", "give-up": 5000, "goal-time": 1000, "worth": 1}
-            ],
-        },
+    let settings = json!({
+        "kinds": kinds, "zones": zones, "tenants": [{"name": "tenant"}],
+        "allowed": {"max-attempts": 3, "cancelling": true},
+        "domain": {"kind-cores": KIND_CORES, "parallelism": [1]},
+        "categories": [
+            {"name": "query", "semantics": "retryable", "give-up": 5000, "goal-time": 1000, "worth": 1}
+        ],
     });
-    Ok(configuration.to_string())
+    format!(
+        "{{\"name\":\"gateway-0\",\"listen\":\"127.0.0.1:8080\",\"seed\":\"8c1f30d27a5be964\",\
+         \"limits\":{{\"sockets\":1024,\"memory_mb\":64}},\"changelog\":\"127.0.0.1:4222\",\
+         \"known\":{known},\"settings\":{settings}}}"
+    )
 }
 
 /// A file that is gone once it is dropped.
--- a/crates/scale/src/slopes/fit.rs
+++ b/crates/scale/src/slopes/fit.rs
@@ -4,7 +4,7 @@
 pub const LINEAR: f64 = 1.1;
 /// Standard errors that an exponent must be over [`LINEAR`] to be beyond its spread.
 const BEYOND_SPREAD: f64 = 2.0;
-/// Values under this have no logarithm of use.
+/// Nothing is divided by less.
 const LEAST: f64 = 1e-12;
 
 /// All runs at one size.
@@ -46,7 +46,7 @@
     pub intercept: f64,
     /// Largest distance of a median from the line, over the largest median.
     pub residual: f64,
-    /// Of the power law over all sizes.
+    /// Of the power law over all sizes; not a number where a value is 0 or less, as are all that follow.
     pub exponent: f64,
     pub exponent_error: f64,
     /// Of the power law between the two largest sizes, where an intercept hides least.
@@ -80,26 +80,37 @@
         }
     }
 
-    /// The value at another size: where it grows faster than linear by the larger exponent from the last size on, else by
-    /// the line.
+    /// The value at another size: by a power from the last size on where it grows faster than linear (the larger exponent)
+    /// or falls, else by the line.
     pub fn predict(&self, size: f64) -> f64 {
         let (last_size, last_median) = self.last;
-        match self.superlinear {
-            true => last_median * (size / last_size).powf(self.exponent.max(self.last_exponent)),
-            false => self.intercept + self.slope * size,
+        let from_last = |exponent: f64| last_median * (size / last_size).powf(exponent);
+        match (self.superlinear, self.exponent + BEYOND_SPREAD * self.exponent_error < 0.0) {
+            (true, _) => from_last(self.exponent.max(self.last_exponent)),
+            (false, true) => from_last(self.exponent),
+            (false, false) => self.intercept + self.slope * size,
         }
     }
 }
 
 fn logarithms(sample: &Sample) -> impl Iterator<Item = (f64, f64)> + '_ {
-    sample.values.iter().map(|value| (sample.size.ln(), value.max(LEAST).ln()))
+    sample.values.iter().map(|value| (sample.size.ln(), logarithm(*value)))
+}
+
+/// Of 0 and less there is none.
+fn logarithm(value: f64) -> f64 {
+    if value > 0.0 {
+        value.ln()
+    } else {
+        f64::NAN
+    }
 }
 
 /// The exponent between the two largest sizes by the medians, and the least that the spread allows.
 fn last_exponents(samples: &[Sample]) -> (f64, f64) {
-    let [.., before, last] = samples else { return (0.0, 0.0) };
+    let [.., before, last] = samples else { return (f64::NAN, f64::NAN) };
     let steps = (last.size / before.size).ln();
-    let exponent = |above: f64, below: f64| (above.max(LEAST) / below.max(LEAST)).ln() / steps;
+    let exponent = |above: f64, below: f64| (logarithm(above) - logarithm(below)) / steps;
     (exponent(last.median(), before.median()), exponent(last.least(), before.most()))
 }
 
--- a/crates/scale/src/slopes/fit/tests.rs
+++ b/crates/scale/src/slopes/fit/tests.rs
@@ -37,6 +37,22 @@
     assert!(!Fit::new(&samples(|_| 0.0)).superlinear);
 }
 
+/// A constant part that is shared out: holders of an engine, work for each.
+#[test]
+fn what_falls_is_predicted_by_its_power() {
+    let fit = Fit::new(&samples(|size| 350_000.0 / size));
+    assert!(!fit.superlinear && (fit.exponent + 1.0).abs() < 1e-6, "{fit:?}");
+    assert!((fit.predict(6500.0) / (350_000.0 / 6500.0) - 1.0).abs() < 0.01);
+}
+
+/// Zeros have no power law; the line stands.
+#[test]
+fn values_of_zero_flag_nothing() {
+    let fit = Fit::new(&samples(|size| (size - 320.0).max(0.0)));
+    assert!(fit.exponent.is_nan() && !fit.superlinear, "{fit:?}");
+    assert!(fit.predict(2048.0).is_finite());
+}
+
 #[test]
 fn medians_and_spread_are_those_of_the_values() {
     let odd = Sample::new(1.0, vec![3.0, 1.0, 2.0]);
--- a/crates/scale/src/slopes/gateway_list.rs
+++ b/crates/scale/src/slopes/gateway_list.rs
@@ -2,22 +2,17 @@
 
 use super::measurement::RoleError;
 use super::pool::{kind_name, zone_name, KIND_CORES, ZONES};
-use garnetwall_gateway::changes::{event, Event};
-use garnetwall_gateway::engines::Engines;
-use garnetwall_gateway::sockets::Budget;
-use garnetwall_settings::{Names, Network};
+use garnetwall_gateway::discovery::{event, EngineList, Event};
+use garnetwall_settings::Names;
+use std::time::Duration;
 
-/// Sockets and memory of a gateway as usual, and the longest limit of a query; the list does not depend on them.
-const SOCKETS: usize = 1024;
-const MEMORY_MB: usize = 512;
-const LONGEST_QUERY: f64 = 20.0;
-const DIAL: f64 = 0.25;
-const IDLE: f64 = 15.0;
+/// Queries know of an engine that has gone for so long at most; usual limits.
+const KEPT: Duration = Duration::from_secs(22);
 
 /// A gateway's list of engines, with the names that its lines use.
 pub struct GatewayList {
     names: Names,
-    engines: Engines,
+    list: EngineList,
 }
 
 impl GatewayList {
@@ -27,9 +22,7 @@
             kinds: (0..KIND_CORES.len()).map(kind_name).collect(),
             ..Names::default()
         };
-        let budget = Budget::of(SOCKETS, MEMORY_MB);
-        let network = Network { dial: DIAL, idle: IDLE };
-        GatewayList { names, engines: Engines::new(network, 0.0, &budget, LONGEST_QUERY) }
+        GatewayList { names, list: EngineList::new(KEPT) }
     }
 
     /// Decodes an event of the change log.
@@ -44,6 +37,6 @@
 
     /// Takes an event in; how many lines the module would be told.
     pub fn apply(&self, event: &Event) -> usize {
-        self.engines.listed(event).len()
+        self.list.apply(event).len()
     }
 }
--- a/crates/scale/src/slopes/list.rs
+++ b/crates/scale/src/slopes/list.rs
@@ -13,12 +13,10 @@
         let text = pool::whole_list(engines);
         let changed = engine_changes(engines);
         let list = GatewayList::new();
-        // Read once before, so that a fault in it is told.
-        list.decode(&text)?;
-        list.decode(&changed[0])?;
-        let (resident, (decode_list, decoded)) = growth(|| timed(|| list.decode(&text)))?;
-        let whole = decoded?;
-        let (first_list, _) = timed(|| list.apply(&whole));
+        // The event is dropped once it was taken in, as in the gateway.
+        let (resident, times) = growth(|| first_list(&list, &text))?;
+        let (decode_list, first_list) = times?;
+        let whole = list.decode(&text)?;
         let whole_list = repeated(|_| list.apply(&whole));
         let line = |repeat: u64| &changed[repeat as usize % changed.len()];
         let decode_line = repeated(|repeat| list.decode(line(repeat)));
@@ -37,13 +35,21 @@
     }
 }
 
+/// Processor time of the first whole list: its decoding, and its taking in.
+fn first_list(list: &GatewayList, text: &str) -> Result<(f64, f64), RoleError> {
+    let (decode, event) = timed(|| list.decode(text));
+    let event = event?;
+    let (apply, _) = timed(|| list.apply(&event));
+    Ok((decode, apply))
+}
+
 /// Events that each change one line, spread over the list: engines drain, and serve again.
 fn engine_changes(engines: u64) -> Vec<String> {
     const CHANGES: u64 = 64;
     let change = |number: u64| {
         let state = if number.is_multiple_of(2) { "DRAINING" } else { "SERVING" };
         let engine = pool::engine(number / 2 * engines / CHANGES * 2 % engines);
-        pool::log_event(number + 2, false, vec![engine.log_line(state)])
+        pool::log_event(number + 2, false, std::iter::once(engine.log_line(state)))
     };
     (0..CHANGES).map(change).collect()
 }
--- a/crates/scale/src/slopes/measurement.rs
+++ b/crates/scale/src/slopes/measurement.rs
@@ -12,6 +12,8 @@
     Query,
     /// Share of a core that the decisions take at the rate of the point, in hundredths.
     CoreShare,
+    /// How often the module was asked where to send a query, before it was sent.
+    Draws,
     /// Processor microseconds of the whole list, when it comes for the first time.
     FirstList,
     /// Processor microseconds of the whole list, when it comes again.
@@ -54,6 +56,7 @@
         match self {
             Metric::Query => "a query, us",
             Metric::CoreShare => "of a core, %",
+            Metric::Draws => "draws a query",
             Metric::FirstList => "first whole list, us",
             Metric::WholeList => "whole list again, us",
             Metric::ChangedLine => "changed line, us",
--- a/crates/scale/src/slopes/membership.rs
+++ b/crates/scale/src/slopes/membership.rs
@@ -11,8 +11,6 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-/// Members know one another after this, in milliseconds.
-const SETTLING: u64 = 10_000;
 /// Simulated time goes on by this, in milliseconds.
 const STEP: u64 = 10;
 /// Each member's timers are looked at least this often, in milliseconds.
@@ -29,9 +27,11 @@
     fn measure(&self, point: &Point) -> Result<Vec<Measured>, RoleError> {
         let members = point.quantities.members as usize;
         let span = (point.quantities.seconds * 1000.0) as u64;
+        // Members come to know one another first.
+        let settling = (point.quantities.settling * 1000.0) as u64;
         let (resident, mut network) = growth(|| {
             let mut network = Network::start(members, point.quantities.loss, point.seed);
-            network.play(SETTLING);
+            network.play(settling);
             network
         })?;
         let sent_before = network.bytes_sent;
--- a/crates/scale/src/slopes/module/world.rs
+++ b/crates/scale/src/slopes/module/world.rs
@@ -54,11 +54,13 @@
     /// Groups of the queries that are in hand, by their ids in a ring.
     groups: Vec<usize>,
     pub queries_taken: u64,
+    /// How often the module was asked where to send one.
+    pub draws: u64,
     queries_rejected: u64,
 }
 
 /// Ids go round after so many; far more than are in hand at once.
-const RING: usize = 1 << 20;
+const RING: usize = 1 << 16;
 
 fn micros(seconds: f64) -> u64 {
     (seconds / MICROSECOND).round() as u64
@@ -82,6 +84,7 @@
             changes: 0,
             groups: vec![0; RING],
             queries_taken: 0,
+            draws: 0,
             queries_rejected: 0,
         };
         world.schedule_next(What::Arrival, point.quantities.queries_per_second);
@@ -208,6 +211,7 @@
     }
 
     fn place(&mut self, now: f64, query: BatchId) {
+        self.draws += 1;
         match self.control.place(now, query) {
             Place::To { engine, .. } => {
                 let threads = THREADS[self.groups[query as usize]];
--- a/crates/scale/src/slopes/pool.rs
+++ b/crates/scale/src/slopes/pool.rs
@@ -62,14 +62,20 @@
     format!("kind-{kind}")
 }
 
-/// An event of the change log, as text.
-pub fn log_event(number: u64, whole: bool, servers: Vec<Value>) -> String {
-    json!({"seq": number, "fleet": {"version": number, "full": whole, "servers": servers}}).to_string()
+/// An event of the change log, as text. Written line by line: it leaves no memory behind that a measurement could use.
+pub fn log_event(number: u64, whole: bool, servers: impl Iterator<Item = Value>) -> String {
+    let mut text =
+        format!("{{\"seq\":{number},\"fleet\":{{\"version\":{number},\"full\":{whole},\"servers\":[");
+    for (index, server) in servers.enumerate() {
+        let separator = if index == 0 { "" } else { "," };
+        text += &format!("{separator}{server}");
+    }
+    text + "]}}"
 }
 
 /// The whole list as an event of the change log, as text.
 pub fn whole_list(engines: u64) -> String {
-    log_event(1, true, (0..engines).map(|number| engine(number).log_line("SERVING")).collect())
+    log_event(1, true, (0..engines).map(|number| engine(number).log_line("SERVING")))
 }
 
 /// Settings of a subset for the service groups of the module's role.
--- a/crates/scale/src/slopes/settings.rs
+++ b/crates/scale/src/slopes/settings.rs
@@ -103,6 +103,8 @@
     pub open_attempts: u64,
     /// Played seconds that are measured.
     pub seconds: f64,
+    /// Played seconds before.
+    pub settling: f64,
     /// Processor seconds of one query on an engine.
     pub work: f64,
     /// Engines of a subset; 0 for the whole list.
@@ -122,6 +124,7 @@
             members: 50,
             open_attempts: 1000,
             seconds: 4.0,
+            settling: 2.0,
             work: 0.0033,
             subset_size: 0,
             loss: 0,
@@ -216,7 +219,9 @@
             Err(ExperimentError::unusable(file, key, found, expected, remedy))
         };
         let fixed = &self.fixed;
-        for (key, seconds) in [("fixed.seconds", fixed.seconds), ("fixed.work", fixed.work)] {
+        for (key, seconds) in
+            [("fixed.seconds", fixed.seconds), ("fixed.settling", fixed.settling), ("fixed.work", fixed.work)]
+        {
             if !(seconds.is_finite() && seconds > 0.0) {
                 return wrong(key, seconds.to_string(), "a time over 0", "write it in seconds");
             }
