--- /dev/null
+++ b/crates/scale/src/slopes/gateway_list.rs
@@ -0,0 +1,42 @@
+//! The gateway's own list of engines, in the one place where this tool touches it.
+
+use super::measurement::RoleError;
+use super::pool::{kind_name, zone_name, KIND_CORES, ZONES};
+use garnetwall_gateway::discovery::{event, EngineList, Event};
+use garnetwall_settings::Names;
+use std::time::Duration;
+
+/// Queries know of an engine that has gone for so long at most; usual limits.
+const KEPT: Duration = Duration::from_secs(22);
+
+/// A gateway's list of engines, with the names that its lines use.
+pub struct GatewayList {
+    names: Names,
+    list: EngineList,
+}
+
+impl GatewayList {
+    pub fn new() -> Self {
+        let names = Names {
+            zones: (0..ZONES).map(zone_name).collect(),
+            kinds: (0..KIND_CORES.len()).map(kind_name).collect(),
+            ..Names::default()
+        };
+        GatewayList { names, list: EngineList::new(KEPT) }
+    }
+
+    /// Decodes an event of the change log.
+    ///
+    /// # Errors
+    ///
+    /// Where it is no event.
+    pub fn decode(&self, text: &str) -> Result<Event, RoleError> {
+        let json = serde_json::from_str(text).map_err(|cause| RoleError::Data(cause.to_string()))?;
+        event(&json, &self.names).map_err(RoleError::Data)
+    }
+
+    /// Takes an event in; how many lines the module would be told.
+    pub fn apply(&self, event: &Event) -> usize {
+        self.list.apply(event).len()
+    }
+}
