--- /dev/null
+++ b/crates/scale/src/fleet/cold.rs
@@ -0,0 +1,66 @@
+//! The rule on cold engines: how much work they stand before they fall.
+
+use super::experiment::Cold;
+use super::time::SimTime;
+use std::collections::VecDeque;
+
+/// Roots of the budget, and queries, by which chance may pass it.
+const CHANCE_ROOTS: f64 = 2.0;
+const CHANCE_QUERIES: f64 = 2.0;
+
+/// Work of one attempt at a cold engine.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdWork {
+    pub at: SimTime,
+    pub work: f64,
+    /// Whether the gateway had been told of the start.
+    pub told: bool,
+}
+
+/// What came to a cold engine in the window that ends now.
+#[derive(Debug, Default)]
+pub struct ColdWindow {
+    attempts: VecDeque<ColdWork>,
+}
+
+/// Sums over a window, in queries of mean work.
+#[derive(Clone, Copy, Debug)]
+pub struct WindowSum {
+    pub all: f64,
+    pub told: f64,
+}
+
+impl ColdWindow {
+    pub fn clear(&mut self) {
+        self.attempts.clear();
+    }
+
+    /// Takes in one attempt, and sums the window that ends with it.
+    pub fn add(&mut self, cold: &Cold, mean_work: f64, attempt: ColdWork) -> WindowSum {
+        while self.attempts.front().is_some_and(|first| attempt.at.since(first.at) >= cold.window) {
+            self.attempts.pop_front();
+        }
+        self.attempts.push_back(attempt);
+        let sum = |told_only: bool| {
+            let counted = self.attempts.iter().filter(|attempt| attempt.told || !told_only);
+            counted.map(|attempt| attempt.work).sum::<f64>() / mean_work
+        };
+        WindowSum { all: sum(false), told: sum(true) }
+    }
+}
+
+/// The budget of a window in queries of mean work, by the capacity that is told of a cold engine.
+pub fn budget(cold: &Cold, cores: f64, mean_work: f64) -> f64 {
+    cold.multiple * cold.window * cold.starts_at * cores / mean_work
+}
+
+/// The most that a window may hold, chance included.
+pub fn most(budget: f64) -> f64 {
+    budget + CHANCE_ROOTS * budget.sqrt() + CHANCE_QUERIES
+}
+
+/// Cores that an engine can use so long after its start.
+pub fn able_cores(cold: &Cold, cores: f64, age: f64) -> f64 {
+    let warmed = (age / cold.warm_after).clamp(0.0, 1.0);
+    cores * (cold.starts_at + (1.0 - cold.starts_at) * warmed)
+}
--- /dev/null
+++ b/crates/scale/src/fleet/engine.rs
@@ -0,0 +1,186 @@
+//! A hollow engine: attempts share its cores; a cold one is slow, and falls when it is overrun.
+
+use super::cold::{self, ColdWindow, ColdWork};
+use super::experiment::Cold;
+use super::time::SimTime;
+use std::collections::BTreeSet;
+
+/// Seconds after which a cold engine's speed is computed anew.
+const WARMING_STEP: f64 = 0.25;
+/// Progress is compared in units of a nanosecond on one core.
+const PROGRESS_UNITS: f64 = 1e9;
+/// Attempts that lack less than this many units are done; a tenth of a microsecond's rounding.
+const DONE_WITHIN: u64 = 2_000;
+
+/// Names an attempt. `life` tells a gateway's processes apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptKey {
+    pub gateway: u32,
+    pub life: u32,
+    pub query: u32,
+    pub attempt: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineState {
+    Up,
+    /// It takes attempts and answers none.
+    Silent,
+    Down,
+    /// It has been replaced, and never comes back.
+    Retired,
+}
+
+/// Where an engine stands, and what it is.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    pub zone: usize,
+    pub rack: usize,
+    pub kind: usize,
+    pub cores: f64,
+}
+
+/// Whether an engine that took an attempt still stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    Runs,
+    /// The attempt was one too many: all that ran is broken.
+    Fell,
+}
+
+pub struct Engine {
+    pub site: Site,
+    pub state: EngineState,
+    /// When its process started; `None` for one that was warm when the play began.
+    pub started: Option<SimTime>,
+    /// Attempts by the progress at which they are done.
+    running: BTreeSet<(u64, AttemptKey)>,
+    /// Seconds on one core that each attempt present all the time would have had.
+    progress: f64,
+    updated: SimTime,
+    /// When the next event of this engine is due.
+    pub due: Option<SimTime>,
+    window: ColdWindow,
+}
+
+impl Engine {
+    pub fn new(site: Site, started: Option<SimTime>) -> Engine {
+        Engine {
+            site,
+            state: EngineState::Up,
+            started,
+            running: BTreeSet::new(),
+            progress: 0.0,
+            updated: SimTime::START,
+            due: None,
+            window: ColdWindow::default(),
+        }
+    }
+
+    pub fn reachable(&self) -> bool {
+        matches!(self.state, EngineState::Up | EngineState::Silent)
+    }
+
+    fn cold_age(&self, cold: &Cold, now: SimTime) -> Option<f64> {
+        self.started.map(|started| now.since(started)).filter(|age| *age < cold.warm_after)
+    }
+
+    pub fn able_cores(&self, cold: &Cold, now: SimTime) -> f64 {
+        let age = self.cold_age(cold, now).unwrap_or(cold.warm_after);
+        cold::able_cores(cold, self.site.cores, age)
+    }
+
+    /// Share of its usable cores that attempts keep busy.
+    pub fn utilisation(&self, cold: &Cold, now: SimTime) -> f64 {
+        (self.running.len() as f64 / self.able_cores(cold, now)).min(1.0)
+    }
+
+    /// Seconds on one core that each attempt gets in a second.
+    fn speed(&self, cold: &Cold, now: SimTime) -> f64 {
+        if self.state != EngineState::Up || self.running.is_empty() {
+            return 0.0;
+        }
+        (self.able_cores(cold, now) / self.running.len() as f64).min(1.0)
+    }
+
+    /// Brings the progress up to now.
+    fn advance(&mut self, cold: &Cold, now: SimTime) {
+        self.progress += now.since(self.updated) * self.speed(cold, self.updated);
+        self.updated = now;
+    }
+
+    /// Takes an attempt; returns the progress at which it is done, by which it can be withdrawn.
+    pub fn receive(
+        &mut self,
+        cold: &Cold,
+        mean_work: f64,
+        now: SimTime,
+        key: AttemptKey,
+        work: f64,
+    ) -> (u64, Received) {
+        self.advance(cold, now);
+        let done_at = ((self.progress + work) * PROGRESS_UNITS) as u64;
+        self.running.insert((done_at, key));
+        if self.cold_age(cold, now).is_none() {
+            return (done_at, Received::Runs);
+        }
+        let sum = self.window.add(cold, mean_work, ColdWork { at: now, work, told: true });
+        let most = cold::most(cold::budget(cold, self.site.cores, mean_work));
+        let received = if sum.all > most { Received::Fell } else { Received::Runs };
+        (done_at, received)
+    }
+
+    /// Takes an attempt back; whether it still ran.
+    pub fn withdraw(&mut self, cold: &Cold, now: SimTime, done_at: u64, key: AttemptKey) -> bool {
+        self.advance(cold, now);
+        self.running.remove(&(done_at, key))
+    }
+
+    /// The attempts that are done by now.
+    pub fn finished(&mut self, cold: &Cold, now: SimTime) -> Vec<AttemptKey> {
+        self.advance(cold, now);
+        let done = (self.progress * PROGRESS_UNITS) as u64 + DONE_WITHIN;
+        let mut finished = Vec::new();
+        while self.running.first().is_some_and(|(done_at, _)| *done_at <= done) {
+            finished.extend(self.running.pop_first().map(|(_, key)| key));
+        }
+        finished
+    }
+
+    /// When to look again: at the next end of an attempt, or sooner while it warms up.
+    pub fn next_due(&self, cold: &Cold, now: SimTime) -> Option<SimTime> {
+        let speed = self.speed(cold, now);
+        let (done_at, _) = self.running.first().filter(|_| speed > 0.0)?;
+        let left = (*done_at as f64 / PROGRESS_UNITS - self.progress).max(0.0) / speed;
+        let most = if self.cold_age(cold, now).is_some() { WARMING_STEP } else { f64::INFINITY };
+        Some(now.after(left.min(most)))
+    }
+
+    /// Ends the process, with all that ran on it.
+    pub fn stop(&mut self, cold: &Cold, now: SimTime, state: EngineState) -> Vec<AttemptKey> {
+        self.advance(cold, now);
+        self.state = state;
+        std::mem::take(&mut self.running).into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Starts a process anew, cold.
+    pub fn start(&mut self, now: SimTime) {
+        self.state = EngineState::Up;
+        self.started = Some(now);
+        self.updated = now;
+        self.window.clear();
+    }
+
+    /// Falls silent, or speaks again; what ran stands still meanwhile.
+    pub fn silence(&mut self, cold: &Cold, now: SimTime, silent: bool) {
+        self.advance(cold, now);
+        self.state = match (self.state, silent) {
+            (EngineState::Up, true) => EngineState::Silent,
+            (EngineState::Silent, false) => EngineState::Up,
+            (state, _) => state,
+        };
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/fleet/experiment.rs
@@ -0,0 +1,286 @@
+//! What an experiment's file says, and what may be wrong with it.
+
+use super::slip::Slip;
+use serde::Deserialize;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+const MOST_GATEWAYS: usize = 20_000;
+const MOST_ENGINES: usize = 50_000;
+const MOST_SECONDS: f64 = 3_600.0;
+
+/// One play of the fleet.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    pub name: String,
+    pub seed: u64,
+    /// Seconds played.
+    pub seconds: f64,
+    /// Seconds at the start that do not count for the spread of work.
+    pub settle: f64,
+    pub gateways: Gateways,
+    pub engines: Engines,
+    pub topology: Topology,
+    /// Without it each gateway works with the whole list.
+    pub subset: Option<SubsetTable>,
+    pub cold: Cold,
+    pub retries: Retries,
+    pub log: Log,
+    pub classes: Vec<QueryClass>,
+    #[serde(default)]
+    pub script: Vec<ScriptLine>,
+    pub limits: Limits,
+    /// A fault put between module and engines on purpose, which the judge has to find.
+    pub slip: Option<Slip>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gateways {
+    pub count: usize,
+    /// Queries a second that one gateway is played with, in the mean.
+    pub rate: f64,
+    /// Queries a second that it stands for.
+    pub real_rate: f64,
+    /// This share of the gateways gets `busy_times` what the others get.
+    pub busy_share: f64,
+    pub busy_times: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engines {
+    pub count: usize,
+    /// Share of all cores that the queries need; it sets the work of a query.
+    pub utilisation: f64,
+    /// Cores of each kind; kinds are equally frequent.
+    pub kind_cores: Vec<f64>,
+    /// Seconds until an attempt at an engine that is down is known to have no connection.
+    pub connect_timeout: f64,
+    /// Seconds until an attempt is known to be broken when its engine's rack or zone is lost.
+    pub loss_detection: f64,
+    /// Seconds that an engine which fell or was restarted is down.
+    pub restart: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Topology {
+    pub regions: usize,
+    pub zones: usize,
+    pub racks_per_zone: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubsetTable {
+    pub size: usize,
+    pub class_floor: usize,
+    pub reserve: usize,
+    pub joins_per_second: f64,
+    pub near_weight: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    pub starts_at: f64,
+    pub warm_after: f64,
+    pub multiple: f64,
+    pub window: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retries {
+    pub floor: f64,
+    pub per_query: f64,
+    pub window: f64,
+}
+
+/// How the change log reaches the gateways.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// Seconds that each delivery takes at least, and the mean of what comes on top by an exponential draw.
+    pub least_delay: f64,
+    pub mean_delay: f64,
+    /// Seconds until the log tells that a rack or zone is lost.
+    pub loss_told: f64,
+    /// A region that is connected again catches up spread over so many seconds.
+    pub resume: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueryClass {
+    pub name: String,
+    pub share: f64,
+    /// Mean work, in means of all queries before scaling.
+    pub work: f64,
+    /// Seconds until the client gives up.
+    pub deadline: f64,
+    /// Keys a gateway; their queries run in order, one at a time. 0: no keys.
+    #[serde(default)]
+    pub keys: u64,
+    pub zones: Option<Vec<u32>>,
+    pub kinds: Option<Vec<u32>>,
+}
+
+/// What happens at a time. Which of the fields an action reads is told in docs/scale.md.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ScriptLine {
+    pub at: f64,
+    pub what: Action,
+    /// Number of the zone, rack or region.
+    #[serde(default)]
+    pub which: usize,
+    /// Engines or changes.
+    #[serde(default)]
+    pub count: usize,
+    /// Seconds that it lasts, or over which it is spread.
+    #[serde(default)]
+    pub lasts: f64,
+    /// Share of the gateways at a time.
+    #[serde(default)]
+    pub share: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    RackLost,
+    ZoneLost,
+    RegionCut,
+    RollingRestart,
+    MassRestart,
+    ConfigurationBurst,
+    EnginesReplaced,
+    EnginesRestarted,
+    EnginesSilent,
+}
+
+/// What the judge holds the figures against.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Work a core of an engine over the mean.
+    pub spread_p99: f64,
+    pub spread_max: f64,
+    /// Gateways connected to an engine at once, over what subsets of equal spread would give.
+    pub meets_max: f64,
+    /// Seconds until a change is known, and in force, at 99 in 100 gateways.
+    pub known_p99: f64,
+    pub in_force_p99: f64,
+    /// Seconds after a zone's loss in which 99 in 100 gateways have full subsets again.
+    pub refill_p99: f64,
+    /// Share of its cold budget that a started engine gets from gateways that were told, in the median.
+    pub cold_share_p50: f64,
+    /// Share of the queries that succeed.
+    pub succeeded: f64,
+}
+
+#[derive(Debug, Error)]
+pub enum ExperimentError {
+    #[error("{path}: {cause}; name a readable TOML file")]
+    Unreadable { path: PathBuf, cause: std::io::Error },
+    #[error("{path}: {cause}")]
+    Malformed { path: PathBuf, cause: Box<toml::de::Error> },
+    #[error("{place}: {found} is out of range; {remedy}")]
+    OutOfRange { place: String, found: String, remedy: &'static str },
+}
+
+impl Experiment {
+    pub fn read(path: &Path) -> Result<Experiment, ExperimentError> {
+        let unreadable = |cause| ExperimentError::Unreadable { path: path.into(), cause };
+        let text = std::fs::read_to_string(path).map_err(unreadable)?;
+        let malformed = |cause| ExperimentError::Malformed { path: path.into(), cause: Box::new(cause) };
+        let experiment: Experiment = toml::from_str(&text).map_err(malformed)?;
+        experiment.check()?;
+        Ok(experiment)
+    }
+
+    fn check(&self) -> Result<(), ExperimentError> {
+        let (gateways, engines) = (&self.gateways, &self.engines);
+        within("seconds", self.seconds, 0.1, MOST_SECONDS)?;
+        within("settle", self.settle, 0.0, self.seconds)?;
+        within("gateways.count", gateways.count as f64, 1.0, MOST_GATEWAYS as f64)?;
+        within("gateways.rate", gateways.rate, 0.01, 1e5)?;
+        within("gateways.real_rate", gateways.real_rate, gateways.rate, 1e6)?;
+        within("gateways.busy_share", gateways.busy_share, 0.0, 1.0)?;
+        within("gateways.busy_times", gateways.busy_times, 1.0, 1e3)?;
+        within("engines.count", engines.count as f64, 1.0, MOST_ENGINES as f64)?;
+        within("engines.utilisation", engines.utilisation, 0.001, 10.0)?;
+        within("engines.kind_cores, entries", engines.kind_cores.len() as f64, 1.0, 64.0)?;
+        for cores in &engines.kind_cores {
+            within("engines.kind_cores", *cores, 0.5, 1e4)?;
+        }
+        for (place, seconds) in [
+            ("engines.connect_timeout", engines.connect_timeout),
+            ("engines.loss_detection", engines.loss_detection),
+            ("engines.restart", engines.restart),
+            ("log.least_delay", self.log.least_delay),
+            ("log.mean_delay", self.log.mean_delay),
+            ("log.loss_told", self.log.loss_told),
+            ("log.resume", self.log.resume),
+        ] {
+            within(place, seconds, 0.0, MOST_SECONDS)?;
+        }
+        within("cold.starts_at", self.cold.starts_at, 0.01, 1.0)?;
+        within("cold.warm_after", self.cold.warm_after, 0.1, MOST_SECONDS)?;
+        within("cold.multiple", self.cold.multiple, 0.1, 100.0)?;
+        within("cold.window", self.cold.window, 0.1, MOST_SECONDS)?;
+        within("retries.window", self.retries.window, 0.1, MOST_SECONDS)?;
+        within("topology.zones", self.topology.zones as f64, 1.0, engines.count as f64)?;
+        within("topology.regions", self.topology.regions as f64, 1.0, self.topology.zones as f64)?;
+        within("topology.racks_per_zone", self.topology.racks_per_zone as f64, 1.0, 1e4)?;
+        within("classes, entries", self.classes.len() as f64, 1.0, 64.0)?;
+        for class in &self.classes {
+            within(&format!("classes, {}: share", class.name), class.share, 1e-6, 1e6)?;
+            within(&format!("classes, {}: work", class.name), class.work, 1e-6, 1e6)?;
+            within(&format!("classes, {}: deadline", class.name), class.deadline, 0.1, MOST_SECONDS)?;
+        }
+        self.script.iter().try_for_each(|line| self.check_line(line))
+    }
+
+    fn check_line(&self, line: &ScriptLine) -> Result<(), ExperimentError> {
+        within("script.at", line.at, 0.0, self.seconds)?;
+        within("script.lasts", line.lasts, 0.0, self.seconds)?;
+        let topology = &self.topology;
+        let numbered = match line.what {
+            Action::RackLost => topology.zones * topology.racks_per_zone,
+            Action::ZoneLost => topology.zones,
+            Action::RegionCut => topology.regions,
+            _ => usize::MAX,
+        };
+        within("script.which", line.which as f64, 0.0, numbered as f64 - 1.0)?;
+        match line.what {
+            Action::RollingRestart => within("script.share", line.share, 0.001, 1.0),
+            Action::ConfigurationBurst => within("script.count", line.count as f64, 1.0, 1e5),
+            Action::EnginesReplaced | Action::EnginesRestarted | Action::EnginesSilent => {
+                within("script.count", line.count as f64, 1.0, self.engines.count as f64)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Mean of the classes' work by share, before scaling.
+    pub fn unscaled_mean_work(&self) -> f64 {
+        let shares: f64 = self.classes.iter().map(|class| class.share).sum();
+        self.classes.iter().map(|class| class.share * class.work).sum::<f64>() / shares
+    }
+}
+
+fn within(place: &str, found: f64, least: f64, most: f64) -> Result<(), ExperimentError> {
+    if found >= least && found <= most {
+        return Ok(());
+    }
+    let remedy = "see docs/scale.md, section fleet, for what each field may be";
+    Err(ExperimentError::OutOfRange {
+        place: place.into(),
+        found: format!("{found} (from {least} to {most})"),
+        remedy,
+    })
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/changes.rs
@@ -0,0 +1,152 @@
+//! How long after its publication each gateway knows of an entry of the change log, and has it in force.
+
+use super::super::experiment::Experiment;
+use super::super::time::SimTime;
+use super::Finding;
+use hdrhistogram::Histogram;
+use std::rc::Rc;
+
+const MOST_MICROS: u64 = 3_600_000_000;
+const DIGITS: u8 = 3;
+const MICROS: f64 = 1e6;
+
+#[derive(Clone, Default)]
+struct Reader {
+    /// When its process started; `None` while it is down.
+    up_since: Option<SimTime>,
+    /// Entries up to these are known, and in force.
+    known: usize,
+    in_force: usize,
+    cut: bool,
+    healed: Option<SimTime>,
+}
+
+pub struct Changes {
+    experiment: Rc<Experiment>,
+    /// Of each entry; entry 0 is the list at the start.
+    published: Vec<SimTime>,
+    readers: Vec<Reader>,
+    known: Histogram<u64>,
+    in_force: Histogram<u64>,
+    after_heal: Histogram<u64>,
+}
+
+impl Changes {
+    pub fn new(experiment: Rc<Experiment>) -> Changes {
+        let readers = vec![Reader::default(); experiment.gateways.count];
+        let (known, in_force, after_heal) = (histogram(), histogram(), histogram());
+        Changes { experiment, published: Vec::new(), readers, known, in_force, after_heal }
+    }
+
+    pub fn published(&mut self, now: SimTime, sequence: usize) {
+        debug_assert_eq!(sequence, self.published.len());
+        self.published.push(now);
+    }
+
+    pub fn gateway_started(&mut self, now: SimTime, gateway: u32, sequence: usize) {
+        let reader = &mut self.readers[gateway as usize];
+        let cut = reader.cut;
+        *reader =
+            Reader { up_since: Some(now), known: sequence, in_force: sequence, cut, healed: reader.healed };
+    }
+
+    pub fn gateway_ended(&mut self, gateway: u32) {
+        self.readers[gateway as usize].up_since = None;
+    }
+
+    pub fn cut(&mut self, gateway: u32) {
+        self.readers[gateway as usize].cut = true;
+    }
+
+    pub fn healed(&mut self, now: SimTime, gateway: u32) {
+        let reader = &mut self.readers[gateway as usize];
+        (reader.cut, reader.healed) = (false, Some(now));
+    }
+
+    pub fn delivered(&mut self, now: SimTime, gateway: u32, sequence: usize) {
+        let reader = &mut self.readers[gateway as usize];
+        for published in entries(&self.published, reader.known, sequence) {
+            match reader.healed.filter(|healed| *healed > published) {
+                Some(healed) => record(&mut self.after_heal, now.since(healed)),
+                None => record(&mut self.known, now.since(published)),
+            }
+        }
+        reader.known = reader.known.max(sequence);
+    }
+
+    pub fn in_force(&mut self, now: SimTime, gateway: u32, sequence: usize) {
+        let reader = &mut self.readers[gateway as usize];
+        for published in entries(&self.published, reader.in_force, sequence) {
+            if reader.healed.is_none_or(|healed| healed <= published) {
+                record(&mut self.in_force, now.since(published));
+            }
+        }
+        reader.in_force = reader.in_force.max(sequence);
+    }
+
+    /// Counts what is missing with the time that it has been missing for.
+    fn count_missing(&mut self, now: SimTime) -> (u64, u64) {
+        let (mut unknown, mut not_in_force) = (0, 0);
+        let limits = &self.experiment.limits;
+        for reader in self.readers.iter().filter(|reader| reader.up_since.is_some() && !reader.cut) {
+            let from = |published: SimTime| reader.healed.map_or(published, |healed| healed.max(published));
+            for published in self.published.iter().skip(reader.known + 1) {
+                if now.since(from(*published)) > limits.known_p99 {
+                    unknown += 1;
+                    record(&mut self.known, now.since(from(*published)));
+                }
+            }
+            for published in self.published.iter().skip(reader.in_force + 1) {
+                if now.since(from(*published)) > limits.in_force_p99 {
+                    not_in_force += 1;
+                    record(&mut self.in_force, now.since(from(*published)));
+                }
+            }
+        }
+        (unknown, not_in_force)
+    }
+
+    pub fn findings(&mut self, now: SimTime) -> Vec<Finding> {
+        let (unknown, not_in_force) = self.count_missing(now);
+        let limits = &self.experiment.limits;
+        let known = time_finding("time until known", &self.known, unknown, limits.known_p99);
+        let in_force = time_finding("time until in force", &self.in_force, not_in_force, limits.in_force_p99);
+        let heal = time_finding("time until known after a heal", &self.after_heal, 0, limits.known_p99);
+        let mut findings = vec![known, in_force];
+        findings.extend((!self.after_heal.is_empty()).then_some(heal));
+        findings
+    }
+}
+
+fn entries(published: &[SimTime], from: usize, to: usize) -> impl Iterator<Item = SimTime> + '_ {
+    published.iter().take(to + 1).skip(from + 1).copied()
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MOST_MICROS, DIGITS).expect("constant bounds are valid")
+}
+
+fn record(histogram: &mut Histogram<u64>, seconds: f64) {
+    histogram.saturating_record((seconds * MICROS) as u64);
+}
+
+fn time_finding(name: &'static str, times: &Histogram<u64>, missing: u64, most: f64) -> Finding {
+    let at = |share: f64| times.value_at_quantile(share) as f64 / MICROS;
+    let (median, p99, max) = (at(0.5), at(0.99), at(1.0));
+    Finding::new(
+        name,
+        p99 <= most && missing == 0,
+        format!(
+            "{} deliveries: p50 {median:.2} s, p99 {p99:.2} s, max {max:.2} s, {missing} missing; p99 at most \
+             {most:.2} s",
+            times.len()
+        ),
+        &[
+            ("deliveries", times.len() as f64),
+            ("p50", median),
+            ("p99", p99),
+            ("max", max),
+            ("missing", missing as f64),
+        ],
+    )
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/connections.rs
@@ -0,0 +1,205 @@
+//! Which gateways each engine meets, and how long after a zone's loss gateways have full subsets again.
+
+use super::super::experiment::Experiment;
+use super::super::time::SimTime;
+use super::finding::quantile;
+use super::Finding;
+use std::rc::Rc;
+
+const WORD: usize = u64::BITS as usize;
+
+#[derive(Default)]
+struct EngineSide {
+    alive: bool,
+    /// Gateways connected now, one bit each.
+    gateways: Vec<u64>,
+    connected: u32,
+    peak: u32,
+}
+
+#[derive(Clone, Default)]
+struct GatewaySide {
+    up: bool,
+    /// Connected engines that are alive.
+    alive: usize,
+    /// When it lost engines of its subset with a zone, until it has as many again.
+    waits_since: Option<SimTime>,
+}
+
+pub struct Connections {
+    experiment: Rc<Experiment>,
+    engines: Vec<EngineSide>,
+    gateways: Vec<GatewaySide>,
+    alive_engines: usize,
+    lost_zones: u64,
+    /// Seconds until each gateway was full again, 0 for those that stayed full.
+    refills: Vec<f64>,
+}
+
+impl Connections {
+    pub fn new(experiment: Rc<Experiment>) -> Connections {
+        let gateways = vec![GatewaySide::default(); experiment.gateways.count];
+        Connections {
+            experiment,
+            engines: Vec::new(),
+            gateways,
+            alive_engines: 0,
+            lost_zones: 0,
+            refills: Vec::new(),
+        }
+    }
+
+    /// Engines in a full subset.
+    fn full(&self) -> usize {
+        let size = self.experiment.subset.as_ref().map_or(usize::MAX, |subset| subset.size);
+        size.min(self.alive_engines)
+    }
+
+    pub fn engine_added(&mut self) {
+        let words = self.gateways.len().div_ceil(WORD);
+        self.engines.push(EngineSide { alive: true, gateways: vec![0; words], ..EngineSide::default() });
+        self.alive_engines += 1;
+    }
+
+    pub fn gateway_started(&mut self, gateway: u32) {
+        self.gateways[gateway as usize].up = true;
+    }
+
+    pub fn gateway_ended(&mut self, gateway: u32) {
+        let connected: Vec<usize> =
+            (0..self.engines.len()).filter(|engine| self.is_connected(gateway, *engine)).collect();
+        connected.into_iter().for_each(|engine| self.disconnected(gateway, engine));
+        self.gateways[gateway as usize] = GatewaySide::default();
+    }
+
+    pub fn engine_stopped(&mut self, engine: usize) {
+        if !std::mem::replace(&mut self.engines[engine].alive, false) {
+            return;
+        }
+        self.alive_engines -= 1;
+        for gateway in self.connected_gateways(engine) {
+            self.gateways[gateway].alive -= 1;
+        }
+    }
+
+    pub fn engine_started(&mut self, now: SimTime, engine: usize) {
+        if std::mem::replace(&mut self.engines[engine].alive, true) {
+            return;
+        }
+        self.alive_engines += 1;
+        for gateway in self.connected_gateways(engine) {
+            self.gateways[gateway].alive += 1;
+            self.look_if_full(now, gateway);
+        }
+    }
+
+    fn connected_gateways(&self, engine: usize) -> Vec<usize> {
+        (0..self.gateways.len()).filter(|gateway| self.is_connected(*gateway as u32, engine)).collect()
+    }
+
+    fn is_connected(&self, gateway: u32, engine: usize) -> bool {
+        let gateway = gateway as usize;
+        self.engines[engine].gateways[gateway / WORD] >> (gateway % WORD) & 1 == 1
+    }
+
+    pub fn connected(&mut self, now: SimTime, gateway: u32, engine: usize) {
+        if self.is_connected(gateway, engine) {
+            return;
+        }
+        let side = &mut self.engines[engine];
+        side.gateways[gateway as usize / WORD] |= 1 << (gateway as usize % WORD);
+        side.connected += 1;
+        side.peak = side.peak.max(side.connected);
+        if side.alive {
+            self.gateways[gateway as usize].alive += 1;
+            self.look_if_full(now, gateway as usize);
+        }
+    }
+
+    pub fn disconnected(&mut self, gateway: u32, engine: usize) {
+        if !self.is_connected(gateway, engine) {
+            return;
+        }
+        let side = &mut self.engines[engine];
+        side.gateways[gateway as usize / WORD] &= !(1 << (gateway as usize % WORD));
+        side.connected -= 1;
+        if side.alive {
+            self.gateways[gateway as usize].alive -= 1;
+        }
+    }
+
+    pub fn zone_lost(&mut self, now: SimTime) {
+        self.lost_zones += 1;
+        let full = self.full();
+        for side in self.gateways.iter_mut().filter(|side| side.up && side.waits_since.is_none()) {
+            if side.alive < full {
+                side.waits_since = Some(now);
+            } else {
+                self.refills.push(0.0);
+            }
+        }
+    }
+
+    fn look_if_full(&mut self, now: SimTime, gateway: usize) {
+        let full = self.full();
+        let side = &mut self.gateways[gateway];
+        if side.alive < full {
+            return;
+        }
+        if let Some(since) = side.waits_since.take() {
+            self.refills.push(now.since(since));
+        }
+    }
+
+    pub fn findings(&self, now: SimTime) -> Vec<Finding> {
+        vec![self.meets_finding(), self.refill_finding(now)]
+    }
+
+    fn meets_finding(&self) -> Finding {
+        let mut peaks: Vec<f64> = self.engines.iter().map(|engine| f64::from(engine.peak)).collect();
+        peaks.sort_by(f64::total_cmp);
+        let even = self.gateways.len() as f64 * self.full() as f64 / self.alive_engines.max(1) as f64;
+        let max = quantile(&peaks, 1.0);
+        let unmet = self.engines.iter().filter(|engine| engine.alive && engine.connected == 0).count();
+        let most = self.experiment.limits.meets_max;
+        Finding::new(
+            "gateways an engine meets",
+            max <= even * most && unmet == 0,
+            format!(
+                "p50 {}, p99 {}, max {max} at once, {even:.0} if even; {unmet} engines meet none at the end; at most \
+                 {most:.2} times even",
+                quantile(&peaks, 0.5),
+                quantile(&peaks, 0.99)
+            ),
+            &[
+                ("p50", quantile(&peaks, 0.5)),
+                ("p99", quantile(&peaks, 0.99)),
+                ("max", max),
+                ("even", even),
+                ("unmet", unmet as f64),
+            ],
+        )
+    }
+
+    fn refill_finding(&self, now: SimTime) -> Finding {
+        let waiting = self.gateways.iter().filter_map(|side| side.waits_since);
+        let unfilled: Vec<f64> = waiting.map(|_| f64::INFINITY).collect();
+        let mut refills: Vec<f64> = self.refills.iter().copied().chain(unfilled.iter().copied()).collect();
+        refills.sort_by(f64::total_cmp);
+        let (median, p99) = (quantile(&refills, 0.5), quantile(&refills, 0.99));
+        let most = self.experiment.limits.refill_p99;
+        let shown = |seconds: f64| if seconds.is_finite() { seconds } else { now.seconds() };
+        Finding::new(
+            "full subsets after a zone's loss",
+            p99 <= most,
+            format!(
+                "{} zones lost, {} gateways judged: p50 {median:.2} s, p99 {p99:.2} s, {} not full at the end; at \
+                 most {most:.2} s",
+                self.lost_zones,
+                refills.len(),
+                unfilled.len()
+            ),
+            &[("p50", shown(median)), ("p99", shown(p99)), ("unfilled", unfilled.len() as f64)],
+        )
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/finding.rs
@@ -0,0 +1,25 @@
+//! One judged thing: its figure, and whether it passed.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Finding {
+    pub name: &'static str,
+    pub passed: bool,
+    pub figure: String,
+    pub values: BTreeMap<&'static str, f64>,
+}
+
+impl Finding {
+    pub fn new(name: &'static str, passed: bool, figure: String, values: &[(&'static str, f64)]) -> Finding {
+        Finding { name, passed, figure, values: values.iter().copied().collect() }
+    }
+}
+
+/// The value at a share of sorted values; 0 if there are none.
+pub fn quantile(sorted: &[f64], share: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    let place = (share * sorted.len() as f64).ceil() as usize;
+    sorted.get(place.saturating_sub(1).min(last)).copied().unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/mod.rs
@@ -0,0 +1,203 @@
+//! The judge. It is fed with what clients, engines and the change log see, and with nothing that a gateway thinks;
+//! the one word of a gateway that it takes is which entry of the log it has put in force.
+
+mod changes;
+mod cold;
+mod connections;
+mod finding;
+mod order;
+mod placement;
+mod queries;
+mod retries;
+mod spread;
+mod told;
+
+pub use finding::Finding;
+pub use queries::FinalAnswer;
+
+use super::change_log::ToldLine;
+use super::engine::Site;
+use super::experiment::Experiment;
+use super::time::SimTime;
+use std::rc::Rc;
+
+/// Names a query: gateways never use a number again, also not after a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct QueryName {
+    pub gateway: u32,
+    pub query: u32,
+}
+
+/// An attempt as its engine sees it come.
+#[derive(Clone, Copy, Debug)]
+pub struct SeenAttempt {
+    pub name: QueryName,
+    pub class: usize,
+    pub key: Option<u64>,
+    pub engine: usize,
+    pub work: f64,
+}
+
+pub struct Judge {
+    told: told::Told,
+    queries: queries::Queries,
+    order: order::Order,
+    retries: retries::Retries,
+    placement: placement::Placement,
+    cold: cold::ColdStarts,
+    spread: spread::Spread,
+    connections: connections::Connections,
+    changes: changes::Changes,
+}
+
+impl Judge {
+    pub fn new(experiment: &Rc<Experiment>, mean_work: f64) -> Judge {
+        let gateways = experiment.gateways.count;
+        Judge {
+            told: told::Told::new(gateways),
+            queries: queries::Queries::new(Rc::clone(experiment)),
+            order: order::Order::default(),
+            retries: retries::Retries::new(Rc::clone(experiment)),
+            placement: placement::Placement::new(Rc::clone(experiment)),
+            cold: cold::ColdStarts::new(Rc::clone(experiment), mean_work),
+            spread: spread::Spread::new(Rc::clone(experiment)),
+            connections: connections::Connections::new(Rc::clone(experiment)),
+            changes: changes::Changes::new(Rc::clone(experiment)),
+        }
+    }
+
+    // ---- what clients see ----
+
+    pub fn query_came(&mut self, now: SimTime, name: QueryName, class: usize, key: Option<u64>) {
+        self.queries.came(now, name, class);
+        self.retries.query_came(now, name.gateway);
+        if let Some(key) = key {
+            self.order.query_came(key, name);
+        }
+    }
+
+    pub fn answered(&mut self, now: SimTime, name: QueryName, key: Option<u64>, answer: FinalAnswer) {
+        self.queries.answered(now, name, answer);
+        if let Some(key) = key {
+            self.order.answered(key, name);
+        }
+    }
+
+    /// A gateway's process ended: its clients' connections broke.
+    pub fn gateway_ended(&mut self, gateway: u32) {
+        self.queries.gateway_ended(gateway);
+        self.order.gateway_ended(gateway);
+        self.retries.gateway_ended(gateway);
+        self.connections.gateway_ended(gateway);
+        self.changes.gateway_ended(gateway);
+    }
+
+    /// A gateway's process started, and read the log up to this entry.
+    pub fn gateway_started(&mut self, now: SimTime, gateway: u32, sequence: usize) {
+        self.told.read_up_to(gateway, sequence);
+        self.changes.gateway_started(now, gateway, sequence);
+        self.connections.gateway_started(gateway);
+    }
+
+    // ---- what engines see ----
+
+    pub fn engine_added(&mut self, site: Site) {
+        self.spread.engine_added(site);
+        self.cold.engine_added(site);
+        self.placement.engine_added(site);
+        self.connections.engine_added();
+    }
+
+    pub fn engine_started(&mut self, now: SimTime, engine: usize) {
+        self.cold.started(now, engine);
+        self.spread.disturbed(engine);
+        self.connections.engine_started(now, engine);
+    }
+
+    pub fn engine_stopped(&mut self, engine: usize) {
+        self.cold.stopped(engine);
+        self.spread.disturbed(engine);
+        self.connections.engine_stopped(engine);
+    }
+
+    pub fn engine_fell(&mut self) {
+        self.cold.fell();
+    }
+
+    /// The engine drains or is silent by the script: its share of work says nothing.
+    pub fn engine_disturbed(&mut self, engine: usize) {
+        self.spread.disturbed(engine);
+    }
+
+    pub fn attempt_began(&mut self, now: SimTime, attempt: SeenAttempt) {
+        let told = self.told.line(attempt.name.gateway, attempt.engine);
+        let seen_before = self.queries.attempt_began(attempt.name);
+        if seen_before > 0 {
+            self.retries.retried(now, attempt.name.gateway);
+        }
+        if let Some(key) = attempt.key {
+            self.order.attempt_began(key, attempt.name);
+        }
+        self.placement.attempt_began(attempt, told);
+        self.cold.attempt_began(now, attempt, told);
+        self.spread.attempt_began(now, attempt);
+    }
+
+    pub fn attempt_ended(&mut self, name: QueryName, key: Option<u64>) {
+        if let Some(key) = key {
+            self.order.attempt_ended(key, name);
+        }
+    }
+
+    pub fn connected(&mut self, now: SimTime, gateway: u32, engine: usize) {
+        self.connections.connected(now, gateway, engine);
+    }
+
+    pub fn disconnected(&mut self, gateway: u32, engine: usize) {
+        self.connections.disconnected(gateway, engine);
+    }
+
+    /// A zone is lost; its gateways and engines are told as ended and stopped before.
+    pub fn zone_lost(&mut self, now: SimTime) {
+        self.connections.zone_lost(now);
+    }
+
+    // ---- what the change log sees ----
+
+    pub fn published(&mut self, now: SimTime, sequence: usize, lines: &[ToldLine]) {
+        self.told.published(sequence, lines);
+        self.changes.published(now, sequence);
+        self.cold.published(now, lines);
+    }
+
+    pub fn delivered(&mut self, now: SimTime, gateway: u32, sequence: usize) {
+        self.told.read_up_to(gateway, sequence);
+        self.changes.delivered(now, gateway, sequence);
+    }
+
+    pub fn in_force(&mut self, now: SimTime, gateway: u32, sequence: usize) {
+        self.changes.in_force(now, gateway, sequence);
+    }
+
+    pub fn cut(&mut self, gateway: u32) {
+        self.changes.cut(gateway);
+    }
+
+    pub fn healed(&mut self, now: SimTime, gateway: u32) {
+        self.changes.healed(now, gateway);
+    }
+
+    /// What it all comes to.
+    pub fn findings(&mut self, now: SimTime) -> Vec<Finding> {
+        let mut findings = self.queries.findings(now);
+        findings.push(self.placement.told_finding());
+        findings.extend(self.cold.findings(now));
+        findings.push(self.order.finding());
+        findings.push(self.placement.class_finding());
+        findings.push(self.retries.finding());
+        findings.extend(self.spread.findings());
+        findings.extend(self.connections.findings(now));
+        findings.extend(self.changes.findings(now));
+        findings
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/placement.rs
@@ -0,0 +1,76 @@
+//! Rules 3 and 6: nothing new to an engine told draining or gone, and attempts only where their class may go.
+
+use super::super::engine::Site;
+use super::super::experiment::Experiment;
+use super::told::KnownLine;
+use super::{Finding, SeenAttempt};
+use garnetwall_subset::Condition;
+use std::rc::Rc;
+
+pub struct Placement {
+    experiment: Rc<Experiment>,
+    sites: Vec<Site>,
+    attempts: u64,
+    bound: u64,
+    to_draining: u64,
+    to_gone: u64,
+    misplaced: u64,
+}
+
+impl Placement {
+    pub fn new(experiment: Rc<Experiment>) -> Placement {
+        Placement {
+            experiment,
+            sites: Vec::new(),
+            attempts: 0,
+            bound: 0,
+            to_draining: 0,
+            to_gone: 0,
+            misplaced: 0,
+        }
+    }
+
+    pub fn engine_added(&mut self, site: Site) {
+        self.sites.push(site);
+    }
+
+    pub fn attempt_began(&mut self, attempt: SeenAttempt, told: Option<KnownLine>) {
+        self.attempts += 1;
+        match told.map_or(Condition::Gone, |line| line.condition) {
+            Condition::Ready => {}
+            Condition::Draining => self.to_draining += 1,
+            Condition::Gone => self.to_gone += 1,
+        }
+        let (site, class) = (self.sites[attempt.engine], &self.experiment.classes[attempt.class]);
+        let open = |allowed: &Option<Vec<u32>>, found: usize| {
+            allowed.as_ref().is_none_or(|list| list.contains(&(found as u32)))
+        };
+        self.bound += u64::from(class.zones.is_some() || class.kinds.is_some());
+        self.misplaced += u64::from(!open(&class.zones, site.zone) || !open(&class.kinds, site.kind));
+    }
+
+    pub fn told_finding(&self) -> Finding {
+        Finding::new(
+            "rule 3, engines told draining or gone",
+            self.to_draining + self.to_gone == 0,
+            format!(
+                "{} attempts: {} to engines told draining, {} told gone",
+                self.attempts, self.to_draining, self.to_gone
+            ),
+            &[
+                ("attempts", self.attempts as f64),
+                ("to_draining", self.to_draining as f64),
+                ("to_gone", self.to_gone as f64),
+            ],
+        )
+    }
+
+    pub fn class_finding(&self) -> Finding {
+        Finding::new(
+            "rule 6, placement",
+            self.misplaced == 0,
+            format!("{} attempts of bound classes: {} misplaced", self.bound, self.misplaced),
+            &[("bound", self.bound as f64), ("misplaced", self.misplaced as f64)],
+        )
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/queries.rs
@@ -0,0 +1,136 @@
+//! Rule 1: every query gets one whole final answer within its deadline, and nothing of it is sent after that.
+
+use super::super::experiment::Experiment;
+use super::super::time::SimTime;
+use super::{Finding, QueryName};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Seconds over the deadline that pass; clients measure to the millisecond.
+const DEADLINE_TOLERANCE: f64 = 0.001;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinalAnswer {
+    Succeeded,
+    Rejected,
+    Failed,
+}
+
+struct OpenQuery {
+    came: SimTime,
+    class: usize,
+    attempts: u32,
+}
+
+pub struct Queries {
+    experiment: Rc<Experiment>,
+    open: BTreeMap<QueryName, OpenQuery>,
+    came: u64,
+    succeeded: u64,
+    rejected: u64,
+    failed: u64,
+    /// Their gateway ended before it answered.
+    broken: u64,
+    late: u64,
+    repeated: u64,
+    sent_after: u64,
+}
+
+impl Queries {
+    pub fn new(experiment: Rc<Experiment>) -> Queries {
+        Queries {
+            experiment,
+            open: BTreeMap::new(),
+            came: 0,
+            succeeded: 0,
+            rejected: 0,
+            failed: 0,
+            broken: 0,
+            late: 0,
+            repeated: 0,
+            sent_after: 0,
+        }
+    }
+
+    pub fn came(&mut self, now: SimTime, name: QueryName, class: usize) {
+        self.came += 1;
+        self.open.insert(name, OpenQuery { came: now, class, attempts: 0 });
+    }
+
+    pub fn answered(&mut self, now: SimTime, name: QueryName, answer: FinalAnswer) {
+        let Some(query) = self.open.remove(&name) else {
+            self.repeated += 1;
+            return;
+        };
+        self.late += u64::from(self.past_deadline(&query, now));
+        match answer {
+            FinalAnswer::Succeeded => self.succeeded += 1,
+            FinalAnswer::Rejected => self.rejected += 1,
+            FinalAnswer::Failed => self.failed += 1,
+        }
+    }
+
+    /// Takes in an attempt; returns how many engines had seen one of this query before.
+    pub fn attempt_began(&mut self, name: QueryName) -> u32 {
+        let Some(query) = self.open.get_mut(&name) else {
+            self.sent_after += 1;
+            return 0;
+        };
+        query.attempts += 1;
+        query.attempts - 1
+    }
+
+    pub fn gateway_ended(&mut self, gateway: u32) {
+        let all = QueryName { gateway, query: 0 }..=QueryName { gateway, query: u32::MAX };
+        let broken: Vec<QueryName> = self.open.range(all).map(|(name, _)| *name).collect();
+        self.broken += broken.len() as u64;
+        broken.iter().for_each(|name| drop(self.open.remove(name)));
+    }
+
+    fn past_deadline(&self, query: &OpenQuery, now: SimTime) -> bool {
+        now.since(query.came) > self.experiment.classes[query.class].deadline + DEADLINE_TOLERANCE
+    }
+
+    pub fn findings(&self, now: SimTime) -> Vec<Finding> {
+        let unanswered = self.open.values().filter(|query| self.past_deadline(query, now)).count() as u64;
+        let answered = self.succeeded + self.rejected + self.failed;
+        let faults = self.late + self.repeated + self.sent_after + unanswered;
+        let rule = Finding::new(
+            "rule 1, one final answer in time",
+            faults == 0 && answered > 0,
+            format!(
+                "{} queries: {unanswered} unanswered, {} late, {} answered twice, {} sent after the answer; \
+                 {} broken off with their gateway, {} still open",
+                self.came,
+                self.late,
+                self.repeated,
+                self.sent_after,
+                self.broken,
+                self.open.len()
+            ),
+            &[
+                ("queries", self.came as f64),
+                ("unanswered", unanswered as f64),
+                ("late", self.late as f64),
+                ("repeated", self.repeated as f64),
+                ("sent_after", self.sent_after as f64),
+                ("broken", self.broken as f64),
+            ],
+        );
+        let share = self.succeeded as f64 / answered.max(1) as f64;
+        let rejected = self.rejected as f64 / answered.max(1) as f64;
+        let served = Finding::new(
+            "queries that succeed",
+            share >= self.experiment.limits.succeeded,
+            format!(
+                "{:.2}% succeeded, {:.2}% rejected, {:.2}% failed; at least {:.2}%",
+                share * 100.0,
+                rejected * 100.0,
+                self.failed as f64 / answered.max(1) as f64 * 100.0,
+                self.experiment.limits.succeeded * 100.0
+            ),
+            &[("succeeded", share), ("rejected", rejected)],
+        );
+        vec![rule, served]
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet/judge/spread.rs
@@ -0,0 +1,66 @@
+//! How evenly the work is spread over the engines that nothing befell, weighted by their cores.
+
+use super::super::engine::Site;
+use super::super::experiment::Experiment;
+use super::super::time::SimTime;
+use super::finding::quantile;
+use super::{Finding, SeenAttempt};
+use std::rc::Rc;
+
+struct Share {
+    cores: f64,
+    work: f64,
+    undisturbed: bool,
+}
+
+pub struct Spread {
+    experiment: Rc<Experiment>,
+    settled: SimTime,
+    engines: Vec<Share>,
+}
+
+impl Spread {
+    pub fn new(experiment: Rc<Experiment>) -> Spread {
+        let settled = SimTime::from_seconds(experiment.settle);
+        Spread { experiment, settled, engines: Vec::new() }
+    }
+
+    pub fn engine_added(&mut self, site: Site) {
+        self.engines.push(Share { cores: site.cores, work: 0.0, undisturbed: true });
+    }
+
+    pub fn disturbed(&mut self, engine: usize) {
+        self.engines[engine].undisturbed = false;
+    }
+
+    pub fn attempt_began(&mut self, now: SimTime, attempt: SeenAttempt) {
+        if now >= self.settled {
+            self.engines[attempt.engine].work += attempt.work;
+        }
+    }
+
+    pub fn findings(&self) -> Vec<Finding> {
+        let undisturbed: Vec<&Share> = self.engines.iter().filter(|share| share.undisturbed).collect();
+        let cores: f64 = undisturbed.iter().map(|share| share.cores).sum();
+        let work: f64 = undisturbed.iter().map(|share| share.work).sum();
+        let mean = (work / cores.max(f64::MIN_POSITIVE)).max(f64::MIN_POSITIVE);
+        let mut ratios: Vec<f64> = undisturbed.iter().map(|share| share.work / share.cores / mean).collect();
+        ratios.sort_by(f64::total_cmp);
+        let (median, p99, max) = (quantile(&ratios, 0.5), quantile(&ratios, 0.99), quantile(&ratios, 1.0));
+        let limits = &self.experiment.limits;
+        let finding = Finding::new(
+            "spread of work",
+            !ratios.is_empty() && p99 <= limits.spread_p99 && max <= limits.spread_max,
+            format!(
+                "{} engines: p50 {median:.2}, p99 {p99:.2}, max {max:.2}, least {:.2} of the mean a core; at most \
+                 p99 {:.2}, max {:.2}",
+                ratios.len(),
+                quantile(&ratios, 0.0),
+                limits.spread_p99,
+                limits.spread_max
+            ),
+            &[("p50", median), ("p99", p99), ("max", max), ("least", quantile(&ratios, 0.0))],
+        );
+        vec![finding]
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet/membership.rs
@@ -0,0 +1,102 @@
+//! The engines that a gateway works with: its subset, or the whole list.
+
+use super::experiment::Experiment;
+use garnetwall_subset::{
+    Action, Catalog, Change, Condition, EngineKey, PlacementClass, RetryScope, Subset, SubsetError,
+    SubsetSettings,
+};
+use std::collections::BTreeSet;
+
+pub enum Membership {
+    Subset(Box<Subset>),
+    Whole(WholeList),
+}
+
+impl Membership {
+    pub fn new(experiment: &Experiment, gateway: usize, zone: usize) -> Result<Membership, SubsetError> {
+        let gateways = experiment.gateways.count as f64;
+        let Some(table) = &experiment.subset else {
+            return Ok(Membership::Whole(WholeList { gateways, ..WholeList::default() }));
+        };
+        let settings = SubsetSettings {
+            size: table.size,
+            class_floor: table.class_floor,
+            reserve: table.reserve,
+            joins_per_second: table.joins_per_second,
+            zone: Some(zone as u32),
+            near_weight: table.near_weight,
+            gateways,
+            classes: placement_classes(experiment),
+            retry_scope: RetryScope::Everywhere,
+        };
+        let subset = Subset::new(&format!("gateway-{gateway:05}"), settings)?;
+        Ok(Membership::Subset(Box::new(subset)))
+    }
+
+    pub fn changed(&mut self, now: f64, catalog: &Catalog, changes: &[Change]) {
+        match self {
+            Membership::Subset(subset) => subset.changed(now, catalog, changes),
+            Membership::Whole(list) => list.changed(changes),
+        }
+    }
+
+    pub fn warmed(&mut self, now: f64, engine: EngineKey, reached: bool) {
+        if let Membership::Subset(subset) = self {
+            subset.warmed(now, engine, reached);
+        }
+    }
+
+    pub fn attempted(&mut self, now: f64, engine: EngineKey, failed: bool) {
+        if let Membership::Subset(subset) = self {
+            subset.attempted(now, engine, failed);
+        }
+    }
+
+    pub fn poll(&mut self, now: f64, catalog: &Catalog) -> Vec<Action> {
+        match self {
+            Membership::Subset(subset) => subset.poll(now, catalog),
+            Membership::Whole(list) => std::mem::take(&mut list.due),
+        }
+    }
+
+    pub fn wake(&self) -> Option<f64> {
+        match self {
+            Membership::Subset(subset) => subset.wake(),
+            Membership::Whole(_) => None,
+        }
+    }
+}
+
+fn placement_classes(experiment: &Experiment) -> Vec<PlacementClass> {
+    let class = |class: &super::experiment::QueryClass| PlacementClass {
+        zones: class.zones.clone(),
+        kinds: class.kinds.clone(),
+    };
+    let distinct: BTreeSet<PlacementClass> = experiment.classes.iter().map(class).collect();
+    distinct.into_iter().collect()
+}
+
+/// Every engine that is ready, as without subsets.
+#[derive(Default)]
+pub struct WholeList {
+    gateways: f64,
+    members: BTreeSet<EngineKey>,
+    due: Vec<Action>,
+}
+
+impl WholeList {
+    fn changed(&mut self, changes: &[Change]) {
+        for change in changes {
+            let ready = change.after.is_some_and(|facts| facts.condition == Condition::Ready);
+            let (engine, holders) = (change.engine, self.gateways);
+            if ready {
+                let new = self.members.insert(engine);
+                let action =
+                    if new { Action::Join { engine, holders } } else { Action::Update { engine, holders } };
+                self.due.push(action);
+            } else if self.members.remove(&engine) {
+                self.due.push(Action::Leave(engine));
+            }
+        }
+    }
+}
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -1,8 +1,47 @@
-//! Fleet: thousands of hollow gateways in simulated time.
+//! Fleet: thousands of hollow gateways before hollow engines, in simulated time, in one process.
+//!
+//! A gateway has the real decision module and the real subset, and neither sockets nor bodies. One seeded queue of
+//! events drives all: the same seed plays the same. The judge is fed with what clients, engines and the change log see.
+
+mod change_log;
+mod clients;
+mod cold;
+mod engine;
+mod event;
+mod event_queue;
+mod experiment;
+mod gateway;
+mod judge;
+mod membership;
+mod module_settings;
+mod report;
+mod script;
+mod slip;
+mod slots;
+mod surroundings;
+mod time;
+mod world;
 
 use crate::{Run, Verdict};
+use experiment::Experiment;
+use std::time::Instant;
+use world::World;
 
 /// Runs one experiment.
 pub fn run(run: &Run) -> Verdict {
-    Err(format!("{}: the fleet is not here yet", run.experiment.display()).into())
+    let experiment = Experiment::read(&run.experiment)?;
+    let seed = run.seed.unwrap_or(experiment.seed);
+    let began = Instant::now();
+    let played = World::new(experiment.clone(), seed).play()?;
+    let wall = began.elapsed();
+    eprintln!(
+        "{} events in {:.1} s, {} MB at most",
+        played.events,
+        wall.as_secs_f64(),
+        report::peak_memory_kb().unwrap_or(0) / 1024
+    );
+    if let Some(path) = &run.results {
+        report::write(path, &experiment, seed, &played, wall)?;
+    }
+    Ok(report::print(&experiment, seed, &played))
 }
--- /dev/null
+++ b/crates/scale/src/fleet/report.rs
@@ -0,0 +1,88 @@
+//! What a play prints and writes.
+
+use super::experiment::Experiment;
+use super::judge::Finding;
+use super::world::Played;
+use serde::Serialize;
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::path::Path;
+use std::time::Duration;
+
+#[derive(Serialize)]
+struct Header<'a> {
+    experiment: &'a str,
+    seed: u64,
+    gateways: usize,
+    engines: usize,
+    subset: Option<usize>,
+    seconds: f64,
+    played_share: f64,
+    mean_work: f64,
+    events: u64,
+    wall_seconds: f64,
+    peak_memory_kb: Option<u64>,
+}
+
+/// Prints the findings, the number passed and failed last; whether all passed.
+pub fn print(experiment: &Experiment, seed: u64, played: &Played) -> bool {
+    let gateways = &experiment.gateways;
+    println!(
+        "{}: {} gateways before {} engines, seed {seed}, {} s played; {:.2}% of {} queries a second a gateway, \
+         {:.3} s of mean work each",
+        experiment.name,
+        gateways.count,
+        experiment.engines.count,
+        experiment.seconds,
+        gateways.rate / gateways.real_rate * 100.0,
+        gateways.real_rate,
+        played.mean_work
+    );
+    for finding in &played.findings {
+        let word = if finding.passed { "ok  " } else { "FAIL" };
+        println!("{word} {}: {}", finding.name, finding.figure);
+    }
+    let passed = played.findings.iter().filter(|finding| finding.passed).count();
+    let failed = played.findings.len() - passed;
+    println!("{passed} passed, {failed} failed");
+    failed == 0
+}
+
+/// Writes the same as JSON lines: a header, then one line a finding.
+pub fn write(
+    path: &Path,
+    experiment: &Experiment,
+    seed: u64,
+    played: &Played,
+    wall: Duration,
+) -> io::Result<()> {
+    let mut file = BufWriter::new(File::create(path)?);
+    let header = Header {
+        experiment: &experiment.name,
+        seed,
+        gateways: experiment.gateways.count,
+        engines: experiment.engines.count,
+        subset: experiment.subset.as_ref().map(|subset| subset.size),
+        seconds: experiment.seconds,
+        played_share: experiment.gateways.rate / experiment.gateways.real_rate,
+        mean_work: played.mean_work,
+        events: played.events,
+        wall_seconds: wall.as_secs_f64(),
+        peak_memory_kb: peak_memory_kb(),
+    };
+    write_line(&mut file, &header)?;
+    played.findings.iter().try_for_each(|finding: &Finding| write_line(&mut file, finding))?;
+    file.flush()
+}
+
+fn write_line(file: &mut impl Write, value: &impl Serialize) -> io::Result<()> {
+    serde_json::to_writer(&mut *file, value)?;
+    file.write_all(b"\n")
+}
+
+/// The most memory that this process has had resident, where the system tells.
+pub fn peak_memory_kb() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/crates/scale/src/fleet/surroundings.rs
@@ -0,0 +1,182 @@
+//! What gateways meet: engines, the change log, clients, the queue of events, and the judge that watches.
+
+use super::change_log::{ChangeLog, ToldLine};
+use super::clients::Demand;
+use super::engine::{AttemptKey, Engine, EngineState, Received, Site};
+use super::event::{EngineStep, Event};
+use super::event_queue::EventQueue;
+use super::experiment::Experiment;
+use super::judge::{Judge, SeenAttempt};
+use super::slip::Slip;
+use super::time::SimTime;
+use garnetwall::api::End;
+use garnetwall_subset::{Condition, EngineFacts};
+use rand::rngs::SmallRng;
+use rand::Rng;
+use std::rc::Rc;
+
+/// Seconds in which lines are gathered into one entry of the log.
+const PUBLISH_PACE: f64 = 0.1;
+
+pub struct Surroundings {
+    pub experiment: Rc<Experiment>,
+    pub engines: Vec<Engine>,
+    pub queue: EventQueue<Event>,
+    pub log: ChangeLog,
+    pub judge: Judge,
+    pub demand: Demand,
+    pub random: SmallRng,
+}
+
+impl Surroundings {
+    pub fn new(experiment: Rc<Experiment>, mut random: SmallRng) -> Surroundings {
+        let engines: Vec<Engine> = (0..experiment.engines.count)
+            .map(|n| Engine::new(site(&experiment, n, &mut random), None))
+            .collect();
+        let cores: f64 = engines.iter().map(|engine| engine.site.cores).sum();
+        let demand = Demand::new(&experiment, cores);
+        let mut judge = Judge::new(&experiment, demand.mean_work);
+        engines.iter().for_each(|engine| judge.engine_added(engine.site));
+        let line = |(number, engine): (usize, &Engine)| told_line(number, engine, Condition::Ready);
+        let lines: Vec<ToldLine> = engines.iter().enumerate().map(line).collect();
+        let log = ChangeLog::new(&lines);
+        judge.published(SimTime::START, log.latest(), &lines);
+        Surroundings { experiment, engines, queue: EventQueue::new(), log, judge, demand, random }
+    }
+
+    pub fn slips(&self, slip: Slip) -> bool {
+        self.experiment.slip == Some(slip)
+    }
+
+    // ---- attempts ----
+
+    /// An attempt goes to an engine. Returns the progress by which it can be withdrawn, if the engine was reached.
+    pub fn send(&mut self, now: SimTime, key: AttemptKey, attempt: SeenAttempt) -> Option<u64> {
+        let engine = &mut self.engines[attempt.engine];
+        if !engine.reachable() {
+            let at = now.after(self.experiment.engines.connect_timeout);
+            self.queue.push(at, Event::AttemptFails { key, end: End::Unconnected });
+            return None;
+        }
+        let (cold, mean_work) = (&self.experiment.cold, self.demand.mean_work);
+        let (done_at, received) = engine.receive(cold, mean_work, now, key, attempt.work);
+        self.judge.connected(now, attempt.name.gateway, attempt.engine);
+        self.judge.attempt_began(now, attempt);
+        match received {
+            Received::Runs => self.schedule_engine(now, attempt.engine),
+            Received::Fell => self.fall(now, attempt.engine),
+        }
+        Some(done_at)
+    }
+
+    /// The gateway closes the connection of an attempt that may still run.
+    pub fn withdraw(&mut self, now: SimTime, key: AttemptKey, engine: usize, done_at: u64) {
+        if self.engines[engine].withdraw(&self.experiment.cold, now, done_at, key) {
+            self.schedule_engine(now, engine);
+        }
+    }
+
+    /// Sees to it that the engine is looked at when its next attempt is done.
+    pub fn schedule_engine(&mut self, now: SimTime, engine: usize) {
+        let hollow = &mut self.engines[engine];
+        let Some(next) = hollow.next_due(&self.experiment.cold, now) else { return };
+        if hollow.due.is_none_or(|due| next < due) {
+            hollow.due = Some(next);
+            self.queue.push(next, Event::EngineDue { engine: engine as u32 });
+        }
+    }
+
+    // ---- engines' processes ----
+
+    fn fall(&mut self, now: SimTime, engine: usize) {
+        self.judge.engine_fell();
+        self.restart_engine(now, engine);
+    }
+
+    /// A process ends and breaks its connections; it starts anew after a while.
+    pub fn restart_engine(&mut self, now: SimTime, engine: usize) {
+        self.stop_engine(now, engine, 0.0);
+        let up_at = now.after(self.experiment.engines.restart);
+        self.plan(up_at, engine, EngineStep::Start);
+    }
+
+    /// Ends an engine; gateways notice it after `detection` seconds.
+    pub fn stop_engine(&mut self, now: SimTime, engine: usize, detection: f64) {
+        if !self.engines[engine].reachable() {
+            return;
+        }
+        let broken = self.engines[engine].stop(&self.experiment.cold, now, EngineState::Down);
+        self.judge.engine_stopped(engine);
+        let at = now.after(detection);
+        for key in broken {
+            self.queue.push(at, Event::AttemptFails { key, end: End::Broken });
+        }
+    }
+
+    pub fn start_engine(&mut self, now: SimTime, engine: usize) {
+        if self.engines[engine].state != EngineState::Down {
+            return;
+        }
+        self.engines[engine].start(now);
+        self.judge.engine_started(now, engine);
+        self.tell(now, engine, Condition::Ready);
+    }
+
+    /// A new engine at the same place.
+    pub fn replace_engine(&mut self, now: SimTime, engine: usize) {
+        self.stop_engine(now, engine, 0.0);
+        self.engines[engine].state = EngineState::Retired;
+        self.tell(now, engine, Condition::Gone);
+        let site = self.engines[engine].site;
+        let new = self.engines.len();
+        self.engines.push(Engine::new(site, Some(now)));
+        self.judge.engine_added(site);
+        self.judge.engine_started(now, new);
+        self.tell(now, new, Condition::Ready);
+    }
+
+    pub fn silence_engine(&mut self, now: SimTime, engine: usize, silent: bool) {
+        self.judge.engine_disturbed(engine);
+        self.engines[engine].silence(&self.experiment.cold, now, silent);
+        self.schedule_engine(now, engine);
+    }
+
+    pub fn plan(&mut self, at: SimTime, engine: usize, step: EngineStep) {
+        self.queue.push(at, Event::EngineStep { engine: engine as u32, step });
+    }
+
+    // ---- the change log ----
+
+    /// Stages a line on an engine as it is now.
+    pub fn tell(&mut self, now: SimTime, engine: usize, condition: Condition) {
+        let mut line = told_line(engine, &self.engines[engine], condition);
+        if self.slips(Slip::StartsUntold) {
+            line.started = None;
+        }
+        if self.log.stage(line) {
+            self.queue.push(now.after(PUBLISH_PACE), Event::PublishLines);
+        }
+    }
+
+    /// Seconds that one delivery takes.
+    pub fn delivery_delay(&mut self) -> f64 {
+        let log = &self.experiment.log;
+        let drawn: f64 = self.random.random();
+        log.least_delay - log.mean_delay * (1.0 - drawn).ln()
+    }
+}
+
+fn site(experiment: &Experiment, engine: usize, random: &mut SmallRng) -> Site {
+    let topology = &experiment.topology;
+    let zone = engine % topology.zones;
+    let rack_in_zone = engine / topology.zones % topology.racks_per_zone;
+    let kind = random.random_range(0..experiment.engines.kind_cores.len());
+    let rack = zone * topology.racks_per_zone + rack_in_zone;
+    Site { zone, rack, kind, cores: experiment.engines.kind_cores[kind] }
+}
+
+fn told_line(number: usize, engine: &Engine, condition: Condition) -> ToldLine {
+    let Site { zone, rack, kind, cores } = engine.site;
+    let facts = EngineFacts { zone: zone as u32, kind: kind as u32, cell: rack as u32, cores, condition };
+    ToldLine { engine: number, facts, started: engine.started }
+}
