garnetwall-scale beside: real gateways between stand-ins, judged from outside

`beside` starts `garnetwall serve` processes on loopback, with a change log, hollow engines, hollow watchers and clients around them, plays events by script, and judges what these saw. Each gateway has a port of its own to the engines and an address of its own to the log, so that both know who speaks.

--- /dev/null
+++ b/crates/scale/src/beside/engines.rs
@@ -0,0 +1,312 @@
+//! Hollow engines: their work is a timer. One listener for each gateway answers for all engines' addresses, so that the port
+//! tells which gateway asks and the local address which engine is asked.
+
+use super::facts::{self, Attempt, Recorder};
+use super::roster::{self, EngineId};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, Instant};
+
+/// Protocol: news is held back this long.
+const NEWS: Duration = Duration::from_millis(250);
+/// Protocol: a query that nobody asks for ends after this.
+const UNASKED: Duration = Duration::from_secs(facts::UNASKED_SECONDS);
+/// More than any statement of this run.
+const LONGEST_STATEMENT: usize = 64 << 10;
+/// What a statement says of its work: `/* work 35 */`, in milliseconds.
+const WORK_MARK: &str = "/* work ";
+/// A core runs one query; an engine has so many.
+const CORES: f64 = 8.0;
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+/// A slip: of so many engines just one takes work.
+const DECLINING: usize = 8;
+
+/// Whether an engine's process and machine run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Up,
+    /// The process has ended: connections end.
+    Down,
+    /// The machine is cut off: nothing is answered.
+    Silent,
+}
+
+struct Running {
+    /// Its place among the facts.
+    fact: usize,
+    ends: Instant,
+    asked: Instant,
+    rows: Bytes,
+    over: bool,
+}
+
+struct Engine {
+    health: watch::Sender<Health>,
+    state: Mutex<EngineState>,
+}
+
+#[derive(Default)]
+struct EngineState {
+    generation: u32,
+    queries: HashMap<String, Running>,
+}
+
+impl Engine {
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// All hollow engines.
+pub struct Engines {
+    engines: Vec<Engine>,
+    recorder: Recorder,
+    /// Connections that are open, by gateway.
+    connections: Vec<AtomicUsize>,
+    uneven: bool,
+    pub ports: Vec<u16>,
+}
+
+impl Engines {
+    /// Starts engines for so many gateways. `uneven` has most of them decline: a slip.
+    pub async fn start(
+        engines: usize,
+        gateways: usize,
+        recorder: Recorder,
+        uneven: bool,
+    ) -> std::io::Result<Arc<Engines>> {
+        let engine = || Engine { health: watch::Sender::new(Health::Up), state: Mutex::default() };
+        let mut listeners = Vec::with_capacity(gateways);
+        for _ in 0..gateways {
+            listeners.push(TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).await?);
+        }
+        let ports = listeners.iter().map(|listener| Ok(listener.local_addr()?.port()));
+        let engines = Arc::new(Engines {
+            engines: std::iter::repeat_with(engine).take(engines).collect(),
+            recorder,
+            connections: (0..gateways).map(|_| AtomicUsize::new(0)).collect(),
+            uneven,
+            ports: ports.collect::<std::io::Result<_>>()?,
+        });
+        for (gateway, listener) in listeners.into_iter().enumerate() {
+            tokio::spawn(engines.clone().accept(listener, gateway));
+        }
+        Ok(engines)
+    }
+
+    /// Connections to engines that a gateway has open.
+    pub fn connections(&self, gateway: usize) -> usize {
+        self.connections[gateway].load(Ordering::Relaxed)
+    }
+
+    /// The process at this address ends, with all that it runs; the next one there has a new generation.
+    pub fn kill(&self, slot: usize) {
+        let engine = &self.engines[slot];
+        engine.health.send_replace(Health::Down);
+        let now = self.recorder.now();
+        let mut state = engine.state();
+        state.generation += 1;
+        for running in state.queries.drain().map(|(_, running)| running).filter(|running| !running.over) {
+            self.recorder.facts().attempts[running.fact].end(now);
+        }
+    }
+
+    pub fn health(&self, slot: usize) -> Health {
+        *self.engines[slot].health.borrow()
+    }
+
+    pub fn set_health(&self, slot: usize, health: Health) {
+        self.engines[slot].health.send_replace(health);
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, gateway: usize) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(tokio::spawn(self.clone().serve(stream, gateway))),
+                Err(fault) => {
+                    tracing::warn!(%fault, "engines can't accept");
+                    sleep(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// One connection, for as long as its engine lives.
+    async fn serve(self: Arc<Self>, stream: TcpStream, gateway: usize) {
+        let _ = stream.set_nodelay(true);
+        let slot = stream.local_addr().ok().and_then(|local| roster::slot(local.ip()));
+        let Some(slot) = slot.filter(|slot| *slot < self.engines.len()) else { return };
+        let mut health = self.engines[slot].health.subscribe();
+        if *health.borrow_and_update() == Health::Down {
+            let _ = stream.set_zero_linger();
+            return;
+        }
+        self.connections[gateway].fetch_add(1, Ordering::Relaxed);
+        self.recorder.facts().met.entry(gateway).or_default().insert(slot);
+        let engines = self.clone();
+        let service = service_fn(move |request| {
+            let engines = engines.clone();
+            async move { Ok::<_, Infallible>(engines.call(slot, gateway, request).await) }
+        });
+        let mut connection = Box::pin(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        loop {
+            let now = *health.borrow_and_update();
+            let ended = match now {
+                Health::Down => break,
+                Health::Silent => health.changed().await.is_err(),
+                Health::Up => tokio::select! {
+                    _ = &mut connection => true,
+                    changed = health.changed() => changed.is_err(),
+                },
+            };
+            if ended {
+                break;
+            }
+        }
+        self.connections[gateway].fetch_sub(1, Ordering::Relaxed);
+    }
+
+    async fn call(&self, slot: usize, gateway: usize, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_string();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match (&head.method, parts.as_slice()) {
+            (&Method::GET, ["ping"]) => answer(StatusCode::OK),
+            (&Method::GET, ["stats"]) => self.report(slot),
+            (&Method::POST, ["c"]) => match Limited::new(body, LONGEST_STATEMENT).collect().await {
+                Ok(statement) => self.begin(slot, gateway, &head.headers, &statement.to_bytes()).await,
+                Err(_) => answer(StatusCode::BAD_REQUEST),
+            },
+            (&Method::GET, ["c", id, "0"]) => self.news(slot, id).await,
+            (&Method::DELETE, ["c", id]) => self.cancel(slot, id),
+            _ => answer(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    fn report(&self, slot: usize) -> Response<Full<Bytes>> {
+        let now = Instant::now();
+        let state = self.engines[slot].state();
+        let running = state.queries.values().filter(|running| !running.over && running.ends > now).count();
+        let share = (running as f64 / CORES).min(1.0);
+        let mut response = answer(StatusCode::OK);
+        if let Ok(report) = format!("depth:0;load_share:{share:.2}").parse() {
+            response.headers_mut().insert("x-stats", report);
+        }
+        response
+    }
+
+    async fn begin(
+        &self,
+        slot: usize,
+        gateway: usize,
+        head: &HeaderMap,
+        statement: &[u8],
+    ) -> Response<Full<Bytes>> {
+        let id = head.get("x-trace").and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let (Ok(query), Some(work)) = (u64::from_str_radix(id, 16), work_of(statement)) else {
+            return answer(StatusCode::BAD_REQUEST);
+        };
+        let declined = self.uneven && !slot.is_multiple_of(DECLINING);
+        self.record(slot, gateway, query, id, work, declined);
+        if declined {
+            let mut response = answer(StatusCode::SERVICE_UNAVAILABLE);
+            response.headers_mut().insert("x-declined", http::HeaderValue::from_static("1"));
+            return response;
+        }
+        self.news(slot, id).await
+    }
+
+    fn record(&self, slot: usize, gateway: usize, query: u64, id: &str, work: Duration, declined: bool) {
+        let came = self.recorder.now();
+        let mut state = self.engines[slot].state();
+        let engine = EngineId { slot, generation: state.generation };
+        let over = declined.then_some(came);
+        let attempt = Attempt { query, gateway, engine, came, over, succeeded: false, declined, asked: came };
+        let mut facts = self.recorder.facts();
+        let fact = facts.attempts.len();
+        facts.attempts.push(attempt);
+        drop(facts);
+        if declined {
+            return;
+        }
+        let rows = Bytes::from(format!("{engine}\t{id}\tend\n"));
+        let now = Instant::now();
+        let running = Running { fact, ends: now + work, asked: now, rows, over: false };
+        state.queries.insert(id.to_string(), running);
+    }
+
+    /// The end of a query, or that there is none yet.
+    async fn news(&self, slot: usize, id: &str) -> Response<Full<Bytes>> {
+        let until = Instant::now() + NEWS;
+        let Some(ends) = self.ask(slot, id) else { return answer(StatusCode::INTERNAL_SERVER_ERROR) };
+        tokio::time::sleep_until(ends.min(until)).await;
+        self.told(slot, id)
+    }
+
+    /// When a query ends, where it is asked for in time.
+    fn ask(&self, slot: usize, id: &str) -> Option<Instant> {
+        let mut state = self.engines[slot].state();
+        let running = state.queries.get_mut(id)?;
+        let now = Instant::now();
+        if !running.over && now > running.asked + UNASKED && running.ends > running.asked + UNASKED {
+            return None;
+        }
+        running.asked = now;
+        self.recorder.facts().attempts[running.fact].asked = self.recorder.now();
+        Some(running.ends)
+    }
+
+    fn told(&self, slot: usize, id: &str) -> Response<Full<Bytes>> {
+        let mut state = self.engines[slot].state();
+        let Some(running) = state.queries.get_mut(id) else {
+            return answer(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        running.asked = Instant::now();
+        if running.ends > running.asked {
+            self.recorder.facts().attempts[running.fact].asked = self.recorder.now();
+            return answer(StatusCode::ACCEPTED);
+        }
+        running.over = true;
+        let mut facts = self.recorder.facts();
+        let attempt = &mut facts.attempts[running.fact];
+        attempt.succeeded = true;
+        attempt.end(self.recorder.now());
+        drop(facts);
+        let mut response = Response::new(Full::new(running.rows.clone()));
+        response.headers_mut().insert("result-pages", http::HeaderValue::from_static("1"));
+        response
+    }
+
+    fn cancel(&self, slot: usize, id: &str) -> Response<Full<Bytes>> {
+        if let Some(running) = self.engines[slot].state().queries.remove(id) {
+            let now = self.recorder.now();
+            self.recorder.facts().attempts[running.fact].end(now);
+        }
+        answer(StatusCode::NO_CONTENT)
+    }
+}
+
+fn answer(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+fn work_of(statement: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(statement).ok()?;
+    let (_, rest) = text.split_once(WORK_MARK)?;
+    rest.split(' ').next()?.parse().ok().map(Duration::from_millis)
+}
--- /dev/null
+++ b/crates/scale/src/beside/gateways.rs
@@ -0,0 +1,282 @@
+//! Real gateways: `garnetwall serve` processes on loopback, each with a configuration and addresses of its own.
+
+use super::change_log::{address_for_gateway, ChangeLog};
+use super::experiment::Experiment;
+use super::facts::{Outage, Recorder};
+use super::http_client;
+use super::process::{signal, Usage};
+use rustix::process::Signal;
+use serde_json::{json, Value};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::process::{Child, Command};
+use tokio::sync::Mutex;
+use tokio::time::{sleep, timeout};
+
+/// Limits of queries, in milliseconds.
+pub const LIMIT_MS: u64 = 3_000;
+/// Outside the ports that the machine hands out; addresses differ by run and gateway.
+const PORT: u16 = 4_300;
+/// A gateway that does not serve by then has failed.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+const ASK_HEALTH_EVERY: Duration = Duration::from_millis(10);
+/// Protocol: after SIGTERM clients go on coming for a moment.
+const COMING_AFTER_TERM: Duration = Duration::from_millis(300);
+/// Protocol: no kill before the longest limit and 0.7 s have passed.
+const ENDS_WITHIN: Duration = Duration::from_millis(LIMIT_MS + 700);
+const KILLED_WITHIN: Duration = Duration::from_secs(5);
+const CORES: u32 = 8;
+
+/// Why gateways could not be run: where, why, and what to do.
+#[derive(Debug, Error)]
+pub enum GatewayError {
+    #[error("{}: {cause}; build it with `cargo build --release -p garnetwall-gateway`, or name it with --gateway-binary", binary.display())]
+    NoBinary { binary: PathBuf, cause: std::io::Error },
+    #[error("{}: {cause}; make room there", file.display())]
+    Unwritable { file: PathBuf, cause: std::io::Error },
+    #[error("gateway {gateway} did not serve within {} s; its log is {}", READY_WITHIN.as_secs(), log.display())]
+    NeverReady { gateway: usize, log: PathBuf },
+    #[error("gateway {gateway}: not started, as the run ends")]
+    Stopping { gateway: usize },
+    #[error("gateway {gateway}: {cause}; see its log {}", log.display())]
+    Process { gateway: usize, cause: std::io::Error, log: PathBuf },
+}
+
+/// Where a gateway of this run listens.
+fn listen_address(gateway: usize) -> SocketAddr {
+    let run = std::process::id();
+    let parts = [127, (64 + run % 128) as u8, (run / 128 % 256) as u8, (gateway % 250 + 1) as u8];
+    SocketAddr::from((Ipv4Addr::from(parts), PORT + (gateway / 250) as u16))
+}
+
+struct Gateway {
+    address: SocketAddr,
+    /// Clients know that it serves.
+    in_service: AtomicBool,
+    child: Mutex<Option<Child>>,
+    /// Processor time of its processes that have ended is not known; that of the current one counts from here.
+    first: std::sync::Mutex<Usage>,
+}
+
+/// All real gateways of a run. Their processes are killed when this is dropped.
+pub struct Gateways {
+    gateways: Vec<Gateway>,
+    binary: PathBuf,
+    folder: PathBuf,
+    settings: Value,
+    recorder: Recorder,
+    sockets: usize,
+    memory_mb: usize,
+    subset_size: Option<usize>,
+    /// A slip: SIGKILL in place of SIGTERM.
+    kills_for_term: bool,
+    /// The run is over: none is started any more.
+    stopping: AtomicBool,
+}
+
+impl Gateways {
+    pub fn new(
+        experiment: &Experiment,
+        binary: PathBuf,
+        folder: &Path,
+        recorder: Recorder,
+        kills_for_term: bool,
+    ) -> Gateways {
+        let gateway = |n| Gateway {
+            address: listen_address(n),
+            in_service: AtomicBool::new(false),
+            child: Mutex::new(None),
+            first: std::sync::Mutex::default(),
+        };
+        Gateways {
+            gateways: (0..experiment.gateways).map(gateway).collect(),
+            binary,
+            folder: folder.into(),
+            settings: settings(experiment),
+            recorder,
+            sockets: experiment.gateway_sockets,
+            memory_mb: experiment.gateway_memory_mb,
+            subset_size: experiment.subset_size,
+            kills_for_term,
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.gateways.len()
+    }
+
+    pub fn address(&self, gateway: usize) -> SocketAddr {
+        self.gateways[gateway].address
+    }
+
+    pub fn in_service(&self, gateway: usize) -> bool {
+        self.gateways[gateway].in_service.load(Ordering::Relaxed)
+    }
+
+    fn config_file(&self, gateway: usize) -> PathBuf {
+        self.folder.join(format!("gateway-{gateway}.json"))
+    }
+
+    fn log_file(&self, gateway: usize) -> PathBuf {
+        self.folder.join(format!("gateway-{gateway}.log"))
+    }
+
+    fn config(&self, gateway: usize, log: &ChangeLog) -> Value {
+        let mut config = json!({"name": format!("g{gateway}"), "listen": self.address(gateway).to_string(),
+            "seed": format!("{:016x}", 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(gateway as u64 + 1)),
+            "limits": {"sockets": self.sockets, "memory_mb": self.memory_mb},
+            "changelog": address_for_gateway(gateway, log.port).to_string(),
+            "known": log.known(gateway), "settings": self.settings});
+        if let Some(size) = self.subset_size {
+            config["subset"] = json!({"size": size});
+        }
+        config
+    }
+
+    /// Starts a process and waits until it serves.
+    pub async fn start(&self, gateway: usize, log: &ChangeLog) -> Result<(), GatewayError> {
+        let file = self.config_file(gateway);
+        let unwritable = |file: PathBuf| move |cause| GatewayError::Unwritable { file, cause };
+        std::fs::write(&file, self.config(gateway, log).to_string()).map_err(unwritable(file.clone()))?;
+        let log_file = self.log_file(gateway);
+        let output = std::fs::OpenOptions::new().create(true).append(true).open(&log_file);
+        let output = output.map_err(unwritable(log_file.clone()))?;
+        let began = self.recorder.now();
+        let mut place = self.gateways[gateway].child.lock().await;
+        if self.stopping.load(Ordering::SeqCst) {
+            return Err(GatewayError::Stopping { gateway });
+        }
+        let child = Command::new(&self.binary)
+            .args(["serve", "--config"])
+            .arg(&file)
+            .env_remove("PROXY_NAME")
+            .env_remove("PROXY_LISTEN")
+            .env_remove("GARNETWALL_PLAN")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(output)
+            .kill_on_drop(true)
+            .spawn();
+        let no_binary = |cause| GatewayError::NoBinary { binary: self.binary.clone(), cause };
+        *place = Some(child.map_err(no_binary)?);
+        drop(place);
+        let ready = timeout(READY_WITHIN, self.healthy(gateway)).await;
+        ready.map_err(|_| GatewayError::NeverReady { gateway, log: log_file })?;
+        let took = self.recorder.now() - began;
+        self.recorder.facts().ready.push(took);
+        self.mark_usage(gateway).await;
+        self.gateways[gateway].in_service.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    async fn healthy(&self, gateway: usize) {
+        while !http_client::is_healthy(self.address(gateway)).await {
+            sleep(ASK_HEALTH_EVERY).await;
+        }
+    }
+
+    async fn process(&self, gateway: usize) -> Option<u32> {
+        self.gateways[gateway].child.lock().await.as_ref().and_then(Child::id)
+    }
+
+    /// What a gateway's process uses now.
+    pub async fn usage(&self, gateway: usize) -> Option<Usage> {
+        Usage::of(self.process(gateway).await?)
+    }
+
+    /// Processor time counts from now on.
+    pub async fn mark_usage(&self, gateway: usize) {
+        let usage = self.usage(gateway).await.unwrap_or_default();
+        *self.gateways[gateway].first.lock().unwrap_or_else(|e| e.into_inner()) = usage;
+    }
+
+    /// Processor time of the gateway's process since it was last marked.
+    pub async fn processor_seconds(&self, gateway: usize) -> Option<f64> {
+        let now = self.usage(gateway).await?;
+        let first = *self.gateways[gateway].first.lock().unwrap_or_else(|e| e.into_inner());
+        Some(now.processor_seconds - first.processor_seconds)
+    }
+
+    async fn signal(&self, gateway: usize, kind: Signal) -> Result<(), GatewayError> {
+        let Some(process) = self.process(gateway).await else { return Ok(()) };
+        let log = self.log_file(gateway);
+        signal(process, kind).map_err(|cause| GatewayError::Process { gateway, cause, log })
+    }
+
+    /// SIGHUP.
+    pub async fn reload(&self, gateway: usize) -> Result<(), GatewayError> {
+        self.signal(gateway, Signal::HUP).await
+    }
+
+    /// SIGTERM; whether it ended by itself with exit code 0 is kept as a fact.
+    pub async fn terminate(&self, gateway: usize) -> Result<(), GatewayError> {
+        let from = self.recorder.now();
+        let kind = if self.kills_for_term { Signal::KILL } else { Signal::TERM };
+        self.signal(gateway, kind).await?;
+        if !self.kills_for_term {
+            sleep(COMING_AFTER_TERM).await;
+        }
+        self.gateways[gateway].in_service.store(false, Ordering::Relaxed);
+        let clean = self.ended(gateway, ENDS_WITHIN).await;
+        self.recorder.facts().outages.push(Outage { gateway, from, killed: false, clean });
+        Ok(())
+    }
+
+    /// SIGKILL.
+    pub async fn kill(&self, gateway: usize) -> Result<(), GatewayError> {
+        let outage = Outage { gateway, from: self.recorder.now(), killed: true, clean: false };
+        self.recorder.facts().outages.push(outage);
+        self.gateways[gateway].in_service.store(false, Ordering::Relaxed);
+        self.signal(gateway, Signal::KILL).await?;
+        self.ended(gateway, KILLED_WITHIN).await;
+        Ok(())
+    }
+
+    /// Waits for the process to end; whether it did so in time and with exit code 0. One that does not is killed.
+    async fn ended(&self, gateway: usize, within: Duration) -> bool {
+        let mut child = self.gateways[gateway].child.lock().await;
+        let Some(mut child) = child.take() else { return false };
+        match timeout(within, child.wait()).await {
+            Ok(Ok(status)) => status.success(),
+            _ => {
+                let _ = timeout(KILLED_WITHIN, child.kill()).await;
+                false
+            }
+        }
+    }
+
+    /// Ends all processes, and waits for them.
+    pub async fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        for (gateway, one) in self.gateways.iter().enumerate() {
+            one.in_service.store(false, Ordering::Relaxed);
+            let _ = self.signal(gateway, Signal::KILL).await;
+        }
+        for gateway in 0..self.count() {
+            self.ended(gateway, KILLED_WITHIN).await;
+        }
+    }
+}
+
+/// The settings that every gateway is told.
+pub fn settings(experiment: &Experiment) -> Value {
+    let group = |name: &str, semantics: &str| {
+        json!({"name": name, "semantics": semantics, "give-up": LIMIT_MS, "goal-time": LIMIT_MS / 2,
+            "worth": 1.0, "late-share": 0.5, "one-at-a-time": name == "load"})
+    };
+    let zones: Vec<String> = (0..experiment.zones).map(|zone| format!("z{zone}")).collect();
+    json!({
+        "allowed": {"dial-timeout": 250.0, "idle-close": 30_000.0, "cancelling": true, "max-attempts": 2,
+            "retry-after": true, "max-retry-after": 1_000.0, "may-probe": true, "open-cap": 20_000},
+        "balancers": experiment.gateways_told.unwrap_or(experiment.gateways),
+        "categories": [group("report", "retryable"), group("load", "fragile")],
+        "domain": {"kind-cores": [CORES], "parallelism": [1, 1], "loads": [false, false]},
+        "kinds": ["std"], "zones": zones, "rules": {"order-pause": 200.0},
+        "telemetry": {"fields": ["depth", "load_share"], "how": "on_probe"},
+        "tenants": [{"name": "acme"}]})
+}
--- /dev/null
+++ b/crates/scale/src/beside/prediction.rs
@@ -0,0 +1,115 @@
+//! What hollow gateways predict for the real ones: the same list and settings taken through `garnetwall-subset` and the
+//! decision module directly.
+
+use super::experiment::Experiment;
+use super::facts::Recorder;
+use super::gateways;
+use super::hollow::{self, Load};
+use super::report::Figure;
+use super::roster::Roster;
+use garnetwall_settings::{decode, Flat};
+use garnetwall_subset::{
+    Action, Catalog, Condition, EngineFacts, EngineLine, PlacementClass, RetryScope, Subset, SubsetError,
+    SubsetSettings,
+};
+
+/// The defaults of the gateways' `subset` block.
+const CLASS_FLOOR: usize = 4;
+const RESERVE: usize = 8;
+const JOINS_PER_SECOND: f64 = 20.0;
+const NEAR_WEIGHT: f64 = 1.0;
+const CORES: f64 = 8.0;
+/// Simulated seconds in which a subset fills, and the steps.
+const FILLS_WITHIN: f64 = 60.0;
+const STEP: f64 = 0.25;
+
+type Figures = Result<Vec<Figure>, Box<dyn std::error::Error>>;
+
+/// Hollow figures, and the real ones over them.
+pub fn figures(experiment: &Experiment, real: &[Figure], recorder: &Recorder) -> Figures {
+    let mut figures = members_met(experiment, recorder)?;
+    let of = |name: &str| figures.iter().find(|f| f.name == name).map(|f| f.value);
+    let engines = of("predicted_members").map_or(experiment.engines, |members| members as usize);
+    let holders = of("predicted_members").map(|members| {
+        let gateways = experiment.gateways_told.unwrap_or(experiment.gateways) as f64;
+        (gateways * members / experiment.engines as f64).max(1.0)
+    });
+    let settings = decode(&Flat::from_json(&gateways::settings(experiment))?)?.settings;
+    let keyed = experiment.keys as f64 * super::clients::QUERIES_PER_SECOND_OF_A_KEY;
+    let load = Load {
+        queries_per_second: (experiment.queries_per_second + keyed) / experiment.gateways as f64,
+        work_seconds: (experiment.work_ms[0] + experiment.work_ms[1]) as f64 / 2000.0,
+        seed: experiment.seed,
+    };
+    let cost = hollow::cost(&settings, &hollow::lines(engines, experiment.zones, holders), load)?;
+    let run = |name: &str, value: f64| Figure::new("run", 0.0, name, value);
+    figures.push(run("hollow_queries_per_second", load.queries_per_second));
+    figures.push(run("hollow_processor_share", cost.processor_share));
+    figures.push(run("hollow_resident_bytes", cost.resident_bytes));
+    for figure in real.iter().filter(|figure| figure.of == "gateway") {
+        let predicted = match figure.name.as_str() {
+            "processor_share" => cost.processor_share,
+            "resident_bytes" => cost.resident_bytes,
+            _ => continue,
+        };
+        let name = format!("{}_over_hollow", figure.name);
+        figures.push(Figure::new("gateway", figure.at, &name, figure.value / predicted));
+    }
+    Ok(figures)
+}
+
+/// Engines that hollow gateways of the same names hold, and the real ones' engines over that.
+fn members_met(experiment: &Experiment, recorder: &Recorder) -> Result<Vec<Figure>, SubsetError> {
+    let Some(size) = experiment.subset_size else { return Ok(Vec::new()) };
+    let mut figures = Vec::new();
+    for gateway in 0..experiment.gateways {
+        let members = members(experiment, gateway, size)? as f64;
+        let met = recorder.facts().met.get(&gateway).map_or(0, |engines| engines.len()) as f64;
+        figures.push(Figure::new("gateway", gateway as f64, "predicted_members", members));
+        figures.push(Figure::new("gateway", gateway as f64, "engines_met", met));
+        figures.push(Figure::new("gateway", gateway as f64, "met_over_predicted", met / members));
+    }
+    Ok(figures)
+}
+
+/// How many engines one hollow gateway holds once its subset has filled.
+fn members(experiment: &Experiment, gateway: usize, size: usize) -> Result<usize, SubsetError> {
+    let settings = SubsetSettings {
+        size,
+        class_floor: CLASS_FLOOR,
+        reserve: RESERVE,
+        joins_per_second: JOINS_PER_SECOND,
+        zone: None,
+        near_weight: NEAR_WEIGHT,
+        gateways: experiment.gateways_told.unwrap_or(experiment.gateways) as f64,
+        classes: vec![PlacementClass::default()],
+        retry_scope: RetryScope::Everywhere,
+    };
+    let mut subset = Subset::new(&format!("g{gateway}"), settings)?;
+    let mut catalog = Catalog::default();
+    let changes = catalog.apply(&lines(experiment), true);
+    subset.changed(0.0, &catalog, &changes);
+    let mut now = 0.0;
+    while now < FILLS_WITHIN {
+        for action in subset.poll(now, &catalog) {
+            if let Action::Warm(engine) = action {
+                subset.warmed(now, engine, true);
+            }
+        }
+        now += STEP;
+    }
+    Ok(subset.members().count())
+}
+
+fn lines(experiment: &Experiment) -> Vec<EngineLine> {
+    let roster = Roster::new(experiment.engines, experiment.zones);
+    let facts = |slot: usize| EngineFacts {
+        zone: roster.zone(slot) as u32,
+        kind: 0,
+        cell: roster.cell(slot) as u32,
+        cores: CORES,
+        condition: Condition::Ready,
+    };
+    let line = |slot| EngineLine { id: roster.engine(slot).to_string(), facts: facts(slot) };
+    (0..experiment.engines).map(line).collect()
+}
--- /dev/null
+++ b/crates/scale/src/beside/report.rs
@@ -0,0 +1,56 @@
+//! What a run prints, and the figures that it writes as JSON lines and CSV.
+
+use super::judge::Judgement;
+use serde::Serialize;
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+
+/// One figure.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figure {
+    /// What it belongs to: `run`, `gateway`, or the quantity that was swept.
+    pub of: String,
+    /// The gateway's number, or the swept quantity's value.
+    pub at: f64,
+    pub name: String,
+    pub value: f64,
+}
+
+impl Figure {
+    pub fn new(of: &str, at: f64, name: &str, value: f64) -> Figure {
+        Figure { of: of.into(), at, name: name.into(), value }
+    }
+}
+
+/// Writes figures to this file as JSON lines, and beside it as CSV.
+pub fn write(figures: &[Figure], file: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let mut lines = BufWriter::new(File::create(file)?);
+    for figure in figures {
+        serde_json::to_writer(&mut lines, figure)?;
+        lines.write_all(b"\n")?;
+    }
+    lines.flush()?;
+    let mut table = csv::Writer::from_path(file.with_extension("csv"))?;
+    for figure in figures {
+        table.serialize(figure)?;
+    }
+    Ok(table.flush()?)
+}
+
+/// Prints figures, one a line.
+pub fn print_figures(figures: &[Figure]) {
+    for Figure { of, at, name, value } in figures {
+        println!("{of:<20} {at:>8} {name:<42} {value:>16.4}");
+    }
+}
+
+/// Prints what was judged, with the count alone on the last line; whether all passed.
+pub fn print_judgements(judgements: &[Judgement]) -> bool {
+    for Judgement { what, passed, detail } in judgements {
+        println!("{} {what}: {detail}", if *passed { "pass" } else { "FAIL" });
+    }
+    let passed = judgements.iter().filter(|judgement| judgement.passed).count();
+    println!("{passed} passed, {} failed", judgements.len() - passed);
+    passed == judgements.len()
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -25,7 +25,7 @@
     /// Plays thousands of hollow gateways in simulated time, and judges them.
     Fleet(Run),
     /// Plays real gateways on loopback beside what hollow ones predict.
-    Beside(Run),
+    Beside(beside::BesideRun),
     /// Compares ways to choose subsets: spread over engines, moves on a change.
     Spread(Run),
 }
