--- a/crates/scale/src/beside/change_log.rs
+++ b/crates/scale/src/beside/change_log.rs
@@ -256,6 +256,15 @@
     Bytes::from(format!("id: {number}\ndata: {data}\n\n"))
 }
 
+/// Frames to be written at once; a comment where there are none.
+fn joined(frames: Vec<Bytes>) -> Bytes {
+    match <[Bytes; 1]>::try_from(frames) {
+        Ok([one]) => one,
+        Err(none) if none.is_empty() => Bytes::from_static(COMMENT),
+        Err(several) => Bytes::from(several.concat()),
+    }
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         match listener.accept().await {
@@ -300,15 +309,10 @@
             if self.shared.slips.slow {
                 sleep(SLOW).await;
             }
-            let mut frames = self.due();
-            if frames.is_empty() {
-                frames.push(Bytes::from_static(COMMENT));
-            }
-            for frame in frames {
-                self.count(frame.len() as u64);
-                if !matches!(timeout(SLOW_READER, sender.send_data(frame)).await, Ok(Ok(()))) {
-                    return;
-                }
+            let due = joined(self.due());
+            self.count(due.len() as u64);
+            if !matches!(timeout(SLOW_READER, sender.send_data(due)).await, Ok(Ok(()))) {
+                return;
             }
             // It fails only with the log, whose end ends this task too.
             let _ = timeout(COMMENT_EVERY, last.changed()).await;
--- a/crates/scale/src/beside/judge.rs
+++ b/crates/scale/src/beside/judge.rs
@@ -235,6 +235,10 @@
 pub struct Measured {
     pub max_over_mean: f64,
     pub p99_over_mean: f64,
+    /// The slot of the busiest engine.
+    pub busiest: usize,
+    /// Engines that got an attempt.
+    pub engines_used: usize,
     /// The most engines that one gateway opened connections to.
     pub engines_a_gateway: f64,
     /// The most gateways that opened connections to one engine.
@@ -256,6 +260,8 @@
             holders[*slot] += 1;
         }
         let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let busiest = (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b])).unwrap_or(0);
+        let engines_used = loads.iter().filter(|load| **load > 0.0).count();
         loads.sort_by(f64::total_cmp);
         let over_mean =
             |part: f64| quantile(&loads, part).map_or(0.0, |load| load / mean.max(f64::MIN_POSITIVE));
@@ -265,6 +271,8 @@
         Measured {
             max_over_mean: over_mean(1.0),
             p99_over_mean: over_mean(0.99),
+            busiest,
+            engines_used,
             engines_a_gateway: facts.met.values().map(BTreeSet::len).max().unwrap_or(0) as f64,
             gateways_an_engine: holders.into_iter().max().unwrap_or(0) as f64,
             change_seen_ms: seen.fold(0.0, f64::max),
--- a/crates/scale/src/beside/mod.rs
+++ b/crates/scale/src/beside/mod.rs
@@ -11,6 +11,7 @@
 mod hollow;
 mod http_client;
 mod judge;
+mod measure;
 mod prediction;
 mod process;
 mod report;
@@ -26,7 +27,8 @@
 use experiment::{Experiment, Slip};
 use facts::{Facts, Recorder};
 use gateways::Gateways;
-use judge::{Judgement, Measured};
+use judge::Judgement;
+use measure::{figures_of, gateway_figures, sample, Peak};
 use report::Figure;
 use roster::Roster;
 use script::Stage;
@@ -148,6 +150,7 @@
         judgements.extend(found.judgements);
     }
     let swept = sweeps::run(experiment, binary, folder, started).await?;
+    judgements.extend(sweeps::judge(&swept));
     figures.extend(fit::slopes(&swept));
     figures.extend(swept);
     Ok(Findings { figures, judgements })
@@ -202,10 +205,18 @@
     let measured_from = recorder.now();
     let ports = stage.engines.ports.clone();
     let clients = Clients::new(experiment, stage.gateways.clone(), ports, recorder.clone());
-    let (played, ()) = tokio::join!(script::play(stage.clone(), experiment.events.clone()), clients.run());
-    played?;
+    let playing = async {
+        let (played, ()) =
+            tokio::join!(script::play(stage.clone(), experiment.events.clone()), clients.run());
+        played
+    };
+    let mut peaks = vec![Peak::default(); experiment.gateways];
+    tokio::select! {
+        played = playing => played?,
+        () = sample(stage, &mut peaks) => {}
+    }
     sleep(LAST_LOOK).await;
-    let mut figures = gateway_figures(stage, recorder.now() - measured_from).await;
+    let mut figures = gateway_figures(stage, &peaks, recorder.now() - measured_from).await;
     let log_seconds = stage.log.processor_seconds();
     figures.push(Figure::new("run", 0.0, "log_processor_seconds", log_seconds));
     figures.push(Figure::new("run", 0.0, "watchers_connected", watchers.connected() as f64));
@@ -228,54 +239,5 @@
     Ok(())
 }
 
-/// What each gateway's process uses; processor time as a part of one core since queries began, or since its last start.
-async fn gateway_figures(stage: &Stage, seconds: f64) -> Vec<Figure> {
-    let predicted = stage.log.event_bytes() as f64 + change_log::COMMENT_BYTES_PER_SECOND * seconds;
-    let mut figures = vec![Figure::new("run", 0.0, "predicted_watch_bytes", predicted)];
-    for gateway in 0..stage.gateways.count() {
-        let Some(usage) = stage.gateways.usage(gateway).await else { continue };
-        let processor = stage.gateways.processor_seconds(gateway).await.unwrap_or(f64::NAN);
-        let figure = |name: &str, value: f64| Figure::new("gateway", gateway as f64, name, value);
-        figures.extend([
-            figure("resident_bytes", usage.resident_bytes as f64),
-            figure("processor_seconds", processor),
-            figure("processor_share", processor / seconds),
-            figure("descriptors", usage.descriptors as f64),
-            figure("connections_to_engines", stage.engines.connections(gateway) as f64),
-            figure("watch_bytes", stage.log.bytes_to_gateway(gateway) as f64),
-            figure("watch_bytes_over_predicted", stage.log.bytes_to_gateway(gateway) as f64 / predicted),
-            figure("watch_bytes_per_second", stage.log.bytes_to_gateway(gateway) as f64 / seconds),
-        ]);
-    }
-    figures
-}
-
-fn figures_of(facts: &Facts) -> Vec<Figure> {
-    let measured = Measured::new(facts);
-    let figure = |name: &str, value: f64| Figure::new("run", 0.0, name, value);
-    let ended = |wanted: fn(&facts::Outcome) -> bool| {
-        facts.queries.iter().filter(|query| wanted(&query.outcome)).count() as f64
-    };
-    let mut ready = facts.ready.clone();
-    ready.sort_by(f64::total_cmp);
-    vec![
-        figure("queries", facts.queries.len() as f64),
-        figure("succeeded", ended(|outcome| matches!(outcome, facts::Outcome::Succeeded { .. }))),
-        figure("rejected", ended(|outcome| matches!(outcome, facts::Outcome::Rejected))),
-        figure("failed", ended(|outcome| matches!(outcome, facts::Outcome::Failed))),
-        figure("not_taken", ended(|outcome| matches!(outcome, facts::Outcome::NotTaken))),
-        figure("lost", ended(|outcome| matches!(outcome, facts::Outcome::Lost(_)))),
-        figure("attempts", facts.attempts.len() as f64),
-        figure("changes", facts.changes.len() as f64),
-        figure("busiest_engine_over_mean", measured.max_over_mean),
-        figure("engine_p99_over_mean", measured.p99_over_mean),
-        figure("most_engines_a_gateway", measured.engines_a_gateway),
-        figure("most_gateways_an_engine", measured.gateways_an_engine),
-        figure("worst_change_seen_by_99_in_100_ms", measured.change_seen_ms),
-        figure("ready_ms_median", 1000.0 * judge::quantile(&ready, 0.5).unwrap_or(0.0)),
-        figure("ready_ms_most", measured.ready_ms),
-    ]
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/scale/src/beside/report.rs
+++ b/crates/scale/src/beside/report.rs
@@ -41,7 +41,7 @@
 /// Prints figures, one a line.
 pub fn print_figures(figures: &[Figure]) {
     for Figure { of, at, name, value } in figures {
-        println!("{of:<20} {at:>8} {name:<42} {value:>16.4}");
+        println!("{of:<20} {at:>8} {name:<62} {value:>18.7}");
     }
 }
 
--- a/crates/scale/src/beside/sweeps.rs
+++ b/crates/scale/src/beside/sweeps.rs
@@ -6,7 +6,7 @@
 use super::facts::{Facts, Recorder};
 use super::gateways::Gateways;
 use super::http_client::{self, Connection};
-use super::judge::seen_by_99_in_100;
+use super::judge::{seen_by_99_in_100, Judgement};
 use super::report::Figure;
 use super::roster::Roster;
 use super::watchers::Watchers;
@@ -31,6 +31,30 @@
 const SEEN_WITHIN: Duration = Duration::from_secs(60);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
+/// What a sweep measured holds only if everything that it measured was there.
+pub fn judge(figures: &[Figure]) -> Vec<Judgement> {
+    let mut judgements = Vec::new();
+    for (name, what) in
+        [("still_open", "swept client connections stayed open"), ("connected", "swept watchers had a stream")]
+    {
+        let steps: Vec<&Figure> = figures.iter().filter(|figure| figure.name == name).collect();
+        let short = steps.iter().find(|figure| figure.value < figure.at);
+        let detail = short.map(|figure| format!("{} of {}", figure.value, figure.at));
+        if !steps.is_empty() {
+            let passed = detail.is_none();
+            judgements.push(Judgement { what, passed, detail: detail.unwrap_or_else(|| "all did".into()) });
+        }
+    }
+    let unseen = figures
+        .iter()
+        .find(|figure| figure.name.ends_with("_seen_by_99_in_100_ms") && !figure.value.is_finite());
+    if figures.iter().any(|figure| figure.of == "log_watchers") {
+        let detail = unseen.map_or("all were".into(), |figure| format!("{} at {}", figure.name, figure.at));
+        judgements.push(Judgement { what: "swept changes were seen", passed: unseen.is_none(), detail });
+    }
+    judgements
+}
+
 type SweepResult = Result<Vec<Figure>, Box<dyn std::error::Error>>;
 
 /// Plays all sweeps of an experiment.
--- a/crates/scale/src/beside/tests.rs
+++ b/crates/scale/src/beside/tests.rs
@@ -4,7 +4,9 @@
 use super::facts::{Attempt, ChangeSeen, Delivery, Facts, Group, Notice, Outcome, Query};
 use super::fit::Line;
 use super::judge::{judge, seen_by_99_in_100};
+use super::report::Figure;
 use super::roster::{address, slot, EngineId};
+use super::sweeps;
 use super::watchers::LineStarts;
 use bytes::Bytes;
 use std::net::IpAddr;
@@ -120,6 +122,17 @@
     assert_eq!(Line::through(&[(1.0, 1.0), (1.0, 2.0)]), None);
 }
 
+#[test]
+fn a_sweep_that_lost_what_it_measured_fails() {
+    let step = |name: &str, value: f64| Figure::new("log_watchers", 100.0, name, value);
+    let whole = [step("connected", 100.0), step("one_line_seen_by_99_in_100_ms", 5.0)];
+    assert!(sweeps::judge(&whole).iter().all(|judgement| judgement.passed));
+    let lost = [step("connected", 99.0), step("one_line_seen_by_99_in_100_ms", f64::INFINITY)];
+    assert_eq!(sweeps::judge(&lost).iter().filter(|judgement| judgement.passed).count(), 0);
+    let closed = Figure::new("client_connections", 500.0, "still_open", 499.0);
+    assert_eq!(sweeps::judge(&[closed]).iter().filter(|judgement| !judgement.passed).count(), 1);
+}
+
 #[test]
 fn every_experiment_in_the_repository_can_be_read() {
     let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
