--- a/crates/gateway/src/desk/waiter.rs
+++ b/crates/gateway/src/desk/waiter.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 /// Protocol: a call that its connection lost comes again on a new one within this.
-const COMES_AGAIN: Duration = Duration::from_millis(50);
+const RECONNECT_WINDOW: Duration = Duration::from_millis(50);
 
 /// A client that waits for a batch; dropped before the answer, it has gone unless it comes again at once.
 pub struct Waiter {
@@ -27,21 +27,21 @@
 
 impl Drop for Waiter {
     fn drop(&mut self) {
-        let Some(waited) = self.desk.leaves(self.id) else { return };
+        let Some(waited) = self.desk.waiter_left(self.id) else { return };
         let (desk, id) = (self.desk.clone(), self.id);
         match Handle::try_current() {
             Ok(runtime) => drop(runtime.spawn(async move {
-                sleep(COMES_AGAIN).await;
-                desk.stays_away(id, waited);
+                sleep(RECONNECT_WINDOW).await;
+                desk.not_back(id, waited);
             })),
-            Err(_) => desk.stays_away(id, waited),
+            Err(_) => desk.not_back(id, waited),
         }
     }
 }
 
 impl Desk {
     /// One who waited has left. Nothing is sent for a batch that nobody waits for; how many had waited for it by then.
-    fn leaves(&self, id: BatchId) -> Option<u64> {
+    fn waiter_left(&self, id: BatchId) -> Option<u64> {
         self.fact(|seats, now| {
             let b = seats.in_hand.get_mut(&id)?;
             b.waiters -= 1;
@@ -56,7 +56,7 @@
     }
 
     /// Nobody has come again for a batch since so many had waited for it: its clients have gone.
-    fn stays_away(&self, id: BatchId, waited: u64) {
+    fn not_back(&self, id: BatchId, waited: u64) {
         self.fact(|seats, now| {
             if seats.in_hand.get(&id).is_some_and(|b| b.waiters == 0 && b.waited == waited) {
                 seats.gone(now, id);
--- a/crates/gateway/src/engines/way.rs
+++ b/crates/gateway/src/engines/way.rs
@@ -1,7 +1,7 @@
 //! The way of one dispatch: its start, asking for it, its pages, giving it up.
 
+mod cancel;
 mod exchange;
-mod giving_up;
 mod pages;
 mod polling;
 mod start;
@@ -19,7 +19,7 @@
 use garnetwall_ledger::{Asking, Connection, DispatchId, Fact};
 use http::{Method, Request};
 use http_body_util::channel::Sender as BodySender;
-use polling::Heard;
+use polling::PollOutcome;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -49,7 +49,7 @@
 }
 
 /// A body on its way to an engine.
-pub(super) struct Feed {
+pub(super) struct OutgoingBody {
     reader: Reader,
     length: Option<u64>,
     out: BodySender<Bytes, ReadFault>,
@@ -63,17 +63,17 @@
         mut wishes: watch::Receiver<Wish>,
         tidings: Tidings,
     ) -> Ended {
-        let told = self.end(call, start, &mut wishes, &tidings).await;
+        let told = self.poll_until_end(call, start, &mut wishes, &tidings).await;
         let end = match told {
-            Heard::Good(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
-            Heard::Good(first, pages) => return self.fetch(call, first, pages).await,
-            Heard::Over(ended) => return ended,
-            Heard::InDoubt => {
+            PollOutcome::Succeeded(..) if *wishes.borrow() == Wish::Over => End::Withdrawn,
+            PollOutcome::Succeeded(first, pages) => return self.fetch_pages(call, first, pages).await,
+            PollOutcome::Over(ended) => return ended,
+            PollOutcome::Unknown => {
                 tidings.doubt.send_replace(Some(End::Broken));
-                self.give_up(call).await;
+                self.cancel(call).await;
                 End::Broken
             }
-            Heard::Unwanted => match (self.give_up(call).await, *wishes.borrow()) {
+            PollOutcome::Unwanted => match (self.cancel(call).await, *wishes.borrow()) {
                 // Its batch was over before it could be started: that says nothing of the engine.
                 (ledger::Proof::NeverCame, Wish::Over | Wish::Begun) => End::Moot,
                 (ledger::Proof::NeverCame, _) => End::Unconnected,
@@ -83,12 +83,12 @@
         Ended::of(end)
     }
 
-    fn asking(&self, call: &Call, page: usize) -> Request<Outgoing> {
+    fn poll_request(&self, call: &Call, page: usize) -> Request<Outgoing> {
         request(Method::GET, self.target.address, &path(call, Some(page)))
     }
 
     /// How long news may take once a connection is up.
-    fn patience(&self) -> Duration {
+    fn poll_timeout(&self) -> Duration {
         NEWS + if self.silent { self.engines.dial * 2 } else { LONGER }
     }
 
@@ -103,12 +103,12 @@
         self.dispatch.is_some_and(|id| self.engines.ledger().may_run_until(id).is_some())
     }
 
-    fn asked_on(&self) -> Asking {
+    fn polling(&self) -> Asking {
         Asking::new(self.engines.now(), self.engines.bounds, self.engines.dial)
     }
 
     /// A connection that something spoilt came over is of no further use.
-    fn drop_after(&mut self, told: Result<(), Fault>) {
+    fn drop_if_garbled(&mut self, told: Result<(), Fault>) {
         if told == Err(Fault::Garbled) {
             self.sender = None;
             self.tell(Fact::Useless(self.connection));
--- a/crates/gateway/src/engines/way/giving_up.rs
+++ b/crates/gateway/src/engines/way/cancel.rs
@@ -12,7 +12,7 @@
 impl Way<'_> {
     /// Has the engine give the dispatch up, on the connection that it was asked on as long as that is of use;
     /// until it is proved that it does not run any more.
-    pub(super) async fn give_up(&mut self, call: &Call) -> ledger::Proof {
+    pub(super) async fn cancel(&mut self, call: &Call) -> ledger::Proof {
         let Some(id) = self.dispatch else { return ledger::Proof::NeverCame };
         let engine = self.target.engine;
         loop {
@@ -24,7 +24,7 @@
                 }
                 Next::Wait(span) => sleep(span).await,
                 Next::FindOut => {
-                    if self.finds_out(call).await.is_err_and(|fault| fault != Fault::Refused) {
+                    if self.look_up(call).await.is_err_and(|fault| fault != Fault::Refused) {
                         self.tell(Fact::Missed);
                     }
                 }
@@ -40,7 +40,7 @@
                             self.tell(Fact::GivenUp(self.connection));
                         }
                         Ok(_) => {
-                            self.drop_after(Err(Fault::Garbled));
+                            self.drop_if_garbled(Err(Fault::Garbled));
                             self.tell(Fact::Missed);
                         }
                         Err(fault) => {
@@ -56,14 +56,14 @@
     }
 
     /// Asks who listens there now whether it has the dispatch.
-    async fn finds_out(&mut self, call: &Call) -> Result<(), Fault> {
-        let reply = self.call(self.asking(call, 0), None, self.patience(), true).await?;
+    async fn look_up(&mut self, call: &Call) -> Result<(), Fault> {
+        let reply = self.call(self.poll_request(call, 0), None, self.poll_timeout(), true).await?;
         match news(&reply) {
             News::NotYet(_) => self.tell(Fact::Runs(self.connection)),
             News::Good(_) => self.tell(Fact::Ended),
             News::Over(_) => self.tell(Fact::Failed(self.connection)),
             News::Garbled => {
-                self.drop_after(Err(Fault::Garbled));
+                self.drop_if_garbled(Err(Fault::Garbled));
                 return Err(Fault::Garbled);
             }
         }
--- a/crates/gateway/src/engines/way/exchange.rs
+++ b/crates/gateway/src/engines/way/exchange.rs
@@ -1,6 +1,6 @@
 //! One call and its answer, on a connection that is up or comes up.
 
-use super::{Feed, Way};
+use super::{OutgoingBody, Way};
 use crate::engines::outgoing::{Outgoing, Sender};
 use crate::engines::reply::{exchange, Fault, Reply};
 use garnetwall_bodies::body::ReadFault;
@@ -15,11 +15,11 @@
     pub(in crate::engines) async fn call(
         &mut self,
         request: Request<Outgoing>,
-        feed: Option<Feed>,
+        feed: Option<OutgoingBody>,
         within: Duration,
         asks: bool,
     ) -> Result<Reply, Fault> {
-        let answer = self.bounded(request, feed, within, asks).await;
+        let answer = self.call_on_connection(request, feed, within, asks).await;
         self.silent = matches!(answer, Err(Fault::Silent));
         self.engines.heard(self.target, answer.as_ref().err());
         match answer {
@@ -34,10 +34,10 @@
         answer
     }
 
-    async fn bounded(
+    async fn call_on_connection(
         &mut self,
         request: Request<Outgoing>,
-        feed: Option<Feed>,
+        feed: Option<OutgoingBody>,
         within: Duration,
         asks: bool,
     ) -> Result<Reply, Fault> {
@@ -65,7 +65,7 @@
         }
         let Some(feed) = feed else {
             if asks {
-                self.comes();
+                self.sent_whole();
             }
             let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
             self.sender = answer.is_ok().then_some(sender);
@@ -83,7 +83,7 @@
         &mut self,
         sender: &mut Sender,
         request: Request<Outgoing>,
-        feed: Feed,
+        feed: OutgoingBody,
         within: Duration,
     ) -> Result<Reply, Fault> {
         let exchanging = exchange(sender, request);
@@ -91,7 +91,7 @@
         let fed = tokio::select! {
             biased;
             answer = &mut exchanging => return answer,
-            fed = self.feed(feed) => fed,
+            fed = self.send_body(feed) => fed,
         };
         match fed {
             Ok(()) => timeout(within, exchanging).await.unwrap_or(Err(Fault::Silent)),
--- a/crates/gateway/src/engines/way/pages.rs
+++ b/crates/gateway/src/engines/way/pages.rs
@@ -9,7 +9,7 @@
 
 impl Way<'_> {
     /// The pages after the first, so that a lost one is still an outcome.
-    pub(super) async fn fetch(&mut self, call: &Call, first: Reply, pages: usize) -> Ended {
+    pub(super) async fn fetch_pages(&mut self, call: &Call, first: Reply, pages: usize) -> Ended {
         let mut ended = Ended {
             work: first.number(WORK).map(|ms| ms / 1000.0).filter(|v| *v > 0.0),
             memory: first.number(MEMORY).filter(|v| *v > 0.0),
@@ -17,14 +17,14 @@
             ..Ended::of(End::Returned)
         };
         ended.pages.push(first.body);
-        let mut asking = self.asked_on();
+        let mut asking = self.polling();
         for page in 1..pages {
             let mut told = Ok(());
             loop {
-                if !self.ask_on(&mut asking, told).await {
+                if !self.wait_for_next_poll(&mut asking, told).await {
                     return Ended { end: End::Broken, ..ended };
                 }
-                told = match self.call(self.asking(call, page), None, self.patience(), true).await {
+                told = match self.call(self.poll_request(call, page), None, self.poll_timeout(), true).await {
                     Ok(r) if r.status == StatusCode::INTERNAL_SERVER_ERROR => {
                         tracing::debug!(engine = self.target.engine, page, "page lost");
                         return Ended { end: End::Errored, ..ended };
--- a/crates/gateway/src/engines/way/polling.rs
+++ b/crates/gateway/src/engines/way/polling.rs
@@ -1,6 +1,6 @@
 //! Asks for a dispatch until its end is known, or asking can't tell any more.
 
-use super::{Feed, Way};
+use super::{OutgoingBody, Way};
 use crate::engines::call::{Call, Ended, Start, Tidings, Wish};
 use crate::engines::outgoing::Outgoing;
 use crate::engines::reply::{news, Fault, News, Reply};
@@ -13,12 +13,12 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 /// How asking for a dispatch ends.
-pub(super) enum Heard {
+pub(super) enum PollOutcome {
     /// A good end: the answer that tells so, and its number of pages.
-    Good(Reply, usize),
+    Succeeded(Reply, usize),
     Over(Ended),
     /// Asking can't tell any more.
-    InDoubt,
+    Unknown,
     /// Nobody waits for the answer any more.
     Unwanted,
 }
@@ -26,51 +26,53 @@
 impl Way<'_> {
     /// The answer that tells of a good end, and its number of pages; or how it ended otherwise. A start that was
     /// not answered may have come whole all the same, and a good end is given again: asking tells.
-    pub(super) async fn end(
+    pub(super) async fn poll_until_end(
         &mut self,
         call: &Call,
         start: Start,
         wishes: &mut watch::Receiver<Wish>,
         tidings: &Tidings,
-    ) -> Heard {
-        let mut asking = self.asked_on();
-        let Some((mut next, mut feed)) = self.starting(call, &start) else {
+    ) -> PollOutcome {
+        let mut asking = self.polling();
+        let Some((mut next, mut feed)) = self.start_request(call, &start) else {
             self.tell(Fact::NeverCame);
-            return Heard::Over(Ended::of(End::Unconnected));
+            return PollOutcome::Over(Ended::of(End::Unconnected));
         };
         let mut started = false;
         loop {
-            let Some(answer) = self.wanted(next, feed.take(), wishes).await else { return Heard::Unwanted };
+            let Some(answer) = self.call_while_wanted(next, feed.take(), wishes).await else {
+                return PollOutcome::Unwanted;
+            };
             let first = !std::mem::replace(&mut started, true);
             if std::mem::take(&mut self.unreadable) {
                 // What went on is not whole, so that nothing ran; the batch has no body any more.
                 self.tell(Fact::NeverCame);
-                return Heard::Over(Ended::of(End::Errored));
+                return PollOutcome::Over(Ended::of(End::Errored));
             }
             if first && answer.is_err() && self.gate.as_ref().is_some_and(|gate| gate.is_stopped()) {
                 // It was stopped at its last bytes, before who wished so was heard.
                 self.tell(Fact::NeverCame);
                 let elsewhere = *wishes.borrow() == Wish::Back || !self.engines.list().takes(self.target);
-                return Heard::Over(Ended::of(if elsewhere { End::Unconnected } else { End::Moot }));
+                return PollOutcome::Over(Ended::of(if elsewhere { End::Unconnected } else { End::Moot }));
             }
             if first && answer.is_err() && !self.may_have_come {
                 self.tell(Fact::NeverCame);
-                return Heard::Over(Ended::of(End::Unconnected));
+                return PollOutcome::Over(Ended::of(End::Unconnected));
             }
             let told = match answer {
                 Ok(reply) => match news(&reply) {
                     News::Good(pages) => {
                         self.tell(Fact::Ended);
-                        return Heard::Good(reply, pages);
+                        return PollOutcome::Succeeded(reply, pages);
                     }
                     News::Over(end) => {
                         self.tell(if first { Fact::Ended } else { Fact::Failed(self.connection) });
                         let end = match ledger::weigh(first, end == End::Errored, !self.may_run()) {
                             ledger::Verdict::AsTold => end,
                             ledger::Verdict::CutShort => End::Broken,
-                            ledger::Verdict::InDoubt => return Heard::InDoubt,
+                            ledger::Verdict::InDoubt => return PollOutcome::Unknown,
                         };
-                        return Heard::Over(Ended { report: reply.report(), ..Ended::of(end) });
+                        return PollOutcome::Over(Ended { report: reply.report(), ..Ended::of(end) });
                     }
                     News::NotYet(note) => {
                         self.tell(Fact::Runs(self.connection));
@@ -84,26 +86,26 @@
                 Err(fault) => Err(fault),
             };
             if !wishes.borrow().asks() {
-                self.drop_after(told);
-                return Heard::Unwanted;
+                self.drop_if_garbled(told);
+                return PollOutcome::Unwanted;
             }
-            if !self.ask_on(&mut asking, told).await {
-                return Heard::InDoubt;
+            if !self.wait_for_next_poll(&mut asking, told).await {
+                return PollOutcome::Unknown;
             }
-            next = self.asking(call, 0);
+            next = self.poll_request(call, 0);
         }
     }
 
     /// One call, which is let end for as long as news is held back where nobody waits for it any more; none where
     /// it has not ended then. A start is not: what the machine has not sent of it, or what has not come, would come after the
     /// batch's answer.
-    async fn wanted(
+    async fn call_while_wanted(
         &mut self,
         request: Request<Outgoing>,
-        feed: Option<Feed>,
+        feed: Option<OutgoingBody>,
         wishes: &mut watch::Receiver<Wish>,
     ) -> Option<Result<Reply, Fault>> {
-        let within = self.patience();
+        let within = self.poll_timeout();
         let is_start = request.method() == Method::POST;
         let gate = self.gate.clone();
         let stops = || gate.as_ref().is_some_and(|gate| gate.stop());
@@ -149,13 +151,13 @@
     }
 
     /// After what came of the last call, waits until asking may go on; whether it may.
-    pub(super) async fn ask_on(&mut self, asking: &mut Asking, told: Result<(), Fault>) -> bool {
+    pub(super) async fn wait_for_next_poll(&mut self, asking: &mut Asking, told: Result<(), Fault>) -> bool {
         let now = self.engines.now();
         let step = match told {
             Ok(()) => asking.heard(now),
             Err(fault) => asking.lost(now, fault.lost()),
         };
-        self.drop_after(told);
+        self.drop_if_garbled(told);
         match step {
             Step::Ask(after) => {
                 if !after.is_zero() {
--- a/crates/gateway/src/engines/way/start.rs
+++ b/crates/gateway/src/engines/way/start.rs
@@ -1,6 +1,6 @@
 //! The call that starts a dispatch, and its body on the way to the engine.
 
-use super::{Feed, Way};
+use super::{OutgoingBody, Way};
 use crate::engines::call::{Call, Start, Statement};
 use crate::engines::outgoing::{request, Outgoing};
 use garnetwall_bodies::body::ReadFault;
@@ -14,12 +14,16 @@
 /// Protocol: names of the fields.
 const ID: HeaderName = HeaderName::from_static("x-trace");
 const GROUP: HeaderName = HeaderName::from_static("x-profile");
-const PATIENCE: HeaderName = HeaderName::from_static("x-patience");
-const MARK: HeaderName = HeaderName::from_static("x-op-key");
+const DEADLINE: HeaderName = HeaderName::from_static("x-patience");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("x-op-key");
 
 impl Way<'_> {
     /// The call that starts a dispatch, and the body that goes with it; none where that is not there any more.
-    pub(super) fn starting(&self, call: &Call, start: &Start) -> Option<(Request<Outgoing>, Option<Feed>)> {
+    pub(super) fn start_request(
+        &self,
+        call: &Call,
+        start: &Start,
+    ) -> Option<(Request<Outgoing>, Option<OutgoingBody>)> {
         let Start { further, until, .. } = *start;
         let mut request = request(Method::POST, self.target.address, "/c");
         let gate = self.gate.clone();
@@ -37,34 +41,34 @@
                 if let Some(length) = body.length() {
                     request.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
                 }
-                Some(Feed { reader, length: body.length(), out })
+                Some(OutgoingBody { reader, length: body.length(), out })
             }
         };
         let head = request.headers_mut();
         head.insert(ID, call.id.clone());
         head.insert(GROUP, call.group.clone());
         if let Some(mark) = &call.mark {
-            head.insert(MARK, mark.clone());
+            head.insert(IDEMPOTENCY_KEY, mark.clone());
         }
         let patience = until.saturating_duration_since(Instant::now()).as_secs_f64();
-        head.insert(PATIENCE, HeaderValue::from((patience * 1000.0).max(1.0) as u64));
+        head.insert(DEADLINE, HeaderValue::from((patience * 1000.0).max(1.0) as u64));
         Some((request, feed))
     }
 
     /// The last byte of a call that keeps its dispatch running is on its way.
-    pub(super) fn comes(&mut self) {
+    pub(super) fn sent_whole(&mut self) {
         self.may_have_come = true;
         self.tell(Fact::Asked);
     }
 
-    pub(super) async fn feed(&mut self, feed: Feed) -> Result<(), ReadFault> {
-        let Feed { mut reader, length, mut out } = feed;
+    pub(super) async fn send_body(&mut self, feed: OutgoingBody) -> Result<(), ReadFault> {
+        let OutgoingBody { mut reader, length, mut out } = feed;
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
                     // Only a call that has come whole is one that may run.
                     if length == Some(reader.at()) {
-                        self.comes();
+                        self.sent_whole();
                     }
                     if out.send_data(bytes).await.is_err() {
                         // The engine hears no more of it: its answer, or the broken connection, tells why.
@@ -72,7 +76,7 @@
                     }
                 }
                 Ok(None) => {
-                    self.comes();
+                    self.sent_whole();
                     return Ok(());
                 }
                 Err(fault) => {
