--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,7 @@
 use crate::api::*;
 pub use crate::state::Control;
 use crate::state::{
-    micros, Chance, Due, Engine, Guess, InHand, KeyLine, Kind, Learned, Level, Queue, Sent, Stage, Window,
+    micros, Chance, Due, Engine, Guess, InHand, KeyLine, Learned, Level, Queue, Sent, Stage, Window,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -77,7 +77,6 @@
             due: BTreeSet::from([(micros(now), Due::Tick)]),
             ran: (s.groups.iter().map(|c| c.threads).sum(), s.groups.len() as f64),
             subscribe: s.list_on_request,
-            holders: s.gateways,
             s,
             ..Control::default()
         }
@@ -112,15 +111,6 @@
         }
     }
 
-    /// The engines that a lane leaves open, by preference; none for a lane that is gone. It narrows what the rules
-    /// allow: an engine of a later preference is taken only where no earlier one has any that may be.
-    pub fn lane(&mut self, lane: u32, tiers: Option<Vec<EngineSet>>) {
-        match tiers {
-            Some(tiers) => drop(self.lanes.insert(lane, tiers)),
-            None => drop(self.lanes.remove(&lane)),
-        }
-    }
-
     /// A dispatch of this key that an earlier process sent may still run: the key rests until then.
     pub fn rest(&mut self, key: u64, until: f64) {
         let k = self.keys.entry(key).or_default();
@@ -136,33 +126,24 @@
     }
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
-        let named: BTreeSet<EngineId> = lines.iter().map(|l| l.engine).collect();
-        let old = self.engines.iter_mut().enumerate().filter(|(i, _)| whole && !named.contains(i));
-        old.filter_map(|(_, e)| e.line.as_mut()).for_each(|line| line.condition = Condition::Gone);
+        if whole {
+            self.drop_unlisted(lines);
+        }
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
             let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
-            self.engines.resize_with(self.engines.len().max(l.engine + 1), || unheard(cores, memory));
+            self.engines.resize_with(self.engines.len().max(l.engine + 1), || Engine::new(cores, memory));
             let e = &mut self.engines[l.engine];
             let another = |old: Listed| old.condition == Condition::Gone && l.came_up.is_none();
             if e.line.is_none_or(|old| old.came_up != l.came_up || another(old)) {
-                e.forget(unheard(cores, memory));
+                e.forget(Engine::new(cores, memory));
                 (e.known_at, e.sample, e.lot) = (self.clock_at, self.latest, self.chance.draw());
             }
             (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
             e.holders = holders(l, self.s.gateways);
+            self.relist(l.engine);
         }
-        let (all, mut cores) = (self.s.gateways, 0.0);
-        self.holders = all;
-        self.kinds.values_mut().for_each(|k| (k.cores, k.memory, k.holders) = (0.0, 0.0, all));
-        for e in self.engines.iter().filter(|e| e.ready()) {
-            let k = self.kinds.entry(e.kind()).or_insert(Kind { holders: all, ..Kind::default() });
-            (k.cores, k.memory) = (k.cores + e.cores, k.memory + e.memory.unwrap_or(0.0));
-            cores += e.cores;
-            // Means over cores, exact where all are alike.
-            k.holders += (e.holders - k.holders) * e.cores / k.cores.max(LEAST);
-            self.holders += (e.holders - self.holders) * e.cores / cores.max(LEAST);
-        }
+        self.count_capacity();
     }
 
     pub fn list_failed(&mut self) {
@@ -221,10 +202,11 @@
     fn shared(&self, now: f64, kind: usize, cores: f64, b: &Batch) -> f64 {
         let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
-        let by_threads = (k.threads + threads) / (cores * MARK / k.holders).max(threads);
-        let memory = k.memory * cores / k.cores.max(LEAST);
-        let slice = (memory * MEMORY_MARK / k.holders).max(need).max(LEAST);
-        let by_memory = if k.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
+        let holders = k.ready.holders(self.s.gateways);
+        let by_threads = (k.threads + threads) / (cores * MARK / holders).max(threads);
+        let memory = k.ready.memory * cores / k.ready.cores.max(LEAST);
+        let slice = (memory * MEMORY_MARK / holders).max(need).max(LEAST);
+        let by_memory = if k.ready.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
         if pool < 1.0 {
             by_memory / UNEVEN
         } else {
@@ -438,20 +420,15 @@
         Place::NotYet
     }
 
-    fn unqueue(&mut self, id: BatchId) {
-        let b = &self.batches[&id].b;
-        self.queues[b.tenant].remove(b.group, id);
-    }
-
     /// The engine with fewest of our threads a core, of those that would start the batch at once; where there
     /// is none, the least of all, by chance.
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
         let b = self.batches[&id].b;
         let open = |e: &EngineId| fit(&self.engines[*e], now) && self.allowed(now, id, *e);
         let tier =
-            |tier: &EngineSet| (0..self.engines.len()).filter(|e| tier.holds(*e)).filter(open).collect();
+            |tier: &EngineSet| self.ready.iter().copied().filter(|e| tier.holds(*e)).filter(open).collect();
         let fit: Vec<EngineId> = match b.lane {
-            None => (0..self.engines.len()).filter(open).collect(),
+            None => self.ready.iter().copied().filter(open).collect(),
             Some(lane) => self.tiers(lane).iter().map(tier).find(|e: &Vec<_>| !e.is_empty())?,
         };
         let load = |e: EngineId| self.engines[e].threads / self.able_cores(now, e);
@@ -586,11 +563,6 @@
         h.may_have_run.is_none_or(|first| scope == Scope::Everywhere || place(first.engine) == place(engine))
     }
 
-    /// The engines of a lane by preference; none of one that is not known.
-    fn tiers(&self, lane: u32) -> &[EngineSet] {
-        self.lanes.get(&lane).map_or(&[], Vec::as_slice)
-    }
-
     fn further_left(&self, now: f64, group: usize) -> bool {
         let fits = |f: FurtherBudget, taken: &Window, further: &Window| {
             let taken = taken.since(now - f.window + MARGIN);
@@ -687,8 +659,8 @@
 
     /// Guards against engines that fail quickly, are dead or silent. Where all fail alike none rests.
     fn failed(&mut self, now: f64, engine: EngineId) {
-        let others: Vec<f64> = self.engines.iter().filter(|e| e.ready()).map(|e| failing(e, now)).collect();
-        let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        let sum: f64 = self.ready.iter().map(|e| failing(&self.engines[*e], now)).sum();
+        let mean = sum / self.ready.len().max(1) as f64;
         let e = &mut self.engines[engine];
         let before = failing(e, now);
         (e.failing, e.failed_at) = (before + (1.0 - before) * FAIL_WEIGHT, now);
@@ -789,9 +761,9 @@
         let mut late = Vec::new();
         self.keys.values().for_each(|line| self.behind(now, line, &mut late));
         late.into_iter().for_each(|id| self.give_up(id));
-        let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
-        let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
-        let rate = (cores * YIELD / self.holders).max(LEAST);
+        let fit = |e: &EngineId| fit(&self.engines[*e], now);
+        let cores: f64 = self.ready.iter().copied().filter(fit).map(|e| self.able_cores(now, e)).sum();
+        let rate = (cores * YIELD / self.capacity.holders(self.s.gateways)).max(LEAST);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
         let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
         waiting.sort_by(|a, b| b.0 .0.total_cmp(&a.0 .0));
@@ -830,12 +802,13 @@
     fn probe(&mut self, now: f64) {
         let all = self.s.reports == Reports::WithProbes;
         while self.may_ask >= 1.0 && self.s.may_probe {
-            let due = |e: &&mut Engine| e.ready() && e.probe_at <= now && (all || !e.heard);
-            let due = self.engines.iter_mut().enumerate().filter(|(_, e)| due(e));
-            let Some((i, e)) = due.min_by(|a, b| a.1.probe_at.total_cmp(&b.1.probe_at)) else { return };
-            e.probe_at = now + PROBE_EVERY;
+            let due = |e: &Engine| e.probe_at <= now && (all || !e.heard);
+            let due = self.ready.iter().copied().filter(|e| due(&self.engines[*e]));
+            let asked_at = |e: &EngineId| self.engines[*e].probe_at;
+            let Some(engine) = due.min_by(|a, b| asked_at(a).total_cmp(&asked_at(b))) else { return };
+            self.engines[engine].probe_at = now + PROBE_EVERY;
             self.may_ask -= 1.0;
-            self.probes.push_back(i);
+            self.probes.push_back(engine);
         }
     }
 
@@ -872,10 +845,6 @@
     }
 }
 
-fn unheard(cores: f64, memory: Option<f64>) -> Engine {
-    Engine { cores, memory, ..Engine::default() }
-}
-
 /// Gateways that work with an engine: this one at least and all at most; what is no number counts as all.
 fn holders(line: &Listed, all: f64) -> f64 {
     line.holders.map_or(all, |told| told.min(all).max(all.min(1.0)))
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,8 +33,9 @@
     /// Probes paid for by batches taken.
     pub(crate) may_ask: f64,
     pub(crate) tells_cores: bool,
-    /// Gateways that work with an engine, in the mean over the cores of those that are ready.
-    pub(crate) holders: f64,
+    /// The engines that are ready, by index.
+    pub(crate) ready: Vec<EngineId>,
+    pub(crate) capacity: Capacity,
     pub(crate) kinds: BTreeMap<usize, Kind>,
     /// Thread-seconds and seconds that dispatches were out.
     pub(crate) ran: (f64, f64),
@@ -44,6 +45,81 @@
     pub(crate) further_at: Window,
 }
 
+impl Control {
+    /// A whole list does not name these any more.
+    pub(crate) fn drop_unlisted(&mut self, lines: &[Listed]) {
+        let named: BTreeSet<EngineId> = lines.iter().map(|l| l.engine).collect();
+        let unnamed = self.engines.iter_mut().enumerate().filter(|(engine, _)| !named.contains(engine));
+        unnamed.filter_map(|(_, e)| e.line.as_mut()).for_each(|line| line.condition = Condition::Gone);
+        self.ready.retain(|engine| named.contains(engine));
+    }
+
+    /// An engine's line has changed.
+    pub(crate) fn relist(&mut self, engine: EngineId) {
+        match (self.engines[engine].ready(), self.ready.binary_search(&engine)) {
+            (true, Err(at)) => self.ready.insert(at, engine),
+            (false, Ok(at)) => drop(self.ready.remove(at)),
+            _ => {}
+        }
+    }
+
+    /// Sums up the engines that are ready, always by index: so the sums depend on the list alone.
+    pub(crate) fn count_capacity(&mut self) {
+        let all = self.s.gateways;
+        self.capacity = Capacity::default();
+        self.kinds.values_mut().for_each(|kind| kind.ready = Capacity::default());
+        for e in self.ready.iter().map(|engine| &self.engines[*engine]) {
+            self.capacity.add(e, all);
+            self.kinds.entry(e.kind()).or_default().ready.add(e, all);
+        }
+    }
+
+    pub(crate) fn unqueue(&mut self, id: BatchId) {
+        let b = &self.batches[&id].b;
+        self.queues[b.tenant].remove(b.group, id);
+    }
+
+    /// The engines that a lane leaves open, by preference; none for a lane that is gone. It narrows what the rules
+    /// allow: an engine of a later preference is taken only where no earlier one has any that may be.
+    pub fn lane(&mut self, lane: u32, tiers: Option<Vec<EngineSet>>) {
+        match tiers {
+            Some(tiers) => drop(self.lanes.insert(lane, tiers)),
+            None => drop(self.lanes.remove(&lane)),
+        }
+    }
+
+    /// The engines of a lane by preference; none of one that is not known.
+    pub(crate) fn tiers(&self, lane: u32) -> &[EngineSet] {
+        self.lanes.get(&lane).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Sums over engines that are ready.
+#[derive(Clone, Copy, Default)]
+pub struct Capacity {
+    pub cores: f64,
+    pub memory: f64,
+    /// Gateways that do not work with an engine, times its cores.
+    absent: f64,
+}
+
+impl Capacity {
+    fn add(&mut self, e: &Engine, gateways: f64) {
+        self.cores += e.cores;
+        self.memory += e.memory.unwrap_or(0.0);
+        self.absent += (gateways - e.holders) * e.cores;
+    }
+
+    /// Gateways that work with one of the engines, in the mean over cores; just all where each is held by all.
+    pub fn holders(&self, gateways: f64) -> f64 {
+        if self.absent > 0.0 {
+            gateways - self.absent / self.cores
+        } else {
+            gateways
+        }
+    }
+}
+
 /// A multiply-with-carry generator.
 #[derive(Default)]
 pub struct Chance(u64);
@@ -174,11 +250,7 @@
     pub told: Level,
     pub felt: Level,
     pub sent: Level,
-    /// Of its engines that are ready.
-    pub cores: f64,
-    pub memory: f64,
-    /// Gateways that work with one of them, in the mean over their cores.
-    pub holders: f64,
+    pub ready: Capacity,
     /// Of ours out there.
     pub threads: f64,
     pub memory_used: f64,
@@ -270,6 +342,11 @@
 }
 
 impl Engine {
+    /// One of which nothing is heard yet.
+    pub fn new(cores: f64, memory: Option<f64>) -> Self {
+        Engine { cores, memory, ..Engine::default() }
+    }
+
     pub fn kind(&self) -> usize {
         self.line.map_or(0, |l| l.kind)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -289,6 +289,41 @@
     assert_eq!(w.sent_to(id), [0]);
 }
 
+/// A whole list in any order, then one that names only part of it, then the rest in lines of their own; an engine's
+/// index may lie far from the others.
+#[test]
+fn what_a_whole_list_does_not_name_takes_nothing_until_it_is_named_again() {
+    let mut w = World::new(settings(vec![group(Effect::Repeatable)]), 0);
+    let names = [700, 4, 64];
+    w.lines = (0..=700).map(helper::line).collect();
+    let lines = names.map(helper::line);
+    let sent = |w: &mut World| -> Vec<EngineId> {
+        let ids: Vec<BatchId> = (0..4).map(|_| w.take(0, 0, None, 4.0)).collect();
+        w.pump();
+        let mut engines: Vec<EngineId> = ids.iter().flat_map(|id| w.sent_to(*id)).collect();
+        w.pass(0.1);
+        for id in ids {
+            w.outcome(id, End::Returned);
+            w.client_gone(id);
+        }
+        w.pass(0.1);
+        engines.sort_unstable();
+        engines.dedup();
+        engines
+    };
+    w.c.listed(&lines, true);
+    assert_eq!(sent(&mut w), [4, 64, 700]);
+    w.c.listed(&lines[1..2], true);
+    assert_eq!(sent(&mut w), [4]);
+    w.c.listed(&lines[..1], false);
+    assert_eq!(sent(&mut w), [4, 700]);
+    w.relist(4, Condition::Draining, None);
+    w.relist(64, Condition::Ready, None);
+    assert_eq!(sent(&mut w), [64, 700]);
+    w.c.listed(&[], true);
+    assert!(sent(&mut w).is_empty());
+}
+
 /// Found on an incident: clients with little time left were served past it, which wasted the work.
 #[test]
 fn what_its_time_limit_cannot_hold_is_pushed_back() {
