Choosing looks at each candidate once

Cause: a choice asked each engine four times for the cores that it can use, twice for its level, and asked each what depends on the batch alone (time left, budget for further dispatches, work). Change: the batch's own rules are asked once (may_leave); a Candidate carries able cores and load; what counts alike for a kind stands in a KindView; level is a function of the engine. The order of draws is the same.

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,8 @@
 use crate::api::*;
 pub use crate::state::Control;
 use crate::state::{
-    micros, Chance, Due, Engine, Guess, InHand, KeyLine, Learned, Level, Queue, Sent, Stage, Window,
+    micros, Candidate, Chance, Due, Engine, Guess, InHand, KeyLine, KindView, Learned, Level, Queue, Sent,
+    Stage, Window,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -161,8 +162,9 @@
         let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
         self.kinds.entry(e.kind()).or_default().told.add(now, HEARD_LIFE, marks);
-        let level = self.level(now, self.pool(now, self.engines[engine].kind()), engine);
+        let pool = self.pool(now, self.engines[engine].kind());
         let e = &mut self.engines[engine];
+        let level = level(now, pool, e);
         (e.level, e.level_at, e.told_at) = (marks.max((marks + level) / 2.0), now, now);
     }
 
@@ -171,8 +173,9 @@
     fn feel(&mut self, now: f64, engine: EngineId, marks: f64) {
         let kind = self.engines[engine].kind();
         self.kinds.entry(kind).or_default().felt.add(now, HEARD_LIFE, marks);
-        let level = self.level(now, self.pool(now, kind), engine);
+        let pool = self.pool(now, kind);
         let e = &mut self.engines[engine];
+        let level = level(now, pool, e);
         if marks > level {
             let since = (e.threads - e.threads_then) / (e.cores * MARK);
             let most = if now - e.told_at < HEARD_LIFE { level.max(1.0 - LEAST) } else { OVERDUE };
@@ -190,13 +193,6 @@
         told.max(felt)
     }
 
-    /// Marks at which an engine is held to run: as heard, fading to the mean of its kind.
-    fn level(&self, now: f64, pool: f64, e: EngineId) -> f64 {
-        let e = &self.engines[e];
-        let since = (e.threads - e.threads_then) / (e.cores * MARK);
-        pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / FAIL_LIFE).exp()
-    }
-
     /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many
     /// gateways that each start little, together too much: a slice of one engine is less than a batch.
     fn shared(&self, now: f64, kind: usize, cores: f64, b: &Batch) -> f64 {
@@ -235,7 +231,7 @@
     fn recall(&mut self, now: f64, id: BatchId) {
         let h = &self.batches[&id];
         let repeatable = self.s.groups[h.b.group].effect == Effect::Repeatable;
-        if repeatable && h.stage == Stage::Out && self.s.may_cancel && self.may_go_again(now, id) {
+        if repeatable && h.stage == Stage::Out && self.s.may_cancel && self.may_go_again(now, h) {
             self.cancels.push_back((id, h.dispatches - 1));
         }
     }
@@ -314,7 +310,7 @@
     /// No answer that earns anything can come in time, or the rules now forbid the dispatch it waits for.
     fn hopeless(&self, now: f64, h: &InHand) -> bool {
         let (density, wait) = self.prospect(now, h);
-        density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
+        density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h))
     }
 
     /// A batch's body was not kept: there is no further dispatch of it.
@@ -334,7 +330,7 @@
         if !sent.judged {
             self.judge(now, &b, sent, &o);
         }
-        if stage == Stage::Ended || self.may_go_again(now, id) {
+        if stage == Stage::Ended || self.may_go_again(now, &self.batches[&id]) {
             return Next::Nothing;
         }
         Next::Over(self.answer(now, id))
@@ -372,7 +368,7 @@
             self.end(now, id);
             return Next::Nothing;
         }
-        if o.end == End::Moot || !self.may_go_again(now, id) {
+        if o.end == End::Moot || !self.may_go_again(now, &self.batches[&id]) {
             return Next::Over(self.answer(now, id));
         }
         self.enqueue(id);
@@ -423,59 +419,92 @@
     /// The engine with fewest of our threads a core, of those that would start the batch at once; where there
     /// is none, the least of all, by chance.
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
+        let candidates = self.candidates(now, id);
         let b = self.batches[&id].b;
-        let open = |e: &EngineId| fit(&self.engines[*e], now) && self.allowed(now, id, *e);
-        let tier =
-            |tier: &EngineSet| self.ready.iter().copied().filter(|e| tier.holds(*e)).filter(open).collect();
-        let fit: Vec<EngineId> = match b.lane {
-            None => self.ready.iter().copied().filter(open).collect(),
-            Some(lane) => self.tiers(lane).iter().map(tier).find(|e: &Vec<_>| !e.is_empty())?,
-        };
-        let load = |e: EngineId| self.engines[e].threads / self.able_cores(now, e);
-        let heard: Vec<f64> = fit.iter().filter(|e| self.engines[**e].heard).map(|e| load(*e)).collect();
-        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let mut able: BTreeMap<usize, f64> = BTreeMap::new();
-        fit.iter().for_each(|&e| *able.entry(self.engines[e].kind()).or_default() += self.able_cores(now, e));
-        let sent = |k: &usize| self.kinds.get(k).map_or(0.0, |kind| kind.sent.sum(now, KIND_LIFE));
-        let view = |(k, cores): (&usize, &f64)| (*k, (self.pool(now, *k), sent(k) / cores));
-        let kinds: BTreeMap<usize, (f64, f64)> = able.iter().map(view).collect();
-        // Where a load of ours holds the data set the batch would stand still.
-        let loads = |c: &ServiceGroup| c.is_load || c.waits_for_loads;
-        let holds = |h: &&InHand| h.b.data_set == b.data_set && self.s.groups[h.b.group].is_load;
-        let held = self.batches.values().filter(holds).filter(|_| loads(&self.s.groups[b.group]));
-        let held: Vec<EngineId> = held.filter_map(|h| h.out.map(|s| s.engine)).collect();
-        let mut best: Option<([f64; 4], EngineId)> = None;
-        for e in fit {
-            let (pool, sent) = kinds.get(&self.engines[e].kind()).copied().unwrap_or_default();
-            let full = u8::from(held.contains(&e) || self.marks(now, pool, e, &b) >= 1.0);
-            let level = self.level(now, pool, e) + TIE * self.chance.draw();
-            let ours = self.engines[e].threads / self.able_cores(now, e);
-            let load = if self.engines[e].heard { ours } else { average };
-            let rank = [f64::from(full), load + failing(&self.engines[e], now), sent, level];
-            if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, e));
+        let (need, average) = (self.need(&b), self.average_load(&candidates));
+        let kinds = self.kinds_of(now, &candidates);
+        let locked = self.locked(&b);
+        let mut best: Option<([f64; 4], f64, EngineId)> = None;
+        for c in &candidates {
+            let e = &self.engines[c.engine];
+            let kind = &kinds[&e.kind()];
+            let level = level(now, kind.pool, e);
+            let marks = self.marks(&b, need, c, level, kind.pool);
+            let full = locked.contains(&c.engine) || marks >= 1.0;
+            let load = if e.heard { c.load } else { average };
+            let drawn = level + TIE * self.chance.draw();
+            let rank = [f64::from(u8::from(full)), load + failing(e, now), kind.sent, drawn];
+            if best.is_none_or(|(least, ..)| rank < least) {
+                best = Some((rank, marks, c.engine));
             }
         }
         // It would stand still there, which costs room.
-        let e = best.filter(|(_, e)| !held.contains(e) || self.spare_room() >= 0.0)?.1;
-        let kind = self.engines[e].kind();
-        let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, able[&kind], &b));
+        let may_stand = |e: &EngineId| !locked.contains(e) || self.spare_room() >= 0.0;
+        let (_, marks, engine) = best.filter(|(.., e)| may_stand(e))?;
+        let kind = self.engines[engine].kind();
+        let marks = marks.max(self.shared(now, kind, kinds[&kind].able_cores, &b));
         let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
-        (marks < 1.0 || self.chance.draw() < chance).then_some(e)
+        (marks < 1.0 || self.chance.draw() < chance).then_some(engine)
+    }
+
+    /// The engines that a batch may go to now, by index; of a lane those of the first preference that has any.
+    fn candidates(&self, now: f64, id: BatchId) -> Vec<Candidate> {
+        let h = &self.batches[&id];
+        if !self.may_leave(now, h) {
+            return Vec::new();
+        }
+        let work = self.work(&h.b);
+        let candidate = |engine: &EngineId| {
+            let able_cores = self.able_cores(now, &self.engines[*engine]);
+            Candidate { engine: *engine, able_cores, load: self.engines[*engine].threads / able_cores }
+        };
+        let open = |c: &Candidate| fit(&self.engines[c.engine], now) && self.allowed(now, h, work, c);
+        let Some(lane) = h.b.lane else { return self.ready.iter().map(candidate).filter(open).collect() };
+        let of_tier = |tier: &EngineSet| -> Vec<Candidate> {
+            self.ready.iter().filter(|e| tier.holds(**e)).map(candidate).filter(open).collect()
+        };
+        self.tiers(lane).iter().map(of_tier).find(|found| !found.is_empty()).unwrap_or_default()
+    }
+
+    /// Our threads a core in the mean over the engines that have told something.
+    fn average_load(&self, candidates: &[Candidate]) -> f64 {
+        let heard = candidates.iter().filter(|c| self.engines[c.engine].heard);
+        let (count, sum) = heard.fold((0, 0.0), |(count, sum), c| (count + 1, sum + c.load));
+        sum / f64::from(count.max(1))
+    }
+
+    /// What counts alike for all candidates of a kind.
+    fn kinds_of(&self, now: f64, candidates: &[Candidate]) -> BTreeMap<usize, KindView> {
+        let mut views: BTreeMap<usize, KindView> = BTreeMap::new();
+        for c in candidates {
+            views.entry(self.engines[c.engine].kind()).or_default().able_cores += c.able_cores;
+        }
+        for (kind, view) in &mut views {
+            let sent = self.kinds.get(kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
+            (view.pool, view.sent) = (self.pool(now, *kind), sent / view.able_cores);
+        }
+        views
+    }
+
+    /// Engines where a load of ours holds the data set: the batch would stand still there.
+    fn locked(&self, b: &Batch) -> Vec<EngineId> {
+        let group = &self.s.groups[b.group];
+        if !group.is_load && !group.waits_for_loads {
+            return Vec::new();
+        }
+        let holds = |h: &&InHand| h.b.data_set == b.data_set && self.s.groups[h.b.group].is_load;
+        let loads = self.batches.values().filter(holds);
+        loads.filter_map(|h| h.out.map(|s| s.engine)).collect()
     }
 
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against
     /// our slice, and by the memory of ours, which guards against spilling and paging.
-    fn marks(&self, now: f64, pool: f64, e: EngineId, b: &Batch) -> f64 {
-        let threads = self.s.groups[b.group].threads;
-        let cores = self.able_cores(now, e);
-        let told = self.level(now, pool, e);
-        let e = &self.engines[e];
-        let ours = (e.threads + threads) / (cores * MARK / e.holders).max(threads);
-        let told = if !self.tells_cores && pool < 1.0 { 0.0 } else { told };
+    fn marks(&self, b: &Batch, need: f64, c: &Candidate, level: f64, pool: f64) -> f64 {
+        let (e, threads) = (&self.engines[c.engine], self.s.groups[b.group].threads);
+        let ours = (e.threads + threads) / (c.able_cores * MARK / e.holders).max(threads);
+        let told = if !self.tells_cores && pool < 1.0 { 0.0 } else { level };
         let by_threads = if told < 1.0 && ours <= FLOODED { told } else { told.max(ours) };
-        let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / e.holders).max(need);
         let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
         by_threads.max(by_memory)
@@ -499,7 +528,7 @@
         let q = &mut self.queues[b.tenant];
         q.running += 1;
         q.start += self.g * c.threads;
-        let (work, (due, gone)) = (self.work(&b), self.cold_part(now, engine));
+        let (work, (due, gone)) = (self.work(&b), self.cold_part(now, &self.engines[engine]));
         let e = &mut self.engines[engine];
         let k = self.kinds.entry(e.kind()).or_default();
         k.sent.add(now, KIND_LIFE, if c.kinds.is_none() { work } else { 0.0 });
@@ -512,34 +541,38 @@
         }
         let memory = self.grant(&b, engine);
         // What the window does not hold any more on its arrival is not sent: its connection may come up late.
-        let within = self.window_left(now, id).min(time_out);
+        let within = self.window_left(now, &self.batches[&id]).min(time_out);
         Place::To { engine, time_out, within, memory }
     }
 
     // ---- 1: the guard ----
 
-    /// Whether the rules let this batch go to this engine now.
-    fn allowed(&self, now: f64, id: BatchId, engine: EngineId) -> bool {
-        let h = &self.batches[&id];
-        let (Some(line), c) = (self.engines[engine].line, &self.s.groups[h.b.group]) else { return false };
-        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
-        line.condition == Condition::Ready
-            && h.stage == Stage::Queued
+    /// Whether the rules let this batch leave now, wherever it goes.
+    fn may_leave(&self, now: f64, h: &InHand) -> bool {
+        h.stage == Stage::Queued
             && !h.unattended
             && h.out.is_none()
             && now < h.limit - MARGIN
-            && named(&c.zones, line.zone)
-            && named(&c.kinds, line.kind as u32)
-            && h.b.lane.is_none_or(|lane| self.tiers(lane).iter().any(|tier| tier.holds(engine)))
-            && (h.dispatches == 0 || self.may_go_again(now, id))
-            && self.in_scope(h, engine)
-            && self.cold_room(now, engine, self.work(&h.b))
+            && (h.dispatches == 0 || self.may_go_again(now, h))
+    }
+
+    /// Whether the rules let a batch that may leave go to this engine now.
+    fn allowed(&self, now: f64, h: &InHand, work: f64, c: &Candidate) -> bool {
+        let (Some(line), group) = (self.engines[c.engine].line, &self.s.groups[h.b.group]) else {
+            return false;
+        };
+        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
+        line.condition == Condition::Ready
+            && named(&group.zones, line.zone)
+            && named(&group.kinds, line.kind as u32)
+            && h.b.lane.is_none_or(|lane| self.tiers(lane).iter().any(|tier| tier.holds(c.engine)))
+            && self.in_scope(h, c.engine)
+            && self.cold_room(now, c, work)
     }
 
     /// Whether the rules let a batch have another dispatch anywhere.
-    fn may_go_again(&self, now: f64, id: BatchId) -> bool {
-        let h = &self.batches[&id];
-        self.window_left(now, id) > 0.0
+    fn may_go_again(&self, now: f64, h: &InHand) -> bool {
+        self.window_left(now, h) > 0.0
             && !h.unkept
             && now < h.limit - MARGIN
             && h.dispatches < self.s.max_dispatches
@@ -547,8 +580,7 @@
     }
 
     /// How long a dispatch of this batch can still come to an engine without a second effect.
-    fn window_left(&self, now: f64, id: BatchId) -> f64 {
-        let h = &self.batches[&id];
+    fn window_left(&self, now: f64, h: &InHand) -> f64 {
         match (h.may_have_run, self.s.groups[h.b.group].effect) {
             (None, _) | (_, Effect::Repeatable) => f64::INFINITY,
             (Some(_), Effect::OnceOnly) => 0.0,
@@ -690,29 +722,28 @@
     // ---- 3: cold care ----
 
     /// Cores that an engine can use: from the told start share, evenly up until told warm.
-    fn able_cores(&self, now: f64, engine: EngineId) -> f64 {
-        let e = &self.engines[engine];
+    fn able_cores(&self, now: f64, e: &Engine) -> f64 {
         let (Some(at), Some(c)) = (e.line.and_then(|l| l.came_up), self.s.cold) else { return e.cores };
         let warmed = ((now - at) / c.warm_after.max(LEAST)).clamp(0.0, 1.0);
         (e.cores * (c.starts_at + (1.0 - c.starts_at) * warmed)).max(LEAST)
     }
 
     /// Keeps our part of a cold engine's work budget.
-    fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
-        let (e, able) = (&self.engines[engine], self.able_cores(now, engine));
-        let (Some(c), true) = (self.s.cold, able < e.cores - LEAST) else { return true };
-        let (due, gone) = self.cold_part(now, engine);
-        work <= COLD_LUMP * c.multiple * c.window * able && gone + work <= due + LEAST
+    fn cold_room(&self, now: f64, c: &Candidate, work: f64) -> bool {
+        let (e, able) = (&self.engines[c.engine], c.able_cores);
+        let (Some(rule), true) = (self.s.cold, able < e.cores - LEAST) else { return true };
+        let (due, gone) = self.cold_part(now, e);
+        work <= COLD_LUMP * rule.multiple * rule.window * able && gone + work <= due + LEAST
     }
 
     /// Work due to a started engine from us since we knew of it, and how much of that was sent or lapsed. It
     /// comes due in quanta of a batch, as the part of many gateways is less, by a lot drawn for each start:
     /// the sum over gateways stays the same, and chance adds little. What all of them save and send in step
     /// would push it over, so what is not sent in time lapses.
-    fn cold_part(&self, now: f64, engine: EngineId) -> (f64, f64) {
-        let (e, Some(c)) = (&self.engines[engine], self.s.cold) else { return (0.0, 0.0) };
+    fn cold_part(&self, now: f64, e: &Engine) -> (f64, f64) {
+        let Some(c) = self.s.cold else { return (0.0, 0.0) };
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / e.holders;
-        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
+        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, e);
         let usual = self.usual.mean(now, KIND_LIFE, 0.0);
         let quantum = e.sample.map_or(usual, |b| self.work(&b)).min(lump).max(LEAST);
         let quanta = |at: f64| (rate * (at - e.known_at).max(0.0) - e.quanta_from) / quantum + 1.0 - e.lot;
@@ -761,8 +792,8 @@
         let mut late = Vec::new();
         self.keys.values().for_each(|line| self.behind(now, line, &mut late));
         late.into_iter().for_each(|id| self.give_up(id));
-        let fit = |e: &EngineId| fit(&self.engines[*e], now);
-        let cores: f64 = self.ready.iter().copied().filter(fit).map(|e| self.able_cores(now, e)).sum();
+        let ready = self.ready.iter().map(|e| &self.engines[*e]);
+        let cores: f64 = ready.filter(|e| fit(e, now)).map(|e| self.able_cores(now, e)).sum();
         let rate = (cores * YIELD / self.capacity.holders(self.s.gateways)).max(LEAST);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
         let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
@@ -854,8 +885,17 @@
     b.cost.map_or(UNSURE, |_| 1.0)
 }
 
+/// Marks at which an engine is held to run: as heard, fading to the mean of its kind.
+fn level(now: f64, pool: f64, e: &Engine) -> f64 {
+    let since = (e.threads - e.threads_then) / (e.cores * MARK);
+    pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / FAIL_LIFE).exp()
+}
+
 /// An engine's failing share. It fades, so that one few answers come from is not kept off for good.
 fn failing(e: &Engine, now: f64) -> f64 {
+    if e.failing == 0.0 {
+        return 0.0;
+    }
     e.failing * (-(now - e.failed_at).max(0.0) / FAIL_LIFE).exp()
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,6 +120,26 @@
     }
 }
 
+/// An engine that a batch may go to.
+pub struct Candidate {
+    pub engine: EngineId,
+    /// Cores that it can use.
+    pub able_cores: f64,
+    /// Our threads for each of these.
+    pub load: f64,
+}
+
+/// What counts alike for all candidates of a kind.
+#[derive(Default)]
+pub struct KindView {
+    /// Of the candidates.
+    pub able_cores: f64,
+    /// Marks at which engines of the kind are held to run.
+    pub pool: f64,
+    /// Our recent work for each of these cores.
+    pub sent: f64,
+}
+
 /// A multiply-with-carry generator.
 #[derive(Default)]
 pub struct Chance(u64);
