A choice keeps its kinds in a short sorted list

Cause: two searches of a map for each candidate, and a list that grew by steps. Change: KindViews, a sorted list; the candidate carries its kind; room for all ready engines is taken at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,10 +15,10 @@
 use crate::api::*;
 pub use crate::state::Control;
 use crate::state::{
-    micros, Candidate, Chance, Due, Engine, Guess, InHand, KeyLine, KindView, Learned, Level, Queue, Sent,
+    micros, Candidate, Chance, Due, Engine, Guess, InHand, KeyLine, KindViews, Learned, Level, Queue, Sent,
     Stage, Window,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 const MARK: f64 = 1.5; // threads a core that an engine is filled to; the design's figure
 const MEMORY_MARK: f64 = 0.7; // share of memory that stands for the mark; gateways are uneven, needs guesses
@@ -421,17 +421,17 @@
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
         let candidates = self.candidates(now, id);
         let b = self.batches[&id].b;
-        let (need, average) = (self.need(&b), self.average_load(&candidates));
-        let kinds = self.kinds_of(now, &candidates);
+        let (need, average) = (self.need(&b), average_load(&candidates));
+        let mut kinds = self.kinds_of(now, &candidates);
         let locked = self.locked(&b);
         let mut best: Option<([f64; 4], f64, EngineId)> = None;
         for c in &candidates {
             let e = &self.engines[c.engine];
-            let kind = &kinds[&e.kind()];
+            let kind = kinds.of(c.kind);
             let level = level(now, kind.pool, e);
             let marks = self.marks(&b, need, c, level, kind.pool);
             let full = locked.contains(&c.engine) || marks >= 1.0;
-            let load = if e.heard { c.load } else { average };
+            let load = c.load.unwrap_or(average);
             let drawn = level + TIE * self.chance.draw();
             let rank = [f64::from(u8::from(full)), load + failing(e, now), kind.sent, drawn];
             if best.is_none_or(|(least, ..)| rank < least) {
@@ -442,7 +442,7 @@
         let may_stand = |e: &EngineId| !locked.contains(e) || self.spare_room() >= 0.0;
         let (_, marks, engine) = best.filter(|(.., e)| may_stand(e))?;
         let kind = self.engines[engine].kind();
-        let marks = marks.max(self.shared(now, kind, kinds[&kind].able_cores, &b));
+        let marks = marks.max(self.shared(now, kind, kinds.of(kind).able_cores, &b));
         let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
         (marks < 1.0 || self.chance.draw() < chance).then_some(engine)
@@ -455,34 +455,32 @@
             return Vec::new();
         }
         let work = self.work(&h.b);
-        let candidate = |engine: &EngineId| {
-            let able_cores = self.able_cores(now, &self.engines[*engine]);
-            Candidate { engine: *engine, able_cores, load: self.engines[*engine].threads / able_cores }
+        let open = |engine: &EngineId| {
+            let e = &self.engines[*engine];
+            let candidate = Candidate::new(*engine, e, self.able_cores(now, e));
+            (fit(e, now) && self.allowed(now, h, work, &candidate)).then_some(candidate)
         };
-        let open = |c: &Candidate| fit(&self.engines[c.engine], now) && self.allowed(now, h, work, c);
-        let Some(lane) = h.b.lane else { return self.ready.iter().map(candidate).filter(open).collect() };
-        let of_tier = |tier: &EngineSet| -> Vec<Candidate> {
-            self.ready.iter().filter(|e| tier.holds(**e)).map(candidate).filter(open).collect()
+        let mut found = Vec::with_capacity(self.ready.len());
+        let Some(lane) = h.b.lane else {
+            found.extend(self.ready.iter().filter_map(open));
+            return found;
         };
-        self.tiers(lane).iter().map(of_tier).find(|found| !found.is_empty()).unwrap_or_default()
-    }
-
-    /// Our threads a core in the mean over the engines that have told something.
-    fn average_load(&self, candidates: &[Candidate]) -> f64 {
-        let heard = candidates.iter().filter(|c| self.engines[c.engine].heard);
-        let (count, sum) = heard.fold((0, 0.0), |(count, sum), c| (count + 1, sum + c.load));
-        sum / f64::from(count.max(1))
+        for tier in self.tiers(lane) {
+            found.extend(self.ready.iter().filter(|engine| tier.holds(**engine)).filter_map(open));
+            if !found.is_empty() {
+                break;
+            }
+        }
+        found
     }
 
     /// What counts alike for all candidates of a kind.
-    fn kinds_of(&self, now: f64, candidates: &[Candidate]) -> BTreeMap<usize, KindView> {
-        let mut views: BTreeMap<usize, KindView> = BTreeMap::new();
-        for c in candidates {
-            views.entry(self.engines[c.engine].kind()).or_default().able_cores += c.able_cores;
-        }
-        for (kind, view) in &mut views {
-            let sent = self.kinds.get(kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
-            (view.pool, view.sent) = (self.pool(now, *kind), sent / view.able_cores);
+    fn kinds_of(&self, now: f64, candidates: &[Candidate]) -> KindViews {
+        let mut views = KindViews::default();
+        candidates.iter().for_each(|c| views.of(c.kind).able_cores += c.able_cores);
+        for view in views.iter_mut() {
+            let sent = self.kinds.get(&view.kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
+            (view.pool, view.sent) = (self.pool(now, view.kind), sent / view.able_cores);
         }
         views
     }
@@ -881,6 +879,13 @@
     line.holders.map_or(all, |told| told.min(all).max(all.min(1.0)))
 }
 
+/// Our threads a core in the mean over the engines that have told something.
+fn average_load(candidates: &[Candidate]) -> f64 {
+    let loads = candidates.iter().filter_map(|c| c.load);
+    let (count, sum) = loads.fold((0, 0.0), |(count, sum), load| (count + 1, sum + load));
+    sum / f64::from(count.max(1))
+}
+
 fn unsure(b: &Batch) -> f64 {
     b.cost.map_or(UNSURE, |_| 1.0)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,15 +123,24 @@
 /// An engine that a batch may go to.
 pub struct Candidate {
     pub engine: EngineId,
+    pub kind: usize,
     /// Cores that it can use.
     pub able_cores: f64,
-    /// Our threads for each of these.
-    pub load: f64,
+    /// Our threads for each of these, of an engine that has told something.
+    pub load: Option<f64>,
+}
+
+impl Candidate {
+    pub fn new(engine: EngineId, e: &Engine, able_cores: f64) -> Self {
+        let load = e.heard.then_some(e.threads / able_cores);
+        Candidate { engine, kind: e.kind(), able_cores, load }
+    }
 }
 
 /// What counts alike for all candidates of a kind.
 #[derive(Default)]
 pub struct KindView {
+    pub kind: usize,
     /// Of the candidates.
     pub able_cores: f64,
     /// Marks at which engines of the kind are held to run.
@@ -140,6 +149,25 @@
     pub sent: f64,
 }
 
+/// A few views, by kind.
+#[derive(Default)]
+pub struct KindViews(Vec<KindView>);
+
+impl KindViews {
+    /// That of a kind, an empty one where there is none yet.
+    pub fn of(&mut self, kind: usize) -> &mut KindView {
+        let at = self.0.binary_search_by_key(&kind, |view| view.kind).unwrap_or_else(|at| {
+            self.0.insert(at, KindView { kind, ..KindView::default() });
+            at
+        });
+        &mut self.0[at]
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut KindView> {
+        self.0.iter_mut()
+    }
+}
+
 /// A multiply-with-carry generator.
 #[derive(Default)]
 pub struct Chance(u64);
