--- a/src/control.rs
+++ b/src/control.rs
@@ -15,9 +15,10 @@
 use crate::api::*;
 pub use crate::state::Control;
 use crate::state::{
-    micros, Chance, Due, Engine, Guess, InHand, KeyLine, Kind, Learned, Level, Queue, Sent, Stage, Window,
+    micros, Candidate, Chance, Due, Engine, Guess, InHand, KeyLine, KindViews, Learned, Level, Queue, Sent,
+    Stage, Window,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 const MARK: f64 = 1.5; // threads a core that an engine is filled to; the design's figure
 const MEMORY_MARK: f64 = 0.7; // share of memory that stands for the mark; gateways are uneven, needs guesses
@@ -77,7 +78,6 @@
             due: BTreeSet::from([(micros(now), Due::Tick)]),
             ran: (s.groups.iter().map(|c| c.threads).sum(), s.groups.len() as f64),
             subscribe: s.list_on_request,
-            holders: s.gateways,
             s,
             ..Control::default()
         }
@@ -112,15 +112,6 @@
         }
     }
 
-    /// The engines that a lane leaves open, by preference; none for a lane that is gone. It narrows what the rules
-    /// allow: an engine of a later preference is taken only where no earlier one has any that may be.
-    pub fn lane(&mut self, lane: u32, tiers: Option<Vec<EngineSet>>) {
-        match tiers {
-            Some(tiers) => drop(self.lanes.insert(lane, tiers)),
-            None => drop(self.lanes.remove(&lane)),
-        }
-    }
-
     /// A dispatch of this key that an earlier process sent may still run: the key rests until then.
     pub fn rest(&mut self, key: u64, until: f64) {
         let k = self.keys.entry(key).or_default();
@@ -136,33 +127,24 @@
     }
 
     pub fn listed(&mut self, lines: &[Listed], whole: bool) {
-        let named: BTreeSet<EngineId> = lines.iter().map(|l| l.engine).collect();
-        let old = self.engines.iter_mut().enumerate().filter(|(i, _)| whole && !named.contains(i));
-        old.filter_map(|(_, e)| e.line.as_mut()).for_each(|line| line.condition = Condition::Gone);
+        if whole {
+            self.drop_unlisted(lines);
+        }
         for l in lines {
             let known = |sizes: &[Option<f64>]| sizes.get(l.kind).copied().flatten();
             let (cores, memory) = (known(&self.s.kind_cores).unwrap_or(1.0), known(&self.s.kind_memory));
-            self.engines.resize_with(self.engines.len().max(l.engine + 1), || unheard(cores, memory));
+            self.engines.resize_with(self.engines.len().max(l.engine + 1), || Engine::new(cores, memory));
             let e = &mut self.engines[l.engine];
             let another = |old: Listed| old.condition == Condition::Gone && l.came_up.is_none();
             if e.line.is_none_or(|old| old.came_up != l.came_up || another(old)) {
-                e.forget(unheard(cores, memory));
+                e.forget(Engine::new(cores, memory));
                 (e.known_at, e.sample, e.lot) = (self.clock_at, self.latest, self.chance.draw());
             }
             (e.cores, e.memory, e.line) = (cores, memory, Some(*l));
             e.holders = holders(l, self.s.gateways);
+            self.relist(l.engine);
         }
-        let (all, mut cores) = (self.s.gateways, 0.0);
-        self.holders = all;
-        self.kinds.values_mut().for_each(|k| (k.cores, k.memory, k.holders) = (0.0, 0.0, all));
-        for e in self.engines.iter().filter(|e| e.ready()) {
-            let k = self.kinds.entry(e.kind()).or_insert(Kind { holders: all, ..Kind::default() });
-            (k.cores, k.memory) = (k.cores + e.cores, k.memory + e.memory.unwrap_or(0.0));
-            cores += e.cores;
-            // Means over cores, exact where all are alike.
-            k.holders += (e.holders - k.holders) * e.cores / k.cores.max(LEAST);
-            self.holders += (e.holders - self.holders) * e.cores / cores.max(LEAST);
-        }
+        self.count_capacity();
     }
 
     pub fn list_failed(&mut self) {
@@ -180,8 +162,9 @@
         let cores = report.utilisation.map_or(0.0, |u| u / BUSY_AT_MARK);
         let marks = cores.max(disks).max(waiting.min(2.0)).max(threads / (e.cores * MARK));
         self.kinds.entry(e.kind()).or_default().told.add(now, HEARD_LIFE, marks);
-        let level = self.level(now, self.pool(now, self.engines[engine].kind()), engine);
+        let pool = self.pool(now, self.engines[engine].kind());
         let e = &mut self.engines[engine];
+        let level = level(now, pool, e);
         (e.level, e.level_at, e.told_at) = (marks.max((marks + level) / 2.0), now, now);
     }
 
@@ -190,8 +173,9 @@
     fn feel(&mut self, now: f64, engine: EngineId, marks: f64) {
         let kind = self.engines[engine].kind();
         self.kinds.entry(kind).or_default().felt.add(now, HEARD_LIFE, marks);
-        let level = self.level(now, self.pool(now, kind), engine);
+        let pool = self.pool(now, kind);
         let e = &mut self.engines[engine];
+        let level = level(now, pool, e);
         if marks > level {
             let since = (e.threads - e.threads_then) / (e.cores * MARK);
             let most = if now - e.told_at < HEARD_LIFE { level.max(1.0 - LEAST) } else { OVERDUE };
@@ -209,22 +193,16 @@
         told.max(felt)
     }
 
-    /// Marks at which an engine is held to run: as heard, fading to the mean of its kind.
-    fn level(&self, now: f64, pool: f64, e: EngineId) -> f64 {
-        let e = &self.engines[e];
-        let since = (e.threads - e.threads_then) / (e.cores * MARK);
-        pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / FAIL_LIFE).exp()
-    }
-
     /// Our threads, under pressure, and memory in marks of our slice of a whole kind. Guards against many
     /// gateways that each start little, together too much: a slice of one engine is less than a batch.
     fn shared(&self, now: f64, kind: usize, cores: f64, b: &Batch) -> f64 {
         let (pool, need, threads) = (self.pool(now, kind), self.need(b), self.s.groups[b.group].threads);
         let Some(k) = self.kinds.get(&kind) else { return 0.0 };
-        let by_threads = (k.threads + threads) / (cores * MARK / k.holders).max(threads);
-        let memory = k.memory * cores / k.cores.max(LEAST);
-        let slice = (memory * MEMORY_MARK / k.holders).max(need).max(LEAST);
-        let by_memory = if k.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
+        let holders = k.ready.holders(self.s.gateways);
+        let by_threads = (k.threads + threads) / (cores * MARK / holders).max(threads);
+        let memory = k.ready.memory * cores / k.ready.cores.max(LEAST);
+        let slice = (memory * MEMORY_MARK / holders).max(need).max(LEAST);
+        let by_memory = if k.ready.memory > 0.0 { (k.memory_used + need) / slice } else { 0.0 };
         if pool < 1.0 {
             by_memory / UNEVEN
         } else {
@@ -253,7 +231,7 @@
     fn recall(&mut self, now: f64, id: BatchId) {
         let h = &self.batches[&id];
         let repeatable = self.s.groups[h.b.group].effect == Effect::Repeatable;
-        if repeatable && h.stage == Stage::Out && self.s.may_cancel && self.may_go_again(now, id) {
+        if repeatable && h.stage == Stage::Out && self.s.may_cancel && self.may_go_again(now, h) {
             self.cancels.push_back((id, h.dispatches - 1));
         }
     }
@@ -332,7 +310,7 @@
     /// No answer that earns anything can come in time, or the rules now forbid the dispatch it waits for.
     fn hopeless(&self, now: f64, h: &InHand) -> bool {
         let (density, wait) = self.prospect(now, h);
-        density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h.b.id))
+        density <= 0.0 || wait < 0.0 || (h.dispatches > 0 && !self.may_go_again(now, h))
     }
 
     /// A batch's body was not kept: there is no further dispatch of it.
@@ -352,7 +330,7 @@
         if !sent.judged {
             self.judge(now, &b, sent, &o);
         }
-        if stage == Stage::Ended || self.may_go_again(now, id) {
+        if stage == Stage::Ended || self.may_go_again(now, &self.batches[&id]) {
             return Next::Nothing;
         }
         Next::Over(self.answer(now, id))
@@ -390,7 +368,7 @@
             self.end(now, id);
             return Next::Nothing;
         }
-        if o.end == End::Moot || !self.may_go_again(now, id) {
+        if o.end == End::Moot || !self.may_go_again(now, &self.batches[&id]) {
             return Next::Over(self.answer(now, id));
         }
         self.enqueue(id);
@@ -438,67 +416,93 @@
         Place::NotYet
     }
 
-    fn unqueue(&mut self, id: BatchId) {
-        let b = &self.batches[&id].b;
-        self.queues[b.tenant].remove(b.group, id);
-    }
-
     /// The engine with fewest of our threads a core, of those that would start the batch at once; where there
     /// is none, the least of all, by chance.
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
+        let candidates = self.candidates(now, id);
         let b = self.batches[&id].b;
-        let open = |e: &EngineId| fit(&self.engines[*e], now) && self.allowed(now, id, *e);
-        let tier =
-            |tier: &EngineSet| (0..self.engines.len()).filter(|e| tier.holds(*e)).filter(open).collect();
-        let fit: Vec<EngineId> = match b.lane {
-            None => (0..self.engines.len()).filter(open).collect(),
-            Some(lane) => self.tiers(lane).iter().map(tier).find(|e: &Vec<_>| !e.is_empty())?,
-        };
-        let load = |e: EngineId| self.engines[e].threads / self.able_cores(now, e);
-        let heard: Vec<f64> = fit.iter().filter(|e| self.engines[**e].heard).map(|e| load(*e)).collect();
-        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let mut able: BTreeMap<usize, f64> = BTreeMap::new();
-        fit.iter().for_each(|&e| *able.entry(self.engines[e].kind()).or_default() += self.able_cores(now, e));
-        let sent = |k: &usize| self.kinds.get(k).map_or(0.0, |kind| kind.sent.sum(now, KIND_LIFE));
-        let view = |(k, cores): (&usize, &f64)| (*k, (self.pool(now, *k), sent(k) / cores));
-        let kinds: BTreeMap<usize, (f64, f64)> = able.iter().map(view).collect();
-        // Where a load of ours holds the data set the batch would stand still.
-        let loads = |c: &ServiceGroup| c.is_load || c.waits_for_loads;
-        let holds = |h: &&InHand| h.b.data_set == b.data_set && self.s.groups[h.b.group].is_load;
-        let held = self.batches.values().filter(holds).filter(|_| loads(&self.s.groups[b.group]));
-        let held: Vec<EngineId> = held.filter_map(|h| h.out.map(|s| s.engine)).collect();
-        let mut best: Option<([f64; 4], EngineId)> = None;
-        for e in fit {
-            let (pool, sent) = kinds.get(&self.engines[e].kind()).copied().unwrap_or_default();
-            let full = u8::from(held.contains(&e) || self.marks(now, pool, e, &b) >= 1.0);
-            let level = self.level(now, pool, e) + TIE * self.chance.draw();
-            let ours = self.engines[e].threads / self.able_cores(now, e);
-            let load = if self.engines[e].heard { ours } else { average };
-            let rank = [f64::from(full), load + failing(&self.engines[e], now), sent, level];
-            if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, e));
+        let (need, average) = (self.need(&b), average_load(&candidates));
+        let mut kinds = self.kinds_of(now, &candidates);
+        let locked = self.locked(&b);
+        let mut best: Option<([f64; 4], f64, EngineId)> = None;
+        for c in &candidates {
+            let e = &self.engines[c.engine];
+            let kind = kinds.of(c.kind);
+            let level = level(now, kind.pool, e);
+            let marks = self.marks(&b, need, c, level, kind.pool);
+            let full = locked.contains(&c.engine) || marks >= 1.0;
+            let load = c.load.unwrap_or(average);
+            let drawn = level + TIE * self.chance.draw();
+            let rank = [f64::from(u8::from(full)), load + failing(e, now), kind.sent, drawn];
+            if best.is_none_or(|(least, ..)| rank < least) {
+                best = Some((rank, marks, c.engine));
             }
         }
         // It would stand still there, which costs room.
-        let e = best.filter(|(_, e)| !held.contains(e) || self.spare_room() >= 0.0)?.1;
-        let kind = self.engines[e].kind();
-        let marks = self.marks(now, self.pool(now, kind), e, &b).max(self.shared(now, kind, able[&kind], &b));
+        let may_stand = |e: &EngineId| !locked.contains(e) || self.spare_room() >= 0.0;
+        let (_, marks, engine) = best.filter(|(.., e)| may_stand(e))?;
+        let kind = self.engines[engine].kind();
+        let marks = marks.max(self.shared(now, kind, kinds.of(kind).able_cores, &b));
         let size = (self.work(&b) / self.usual.mean(now, KIND_LIFE, 0.0).max(LEAST)).min(HEAVIEST);
         let chance = (2.0 - marks).clamp(0.0, 1.0).powf(CURVE * size);
-        (marks < 1.0 || self.chance.draw() < chance).then_some(e)
+        (marks < 1.0 || self.chance.draw() < chance).then_some(engine)
+    }
+
+    /// The engines that a batch may go to now, by index; of a lane those of the first preference that has any.
+    fn candidates(&self, now: f64, id: BatchId) -> Vec<Candidate> {
+        let h = &self.batches[&id];
+        if !self.may_leave(now, h) {
+            return Vec::new();
+        }
+        let work = self.work(&h.b);
+        let open = |engine: &EngineId| {
+            let e = &self.engines[*engine];
+            let candidate = Candidate::new(*engine, e, self.able_cores(now, e));
+            (fit(e, now) && self.allowed(now, h, work, &candidate)).then_some(candidate)
+        };
+        let mut found = Vec::with_capacity(self.ready.len());
+        let Some(lane) = h.b.lane else {
+            found.extend(self.ready.iter().filter_map(open));
+            return found;
+        };
+        for tier in self.tiers(lane) {
+            found.extend(self.ready.iter().filter(|engine| tier.holds(**engine)).filter_map(open));
+            if !found.is_empty() {
+                break;
+            }
+        }
+        found
+    }
+
+    /// What counts alike for all candidates of a kind.
+    fn kinds_of(&self, now: f64, candidates: &[Candidate]) -> KindViews {
+        let mut views = KindViews::default();
+        candidates.iter().for_each(|c| views.of(c.kind).able_cores += c.able_cores);
+        for view in views.iter_mut() {
+            let sent = self.kinds.get(&view.kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
+            (view.pool, view.sent) = (self.pool(now, view.kind), sent / view.able_cores);
+        }
+        views
+    }
+
+    /// Engines where a load of ours holds the data set: the batch would stand still there.
+    fn locked(&self, b: &Batch) -> Vec<EngineId> {
+        let group = &self.s.groups[b.group];
+        if !group.is_load && !group.waits_for_loads {
+            return Vec::new();
+        }
+        let holds = |h: &&InHand| h.b.data_set == b.data_set && self.s.groups[h.b.group].is_load;
+        let loads = self.batches.values().filter(holds);
+        loads.filter_map(|h| h.out.map(|s| s.engine)).collect()
     }
 
     /// How full an engine is with this batch, in marks: by its reported utilisation or our threads against
     /// our slice, and by the memory of ours, which guards against spilling and paging.
-    fn marks(&self, now: f64, pool: f64, e: EngineId, b: &Batch) -> f64 {
-        let threads = self.s.groups[b.group].threads;
-        let cores = self.able_cores(now, e);
-        let told = self.level(now, pool, e);
-        let e = &self.engines[e];
-        let ours = (e.threads + threads) / (cores * MARK / e.holders).max(threads);
-        let told = if !self.tells_cores && pool < 1.0 { 0.0 } else { told };
+    fn marks(&self, b: &Batch, need: f64, c: &Candidate, level: f64, pool: f64) -> f64 {
+        let (e, threads) = (&self.engines[c.engine], self.s.groups[b.group].threads);
+        let ours = (e.threads + threads) / (c.able_cores * MARK / e.holders).max(threads);
+        let told = if !self.tells_cores && pool < 1.0 { 0.0 } else { level };
         let by_threads = if told < 1.0 && ours <= FLOODED { told } else { told.max(ours) };
-        let need = self.need(b);
         let room = |m: f64| (m * MEMORY_MARK / e.holders).max(need);
         let by_memory = e.memory.map_or(0.0, |m| (e.memory_used + need) / room(m));
         by_threads.max(by_memory)
@@ -522,7 +526,7 @@
         let q = &mut self.queues[b.tenant];
         q.running += 1;
         q.start += self.g * c.threads;
-        let (work, (due, gone)) = (self.work(&b), self.cold_part(now, engine));
+        let (work, (due, gone)) = (self.work(&b), self.cold_part(now, &self.engines[engine]));
         let e = &mut self.engines[engine];
         let k = self.kinds.entry(e.kind()).or_default();
         k.sent.add(now, KIND_LIFE, if c.kinds.is_none() { work } else { 0.0 });
@@ -535,34 +539,38 @@
         }
         let memory = self.grant(&b, engine);
         // What the window does not hold any more on its arrival is not sent: its connection may come up late.
-        let within = self.window_left(now, id).min(time_out);
+        let within = self.window_left(now, &self.batches[&id]).min(time_out);
         Place::To { engine, time_out, within, memory }
     }
 
     // ---- 1: the guard ----
 
-    /// Whether the rules let this batch go to this engine now.
-    fn allowed(&self, now: f64, id: BatchId, engine: EngineId) -> bool {
-        let h = &self.batches[&id];
-        let (Some(line), c) = (self.engines[engine].line, &self.s.groups[h.b.group]) else { return false };
-        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
-        line.condition == Condition::Ready
-            && h.stage == Stage::Queued
+    /// Whether the rules let this batch leave now, wherever it goes.
+    fn may_leave(&self, now: f64, h: &InHand) -> bool {
+        h.stage == Stage::Queued
             && !h.unattended
             && h.out.is_none()
             && now < h.limit - MARGIN
-            && named(&c.zones, line.zone)
-            && named(&c.kinds, line.kind as u32)
-            && h.b.lane.is_none_or(|lane| self.tiers(lane).iter().any(|tier| tier.holds(engine)))
-            && (h.dispatches == 0 || self.may_go_again(now, id))
-            && self.in_scope(h, engine)
-            && self.cold_room(now, engine, self.work(&h.b))
+            && (h.dispatches == 0 || self.may_go_again(now, h))
+    }
+
+    /// Whether the rules let a batch that may leave go to this engine now.
+    fn allowed(&self, now: f64, h: &InHand, work: f64, c: &Candidate) -> bool {
+        let (Some(line), group) = (self.engines[c.engine].line, &self.s.groups[h.b.group]) else {
+            return false;
+        };
+        let named = |list: &Option<Vec<u32>>, v: u32| list.as_ref().is_none_or(|l| l.contains(&v));
+        line.condition == Condition::Ready
+            && named(&group.zones, line.zone)
+            && named(&group.kinds, line.kind as u32)
+            && h.b.lane.is_none_or(|lane| self.tiers(lane).iter().any(|tier| tier.holds(c.engine)))
+            && self.in_scope(h, c.engine)
+            && self.cold_room(now, c, work)
     }
 
     /// Whether the rules let a batch have another dispatch anywhere.
-    fn may_go_again(&self, now: f64, id: BatchId) -> bool {
-        let h = &self.batches[&id];
-        self.window_left(now, id) > 0.0
+    fn may_go_again(&self, now: f64, h: &InHand) -> bool {
+        self.window_left(now, h) > 0.0
             && !h.unkept
             && now < h.limit - MARGIN
             && h.dispatches < self.s.max_dispatches
@@ -570,8 +578,7 @@
     }
 
     /// How long a dispatch of this batch can still come to an engine without a second effect.
-    fn window_left(&self, now: f64, id: BatchId) -> f64 {
-        let h = &self.batches[&id];
+    fn window_left(&self, now: f64, h: &InHand) -> f64 {
         match (h.may_have_run, self.s.groups[h.b.group].effect) {
             (None, _) | (_, Effect::Repeatable) => f64::INFINITY,
             (Some(_), Effect::OnceOnly) => 0.0,
@@ -586,11 +593,6 @@
         h.may_have_run.is_none_or(|first| scope == Scope::Everywhere || place(first.engine) == place(engine))
     }
 
-    /// The engines of a lane by preference; none of one that is not known.
-    fn tiers(&self, lane: u32) -> &[EngineSet] {
-        self.lanes.get(&lane).map_or(&[], Vec::as_slice)
-    }
-
     fn further_left(&self, now: f64, group: usize) -> bool {
         let fits = |f: FurtherBudget, taken: &Window, further: &Window| {
             let taken = taken.since(now - f.window + MARGIN);
@@ -687,8 +689,8 @@
 
     /// Guards against engines that fail quickly, are dead or silent. Where all fail alike none rests.
     fn failed(&mut self, now: f64, engine: EngineId) {
-        let others: Vec<f64> = self.engines.iter().filter(|e| e.ready()).map(|e| failing(e, now)).collect();
-        let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        let sum: f64 = self.ready.iter().map(|e| failing(&self.engines[*e], now)).sum();
+        let mean = sum / self.ready.len().max(1) as f64;
         let e = &mut self.engines[engine];
         let before = failing(e, now);
         (e.failing, e.failed_at) = (before + (1.0 - before) * FAIL_WEIGHT, now);
@@ -718,29 +720,28 @@
     // ---- 3: cold care ----
 
     /// Cores that an engine can use: from the told start share, evenly up until told warm.
-    fn able_cores(&self, now: f64, engine: EngineId) -> f64 {
-        let e = &self.engines[engine];
+    fn able_cores(&self, now: f64, e: &Engine) -> f64 {
         let (Some(at), Some(c)) = (e.line.and_then(|l| l.came_up), self.s.cold) else { return e.cores };
         let warmed = ((now - at) / c.warm_after.max(LEAST)).clamp(0.0, 1.0);
         (e.cores * (c.starts_at + (1.0 - c.starts_at) * warmed)).max(LEAST)
     }
 
     /// Keeps our part of a cold engine's work budget.
-    fn cold_room(&self, now: f64, engine: EngineId, work: f64) -> bool {
-        let (e, able) = (&self.engines[engine], self.able_cores(now, engine));
-        let (Some(c), true) = (self.s.cold, able < e.cores - LEAST) else { return true };
-        let (due, gone) = self.cold_part(now, engine);
-        work <= COLD_LUMP * c.multiple * c.window * able && gone + work <= due + LEAST
+    fn cold_room(&self, now: f64, c: &Candidate, work: f64) -> bool {
+        let (e, able) = (&self.engines[c.engine], c.able_cores);
+        let (Some(rule), true) = (self.s.cold, able < e.cores - LEAST) else { return true };
+        let (due, gone) = self.cold_part(now, e);
+        work <= COLD_LUMP * rule.multiple * rule.window * able && gone + work <= due + LEAST
     }
 
     /// Work due to a started engine from us since we knew of it, and how much of that was sent or lapsed. It
     /// comes due in quanta of a batch, as the part of many gateways is less, by a lot drawn for each start:
     /// the sum over gateways stays the same, and chance adds little. What all of them save and send in step
     /// would push it over, so what is not sent in time lapses.
-    fn cold_part(&self, now: f64, engine: EngineId) -> (f64, f64) {
-        let (e, Some(c)) = (&self.engines[engine], self.s.cold) else { return (0.0, 0.0) };
+    fn cold_part(&self, now: f64, e: &Engine) -> (f64, f64) {
+        let Some(c) = self.s.cold else { return (0.0, 0.0) };
         let rate = c.multiple * c.starts_at * e.cores * YIELD * COLD_PART / e.holders;
-        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, engine);
+        let lump = COLD_LUMP * c.multiple * c.window * self.able_cores(now, e);
         let usual = self.usual.mean(now, KIND_LIFE, 0.0);
         let quantum = e.sample.map_or(usual, |b| self.work(&b)).min(lump).max(LEAST);
         let quanta = |at: f64| (rate * (at - e.known_at).max(0.0) - e.quanta_from) / quantum + 1.0 - e.lot;
@@ -789,9 +790,9 @@
         let mut late = Vec::new();
         self.keys.values().for_each(|line| self.behind(now, line, &mut late));
         late.into_iter().for_each(|id| self.give_up(id));
-        let fit = |e: &usize| self.engines[*e].ready() && fit(&self.engines[*e], now);
-        let cores: f64 = (0..self.engines.len()).filter(fit).map(|e| self.able_cores(now, e)).sum();
-        let rate = (cores * YIELD / self.holders).max(LEAST);
+        let ready = self.ready.iter().map(|e| &self.engines[*e]);
+        let cores: f64 = ready.filter(|e| fit(e, now)).map(|e| self.able_cores(now, e)).sum();
+        let rate = (cores * YIELD / self.capacity.holders(self.s.gateways)).max(LEAST);
         let queued = self.batches.values().filter(|h| h.stage == Stage::Queued);
         let mut waiting: Vec<_> = queued.map(|h| (self.prospect(now, h), self.work(&h.b), h.b)).collect();
         waiting.sort_by(|a, b| b.0 .0.total_cmp(&a.0 .0));
@@ -830,12 +831,13 @@
     fn probe(&mut self, now: f64) {
         let all = self.s.reports == Reports::WithProbes;
         while self.may_ask >= 1.0 && self.s.may_probe {
-            let due = |e: &&mut Engine| e.ready() && e.probe_at <= now && (all || !e.heard);
-            let due = self.engines.iter_mut().enumerate().filter(|(_, e)| due(e));
-            let Some((i, e)) = due.min_by(|a, b| a.1.probe_at.total_cmp(&b.1.probe_at)) else { return };
-            e.probe_at = now + PROBE_EVERY;
+            let due = |e: &Engine| e.probe_at <= now && (all || !e.heard);
+            let due = self.ready.iter().copied().filter(|e| due(&self.engines[*e]));
+            let asked_at = |e: &EngineId| self.engines[*e].probe_at;
+            let Some(engine) = due.min_by(|a, b| asked_at(a).total_cmp(&asked_at(b))) else { return };
+            self.engines[engine].probe_at = now + PROBE_EVERY;
             self.may_ask -= 1.0;
-            self.probes.push_back(i);
+            self.probes.push_back(engine);
         }
     }
 
@@ -872,21 +874,33 @@
     }
 }
 
-fn unheard(cores: f64, memory: Option<f64>) -> Engine {
-    Engine { cores, memory, ..Engine::default() }
-}
-
 /// Gateways that work with an engine: this one at least and all at most; what is no number counts as all.
 fn holders(line: &Listed, all: f64) -> f64 {
     line.holders.map_or(all, |told| told.min(all).max(all.min(1.0)))
 }
 
+/// Our threads a core in the mean over the engines that have told something.
+fn average_load(candidates: &[Candidate]) -> f64 {
+    let loads = candidates.iter().filter_map(|c| c.load);
+    let (count, sum) = loads.fold((0, 0.0), |(count, sum), load| (count + 1, sum + load));
+    sum / f64::from(count.max(1))
+}
+
 fn unsure(b: &Batch) -> f64 {
     b.cost.map_or(UNSURE, |_| 1.0)
 }
 
+/// Marks at which an engine is held to run: as heard, fading to the mean of its kind.
+fn level(now: f64, pool: f64, e: &Engine) -> f64 {
+    let since = (e.threads - e.threads_then) / (e.cores * MARK);
+    pool + (e.level + since - pool) * (-(now - e.level_at).max(0.0) / FAIL_LIFE).exp()
+}
+
 /// An engine's failing share. It fades, so that one few answers come from is not kept off for good.
 fn failing(e: &Engine, now: f64) -> f64 {
+    if e.failing == 0.0 {
+        return 0.0;
+    }
     e.failing * (-(now - e.failed_at).max(0.0) / FAIL_LIFE).exp()
 }
 
