--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -8,6 +8,6 @@
 mod stream;
 mod watch;
 
-pub use event::{event, EngineLine, Event, NameIndex};
+pub use event::{event, event_of_text, EngineLine, Event, NameIndex};
 pub use list::{EngineList, EngineUpdate, Target};
 pub use watch::Watch;
--- a/crates/scale/src/slopes/chart.rs
+++ b/crates/scale/src/slopes/chart.rs
@@ -13,7 +13,7 @@
 /// Points of the fitted curve.
 const CURVE_POINTS: u32 = 64;
 /// Room around the values, as a factor.
-const AROUND: f64 = 1.5;
+const AROUND: f64 = 2.0;
 
 /// Draws the medians, the fit and what was measured outside of its range.
 ///
--- a/crates/scale/src/slopes/fit.rs
+++ b/crates/scale/src/slopes/fit.rs
@@ -109,6 +109,9 @@
 /// The exponent between the two largest sizes by the medians, and the least that the spread allows.
 fn last_exponents(samples: &[Sample]) -> (f64, f64) {
     let [.., before, last] = samples else { return (f64::NAN, f64::NAN) };
+    if samples.iter().any(|sample| sample.least() <= 0.0) {
+        return (f64::NAN, f64::NAN);
+    }
     let steps = (last.size / before.size).ln();
     let exponent = |above: f64, below: f64| (logarithm(above) - logarithm(below)) / steps;
     (exponent(last.median(), before.median()), exponent(last.least(), before.most()))
--- a/crates/scale/src/slopes/gateway_list.rs
+++ b/crates/scale/src/slopes/gateway_list.rs
@@ -2,7 +2,7 @@
 
 use super::measurement::RoleError;
 use super::pool::{kind_name, zone_name, KIND_CORES, ZONES};
-use garnetwall_gateway::discovery::{event, EngineList, Event};
+use garnetwall_gateway::discovery::{event_of_text, EngineList, Event, NameIndex};
 use garnetwall_settings::Names;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 
 /// A gateway's list of engines, with the names that its lines use.
 pub struct GatewayList {
-    names: Names,
+    names: NameIndex,
     list: EngineList,
 }
 
@@ -22,7 +22,7 @@
             kinds: (0..KIND_CORES.len()).map(kind_name).collect(),
             ..Names::default()
         };
-        GatewayList { names, list: EngineList::new(KEPT) }
+        GatewayList { names: NameIndex::new(&names), list: EngineList::new(KEPT) }
     }
 
     /// Decodes an event of the change log.
@@ -31,12 +31,11 @@
     ///
     /// Where it is no event.
     pub fn decode(&self, text: &str) -> Result<Event, RoleError> {
-        let json = serde_json::from_str(text).map_err(|cause| RoleError::Data(cause.to_string()))?;
-        event(&json, &self.names).map_err(RoleError::Data)
+        event_of_text(text.as_bytes(), &self.names).map_err(RoleError::Data)
     }
 
     /// Takes an event in; how many lines the module would be told.
-    pub fn apply(&self, event: &Event) -> usize {
+    pub fn apply(&self, event: Event) -> usize {
         self.list.apply(event).len()
     }
 }
--- a/crates/scale/src/slopes/list.rs
+++ b/crates/scale/src/slopes/list.rs
@@ -3,7 +3,11 @@
 use super::gateway_list::GatewayList;
 use super::measurement::{Measured, Metric, Point, Role, RoleError};
 use super::pool;
-use super::stopwatch::{growth, repeated, timed};
+use super::stopwatch::{each, growth, repeated, timed};
+
+/// Whole lists that come again, and changed lines, in one run.
+const WHOLE_LISTS: usize = 8;
+const CHANGED_LINES: usize = 8192;
 
 pub struct List;
 
@@ -17,11 +21,12 @@
         let (resident, times) = growth(|| first_list(&list, &text))?;
         let (decode_list, first_list) = times?;
         let whole = list.decode(&text)?;
-        let whole_list = repeated(|_| list.apply(&whole));
+        let whole_list = each(vec![whole; WHOLE_LISTS], |event| list.apply(event));
         let line = |repeat: u64| &changed[repeat as usize % changed.len()];
         let decode_line = repeated(|repeat| list.decode(line(repeat)));
         let events = changed.iter().map(|text| list.decode(text)).collect::<Result<Vec<_>, _>>()?;
-        let changed_line = repeated(|repeat| list.apply(&events[repeat as usize % events.len()]));
+        let events = events.iter().cycle().take(CHANGED_LINES).cloned().collect();
+        let changed_line = each(events, |event| list.apply(event));
         Ok(vec![
             Measured { metric: Metric::ListBytes, value: text.len() as f64 },
             Measured { metric: Metric::LineBytes, value: changed[0].len() as f64 },
@@ -39,7 +44,7 @@
 fn first_list(list: &GatewayList, text: &str) -> Result<(f64, f64), RoleError> {
     let (decode, event) = timed(|| list.decode(text));
     let event = event?;
-    let (apply, _) = timed(|| list.apply(&event));
+    let (apply, _) = timed(|| list.apply(event));
     Ok((decode, apply))
 }
 
