--- a/crates/scale/src/slopes/gateway_list.rs
+++ b/crates/scale/src/slopes/gateway_list.rs
@@ -1,8 +1,10 @@
 //! The gateway's own list of engines, in the one place where this tool touches it.
 
 use super::measurement::RoleError;
-use super::pool::{kind_name, zone_name, KIND_CORES, ZONES};
-use garnetwall_gateway::discovery::{event_of_text, EngineList, Event, NameIndex};
+use super::pool::{kind_name, subset_settings, zone_name, KIND_CORES, ZONES};
+use super::settings::Fixed;
+use garnetwall_gateway::clock::Clock;
+use garnetwall_gateway::discovery::{event_of_text, EngineList, Event, NameIndex, Selection};
 use garnetwall_settings::Names;
 use std::time::Duration;
 
@@ -16,13 +18,24 @@
 }
 
 impl GatewayList {
-    pub fn new() -> Self {
+    /// The list of a gateway that works with all engines, or with a subset where a size is told.
+    ///
+    /// # Errors
+    ///
+    /// Where the settings of the subset can't be used.
+    pub fn new(quantities: &Fixed) -> Result<Self, RoleError> {
         let names = Names {
             zones: (0..ZONES).map(zone_name).collect(),
             kinds: (0..KIND_CORES.len()).map(kind_name).collect(),
             ..Names::default()
         };
-        GatewayList { names: NameIndex::new(&names), list: EngineList::new(KEPT) }
+        let select = |size| {
+            let settings = subset_settings(size, quantities.gateways);
+            Selection::new("gateway-0", settings, KIND_CORES.iter().copied().map(Some).collect())
+        };
+        let selection = Some(quantities.subset_size).filter(|size| *size > 0).map(select).transpose()?;
+        let list = EngineList::new(KEPT, Clock::start(), selection);
+        Ok(GatewayList { names: NameIndex::new(&names), list })
     }
 
     /// Decodes an event of the change log.
@@ -36,6 +49,6 @@
 
     /// Takes an event in; how many lines the module would be told.
     pub fn apply(&self, event: Event) -> usize {
-        self.list.apply(event).len()
+        self.list.apply(event).updates.len()
     }
 }
--- a/crates/scale/src/slopes/list.rs
+++ b/crates/scale/src/slopes/list.rs
@@ -16,7 +16,7 @@
         let engines = point.quantities.engines;
         let text = pool::whole_list(engines);
         let changed = engine_changes(engines);
-        let list = GatewayList::new();
+        let list = GatewayList::new(&point.quantities)?;
         // The event is dropped once it was taken in, as in the gateway.
         let (resident, times) = growth(|| first_list(&list, &text))?;
         let (decode_list, first_list) = times?;
