--- a/crates/scale/src/slopes/fit.rs
+++ b/crates/scale/src/slopes/fit.rs
@@ -68,6 +68,8 @@
         let power = Line::new(&logarithms);
         let exponent_error = power.slope_error(&logarithms);
         let (last_exponent, last_least) = last_exponents(samples);
+        // One run of a size has no spread to be beyond.
+        let repeated = samples.iter().all(|sample| sample.values.len() > 1);
         Fit {
             slope: line.slope,
             intercept: line.intercept,
@@ -75,7 +77,8 @@
             exponent: power.slope,
             exponent_error,
             last_exponent,
-            superlinear: power.slope - BEYOND_SPREAD * exponent_error > LINEAR || last_least > LINEAR,
+            superlinear: power.slope - BEYOND_SPREAD * exponent_error > LINEAR
+                || last_least > LINEAR && repeated,
             last: medians.last().copied().unwrap_or((1.0, 0.0)),
         }
     }
--- a/crates/scale/src/slopes/fit/tests.rs
+++ b/crates/scale/src/slopes/fit/tests.rs
@@ -45,6 +45,15 @@
     assert!((fit.predict(6500.0) / (350_000.0 / 6500.0) - 1.0).abs() < 0.01);
 }
 
+/// A last step of a tenth over a line, which is noise where nothing was measured twice.
+#[test]
+fn the_last_step_of_single_runs_flags_nothing() {
+    let value = |size: f64| if size == 1024.0 { size * 1.1 } else { size };
+    let single: Vec<Sample> = SIZES.iter().map(|size| Sample::new(*size, vec![value(*size)])).collect();
+    let fit = Fit::new(&single);
+    assert!(fit.last_exponent > LINEAR && !fit.superlinear, "{fit:?}");
+}
+
 /// Zeros have no power law; the line stands.
 #[test]
 fn values_of_zero_flag_nothing() {
