--- a/crates/scale/src/fleet/gateway.rs
+++ b/crates/scale/src/fleet/gateway.rs
@@ -177,7 +177,7 @@
             for action in actions {
                 lines.extend(process.follow(now, action, self.number, around));
             }
-            process.control.listed(&lines, false);
+            process.list(&lines);
         }
     }
 
@@ -185,7 +185,7 @@
     fn list_again(&mut self, restarted: &[EngineKey]) {
         let Some(process) = &mut self.process else { return };
         let lines: Vec<Listed> = restarted.iter().filter_map(|key| process.member_line(*key)).collect();
-        process.control.listed(&lines, false);
+        process.list(&lines);
     }
 
     // ---- queries ----
@@ -417,6 +417,12 @@
         self.queries.get(&id)?.open.map(|open| open.number)
     }
 
+    fn list(&mut self, lines: &[Listed]) {
+        if !lines.is_empty() {
+            self.control.listed(lines, false);
+        }
+    }
+
     /// The line by which the module knows a member.
     fn member_line(&mut self, key: EngineKey) -> Option<Listed> {
         let facts = self.list.catalog.facts(key)?;
