--- a/crates/scale/src/beside/hollow.rs
+++ b/crates/scale/src/beside/hollow.rs
@@ -2,6 +2,7 @@
 
 use garnetwall::api::{Batch, Condition, End, Listed, Next, Outcome, Place, Report, Settings, Wait};
 use garnetwall::control::Control;
+use garnetwall_subset::{Catalog, EngineLine};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -9,8 +10,8 @@
 
 /// Seconds of simulated time that are played.
 pub const PLAYED: f64 = 5.0;
-/// Modules that stand beside each other, so that the memory of one can be told from pages.
-const COPIES: usize = 8;
+/// Hollow gateways that stand beside each other, so that the memory of one can be told from pages and free ones.
+const COPIES: usize = 32;
 const MICROSECONDS: f64 = 1e6;
 /// The group of queries without a key.
 const GROUP: usize = 0;
@@ -23,7 +24,7 @@
 pub struct Cost {
     /// Of a core, without I/O.
     pub processor_share: f64,
-    /// The module with its list.
+    /// The module with its list, and the whole list beside a subset; 0 where that can't be told from free pages.
     pub resident_bytes: f64,
 }
 
@@ -35,22 +36,42 @@
     pub seed: u64,
 }
 
-/// Plays one gateway's queries before these engines, by the process's own clock.
-pub fn cost(settings: &Settings, lines: &[Listed], load: Load) -> std::io::Result<Cost> {
+/// What a hollow gateway holds.
+struct Held {
+    module: Control,
+    /// The whole list, beside a subset of it.
+    _catalog: Option<Catalog>,
+}
+
+/// Plays one gateway's queries before these engines, by the process's own clock; where they are a subset it holds the whole
+/// list as well.
+pub fn cost(
+    settings: &Settings,
+    lines: &[Listed],
+    whole_list: Option<&[EngineLine]>,
+    load: Load,
+) -> std::io::Result<Cost> {
     let before = resident_bytes()?;
-    let mut modules: Vec<Control> = (0..COPIES).map(|copy| module(settings, lines, copy as u64)).collect();
+    let held: Vec<Held> = (0..COPIES).map(|copy| hold(settings, lines, whole_list, copy as u64)).collect();
     let resident_bytes = (resident_bytes()? - before) / COPIES as f64;
-    let Some(module) = modules.pop() else { return Ok(Cost { processor_share: 0.0, resident_bytes }) };
+    let Some(Held { module, .. }) = held.into_iter().next() else {
+        return Ok(Cost { processor_share: 0.0, resident_bytes });
+    };
     let mut hollow = Hollow { module, load, now: 0.0, ends: BinaryHeap::new() };
     let before = thread_seconds()?;
     hollow.play();
     Ok(Cost { processor_share: (thread_seconds()? - before) / PLAYED, resident_bytes })
 }
 
-fn module(settings: &Settings, lines: &[Listed], seed: u64) -> Control {
+fn hold(settings: &Settings, lines: &[Listed], whole_list: Option<&[EngineLine]>, seed: u64) -> Held {
     let mut module = Control::new(settings.clone(), seed, 0.0);
     module.listed(lines, true);
-    module
+    let _catalog = whole_list.map(|whole_list| {
+        let mut catalog = Catalog::default();
+        catalog.apply(whole_list, true);
+        catalog
+    });
+    Held { module, _catalog }
 }
 
 /// Lines of so many engines that serve.
--- a/crates/scale/src/beside/prediction.rs
+++ b/crates/scale/src/beside/prediction.rs
@@ -15,8 +15,8 @@
 
 /// The defaults of the gateways' `subset` block.
 const CLASS_FLOOR: usize = 4;
-const RESERVE: usize = 8;
-const JOINS_PER_SECOND: f64 = 20.0;
+const RESERVE_PART: usize = 4;
+const JOINS_PER_SECOND: f64 = 1.0;
 const NEAR_WEIGHT: f64 = 1.0;
 const CORES: f64 = 8.0;
 /// Simulated seconds in which a subset fills, and the steps.
@@ -41,15 +41,17 @@
         work_seconds: (experiment.work_ms[0] + experiment.work_ms[1]) as f64 / 2000.0,
         seed: experiment.seed,
     };
-    let cost = hollow::cost(&settings, &hollow::lines(engines, experiment.zones, holders), load)?;
+    let whole_list = experiment.subset_size.map(|_| lines(experiment));
+    let members = hollow::lines(engines, experiment.zones, holders);
+    let cost = hollow::cost(&settings, &members, whole_list.as_deref(), load)?;
     let run = |name: &str, value: f64| Figure::new("run", 0.0, name, value);
     figures.push(run("hollow_queries_per_second", load.queries_per_second));
     figures.push(run("hollow_processor_share", cost.processor_share));
     figures.push(run("hollow_resident_bytes", cost.resident_bytes));
     for figure in real.iter().filter(|figure| figure.of == "gateway") {
         let predicted = match figure.name.as_str() {
-            "processor_share" => cost.processor_share,
-            "resident_bytes" => cost.resident_bytes,
+            "processor_share" if cost.processor_share > 0.0 => cost.processor_share,
+            "resident_bytes" if cost.resident_bytes > 0.0 => cost.resident_bytes,
             _ => continue,
         };
         let name = format!("{}_over_hollow", figure.name);
@@ -77,7 +79,7 @@
     let settings = SubsetSettings {
         size,
         class_floor: CLASS_FLOOR,
-        reserve: RESERVE,
+        reserve: size / RESERVE_PART,
         joins_per_second: JOINS_PER_SECOND,
         zone: None,
         near_weight: NEAR_WEIGHT,
