garnetwall-scale spread: ways to choose subsets compared, the chosen one judged

Cause: the choice of a way for engine subsets stood on paper; its figures were not known.

Change: nine ways behind one trait (whole list, sampling, index in shuffled rounds by gapless and by kept numbers, ring, rendezvous by equal weights, by cores, with class floors, and garnetwall-subset itself, settled); work per core, connections, engines held by nobody, moves against the least, the sum of what holders take; table, JSON lines, CSV, chart; eight judged things for garnetwall-subset, each with a slip that a test finds.

--- /dev/null
+++ b/crates/scale/src/spread/compare.rs
@@ -0,0 +1,192 @@
+//! Plays each way on each fleet with each size and seed, and gathers the figures.
+
+use super::experiment::{Experiment, Fleet};
+use super::measure::{self, Distribution, Required};
+use super::population::{even_traffic, uneven_traffic, Change, Population};
+use super::report::{Figure, Row};
+use super::slip::Moment;
+use super::ways::{Assignment, Choices, Way, WayName};
+use indicatif::ProgressBar;
+use std::collections::BTreeMap;
+
+/// Gateways that hold an engine at least in the mean; a smaller size is raised to that. The chance that an engine is
+/// held by nobody is about e to the power of minus this.
+const MIN_HOLDERS: usize = 24;
+const MICROSECONDS: f64 = 1e6;
+
+/// What one seed gave, by figure.
+type Figures = BTreeMap<Figure, f64>;
+
+/// One way with one size in one fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Case {
+    gateways: usize,
+    engines: usize,
+    size: usize,
+    way: WayName,
+}
+
+/// Plays the experiment.
+pub fn compare(experiment: &Experiment) -> Vec<Row> {
+    let mut gathered: BTreeMap<Case, Vec<Figures>> = BTreeMap::new();
+    let rounds = experiment.fleets.len() * experiment.seeds;
+    let progress = ProgressBar::new(rounds as u64);
+    for fleet in &experiment.fleets {
+        for seed in experiment.seed..experiment.seed + experiment.seeds as u64 {
+            for (case, figures) in play_seed(experiment, fleet, seed) {
+                gathered.entry(case).or_default().push(figures);
+            }
+            progress.inc(1);
+        }
+    }
+    progress.finish_and_clear();
+    gathered.into_iter().flat_map(|(case, seeds)| rows(case, &seeds)).collect()
+}
+
+fn rows(case: Case, seeds: &[Figures]) -> Vec<Row> {
+    let Case { gateways, engines, size, way } = case;
+    let figures = seeds[0].keys();
+    let row = |figure: &Figure| {
+        let values = seeds.iter().map(|seed| seed[figure]).collect();
+        Row::new(gateways, engines, size, way, *figure, values)
+    };
+    figures.map(row).collect()
+}
+
+fn play_seed(experiment: &Experiment, fleet: &Fleet, seed: u64) -> Vec<(Case, Figures)> {
+    let world = World::draw(experiment, fleet, seed);
+    let sizes = sizes(fleet);
+    let mut played = Vec::new();
+    for (index, &size) in sizes.iter().enumerate() {
+        // The whole list has one size only.
+        let plays = |way: &WayName| experiment.ways.contains(way) && (index == 0 || !way.holds_whole_list());
+        let mut plain_form: Option<Choices> = None;
+        for way in WayName::all().into_iter().filter(plays) {
+            let choices = world.choose(way, size);
+            let mut figures = world.measure(way, size, &choices);
+            match (way, &plain_form) {
+                (WayName::RendezvousFloors, _) => plain_form = Some(choices),
+                (WayName::Subset, Some(plain)) => {
+                    let disagreeing = disagreeing(plain, &choices);
+                    figures.insert(Figure::Disagreeing, disagreeing as f64);
+                }
+                _ => {}
+            }
+            let size = if way.holds_whole_list() { fleet.engines } else { size };
+            played.push((Case { gateways: fleet.gateways, engines: fleet.engines, size, way }, figures));
+        }
+    }
+    played
+}
+
+/// The sizes to play: raised to the floor, without repeats, and under the whole list.
+fn sizes(fleet: &Fleet) -> Vec<usize> {
+    let floor = (MIN_HOLDERS * fleet.engines).div_ceil(fleet.gateways);
+    let raised = fleet.subset_sizes.iter().map(|size| (*size).max(floor));
+    let mut sizes: Vec<usize> = raised.filter(|size| *size < fleet.engines).collect();
+    sizes.sort_unstable();
+    sizes.dedup();
+    sizes
+}
+
+/// One fleet under one seed, and what it becomes by each change.
+struct World<'a> {
+    experiment: &'a Experiment,
+    population: Population,
+    /// In the order of [`Change::ALL`].
+    changed: Vec<Population>,
+    even: Vec<f64>,
+    uneven: Vec<f64>,
+}
+
+impl<'a> World<'a> {
+    fn draw(experiment: &'a Experiment, fleet: &Fleet, seed: u64) -> Self {
+        let population = Population::draw(experiment, fleet, seed);
+        let after = |change: &Change| population.after(*change, experiment, seed);
+        let changed = Change::ALL.iter().map(after).collect();
+        let even = even_traffic(fleet.gateways);
+        let uneven = uneven_traffic(experiment, fleet.gateways, seed);
+        World { experiment, population, changed, even, uneven }
+    }
+
+    fn choose(&self, name: WayName, size: usize) -> Choices {
+        let way = name.build(self.experiment);
+        let mut choices = way.choose_in_turn(&self.population, &self.changed, size);
+        self.slip(name, &mut choices);
+        choices
+    }
+
+    fn measure(&self, name: WayName, size: usize, choices: &Choices) -> Figures {
+        let way = name.build(self.experiment);
+        let mut figures = Figures::new();
+        let choosing = choices.choosing.as_secs_f64() * MICROSECONDS;
+        figures.insert(Figure::ChooseMicroseconds, choosing / self.population.gateways.len() as f64);
+        figures.insert(Figure::StateBytes, way.state_bytes(&self.population, size) as f64);
+        self.measure_spread(&*way, &choices.before, &mut figures);
+        let required = Required { size, classes: way.classes() };
+        for (index, after) in choices.after.iter().enumerate() {
+            self.measure_moves(&choices.before, index, after, &required, &mut figures);
+        }
+        if let Some(returned) = &choices.returned {
+            let not_back = measure::disagreeing(&choices.before, returned);
+            figures.insert(Figure::NotBack, not_back as f64);
+        }
+        figures
+    }
+
+    fn measure_spread(&self, way: &dyn Way, assignment: &Assignment, figures: &mut Figures) {
+        let even = measure::work_over_mean(&self.population, assignment, &self.even);
+        insert(figures, even, [Figure::EvenP50, Figure::EvenP99, Figure::EvenMax]);
+        let uneven = measure::work_over_mean(&self.population, assignment, &self.uneven);
+        insert(figures, uneven, [Figure::UnevenP50, Figure::UnevenP99, Figure::UnevenMax]);
+        let connections = Distribution::of(way.connections(&self.population, assignment));
+        let names = [Figure::ConnectionsP50, Figure::ConnectionsP99, Figure::ConnectionsMax];
+        insert(figures, connections, names);
+        let unheld = measure::unheld(&self.population, assignment);
+        figures.insert(Figure::Unheld, unheld as f64);
+        let members: usize = assignment.held.iter().map(|held| held.len()).sum();
+        figures.insert(Figure::Members, members as f64 / assignment.held.len() as f64);
+        if !assignment.told_holders.is_empty() {
+            let sum = measure::largest_sum_of_parts(&self.population, assignment);
+            figures.insert(Figure::SumOfParts, sum);
+        }
+    }
+
+    fn measure_moves(
+        &self,
+        before: &Assignment,
+        index: usize,
+        after: &Assignment,
+        required: &Required,
+        figures: &mut Figures,
+    ) {
+        let change = Change::ALL[index];
+        let changed = &self.changed[index];
+        let moves = measure::moves((&self.population, before), (changed, after), required);
+        figures.insert(Figure::Moved(change), moves.moved as f64);
+        figures.insert(Figure::MovedShare(change), moves.share());
+        figures.insert(Figure::MovedOverLeast(change), moves.over_least());
+        figures.insert(Figure::MovedOverFloor(change), moves.over_floor());
+    }
+
+    fn slip(&self, way: WayName, choices: &mut Choices) {
+        let Some(slip) = self.experiment.slip.filter(|_| way == WayName::Subset) else { return };
+        slip.apply(Moment::First, &mut choices.before);
+        for (change, assignment) in Change::ALL.into_iter().zip(&mut choices.after) {
+            slip.apply(Moment::After(change), assignment);
+        }
+        choices.returned.iter_mut().for_each(|returned| slip.apply(Moment::Returned, returned));
+    }
+}
+
+/// Gateways that differ from the plain form, before a change or after one.
+fn disagreeing(plain: &Choices, choices: &Choices) -> usize {
+    let before = measure::disagreeing(&plain.before, &choices.before);
+    let after = plain.after.iter().zip(&choices.after);
+    before + after.map(|(plain, after)| measure::disagreeing(plain, after)).sum::<usize>()
+}
+
+fn insert(figures: &mut Figures, distribution: Distribution, names: [Figure; 3]) {
+    let values = [distribution.p50, distribution.p99, distribution.max];
+    figures.extend(names.into_iter().zip(values));
+}
--- /dev/null
+++ b/crates/scale/src/spread/experiment.rs
@@ -0,0 +1,240 @@
+//! An experiment's file: the fleets, the ways and the changes to compare.
+
+use super::slip::Slip;
+use super::ways::WayName;
+use crate::experiment::ExperimentError;
+use serde::Deserialize;
+use std::path::Path;
+
+/// Fleets, sizes and seeds an experiment may name, so that a slip of the pen does not fill the machine.
+const MOST_SEEDS: usize = 1_024;
+const MOST_ENGINES: usize = 100_000;
+const MOST_GATEWAYS: usize = 100_000;
+const MOST_THREADS: usize = 64;
+const MOST_POINTS_PER_CORE: usize = 256;
+
+/// What is compared, and over which fleets.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// The first seed; the others follow it.
+    pub seed: u64,
+    /// How many seeds each comparison is played with.
+    pub seeds: usize,
+    /// Threads that choose at the same time.
+    #[serde(default = "one")]
+    pub threads: usize,
+    /// The ways to compare; all when left out.
+    #[serde(default = "WayName::all")]
+    pub ways: Vec<WayName>,
+    /// Engines of each named kind in a subset at least, for the ways that know placement classes.
+    pub class_floor: usize,
+    /// Zones, over which engines and gateways are dealt evenly.
+    pub zones: u32,
+    /// Engines in a rack; a rack lies in one zone.
+    pub rack_engines: usize,
+    /// Kinds of engines.
+    pub kinds: Vec<Kind>,
+    pub fleets: Vec<Fleet>,
+    pub traffic: Traffic,
+    pub ring: Ring,
+    pub sampling: Sampling,
+    /// Part of the gateways that goes away in the change of gateways.
+    pub gateways_lost: f64,
+    /// A fault put in on purpose, which the judge has to find.
+    #[serde(default)]
+    pub slip: Option<Slip>,
+}
+
+/// Engines of one number of cores.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    pub cores: f64,
+    /// Part of all engines.
+    pub share: f64,
+    /// Whether a service group names this kind, which makes it a placement class.
+    #[serde(default)]
+    pub named: bool,
+}
+
+/// So many gateways before so many engines.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    pub gateways: usize,
+    pub engines: usize,
+    /// Engines in a subset; a size under the floor is raised to it.
+    pub subset_sizes: Vec<usize>,
+}
+
+/// Uneven traffic: some gateways get several times the mean of the others.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Traffic {
+    pub heavy_share: f64,
+    pub heavy_factor: f64,
+    /// Queries a second a gateway in the mean; only the connections of sampling depend on it.
+    pub queries_per_second: f64,
+}
+
+/// The ring with virtual nodes.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ring {
+    /// Points of an engine for each of its cores.
+    pub points_per_core: usize,
+}
+
+/// Sampling a few engines of the whole list for each decision.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sampling {
+    /// Engines asked for their load, for each decision.
+    pub draws: usize,
+    /// A connection is closed when it was idle for so long.
+    pub connection_idle_s: f64,
+}
+
+fn one() -> usize {
+    1
+}
+
+impl Experiment {
+    /// Reads and checks an experiment.
+    pub fn read(path: &Path) -> Result<Self, ExperimentError> {
+        let experiment: Experiment = crate::experiment::read(path)?;
+        match experiment.fault() {
+            None => Ok(experiment),
+            Some(Fault { key, found, expected, remedy }) => {
+                Err(ExperimentError::unusable(path, key, found, expected, remedy))
+            }
+        }
+    }
+
+    /// The kinds that service groups name.
+    pub fn named_kinds(&self) -> Vec<u32> {
+        (0..).zip(&self.kinds).filter(|(_, kind)| kind.named).map(|(index, _)| index).collect()
+    }
+
+    fn fault(&self) -> Option<Fault> {
+        let faults = [
+            self.fault_in_repeats(),
+            self.fault_in_engines(),
+            self.fault_in_fleets(),
+            self.fault_in_ways(),
+            self.fault_in_traffic(),
+        ];
+        faults.into_iter().flatten().next()
+    }
+
+    fn fault_in_repeats(&self) -> Option<Fault> {
+        if !(1..=MOST_SEEDS).contains(&self.seeds) {
+            return Some(Fault::new("seeds", self.seeds, "1 to 1,024", "name how often each is played"));
+        }
+        if !(1..=MOST_THREADS).contains(&self.threads) {
+            return Some(Fault::new("threads", self.threads, "1 to 64", "name the cores it may use"));
+        }
+        None
+    }
+
+    fn fault_in_engines(&self) -> Option<Fault> {
+        if self.zones == 0 {
+            return Some(Fault::new("zones", self.zones, "1 or more", "name the number of zones"));
+        }
+        if self.rack_engines == 0 {
+            let remedy = "name the engines that share a rack";
+            return Some(Fault::new("rack_engines", self.rack_engines, "1 or more", remedy));
+        }
+        let usable = |kind: &Kind| positive(kind.cores) && positive(kind.share);
+        if self.kinds.is_empty() || !self.kinds.iter().all(usable) {
+            let remedy = "name cores and share of each kind";
+            return Some(Fault::new("kinds", format!("{:?}", self.kinds), "a list with both over 0", remedy));
+        }
+        None
+    }
+
+    fn fault_in_fleets(&self) -> Option<Fault> {
+        if self.fleets.is_empty() {
+            return Some(Fault::new("fleets", "an empty list", "a list of fleets", "add a [[fleets]] table"));
+        }
+        for fleet in &self.fleets {
+            let counts =
+                (2..=MOST_GATEWAYS).contains(&fleet.gateways) && (2..=MOST_ENGINES).contains(&fleet.engines);
+            if !counts {
+                let remedy = "name gateways and engines in this range";
+                return Some(Fault::new("fleets", format!("{fleet:?}"), "2 to 100,000 of each", remedy));
+            }
+            if fleet.subset_sizes.is_empty() || fleet.subset_sizes.contains(&0) {
+                let remedy = "name the sizes to compare";
+                return Some(Fault::new(
+                    "fleets.subset_sizes",
+                    format!("{fleet:?}"),
+                    "a list of 1 or more",
+                    remedy,
+                ));
+            }
+        }
+        if !(0.0..1.0).contains(&self.gateways_lost) {
+            let remedy = "name the part of the gateways that goes";
+            return Some(Fault::new("gateways_lost", self.gateways_lost, "0 or more and under 1", remedy));
+        }
+        None
+    }
+
+    fn fault_in_ways(&self) -> Option<Fault> {
+        let judged = [WayName::Subset, WayName::RendezvousFloors];
+        if !judged.iter().all(|way| self.ways.contains(way)) {
+            let remedy = "name both as well: one is judged by the other";
+            let expected = "a list with subset and rendezvous-floors";
+            return Some(Fault::new("ways", format!("{:?}", self.ways), expected, remedy));
+        }
+        if !(1..=MOST_POINTS_PER_CORE).contains(&self.ring.points_per_core) {
+            let remedy = "name the points of an engine on the ring for each core";
+            return Some(Fault::new("ring.points_per_core", self.ring.points_per_core, "1 to 256", remedy));
+        }
+        if self.sampling.draws == 0 || !positive(self.sampling.connection_idle_s) {
+            let remedy = "name draws of 1 or more and a time over 0";
+            return Some(Fault::new("sampling", format!("{:?}", self.sampling), "usable", remedy));
+        }
+        None
+    }
+
+    fn fault_in_traffic(&self) -> Option<Fault> {
+        let traffic = &self.traffic;
+        if !positive(traffic.heavy_factor) || !positive(traffic.queries_per_second) {
+            let remedy = "name a factor and a rate over 0";
+            return Some(Fault::new("traffic", format!("{traffic:?}"), "usable", remedy));
+        }
+        let heavy = traffic.heavy_share * traffic.heavy_factor;
+        if !(0.0..1.0).contains(&traffic.heavy_share) || heavy >= 1.0 {
+            let remedy =
+                "name fewer heavy gateways or a lower factor, so that something is left for the others";
+            return Some(Fault::new(
+                "traffic.heavy_share",
+                traffic.heavy_share,
+                "under 1 / heavy_factor",
+                remedy,
+            ));
+        }
+        None
+    }
+}
+
+/// A value that can't be used.
+struct Fault {
+    key: &'static str,
+    found: String,
+    expected: &'static str,
+    remedy: &'static str,
+}
+
+impl Fault {
+    fn new(key: &'static str, found: impl ToString, expected: &'static str, remedy: &'static str) -> Self {
+        Fault { key, found: found.to_string(), expected, remedy }
+    }
+}
+
+fn positive(number: f64) -> bool {
+    number.is_finite() && number > 0.0
+}
--- /dev/null
+++ b/crates/scale/src/spread/judge.rs
@@ -0,0 +1,51 @@
+//! The verdict on the chosen way, from its figures only.
+
+use super::population::Change;
+use super::report::{Figure, Row};
+use super::ways::WayName;
+
+/// Moves that are allowed for each that no way could do without.
+const MOVES_ALLOWED: f64 = 1.05;
+/// The holders of an engine may take so much of it together: the module gives out 0.6 of a cold engine's budget.
+const SUM_OF_PARTS_ALLOWED: f64 = 1.0 / 0.6;
+
+/// One judged thing.
+#[derive(Debug)]
+pub struct Check {
+    pub passed: bool,
+    pub text: String,
+}
+
+/// Judges `garnetwall-subset` in every fleet and with every size.
+pub fn judge(rows: &[Row]) -> Vec<Check> {
+    rows.iter().filter(|row| row.way == WayName::Subset).filter_map(judge_row).collect()
+}
+
+fn judge_row(row: &Row) -> Option<Check> {
+    let (what, allowed) = match row.figure {
+        Figure::Unheld => ("engines held by nobody", 0.0),
+        Figure::MovedOverLeast(Change::OneEngine) => ("moves over the least, one engine lost", MOVES_ALLOWED),
+        Figure::MovedOverLeast(Change::Rack) => ("moves over the least, a rack lost", MOVES_ALLOWED),
+        Figure::MovedOverLeast(Change::Zone) => ("moves over the least, a zone lost", MOVES_ALLOWED),
+        Figure::Moved(Change::Gateways) => ("moves of those that stay, gateways lost", 0.0),
+        Figure::Disagreeing => ("gateways that differ from the plain form", 0.0),
+        Figure::NotBack => ("gateways not back at their subset when all is back", 0.0),
+        Figure::SumOfParts => ("sum of what the holders of an engine take", SUM_OF_PARTS_ALLOWED),
+        _ => return None,
+    };
+    let passed = row.max <= allowed;
+    let verdict = if passed { "passed" } else { "FAILED" };
+    let Row { gateways, engines, size, max, .. } = row;
+    let text =
+        format!("{verdict}: {gateways} x {engines}, size {size}: {what}: {max:.3}, at most {allowed:.3}");
+    Some(Check { passed, text })
+}
+
+/// Prints each check and the counts, and tells whether all passed. No check at all is no pass.
+pub fn print_verdict(checks: &[Check]) -> bool {
+    checks.iter().for_each(|check| println!("{}", check.text));
+    let passed = checks.iter().filter(|check| check.passed).count();
+    let failed = checks.len() - passed;
+    println!("{passed} passed, {failed} failed");
+    failed == 0 && passed > 0
+}
--- /dev/null
+++ b/crates/scale/src/spread/measure.rs
@@ -0,0 +1,189 @@
+//! What follows from a choice of subsets: work, connections, moves.
+
+#[cfg(test)]
+mod tests;
+
+use super::population::Population;
+use super::ways::{Assignment, Classes};
+use std::collections::HashMap;
+
+/// A distribution over engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Distribution {
+    pub p50: f64,
+    pub p99: f64,
+    pub max: f64,
+}
+
+impl Distribution {
+    /// Of one value or more; the p99 is the value that 99 in 100 do not exceed.
+    pub fn of(mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+        let rank = |share: f64| ((values.len() as f64 * share).ceil() as usize).clamp(1, values.len()) - 1;
+        Distribution { p50: values[rank(0.5)], p99: values[rank(0.99)], max: values[rank(1.0)] }
+    }
+}
+
+/// Work of each engine per core over the mean, when each gateway splits its traffic over its subset by cores.
+/// `traffic` is by gateway number.
+pub fn work_over_mean(population: &Population, assignment: &Assignment, traffic: &[f64]) -> Distribution {
+    let cores = population.cores();
+    let mut work_per_core = vec![0.0; cores.len()];
+    for (gateway, held) in population.gateways.iter().zip(&assignment.held) {
+        let held_cores: f64 = held.iter().map(|engine| cores[*engine as usize]).sum();
+        let per_core = traffic[gateway.number as usize] / held_cores;
+        held.iter().for_each(|engine| work_per_core[*engine as usize] += per_core);
+    }
+    let all_traffic: f64 = population.gateways.iter().map(|gateway| traffic[gateway.number as usize]).sum();
+    let mean = all_traffic / cores.iter().sum::<f64>();
+    let of_engine = |engine: u32| work_per_core[engine as usize] / mean;
+    Distribution::of(population.numbers().into_iter().map(of_engine).collect())
+}
+
+/// Engines that no gateway holds.
+pub fn unheld(population: &Population, assignment: &Assignment) -> usize {
+    let mut is_held = vec![false; population.engine_numbers()];
+    let held = assignment.held.iter().flat_map(|held| held.iter());
+    held.for_each(|engine| is_held[*engine as usize] = true);
+    population.engines.iter().filter(|engine| !is_held[engine.number as usize]).count()
+}
+
+/// Gateways whose subsets differ, or that one of both lacks.
+pub fn disagreeing(one: &Assignment, other: &Assignment) -> usize {
+    let pairs = one.held.iter().zip(&other.held);
+    pairs.filter(|(one, other)| one != other).count() + one.held.len().abs_diff(other.held.len())
+}
+
+/// The most that all holders of an engine take together, where each takes one part in the number of holders that it
+/// was told. 1 is all of the engine.
+pub fn largest_sum_of_parts(population: &Population, assignment: &Assignment) -> f64 {
+    let mut sums = vec![0.0; population.engine_numbers()];
+    for (held, told) in assignment.held.iter().zip(&assignment.told_holders) {
+        held.iter().zip(told).for_each(|(engine, holders)| sums[*engine as usize] += 1.0 / holders);
+    }
+    sums.into_iter().fold(0.0, f64::max)
+}
+
+/// Pairs of a gateway and an engine that came or went, for the gateways that stayed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Moves {
+    pub moved: usize,
+    /// What any way needs that comes to as many members as this one: those lost leave, the difference joins.
+    pub least: usize,
+    /// What any way needs to have the size told and each kind's floor again, and no more.
+    pub floor: usize,
+    /// Pairs before the change.
+    pub held: usize,
+}
+
+impl Moves {
+    /// Moves over the least; 1 where nothing moved.
+    pub fn over_least(&self) -> f64 {
+        ratio(self.moved, self.least)
+    }
+
+    /// Moves over the floor; 1 where nothing moved.
+    pub fn over_floor(&self) -> f64 {
+        ratio(self.moved, self.floor)
+    }
+
+    /// Part of the pairs that moved.
+    pub fn share(&self) -> f64 {
+        self.moved as f64 / self.held.max(1) as f64
+    }
+}
+
+fn ratio(moved: usize, least: usize) -> f64 {
+    match (moved, least) {
+        (0, 0) => 1.0,
+        (moved, least) => moved as f64 / least.max(1) as f64,
+    }
+}
+
+/// What a subset has to hold: so many engines, and so many of each class.
+#[derive(Clone, Debug)]
+pub struct Required {
+    pub size: usize,
+    pub classes: Classes,
+}
+
+/// The moves of one change.
+pub fn moves(
+    before: (&Population, &Assignment),
+    after: (&Population, &Assignment),
+    required: &Required,
+) -> Moves {
+    let numbers = after.0.gateways.iter().map(|gateway| gateway.number);
+    let after_by_number: HashMap<u32, &[u32]> =
+        numbers.zip(after.1.held.iter().map(|held| &**held)).collect();
+    let remaining = Remaining::new(before.0, after.0);
+    let mut moves = Moves { moved: 0, least: 0, floor: 0, held: 0 };
+    for (gateway, held) in before.0.gateways.iter().zip(&before.1.held) {
+        let Some(held_after) = after_by_number.get(&gateway.number) else { continue };
+        moves.held += held.len();
+        moves.moved += differing(held, held_after);
+        let staying = remaining.staying(held);
+        let lost = held.len() - staying.len();
+        moves.least += lost + held_after.len().abs_diff(staying.len());
+        moves.floor += lost + remaining.lacking(&staying, required);
+    }
+    moves
+}
+
+/// Elements that are in only one of two ascending lists.
+fn differing(one: &[u32], other: &[u32]) -> usize {
+    let (mut one_rest, mut other_rest) = (one, other);
+    let mut common = 0;
+    while let (Some(first), Some(second)) = (one_rest.first(), other_rest.first()) {
+        common += usize::from(first == second);
+        let (step_one, step_other) = (first <= second, second <= first);
+        one_rest = &one_rest[usize::from(step_one)..];
+        other_rest = &other_rest[usize::from(step_other)..];
+    }
+    one.len() + other.len() - 2 * common
+}
+
+/// The engines that are there after a change.
+struct Remaining {
+    count: usize,
+    count_by_kind: Vec<usize>,
+    /// By the numbers of the engines that were there before.
+    is_there: Vec<bool>,
+    kinds: Vec<u32>,
+}
+
+impl Remaining {
+    fn new(before: &Population, after: &Population) -> Self {
+        let kinds = before.kinds();
+        let numbers = after.numbers();
+        let mut is_there = vec![false; before.engine_numbers()];
+        numbers.iter().for_each(|engine| is_there[*engine as usize] = true);
+        Remaining { count: numbers.len(), count_by_kind: count_by_kind(&numbers, &kinds), is_there, kinds }
+    }
+
+    /// The members that are still there.
+    fn staying(&self, held: &[u32]) -> Vec<u32> {
+        held.iter().copied().filter(|engine| self.is_there[*engine as usize]).collect()
+    }
+
+    /// Engines that have to join to bring back the size and each class's floor, as far as engines are there.
+    fn lacking(&self, staying: &[u32], required: &Required) -> usize {
+        let of_size = required.size.min(self.count).saturating_sub(staying.len());
+        let staying_by_kind = count_by_kind(staying, &self.kinds);
+        let of_kind = |kind: &u32| {
+            let kind = *kind as usize;
+            let there = self.count_by_kind.get(kind).copied().unwrap_or(0);
+            let staying = staying_by_kind.get(kind).copied().unwrap_or(0);
+            required.classes.floor.min(there).saturating_sub(staying)
+        };
+        let of_kinds: usize = required.classes.kinds.iter().map(of_kind).sum();
+        of_size.max(of_kinds)
+    }
+}
+
+fn count_by_kind(engines: &[u32], kinds: &[u32]) -> Vec<usize> {
+    let kind_count = kinds.iter().max().map_or(0, |kind| *kind as usize + 1);
+    let mut counts = vec![0; kind_count];
+    engines.iter().for_each(|engine| counts[kinds[*engine as usize] as usize] += 1);
+    counts
+}
--- /dev/null
+++ b/crates/scale/src/spread/ways/index_rounds.rs
@@ -0,0 +1,54 @@
+//! Deterministic subsets by index: gateways are numbered, and each round of numbers deals a shuffled list out.
+
+use super::{Assignment, Way};
+use crate::spread::population::Population;
+use std::collections::HashMap;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How numbers follow from the gateways that are there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Numbering {
+    /// Gapless: dealt anew when a gateway goes.
+    Compact,
+    /// A gateway keeps its number; those that went leave gaps.
+    Kept,
+}
+
+/// Shuffled rounds. A round's order is by a hash, so that it changes the least with the list.
+pub struct IndexRounds {
+    pub numbering: Numbering,
+}
+
+impl Way for IndexRounds {
+    fn choose(&self, population: &Population, size: usize) -> Assignment {
+        let subsets_in_round = (population.engines.len() / size).max(1);
+        let mut rounds: HashMap<usize, Vec<u32>> = HashMap::new();
+        let held = population.gateways.iter().enumerate().map(|(rank, gateway)| {
+            let number = match self.numbering {
+                Numbering::Compact => rank,
+                Numbering::Kept => gateway.number as usize,
+            };
+            let round = number / subsets_in_round;
+            let order = rounds.entry(round).or_insert_with(|| shuffled(population, round));
+            let start = number % subsets_in_round * size;
+            let mut held: Vec<u32> = order[start..(start + size).min(order.len())].to_vec();
+            held.sort_unstable();
+            Arc::from(held)
+        });
+        Assignment { held: held.collect(), told_holders: Vec::new() }
+    }
+
+    fn state_bytes(&self, population: &Population, _size: usize) -> usize {
+        population.engines.len() * std::mem::size_of::<u32>()
+    }
+}
+
+fn shuffled(population: &Population, round: usize) -> Vec<u32> {
+    let place = |engine: &crate::spread::population::Engine| {
+        (xxh3_64_with_seed(engine.id.as_bytes(), round as u64), engine.number)
+    };
+    let mut order: Vec<(u64, u32)> = population.engines.iter().map(place).collect();
+    order.sort_unstable();
+    order.into_iter().map(|(_, number)| number).collect()
+}
--- /dev/null
+++ b/crates/scale/src/spread/ways/ring.rs
@@ -0,0 +1,62 @@
+//! A ring with virtual nodes: a gateway takes the next distinct engines after its own place.
+
+use super::{Assignment, Way};
+use crate::spread::population::{Engine, Population};
+use std::collections::HashSet;
+use std::sync::Arc;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A point of the ring: its place and its engine's number.
+type Point = (u64, u32);
+
+/// Engines on a ring, with points by their cores.
+pub struct VirtualNodeRing {
+    /// Points of an engine for each of its cores. Fixed, so that no engine's points depend on the others'.
+    pub points_per_core: usize,
+}
+
+impl Way for VirtualNodeRing {
+    fn choose(&self, population: &Population, size: usize) -> Assignment {
+        let ring = self.points(population);
+        let size = size.min(population.engines.len());
+        let held = population.gateways.iter().map(|gateway| next_distinct(&ring, &gateway.name, size));
+        Assignment { held: held.collect(), told_holders: Vec::new() }
+    }
+
+    fn state_bytes(&self, population: &Population, _size: usize) -> usize {
+        let points: usize = population.engines.iter().map(|engine| self.point_count(engine)).sum();
+        points * std::mem::size_of::<Point>()
+    }
+}
+
+impl VirtualNodeRing {
+    fn point_count(&self, engine: &Engine) -> usize {
+        (engine.cores * self.points_per_core as f64).round().max(1.0) as usize
+    }
+
+    fn points(&self, population: &Population) -> Vec<Point> {
+        let points_of = |engine: &Engine| {
+            let count = self.point_count(engine) as u64;
+            let (id, number) = (engine.id.clone(), engine.number);
+            (0..count).map(move |replica| (xxh3_64_with_seed(id.as_bytes(), replica), number))
+        };
+        let mut ring: Vec<Point> = population.engines.iter().flat_map(points_of).collect();
+        ring.sort_unstable();
+        ring
+    }
+}
+
+fn next_distinct(ring: &[Point], gateway: &str, size: usize) -> Arc<[u32]> {
+    let place = xxh3_64(gateway.as_bytes());
+    let start = ring.partition_point(|(point, _)| *point < place);
+    let mut held = HashSet::with_capacity(size);
+    for (_, engine) in ring[start..].iter().chain(&ring[..start]) {
+        held.insert(*engine);
+        if held.len() == size {
+            break;
+        }
+    }
+    let mut held: Vec<u32> = held.into_iter().collect();
+    held.sort_unstable();
+    held.into()
+}
--- /dev/null
+++ b/crates/scale/src/spread/ways/subset_crate.rs
@@ -0,0 +1,170 @@
+//! `garnetwall-subset` itself: fed with the list as a gateway feeds it, and played until nothing changes any more.
+
+use super::{Assignment, Choices, Classes, Way};
+use crate::process::processor_time;
+use crate::spread::population::{Engine, Gateway, Population};
+use garnetwall_subset::{
+    Action, Catalog, Change, Condition, EngineFacts, EngineKey, EngineLine, PlacementClass, RetryScope,
+    Subset, SubsetSettings,
+};
+use std::collections::{HashMap, HashSet};
+
+/// Played time in which a subset has to settle, in seconds.
+const SETTLE_S: f64 = 3_600.0;
+/// Polls after which a subset that goes on is taken as it is.
+const MOST_POLLS: usize = 100_000;
+/// Engines in the reserve, and newcomers a second: they decide how fast a subset settles, not where.
+const RESERVE: usize = 16;
+const JOINS_PER_SECOND: f64 = 10.0;
+
+/// The package as it is.
+pub struct SubsetCrate {
+    pub classes: Classes,
+    /// Threads among which the gateways are divided.
+    pub threads: usize,
+}
+
+impl SubsetCrate {
+    fn settings(&self, gateways: usize, size: usize) -> SubsetSettings {
+        let class = |kind: &u32| PlacementClass { zones: None, kinds: Some(vec![*kind]) };
+        SubsetSettings {
+            size,
+            class_floor: self.classes.floor.min(size),
+            reserve: RESERVE,
+            joins_per_second: JOINS_PER_SECOND,
+            zone: None,
+            near_weight: 1.0,
+            gateways: gateways as f64,
+            classes: self.classes.kinds.iter().map(class).collect(),
+            retry_scope: RetryScope::Everywhere,
+        }
+    }
+
+    /// A fleet whose gateways have no list yet.
+    fn start(&self, population: &Population, size: usize) -> Play {
+        let settings = self.settings(population.gateways.len(), size);
+        let start = |gateway: &Gateway| {
+            let subset = Subset::new(&gateway.name, settings.clone()).expect("the settings are in range");
+            PlayedGateway { number: gateway.number, subset, now: 0.0 }
+        };
+        let gateways = population.gateways.iter().map(start).collect();
+        Play { catalog: Catalog::default(), numbers: HashMap::new(), gateways, threads: self.threads }
+    }
+}
+
+/// A fleet in play.
+struct Play {
+    catalog: Catalog,
+    /// The numbers of all engines that were in the catalog.
+    numbers: HashMap<EngineKey, u32>,
+    gateways: Vec<PlayedGateway>,
+    threads: usize,
+}
+
+/// One gateway's subset in play.
+struct PlayedGateway {
+    number: u32,
+    subset: Subset,
+    now: f64,
+}
+
+impl Play {
+    /// All gateways are told a whole list, and settle. Returns what those hold that are in the population.
+    fn tell(&mut self, population: &Population) -> Assignment {
+        let changes = self.catalog.apply(&lines(population), true);
+        for engine in &population.engines {
+            self.numbers.extend(self.catalog.key(&engine.id).map(|key| (key, engine.number)));
+        }
+        let part = self.gateways.len().div_ceil(self.threads).max(1);
+        let catalog = &self.catalog;
+        std::thread::scope(|scope| {
+            for gateways in self.gateways.chunks_mut(part) {
+                let changes = &changes;
+                scope.spawn(move || gateways.iter_mut().for_each(|gateway| gateway.tell(catalog, changes)));
+            }
+        });
+        self.assignment(population)
+    }
+
+    fn assignment(&self, population: &Population) -> Assignment {
+        let there: HashSet<u32> = population.gateways.iter().map(|gateway| gateway.number).collect();
+        let mut assignment = Assignment { held: Vec::new(), told_holders: Vec::new() };
+        for gateway in self.gateways.iter().filter(|gateway| there.contains(&gateway.number)) {
+            let number = |(key, holders)| (self.numbers[&key], holders);
+            let mut members: Vec<(u32, f64)> = gateway.subset.members().map(number).collect();
+            members.sort_unstable_by_key(|member| member.0);
+            assignment.held.push(members.iter().map(|member| member.0).collect());
+            assignment.told_holders.push(members.iter().map(|member| member.1).collect());
+        }
+        assignment
+    }
+}
+
+impl PlayedGateway {
+    fn tell(&mut self, catalog: &Catalog, changes: &[Change]) {
+        self.subset.changed(self.now, catalog, changes);
+        self.settle(catalog);
+    }
+
+    /// Does what the subset asks for, with every engine reached, until it asks for nothing.
+    fn settle(&mut self, catalog: &Catalog) {
+        let end = self.now + SETTLE_S;
+        for _ in 0..MOST_POLLS {
+            let actions = self.subset.poll(self.now, catalog);
+            for action in &actions {
+                if let Action::Warm(engine) = action {
+                    self.subset.warmed(self.now, *engine, true);
+                }
+            }
+            match self.subset.wake() {
+                Some(wake) if wake <= end => self.now = self.now.max(wake),
+                _ if !actions.is_empty() => {}
+                _ => break,
+            }
+        }
+    }
+}
+
+impl Way for SubsetCrate {
+    fn choose(&self, population: &Population, size: usize) -> Assignment {
+        self.start(population, size).tell(population)
+    }
+
+    /// Each change comes to settled gateways, and is taken back before the next.
+    fn choose_in_turn(&self, before: &Population, changed: &[Population], size: usize) -> Choices {
+        let started = processor_time();
+        let mut play = self.start(before, size);
+        let first = play.tell(before);
+        let choosing = processor_time().saturating_sub(started);
+        let mut after = Vec::new();
+        let mut returned = None;
+        for population in changed {
+            after.push(play.tell(population));
+            returned = Some(play.tell(before));
+        }
+        Choices { before: first, choosing, after, returned }
+    }
+
+    fn state_bytes(&self, _population: &Population, size: usize) -> usize {
+        (size + RESERVE) * std::mem::size_of::<(f64, u64)>()
+    }
+
+    fn classes(&self) -> Classes {
+        self.classes.clone()
+    }
+}
+
+fn lines(population: &Population) -> Vec<EngineLine> {
+    population.engines.iter().map(line).collect()
+}
+
+fn line(engine: &Engine) -> EngineLine {
+    let facts = EngineFacts {
+        zone: engine.zone,
+        kind: engine.kind,
+        cell: 0,
+        cores: engine.cores,
+        condition: Condition::Ready,
+    };
+    EngineLine { id: engine.id.clone(), facts }
+}
