--- a/crates/subset/src/holders.rs
+++ b/crates/subset/src/holders.rs
@@ -66,11 +66,12 @@
 pub(crate) struct HoldersTable {
     terms: HoldersTerms,
     changed_lines: u64,
+    added_shapes: u64,
     holders: BTreeMap<Group, f64>,
 }
 
 impl HoldersTable {
-    /// The number of holders of an engine. One that is unlike all that were listed counts as held by all.
+    /// The number of holders of an engine. One that is unlike all that are listed counts as held by all.
     pub fn holders(&self, facts: &EngineFacts) -> f64 {
         self.holders.get(&self.terms.group(facts)).copied().unwrap_or(self.terms.gateways)
     }
@@ -92,14 +93,18 @@
 impl HoldersCache {
     pub fn table(&self, terms: &HoldersTerms, ready: &ReadyEngines, changed_lines: u64) -> Arc<HoldersTable> {
         let bearable = (ready.count() as f64 * STALE_PART) as u64;
-        let fresh = |table: &Arc<HoldersTable>| changed_lines - table.changed_lines <= bearable;
+        let fresh = |table: &Arc<HoldersTable>| {
+            let knows_all_shapes = table.added_shapes == ready.added_shapes(table.terms.retry_scope);
+            knows_all_shapes && changed_lines - table.changed_lines <= bearable
+        };
         let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
         tables.retain(fresh);
         if let Some(table) = tables.iter().find(|table| table.terms == *terms) {
             return table.clone();
         }
         let holders = Estimate::new(terms, ready).holders();
-        let table = Arc::new(HoldersTable { terms: terms.clone(), changed_lines, holders });
+        let added_shapes = ready.added_shapes(terms.retry_scope);
+        let table = Arc::new(HoldersTable { terms: terms.clone(), changed_lines, added_shapes, holders });
         if tables.len() >= CACHED_TABLES {
             tables.remove(0);
         }
--- a/crates/subset/src/ready.rs
+++ b/crates/subset/src/ready.rs
@@ -67,6 +67,9 @@
     count: usize,
     cells: BTreeMap<Cell, CellEngines>,
     zones: BTreeMap<u32, ShapeCounts>,
+    /// How often a shape has come into a zone, and into a cell, that had none of it.
+    added_to_zones: u64,
+    added_to_cells: u64,
 }
 
 impl ReadyEngines {
@@ -74,8 +77,9 @@
         let cell = self.cells.entry(Cell { zone: facts.zone, cell: facts.cell }).or_default();
         if cell.engines.insert(engine) {
             let shape = EngineShape::of(facts);
-            *cell.shapes.entry(shape).or_default() += 1;
-            *self.zones.entry(facts.zone).or_default().entry(shape).or_default() += 1;
+            let zone = self.zones.entry(facts.zone).or_default();
+            self.added_to_cells += u64::from(add(&mut cell.shapes, shape));
+            self.added_to_zones += u64::from(add(zone, shape));
             self.count += 1;
         }
     }
@@ -104,6 +108,14 @@
         self.count
     }
 
+    /// Grows when a shape comes into a retry domain that had none of it.
+    pub fn added_shapes(&self, scope: RetryScope) -> u64 {
+        match scope {
+            RetryScope::Cell => self.added_to_cells,
+            RetryScope::Zone | RetryScope::Everywhere => self.added_to_zones,
+        }
+    }
+
     /// The shapes of each zone.
     pub fn zones(&self) -> impl Iterator<Item = (u32, &ShapeCounts)> {
         self.zones.iter().map(|(zone, shapes)| (*zone, shapes))
@@ -131,6 +143,13 @@
     }
 }
 
+/// Counts one more of a shape; whether it is the first.
+fn add(shapes: &mut ShapeCounts, shape: EngineShape) -> bool {
+    let count = shapes.entry(shape).or_default();
+    *count += 1;
+    *count == 1
+}
+
 fn subtract(shapes: &mut ShapeCounts, shape: EngineShape) {
     if let Some(count) = shapes.get_mut(&shape) {
         *count -= 1;
--- a/crates/subset/tests/change.rs
+++ b/crates/subset/tests/change.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use garnetwall_subset::{Condition, EngineLine, PlacementClass, SubsetSettings};
+use garnetwall_subset::{Condition, EngineFacts, EngineLine, PlacementClass, RetryScope, SubsetSettings};
 use std::collections::BTreeSet;
 use world::{line, lines, plain_target, settings, Slip, World, GATEWAY, SETTLING_SECONDS};
 
@@ -160,6 +160,8 @@
     world.advance(1.0);
     assert!(!world.member_ids().contains(&next) && world.members.len() == 20);
     assert_eq!(world.subset.unreached(), 1);
+    world.advance(300.0);
+    assert!((4..=16).contains(&world.warmed_at.len()), "{} tries, ever more seldom", world.warmed_at.len());
     world.settle();
     assert_eq!(world.member_ids(), expected, "reached in the end");
     assert_eq!(world.faults, BTreeSet::new());
@@ -212,3 +214,98 @@
     world.settle();
     assert_eq!(world.faults, BTreeSet::new());
 }
+
+#[test]
+fn newcomers_that_come_one_by_one_keep_the_pace() {
+    let mut world = World::new(SubsetSettings { joins_per_second: 0.2, ..settings(40) }, Slip::None);
+    world.tell(&lines(200, 5), true);
+    for number in 200..500 {
+        world.tell(&[line(number, 5)], false);
+        world.advance(0.3);
+    }
+    assert!(world.warmed_at.len() > 10 && within_pace(&world.warmed_at, 0.2));
+}
+
+/// Candidates are kept, dropped and read anew while a list grows and shrinks by single lines.
+#[test]
+fn a_list_that_grows_and_shrinks_line_by_line() {
+    for retry_scope in [RetryScope::Everywhere, RetryScope::Cell] {
+        let mut world = World::new(SubsetSettings { retry_scope, ..settings(8) }, Slip::None);
+        for number in 0..300 {
+            world.tell(&[line(number, 40)], false);
+            if number % 10 == 9 {
+                world.settle();
+                assert_eq!(world.faults, BTreeSet::new(), "{retry_scope:?} with {number}");
+            }
+        }
+        for round in 0..60 {
+            let id = world.member_ids().first().cloned().expect("members");
+            world.tell_condition(&id, Condition::Gone);
+            world.settle();
+            assert_eq!(world.faults, BTreeSet::new(), "{retry_scope:?} in round {round}");
+        }
+    }
+}
+
+#[test]
+fn engines_that_were_not_reached_serve_when_no_others_are_left() {
+    let mut world = World::new(SubsetSettings { reserve: 10, ..settings(20) }, Slip::None);
+    world.tell(&lines(30, 5), true);
+    let members: Vec<String> = world.member_ids().into_iter().collect();
+    let others = world.list.keys().filter(|id| !members.contains(id)).cloned();
+    world.unreachable = others.collect();
+    members[..6].iter().for_each(|id| world.tell_condition(id, Condition::Gone));
+    world.advance(20.0);
+    assert_eq!((world.subset.unreached(), world.members.len()), (10, 14));
+    members[6..13].iter().for_each(|id| world.tell_condition(id, Condition::Gone));
+    assert_eq!(world.members.len(), 9, "the floor of 17");
+    assert_eq!(world.faults, BTreeSet::new());
+}
+
+#[test]
+fn a_connection_of_which_nothing_is_heard_counts_as_not_reached() {
+    let mut world = World::new(settings(20), Slip::None);
+    world.tell(&lines(100, 5), true);
+    world.silent = true;
+    let gone = world.member_ids().first().cloned().expect("members");
+    world.tell_condition(&gone, Condition::Gone);
+    world.advance(9.0);
+    assert_eq!(world.subset.unreached(), 0);
+    world.advance(2.0);
+    assert_eq!(world.subset.unreached(), 1);
+}
+
+#[test]
+fn a_class_under_its_quota_is_refilled_without_waiting_for_the_pace() {
+    let class = PlacementClass { zones: Some(vec![1]), kinds: None };
+    let classes = vec![class];
+    let slow = SubsetSettings { class_floor: 6, reserve: 0, joins_per_second: 0.01, classes, ..settings(20) };
+    let mut world = World::new(slow, Slip::None);
+    world.tell(&lines(200, 5), true);
+    let in_class = |world: &World| -> Vec<String> {
+        world.member_ids().into_iter().filter(|id| world.list[id].zone == 1).collect()
+    };
+    in_class(&world).iter().take(3).for_each(|id| world.tell_condition(id, Condition::Draining));
+    world.advance(0.5);
+    assert!(in_class(&world).len() >= 6, "{:?}", in_class(&world));
+}
+
+#[test]
+fn a_member_whose_facts_changed_is_told_again_and_a_new_kind_is_reckoned_with() {
+    let mut world = World::new(settings(20), Slip::None);
+    world.tell(&lines(400, 5), true);
+    let (engine, holders) =
+        world.members.first_key_value().map(|(engine, holders)| (*engine, *holders)).expect("members");
+    let id = world.catalog.id(engine).expect("listed").to_string();
+    for facts in [EngineFacts { cell: 77, ..world.list[&id] }, EngineFacts { cores: 12.0, ..world.list[&id] }]
+    {
+        world.updated.clear();
+        world.tell(&[EngineLine { id: id.clone(), facts }], false);
+        assert_eq!(world.updated, BTreeSet::from([engine]));
+        assert!(
+            (world.members[&engine] / holders - 1.0).abs() < 0.05,
+            "{holders} before, {:?}",
+            world.members[&engine]
+        );
+    }
+}
--- a/crates/subset/tests/holders.rs
+++ b/crates/subset/tests/holders.rs
@@ -19,16 +19,16 @@
     told: BTreeMap<EngineKey, f64>,
 }
 
-fn fleet(settings: &SubsetSettings, slip: Slip) -> Fleet {
-    fleet_of(settings, slip, |gateway| format!("gateway-{gateway}"))
+fn fleet(settings: &SubsetSettings, zones: u32, slip: Slip) -> Fleet {
+    fleet_of(settings, zones, slip, |gateway| format!("gateway-{gateway}"))
 }
 
-fn fleet_of(settings: &SubsetSettings, slip: Slip, name: impl Fn(usize) -> String) -> Fleet {
+fn fleet_of(settings: &SubsetSettings, zones: u32, slip: Slip, name: impl Fn(usize) -> String) -> Fleet {
     let mut catalog = Catalog::default();
-    let changes = catalog.apply(&lines(ENGINES, ZONES), true);
+    let changes = catalog.apply(&lines(ENGINES, zones), true);
     let (mut counted, mut told) = (BTreeMap::new(), BTreeMap::new());
     for gateway in 0..GATEWAYS {
-        let zone = settings.zone.map(|_| gateway as u32 % ZONES);
+        let zone = settings.zone.map(|_| gateway as u32 % zones);
         let settings = SubsetSettings { zone, gateways: GATEWAYS as f64, ..settings.clone() };
         let mut subset = Subset::new(&name(gateway), settings).expect("good settings");
         subset.changed(1.0, &catalog, &changes);
@@ -49,7 +49,8 @@
     (understated.count() as f64 / fleet.counted.len() as f64, ratio / fleet.counted.len() as f64)
 }
 
-fn cases() -> Vec<(&'static str, SubsetSettings)> {
+/// Settings, and the zones of the list; 4 cells each.
+fn cases() -> Vec<(&'static str, SubsetSettings, u32)> {
     let plain = settings(25);
     let zone = PlacementClass { zones: Some(vec![1]), kinds: None };
     let kind = PlacementClass { zones: Some(vec![2, 3]), kinds: Some(vec![1]) };
@@ -58,20 +59,27 @@
     let cells = SubsetSettings { retry_scope: RetryScope::Cell, ..plain.clone() };
     let all =
         SubsetSettings { retry_scope: RetryScope::Cell, zone: Some(0), near_weight: 4.0, ..classes.clone() };
-    vec![("plain", plain), ("classes", classes), ("near zone", near), ("cells", cells), ("all", all)]
+    vec![
+        ("plain", plain, ZONES),
+        ("classes", classes, ZONES),
+        ("near zone", near, ZONES),
+        ("cells", cells.clone(), ZONES),
+        ("cells of two", cells, 50),
+        ("all", all, ZONES),
+    ]
 }
 
 #[test]
 fn what_is_told_covers_the_count_and_wastes_little() {
-    for (name, settings) in cases() {
-        let (understated, ratio) = compare(&fleet(&settings, Slip::None));
+    for (name, settings, zones) in cases() {
+        let (understated, ratio) = compare(&fleet(&settings, zones, Slip::None));
         println!(
             "{name}: understated for {:.1}% of the engines, told {ratio:.2} of the count",
             understated * 100.0
         );
         assert!(understated <= 0.05, "{name}: {understated}");
         assert!((1.0..1.8).contains(&ratio), "{name}: {ratio}");
-        let (understated, _) = compare(&fleet(&settings, Slip::HoldersHalved));
+        let (understated, _) = compare(&fleet(&settings, zones, Slip::HoldersHalved));
         assert!(understated > 0.5, "{name}: halved holders must be found, {understated}");
     }
 }
@@ -79,9 +87,9 @@
 #[test]
 fn no_engine_is_unheld_and_a_short_list_is_held_by_all() {
     // 12 engines each, and so 24 gateways an engine, by the floor.
-    let fleet = fleet(&settings(1), Slip::None);
+    let fleet = fleet(&settings(1), ZONES, Slip::None);
     assert_eq!(fleet.counted.len(), ENGINES as usize);
-    let alike = fleet_of(&settings(1), Slip::None, |gateway| format!("gateway-{}", gateway % 20));
+    let alike = fleet_of(&settings(1), ZONES, Slip::None, |gateway| format!("gateway-{}", gateway % 20));
     assert!(alike.counted.len() < ENGINES as usize, "gateways of few names leave engines unheld");
     let least = fleet.counted.values().copied().fold(f64::MAX, f64::min);
     println!("least gateways that hold an engine: {least}");
@@ -133,7 +141,8 @@
     let mut world = world::World::new(settings(40), Slip::None);
     world.tell(&lines(ENGINES, ZONES), true);
     let told = world.members.clone();
-    world.tell(&lines(ENGINES + 4, ZONES), false);
+    // More than a table bears, and less than is worth an update.
+    world.tell(&lines(ENGINES + 8, ZONES), false);
     assert!(told.iter().all(|(engine, holders)| world.members.get(engine).is_none_or(|now| now == holders)));
     world.tell(&lines(ENGINES * 2, ZONES), false);
     world.settle();
@@ -166,7 +175,7 @@
         &lines(ENGINES, ZONES).into_iter().filter(|line| line.id != "engine-3").collect::<Vec<_>>(),
         true,
     );
-    for (name, settings) in cases() {
+    for (name, settings, _) in cases() {
         let at_once = members_of_a_new_subset(&whole, &settings);
         assert_eq!(members_of_a_new_subset(&by_lines, &settings), at_once, "{name}");
     }
--- a/crates/subset/tests/world/mod.rs
+++ b/crates/subset/tests/world/mod.rs
@@ -74,6 +74,9 @@
     /// What the actions told so far amount to.
     pub members: BTreeMap<EngineKey, f64>,
     pub warmed_at: Vec<f64>,
+    pub updated: BTreeSet<EngineKey>,
+    /// Whether nobody tells if connections came up.
+    pub silent: bool,
     pub faults: BTreeSet<String>,
     slip: Slip,
     /// Whether the actions in hand found no member.
@@ -97,6 +100,8 @@
             unreachable: BTreeSet::new(),
             members: BTreeMap::new(),
             warmed_at: Vec::new(),
+            updated: BTreeSet::new(),
+            silent: false,
             faults: BTreeSet::new(),
             slip,
             filling: false,
@@ -151,7 +156,7 @@
         let due = |(at, _): &(f64, EngineKey)| *at <= self.now;
         let (due, later): (Vec<_>, Vec<_>) = self.pending.iter().copied().partition(due);
         self.pending = later;
-        for (_, engine) in due {
+        for (_, engine) in due.into_iter().filter(|_| !self.silent) {
             let reached = self.catalog.id(engine).is_some_and(|id| !self.unreachable.contains(id));
             if reached {
                 self.reached.insert(engine);
@@ -192,6 +197,9 @@
     }
 
     fn take(&mut self, action: Action) {
+        if let Action::Update { engine, .. } = action {
+            self.updated.insert(engine);
+        }
         match action {
             Action::Warm(engine) => {
                 self.warmed_at.push(self.now);
