Probes that fail count for the subset as attempts do

Cause: a new test of a zone that is gone while the list does not say so failed: the module rests a dead member after a failure or two, so the subset, which judges by four attempts at least, never saw that it fails, and the work stayed on 7 of 8 engines.

Change: the outcome of the module's probe of a member goes to the subset where it is a failure; that an engine is reached is no proof that queries end well there.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use crate::reconnect::Reconnect;
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
-use garnetwall::api::{EngineId, ServiceGroup, Settings};
+use garnetwall::api::{End, EngineId, ServiceGroup, Settings};
 use garnetwall::control::Control;
 use garnetwall_bodies::Store;
 use std::future::Future;
@@ -267,6 +267,10 @@
         let (engines, desk) = (engines.clone(), desk.clone());
         tokio::spawn(async move {
             let (end, report) = engines.probe(engine).await;
+            // Reaching it is no proof that queries end well there, so only a failure counts.
+            if end != End::Returned {
+                engines.attempted(engine, end);
+            }
             desk.probed(engine, end, report);
         });
     }
--- a/crates/gateway/tests/subsets.rs
+++ b/crates/gateway/tests/subsets.rs
@@ -223,6 +223,30 @@
     assert!(world.used(since).is_disjoint(&killed));
 }
 
+/// A zone is gone and the list does not say so: attempts that fail widen the subset by engines that can be reached.
+#[test]
+fn members_that_fail_untold_are_stood_in_for_by_the_reserve() {
+    let world = World::start();
+    let dead: BTreeSet<usize> = (0..ENGINES).filter(|n| n % ZONES == 1).collect();
+    for n in &dead {
+        world.engines[*n].dies();
+    }
+    let begun = Instant::now();
+    world.work();
+    assert!(world.used(begun).len() < SIZE, "some members are dead");
+    loop {
+        let since = Instant::now();
+        world.work();
+        let used = world.used(since);
+        assert!(used.is_disjoint(&dead) && used.len() <= SIZE + RESERVE, "{used:?}");
+        if used.len() >= SIZE {
+            break;
+        }
+        assert!(begun.elapsed() < ms(12_000), "{used:?}: {}", world.said());
+    }
+    assert_eq!(world.work(), 4 * SIZE);
+}
+
 #[test]
 fn a_lost_zone_is_refilled_from_the_others() {
     let world = World::start();
