Budgets for further dispatches are counted by binary search

Cause: each question whether a batch may go again summed every batch taken within the window, 18,000 at 1,795 queries/s and 10 s, and each first dispatch left an entry of 0. Change: a Window holds the times of events alone, in order, and counts by binary search; first dispatches leave none.

--- a/src/control.rs
+++ b/src/control.rs
@@ -87,9 +87,9 @@
         self.advance(now);
         let b = Batch { tenant: b.tenant.min(self.queues.len() - 1), ..b };
         let limit = now + b.left.max(0.0);
-        self.taken_at.add(now, 1.0);
+        self.taken_at.add(now);
         if self.s.groups[b.group].further.is_some() {
-            self.learned[b.group].taken_at.add(now, 1.0);
+            self.learned[b.group].taken_at.add(now);
         }
         let work = self.work(&b);
         self.usual.add(now, KIND_LIFE, work);
@@ -512,10 +512,11 @@
         self.unqueue(id);
         let need = self.need(&self.batches[&id].b);
         let h = self.batches.get_mut(&id).expect("checked by the caller");
-        let further = f64::from(h.dispatches.min(1));
-        self.further_at.add(now, further);
-        if self.s.groups[h.b.group].further.is_some() {
-            self.learned[h.b.group].further_at.add(now, further);
+        if h.dispatches > 0 {
+            self.further_at.add(now);
+            if self.s.groups[h.b.group].further.is_some() {
+                self.learned[h.b.group].further_at.add(now);
+            }
         }
         h.stage = Stage::Out;
         h.dispatches += 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -429,21 +429,21 @@
     pub rests_until: f64,
 }
 
-/// Amounts with their times, summed over a sliding window.
+/// Events by their times, counted over a sliding window. Times do not run backwards.
 #[derive(Default)]
-pub struct Window(VecDeque<(f64, f64)>);
+pub struct Window(VecDeque<f64>);
 
 impl Window {
-    pub fn add(&mut self, at: f64, amount: f64) {
-        self.0.push_back((at, amount));
+    pub fn add(&mut self, at: f64) {
+        self.0.push_back(at);
     }
 
     pub fn since(&self, from: f64) -> f64 {
-        self.0.iter().rev().take_while(|(at, _)| *at >= from).map(|(_, n)| n).sum()
+        (self.0.len() - self.0.partition_point(|at| *at < from)) as f64
     }
 
     pub fn forget(&mut self, before: f64) {
-        while self.0.front().is_some_and(|(at, _)| *at < before) {
+        while self.0.front().is_some_and(|at| *at < before) {
             self.0.pop_front();
         }
     }
