--- a/src/control.rs
+++ b/src/control.rs
@@ -244,7 +244,7 @@
         self.end(now, id);
     }
 
-    /// Whether anybody waits for this batch now. Guards against a dispatch for a client that has gone: one whose
+    /// Whether anybody waits for this batch. Guards against a dispatch for a client that has gone: one whose
     /// connection broke may come again at once, so until then its batch stays in hand but is not sent.
     pub fn attended(&mut self, now: f64, id: BatchId, attended: bool) {
         self.advance(now);
@@ -318,7 +318,7 @@
         self.batches.entry(id).and_modify(|h| h.unkept = true);
     }
 
-    /// What is answered now for a dispatch whose end is not known and may not be known in time. It stays out, its
+    /// What is answered now for a dispatch whose end is not known and may not be in time. It stays out, its
     /// batch in hand and its key held, until `after` tells that it does not run any more.
     pub fn in_doubt(&mut self, now: f64, id: BatchId, o: Outcome) -> Next {
         self.advance(now);
@@ -448,7 +448,7 @@
         (marks < 1.0 || self.chance.draw() < chance).then_some(engine)
     }
 
-    /// The engines that a batch may go to now, by index; of a lane those of the first preference that has any.
+    /// The engines that a batch may go to now, by index; of a lane, its first preference that has any.
     fn candidates(&self, now: f64, id: BatchId) -> Vec<Candidate> {
         let h = &self.batches[&id];
         if !self.may_leave(now, h) {
@@ -766,12 +766,12 @@
     /// How long a batch is likely to be out.
     fn service(&self, b: &Batch) -> f64 {
         let (c, l) = (&self.s.groups[b.group], &self.learned[b.group]);
-        // A first guess, made from a limit that may be hours, shuts out no batch: only answers make a better one.
+        // A first guess, from a limit that may be hours, shuts out no batch: only answers make a better one.
         let most = if l.answers == 0 { c.limit.min(b.left) } else { c.limit };
         (self.work(b) / c.threads * l.slowdown).min(most * MOST)
     }
 
-    /// The batches of a key for which those ahead leave no time. Guards against a hot key, which no engine helps.
+    /// Batches of a key for which those ahead leave no time. Guards against a hot key, which no engine helps.
     fn behind(&self, now: f64, line: &KeyLine, late: &mut Vec<BatchId>) {
         let mut ends = now;
         for id in &line.line {
@@ -809,7 +809,7 @@
         }
     }
 
-    /// Batches that may still come before waiting is a price; the room is what the gateway's connections allow.
+    /// Batches that may still come before waiting is a price; room is what the gateway's connections allow.
     fn spare_room(&self) -> f64 {
         self.s.room.map_or(f64::INFINITY, |room| room * ROOMY - self.batches.len() as f64)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -110,7 +110,7 @@
         self.absent += (gateways - e.holders) * e.cores;
     }
 
-    /// Gateways that work with one of the engines, in the mean over cores; just all where each is held by all.
+    /// Gateways that work with one of the engines, in the mean over cores; all where each is held by all.
     pub fn holders(&self, gateways: f64) -> f64 {
         if self.absent > 0.0 {
             gateways - self.absent / self.cores
