--- a/crates/scale/src/beside/gateways.rs
+++ b/crates/scale/src/beside/gateways.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use thiserror::Error;
@@ -40,6 +40,8 @@
     Unwritable { file: PathBuf, cause: std::io::Error },
     #[error("gateway {gateway} did not serve within {} s; its log is {}", READY_WITHIN.as_secs(), log.display())]
     NeverReady { gateway: usize, log: PathBuf },
+    #[error("gateway {gateway} ended before it served ({status}); its log is {}", log.display())]
+    Ended { gateway: usize, status: ExitStatus, log: PathBuf },
     #[error("gateway {gateway}: not started, as the run ends")]
     Stopping { gateway: usize },
     #[error("gateway {gateway}: {cause}; see its log {}", log.display())]
@@ -166,7 +168,7 @@
         *place = Some(child.map_err(no_binary)?);
         drop(place);
         let ready = timeout(READY_WITHIN, self.healthy(gateway)).await;
-        ready.map_err(|_| GatewayError::NeverReady { gateway, log: log_file })?;
+        ready.map_err(|_| GatewayError::NeverReady { gateway, log: log_file })??;
         let took = self.recorder.now() - began;
         self.recorder.facts().ready.push(took);
         self.mark_usage(gateway).await;
@@ -174,10 +176,16 @@
         Ok(())
     }
 
-    async fn healthy(&self, gateway: usize) {
+    async fn healthy(&self, gateway: usize) -> Result<(), GatewayError> {
         while !http_client::is_healthy(self.address(gateway)).await {
+            let mut child = self.gateways[gateway].child.lock().await;
+            if let Some(Ok(Some(status))) = child.as_mut().map(Child::try_wait) {
+                return Err(GatewayError::Ended { gateway, status, log: self.log_file(gateway) });
+            }
+            drop(child);
             sleep(ASK_HEALTH_EVERY).await;
         }
+        Ok(())
     }
 
     async fn process(&self, gateway: usize) -> Option<u32> {
--- a/crates/scale/src/beside/mod.rs
+++ b/crates/scale/src/beside/mod.rs
@@ -26,7 +26,7 @@
 use engines::Engines;
 use experiment::{Experiment, Slip};
 use facts::{Facts, Recorder};
-use gateways::Gateways;
+use gateways::{GatewayError, Gateways};
 use judge::Judgement;
 use measure::{figures_of, gateway_figures, sample, Peak};
 use report::Figure;
@@ -87,9 +87,12 @@
         Some(binary) => binary,
         None => std::env::current_exe()?.with_file_name("garnetwall"),
     };
-    let folder = Scratch::new()?;
+    let mut folder = Scratch::new()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build()?;
-    let findings = runtime.block_on(bounded(experiment, binary, folder.path.clone()))?;
+    let findings = runtime.block_on(bounded(experiment, binary, folder.path.clone()));
+    // Its message names a log in there.
+    folder.keep = findings.as_ref().is_err_and(|error| error.is::<GatewayError>());
+    let findings = findings?;
     report::print_figures(&findings.figures);
     if let Some(file) = &arguments.run.results {
         report::write(&findings.figures, file)?;
@@ -97,22 +100,25 @@
     Ok(report::print_judgements(&findings.judgements))
 }
 
-/// A folder for configurations and logs of gateways, which goes with the run.
+/// A folder for configurations and logs of gateways, which goes with the run unless a gateway failed.
 struct Scratch {
     path: PathBuf,
+    keep: bool,
 }
 
 impl Scratch {
     fn new() -> std::io::Result<Scratch> {
         let path = std::env::temp_dir().join(format!("garnetwall-beside-{}", std::process::id()));
         std::fs::create_dir_all(&path)?;
-        Ok(Scratch { path })
+        Ok(Scratch { path, keep: false })
     }
 }
 
 impl Drop for Scratch {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.path);
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
     }
 }
 
@@ -225,7 +231,7 @@
 }
 
 /// Starts all gateways at once.
-async fn start_all(stage: &Arc<Stage>) -> Result<(), gateways::GatewayError> {
+async fn start_all(stage: &Arc<Stage>) -> Result<(), GatewayError> {
     let mut starting = tokio::task::JoinSet::new();
     for gateway in 0..stage.gateways.count() {
         let stage = stage.clone();
--- a/crates/scale/tests/beside.rs
+++ b/crates/scale/tests/beside.rs
@@ -239,6 +239,19 @@
     assert!(!folder.exists());
 }
 
+#[test]
+fn a_gateway_that_ends_at_once_is_told_with_its_log() {
+    let file = experiment("ends", WITHOUT_SLIP);
+    let child = start(&file, Path::new("/bin/false"));
+    let folder = std::env::temp_dir().join(format!("garnetwall-beside-{}", child.id()));
+    let output = child.wait_with_output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains("ended before it served (exit status: 1)"), "{said}");
+    assert!(folder.join("gateway-0.log").exists());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 /// Processes that were started with a configuration in this folder.
 fn gateways_of(folder: &Path) -> Vec<u32> {
     let mark = folder.to_string_lossy().into_owned();
