Defaults of a subset stand in its package; one writer of results

Cause: the gateway's reader of configuration held tuned defaults of subsets, with their reasons, and a bound on near_weight (1,000) beside the package's own (1,000,000); beside wrote JSON lines and CSV by a second copy of the tool's writer. Change: SubsetSettings::with_size has the defaults, the reader only puts what is told in their place; MAX_NEAR_WEIGHT is the one bound; beside uses results::Results.

--- a/crates/gateway/src/config/subset.rs
+++ b/crates/gateway/src/config/subset.rs
@@ -5,22 +5,13 @@
 use garnetwall_plan::model::Pool;
 use garnetwall_plan::Plan;
 use garnetwall_settings::{shown, Cause, Decoded, Fault, Names};
-use garnetwall_subset::{PlacementClass, RetryScope, Subset, SubsetSettings};
+use garnetwall_subset::{PlacementClass, RetryScope, Subset, SubsetSettings, MAX_NEAR_WEIGHT};
 use serde_json::Value;
 
-/// Engines of each placement class where none is told: one may drain and one fail while two share the work.
-const USUAL_CLASS_FLOOR: usize = 4;
-/// One in so many of the size may be added while members fail, where no reserve is told: a zone of four that is lost.
-const USUAL_RESERVE_PART: usize = 4;
-/// Newcomers a second where none is told: a subset of 80 is all new in 80 s, longer than an engine stays cold.
-const USUAL_JOINS_PER_SECOND: f64 = 1.0;
-/// No engine is nearer than another where nothing is told.
-const USUAL_NEAR_WEIGHT: f64 = 1.0;
 /// More engines than any list has.
 const MOST_ENGINES: u64 = 1 << 20;
-/// More than either can be of use.
+/// More than can be of use.
 const MOST_JOINS_PER_SECOND: f64 = 1e6;
-const MOST_NEAR_WEIGHT: f64 = 1e3;
 
 /// Reads the block; without one there is no subset.
 pub(super) fn read(
@@ -38,17 +29,17 @@
     let size = count(block, "size", 1)?.ok_or_else(|| {
         wrong_type("subset.size", "a number", None, "write how many engines the gateway is to work with")
     })?;
+    let usual = SubsetSettings::with_size(size, decoded.settings.gateways);
     let settings = SubsetSettings {
-        size,
-        class_floor: count(block, "class_floor", 0)?.unwrap_or(USUAL_CLASS_FLOOR.min(size)),
-        reserve: count(block, "reserve", 0)?.unwrap_or(size.div_ceil(USUAL_RESERVE_PART)),
+        class_floor: count(block, "class_floor", 0)?.unwrap_or(usual.class_floor),
+        reserve: count(block, "reserve", 0)?.unwrap_or(usual.reserve),
         joins_per_second: number(block, "joins_per_second", f64::MIN_POSITIVE, MOST_JOINS_PER_SECOND)?
-            .unwrap_or(USUAL_JOINS_PER_SECOND),
+            .unwrap_or(usual.joins_per_second),
         zone: zone(block, &decoded.names)?,
-        near_weight: number(block, "near_weight", 1.0, MOST_NEAR_WEIGHT)?.unwrap_or(USUAL_NEAR_WEIGHT),
-        gateways: decoded.settings.gateways,
+        near_weight: number(block, "near_weight", 1.0, MAX_NEAR_WEIGHT)?.unwrap_or(usual.near_weight),
         classes: classes(&decoded.settings.groups),
         retry_scope: retry_scope(&decoded.settings.groups),
+        ..usual
     };
     // What the settings must be to one another is the subset's to say.
     Subset::new(gateway, settings.clone())?;
--- a/crates/scale/src/beside/report.rs
+++ b/crates/scale/src/beside/report.rs
@@ -1,9 +1,8 @@
 //! What a run prints, and the figures that it writes as JSON lines and CSV.
 
 use super::judge::Judgement;
+use crate::results::{Results, ResultsError};
 use serde::Serialize;
-use std::fs::File;
-use std::io::{BufWriter, Write};
 use std::path::Path;
 
 /// One figure.
@@ -24,18 +23,12 @@
 }
 
 /// Writes figures to this file as JSON lines, and beside it as CSV.
-pub fn write(figures: &[Figure], file: &Path) -> Result<(), Box<dyn std::error::Error>> {
-    let mut lines = BufWriter::new(File::create(file)?);
+pub fn write(figures: &[Figure], file: &Path) -> Result<(), ResultsError> {
+    let mut results = Results::create(Some(file))?;
     for figure in figures {
-        serde_json::to_writer(&mut lines, figure)?;
-        lines.write_all(b"\n")?;
+        results.add(figure)?;
     }
-    lines.flush()?;
-    let mut table = csv::Writer::from_path(file.with_extension("csv"))?;
-    for figure in figures {
-        table.serialize(figure)?;
-    }
-    Ok(table.flush()?)
+    Ok(())
 }
 
 /// Prints figures, one a line.
--- a/crates/subset/src/settings.rs
+++ b/crates/subset/src/settings.rs
@@ -9,6 +9,18 @@
 /// Beyond it a gateway would work with its own zone alone, whatever the exact figure.
 pub const MAX_NEAR_WEIGHT: f64 = 1e6;
 
+/// Engines of each placement class where none is told: one may drain and one fail while two share the work.
+const USUAL_CLASS_FLOOR: usize = 4;
+
+/// One in so many of the size may be added while members fail, where no reserve is told: a zone of four that is lost.
+const USUAL_RESERVE_PART: usize = 4;
+
+/// Newcomers a second where none is told: a subset of 80 is all new in 80 s, longer than an engine stays cold.
+const USUAL_JOINS_PER_SECOND: f64 = 1.0;
+
+/// No engine is nearer than another where nothing is told.
+const USUAL_NEAR_WEIGHT: f64 = 1.0;
+
 /// Where attempts of one service group may go; `None` leaves all open.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PlacementClass {
@@ -65,6 +77,21 @@
 }
 
 impl SubsetSettings {
+    /// The usual settings of a subset of this size, for one of so many gateways, without placement classes.
+    pub fn with_size(size: usize, gateways: f64) -> Self {
+        SubsetSettings {
+            size,
+            class_floor: USUAL_CLASS_FLOOR.min(size),
+            reserve: size.div_ceil(USUAL_RESERVE_PART),
+            joins_per_second: USUAL_JOINS_PER_SECOND,
+            zone: None,
+            near_weight: USUAL_NEAR_WEIGHT,
+            gateways,
+            classes: Vec::new(),
+            retry_scope: RetryScope::Everywhere,
+        }
+    }
+
     /// Whether a subset can be chosen by them.
     pub fn validate(&self) -> Result<(), SubsetError> {
         if self.size == 0 {
