Failing tests: the log's reader stops or goes, signals during the start

Seen: with standard error on a pipe that nobody reads the 128th query at the debug level is not answered; with its reader gone the first is not, and the process ends by a panic; SIGHUP while the configuration is read ends the process.

--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -3,8 +3,10 @@
 
 #![allow(dead_code)] // Each test program uses a part.
 
+pub mod faults;
 pub mod process;
 
+use faults::Faults;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
@@ -304,6 +306,9 @@
     for name in ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN"] {
         command.env_remove(name);
     }
+    if let Some(faults) = Faults::always() {
+        faults.strike(&mut command);
+    }
     command
 }
 
