Log through a bounded queue, signals heeded before all else, starts tried again

Cause: the subscriber wrote to standard error in the thread that serves, and reports its own failure by eprintln, which panics where the reader has gone (fmt_layer.rs of tracing-subscriber); signal handlers were installed after the configuration was read (cli.rs: serve). Change: tracing-appender's queue of 4,096 lines before a thread that writes (log.rs), lost lines counted and told, 50 ms for the rest at the end; runtime and handlers first (signals.rs), configurations read in a thread beside; what a start needs of the system is tried again for 20 s where the fault may pass (system_fault.rs), and SIGTERM ends the start meanwhile.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -1,13 +1,14 @@
 //! The command line.
 
-use crate::config::{self, Files};
+use crate::config::{self, Config, Files};
 use crate::gateway::Gateway;
+use crate::log::{print_error, Log};
 use crate::plan_cli;
+use crate::signals::{Hangup, Signals};
+use crate::system_fault::retry_blocking;
 use pico_args::Arguments;
 use std::process::ExitCode;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc::unbounded_channel;
-use tracing_subscriber::EnvFilter;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 
 const HELP: &str = "\
 garnetwall: admission control for batches on a pool of engines
@@ -39,7 +40,7 @@
     match command(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("garnetwall: {what}");
+            print_error(&what);
             ExitCode::FAILURE
         }
     }
@@ -88,31 +89,40 @@
 }
 
 fn serve(files: Files) -> Result<(), String> {
-    let filter = EnvFilter::try_from_env("GARNETWALL_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    let config = read(files.clone())?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    runtime.block_on(async {
-        let listen = config.listen;
-        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-        let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-        let (reload, reloads) = unbounded_channel();
-        tokio::spawn(async move {
-            while hangup.recv().await.is_some() {
-                match read(files.clone()) {
-                    Ok(config) => drop(reload.send(config)),
-                    Err(what) => tracing::error!(what, "configuration not reloaded, the old one stays"),
-                }
-            }
-        });
-        let stop = async move {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
-            }
-        };
-        Gateway::new(config).run(stop, reloads).await.map_err(|e| format!("{listen}: {e}"))
-    })
+    let (runtime, signals) = Signals::install().map_err(|e| format!("runtime: {e}"))?;
+    let log = retry_blocking(Log::start).map_err(|e| format!("log: {e}"))?;
+    let served = runtime.block_on(serve_until_stopped(files, signals));
+    // What still reads a file is not waited for.
+    runtime.shutdown_background();
+    log.flush();
+    served
+}
+
+async fn serve_until_stopped(files: Files, signals: Signals) -> Result<(), String> {
+    let (mut stop, hangup) = signals.split();
+    let config = tokio::select! {
+        biased;
+        () = &mut stop => return Ok(()),
+        config = read_beside(files.clone()) => config?,
+    };
+    let listen = config.listen;
+    let (reload, reloads) = unbounded_channel();
+    tokio::spawn(reload_on_hangup(files, hangup, reload));
+    Gateway::new(config).run(stop, reloads).await.map_err(|e| format!("{listen}: {e}"))
+}
+
+/// Reads the files again at each SIGHUP; a faulty one is told and passed over.
+async fn reload_on_hangup(files: Files, mut hangup: Hangup, reload: UnboundedSender<Config>) {
+    while hangup.recv().await.is_some() {
+        match read_beside(files.clone()).await {
+            Ok(config) => drop(reload.send(config)),
+            Err(what) => tracing::error!(what, "configuration not reloaded, the old one stays"),
+        }
+    }
+}
+
+/// Reads the files in a thread of its own: nothing that serves waits for a file.
+async fn read_beside(files: Files) -> Result<Config, String> {
+    let reading = tokio::task::spawn_blocking(move || read(files));
+    reading.await.unwrap_or_else(|e| Err(format!("the configuration could not be read: {e}")))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::reconnect::Reconnect;
 use crate::sockets::Budget;
 use crate::spacing::Spacing;
+use crate::system_fault::retry;
 use garnetwall::api::{End, EngineId, ServiceGroup, Settings};
 use garnetwall::control::Control;
 use garnetwall_bodies::Store;
@@ -44,6 +45,13 @@
     Stopped,
 }
 
+/// What a gateway holds from its start on.
+struct Opened {
+    keeper: Arc<Keeper>,
+    store: Option<Arc<Store>>,
+    listener: TcpListener,
+}
+
 /// One gateway.
 pub struct Gateway {
     config: Config,
@@ -100,15 +108,27 @@
     }
 
     /// Runs from start to exit; `stop` asks it to drain, `reloads` brings configurations read again.
+    ///
+    /// # Errors
+    ///
+    /// What it needs at the start can't be had, or not for [`START_TIMEOUT`](crate::system_fault::START_TIMEOUT).
     pub async fn run(
         mut self,
         stop: impl Future<Output = ()>,
         reloads: UnboundedReceiver<Config>,
     ) -> io::Result<()> {
+        tokio::pin!(stop);
         self.enter(Phase::Starting);
-        let keeper = Arc::new(self.keeper()?);
-        let store = self.store()?;
-        let listener = bind(self.config.listen)?;
+        let opened = tokio::select! {
+            biased;
+            () = &mut stop => {
+                // Nothing was taken yet.
+                self.enter(Phase::Stopped);
+                return Ok(());
+            }
+            opened = self.open() => opened?,
+        };
+        let Opened { keeper, store, listener } = opened;
         self.start(reloads);
         let front = Front {
             desk: self.desk.clone(),
@@ -132,7 +152,7 @@
         tokio::select! {
             () = &mut accepting => {}
             () = self.serving() => {}
-            () = stop => {}
+            () = &mut stop => {}
         }
         self.enter(Phase::Draining);
         let stay = GOES_ON + span(self.longest.min(LONGEST_STAY) - ANSWERS_OUT);
@@ -162,6 +182,14 @@
         Ok(())
     }
 
+    /// What a start needs of the system, tried again where that fails for a moment.
+    async fn open(&self) -> io::Result<Opened> {
+        let keeper = Arc::new(retry("journal", || self.keeper()).await?);
+        let store = retry("store of bodies", || self.store()).await?;
+        let listener = retry("listener", || bind(self.config.listen)).await?;
+        Ok(Opened { keeper, store, listener })
+    }
+
     /// The journal that the plan names, with what an earlier process may have left running.
     fn keeper(&self) -> io::Result<Keeper> {
         let Some(journal) = self.config.plan.as_ref().and_then(|plan| plan.journal.as_ref()) else {
--- a/crates/gateway/tests/early_signals.rs
+++ b/crates/gateway/tests/early_signals.rs
@@ -59,13 +59,16 @@
     let mut told = config(engine.address, log.address);
     pipe.write_all(told.to_string().as_bytes()).unwrap();
     drop(pipe);
+    // It serves, whatever its files wait for.
+    let address: std::net::SocketAddr = told["listen"].as_str().unwrap().parse().unwrap();
+    until("it listens", || std::net::TcpStream::connect(address).is_ok());
     // It reads its configuration again: there the change log is at another place.
     let mut again = starting.opened();
     told["changelog"] = moved.address.to_string().into();
     again.write_all(told.to_string().as_bytes()).unwrap();
     drop(again);
     until("it follows the other log", || !moved.readers.lock().unwrap().is_empty());
-    let stream = std::net::TcpStream::connect(told["listen"].as_str().unwrap()).unwrap();
+    let stream = std::net::TcpStream::connect(address).unwrap();
     let answer = call(stream, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1");
     assert!(Answer::of(answer.expect("an answer")).returned());
 }
