Sockets are read and written until they would block; accepts that fail hold nobody up

Cause: tokio's poll_read and poll_write clear a socket's readiness after a call that was shorter than its buffer, and EINTR was passed on as a broken connection; front::accept paused 10 ms after each fault. Change: socket.rs, one connection type for clients, engines and the watch: readiness is forgotten only when the system says so, EINTR is called again, and what this machine lacks for a moment to connect is waited for within the caller's bound. A failed accept is followed by a pause only from the second in a row on, where descriptors or memory lack. A failed accept is logged once until one succeeds. With one in two interrupted, sigterm_... and sighup_... of sockets fail: the runtime's own pipe for signals panics on EINTR.

--- a/crates/gateway/src/discovery/connection.rs
+++ b/crates/gateway/src/discovery/connection.rs
@@ -1,5 +1,6 @@
 //! The connection to the change log.
 
+use crate::socket::Socket;
 use crate::sockets::{Line, LONGEST_HEAD};
 use bytes::Bytes;
 use http::header::HOST;
@@ -9,7 +10,6 @@
 use hyper::client::conn::http1;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Protocol: the path of the log and the field that names the last event had.
@@ -19,7 +19,7 @@
 /// Opens the change log after an event, for its stream. It takes nothing of the engines' budget, which keeps a descriptor
 /// back for it: engines that hold all of that must not keep out the news of them.
 pub(super) async fn open(log: SocketAddr, last: u64, dial: Duration) -> Result<Incoming, String> {
-    let up = timeout(dial, TcpStream::connect(log)).await.map_err(|_| "no connection in time")?;
+    let up = timeout(dial, Socket::connect(log)).await.map_err(|_| "no connection in time")?;
     let line = Line::new(up.map_err(|e| e.to_string())?, None);
     let mut builder = http1::Builder::new();
     let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await;
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::span;
 use crate::discovery::{EngineList, Warmed};
+use crate::socket::Socket;
 use crate::sockets::{Abandoned, Budget, Gate, Line, LONGEST_HEAD};
 use garnetwall::api::{End, EngineId, Report};
 use garnetwall_ledger::{Bounds, Ledger};
@@ -24,7 +25,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::sync::{watch, Semaphore};
 use tokio::time::timeout;
 use way::Way;
@@ -117,7 +117,7 @@
     ) -> Result<(Sender, Abandoned), Fault> {
         let dialled = timeout(self.dial, async {
             let permit = self.budget.clone().acquire_owned().await.map_err(io::Error::other)?;
-            let line = Line::new(TcpStream::connect(address).await?, Some(permit)).gated(gate);
+            let line = Line::new(Socket::connect(address).await?, Some(permit)).gated(gate);
             let abandoned = line.abandoned();
             let mut builder = http1::Builder::new();
             let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await.map_err(io::Error::other)?;
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -4,6 +4,7 @@
 use super::Client;
 use crate::guests::Guests;
 use crate::inbound::Peer;
+use crate::system_fault;
 use axum::Router;
 use std::future::{poll_fn, Future};
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
-/// After a fault of accepting: descriptors come back as clients leave.
+/// After a fault of accepting that the next would have as well: descriptors come back as clients leave.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
 
 /// Accepts connections for as long as it is polled, or, once it is `closing`, until none waits to be accepted; each is
@@ -27,6 +28,7 @@
     shut: &watch::Receiver<bool>,
     mut closing: watch::Receiver<bool>,
 ) {
+    let mut failing = false;
     for number in 0.. {
         let accepted = if *closing.borrow_and_update() {
             yield_now().await;
@@ -45,6 +47,7 @@
         };
         match accepted {
             Ok((stream, client)) => {
+                failing = false;
                 let guest = guests.seat(number).await;
                 let peer = Peer::new(stream);
                 peer.has_unread();
@@ -58,8 +61,12 @@
                 }
             }
             Err(fault) => {
-                tracing::warn!(%fault, "a connection could not be accepted");
-                sleep(ACCEPT_RETRY_PAUSE).await;
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!(%fault, "a connection could not be accepted");
+                } else if system_fault::needs_pause(&fault) {
+                    // Twice in a row.
+                    sleep(ACCEPT_RETRY_PAUSE).await;
+                }
             }
         }
     }
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -1,19 +1,17 @@
 //! A client's connection. It can be read ahead of who parses it: so a client that has left is noticed also behind bytes
 //! that nobody has asked for yet, and what has come already is known before the connection is closed.
 
+use crate::socket::Socket;
 use crate::sockets::Stalled;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::future::{poll_fn, Future};
-use std::io::{self, Read as _};
-use std::net::Shutdown;
+use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
@@ -26,7 +24,7 @@
 const DISCARDED: usize = 8 << 20;
 
 struct Held {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<Socket>,
     /// Read, but not asked for yet.
     ahead: BytesMut,
     /// How the client ended its side.
@@ -49,11 +47,8 @@
 
 impl Peer {
     pub fn new(stream: TcpStream) -> Peer {
-        if let Err(fault) = stream.set_nodelay(true) {
-            tracing::debug!(%fault, "no-delay not set");
-        }
         let held = Held {
-            io: TokioIo::new(stream),
+            io: TokioIo::new(Socket::new(stream)),
             ahead: BytesMut::new(),
             end: None,
             unheard: false,
@@ -108,8 +103,7 @@
 
     /// Ends our side, after all that was written.
     pub fn shut(&self) {
-        // A connection that is gone already is shut.
-        let _ = SockRef::from(self.held().io.inner()).shutdown(Shutdown::Write);
+        self.held().io.inner().shut();
     }
 
     /// Throws away what has come: closed over unread bytes, a connection is reset, which takes along what its client has not
@@ -139,7 +133,6 @@
                 return true;
             }
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
-            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
             Err(fault) => self.end = Some(Err(fault.kind())),
         }
         false
@@ -150,7 +143,7 @@
         let mut bytes = [0; AHEAD];
         while self.end.is_none() && self.ahead.len() < AHEAD {
             let room = AHEAD - self.ahead.len();
-            let read = (&*SockRef::from(self.io.inner())).read(&mut bytes[..room]);
+            let read = self.io.inner().read_now(&mut bytes[..room]);
             if !self.took(read, &bytes) {
                 return;
             }
@@ -159,13 +152,7 @@
 
     fn has_left(&self) -> bool {
         // Behind more than is read ahead only the machine's own word tells.
-        self.end.is_some() || self.ahead.len() >= AHEAD && self.is_closed_behind()
-    }
-
-    fn is_closed_behind(&self) -> bool {
-        let mut cx = Context::from_waker(std::task::Waker::noop());
-        let ready = std::pin::pin!(self.io.inner().ready(Interest::READABLE)).poll(&mut cx);
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        self.end.is_some() || self.ahead.len() >= AHEAD && self.io.inner().is_read_closed()
     }
 
     fn poll_left(&mut self, cx: &mut Context) -> Poll<()> {
@@ -182,12 +169,9 @@
                 self.looks = None;
                 continue;
             }
-            if ready!(self.io.inner().poll_read_ready(cx)).is_err() {
-                return Poll::Ready(());
-            }
             let mut bytes = [0; AHEAD];
             let room = AHEAD - self.ahead.len();
-            let read = self.io.inner().try_read(&mut bytes[..room]);
+            let read = ready!(self.io.inner().poll_read_bytes(cx, &mut bytes[..room]));
             self.took(read, &bytes);
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod reconnect;
 pub mod rows;
 pub mod signals;
+pub mod socket;
 pub mod sockets;
 pub mod spacing;
 pub mod statement;
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,9 +1,9 @@
 //! The budget of descriptors and memory, and the stream that holds a part of it for as long as it is open.
 
 use crate::rows;
+use crate::socket::Socket;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, Sleep};
 
@@ -186,7 +185,7 @@
 /// A TCP stream to an engine or the change log, with its part of the budget.
 #[derive(Debug)]
 pub struct Line {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<Socket>,
     abandoned: Abandoned,
     /// Of the start that goes out on it.
     gate: Option<Arc<Gate>>,
@@ -196,12 +195,9 @@
 }
 
 impl Line {
-    pub fn new(stream: TcpStream, permit: Option<OwnedSemaphorePermit>) -> Self {
-        if let Err(fault) = stream.set_nodelay(true) {
-            tracing::debug!(%fault, "no-delay not set");
-        }
+    pub fn new(socket: Socket, permit: Option<OwnedSemaphorePermit>) -> Self {
         Line {
-            io: TokioIo::new(stream),
+            io: TokioIo::new(socket),
             abandoned: Abandoned::default(),
             gate: None,
             stalled: Stalled::default(),
@@ -232,8 +228,7 @@
 impl Drop for Line {
     fn drop(&mut self) {
         if self.abandoned.0.load(Ordering::Relaxed) {
-            // Where it can't be set the connection closes as others do.
-            let _ = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO));
+            self.io.inner().discard_on_close();
         }
     }
 }
