Signals by flags and a pipe of our own: an interrupted read there is no panic

Cause: tokio's reader of its signal pipe panics on any error but WouldBlock (runtime/signal/mod.rs), so that EINTR there ended the gateway at SIGTERM or SIGHUP, and its pipe is made by expect. Change: signal-hook sets flags first of all, and writes to a pipe that wakes the gateway; the flags are looked at four times a second too.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -4,11 +4,14 @@
 use crate::gateway::Gateway;
 use crate::log::{print_error, Log};
 use crate::plan_cli;
-use crate::signals::{Hangup, Signals};
+use crate::signals::{Heard, Signals};
 use crate::system_fault::retry_blocking;
 use pico_args::Arguments;
 use std::process::ExitCode;
+use std::sync::Arc;
+use tokio::runtime::Builder;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::Notify;
 
 const HELP: &str = "\
 garnetwall: admission control for batches on a pool of engines
@@ -89,8 +92,10 @@
 }
 
 fn serve(files: Files) -> Result<(), String> {
-    let (runtime, signals) = Signals::install().map_err(|e| format!("runtime: {e}"))?;
+    let signals = Signals::install().map_err(|e| format!("signals: {e}"))?;
     let log = retry_blocking(Log::start).map_err(|e| format!("log: {e}"))?;
+    let runtime = retry_blocking(|| Builder::new_current_thread().enable_all().build());
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     let served = runtime.block_on(serve_until_stopped(files, signals));
     // What still reads a file is not waited for.
     runtime.shutdown_background();
@@ -99,21 +104,26 @@
 }
 
 async fn serve_until_stopped(files: Files, signals: Signals) -> Result<(), String> {
-    let (mut stop, hangup) = signals.split();
+    let Heard { mut stop, hangup } = signals.heed();
+    let mut stopped = Box::pin(async move {
+        // It fails only with the task gone that hears signals, which goes with the runtime.
+        let _ = stop.wait_for(|stop| *stop).await;
+    });
     let config = tokio::select! {
         biased;
-        () = &mut stop => return Ok(()),
+        () = &mut stopped => return Ok(()),
         config = read_beside(files.clone()) => config?,
     };
     let listen = config.listen;
     let (reload, reloads) = unbounded_channel();
     tokio::spawn(reload_on_hangup(files, hangup, reload));
-    Gateway::new(config).run(stop, reloads).await.map_err(|e| format!("{listen}: {e}"))
+    Gateway::new(config).run(stopped, reloads).await.map_err(|e| format!("{listen}: {e}"))
 }
 
 /// Reads the files again at each SIGHUP; a faulty one is told and passed over.
-async fn reload_on_hangup(files: Files, mut hangup: Hangup, reload: UnboundedSender<Config>) {
-    while hangup.recv().await.is_some() {
+async fn reload_on_hangup(files: Files, hangup: Arc<Notify>, reload: UnboundedSender<Config>) {
+    loop {
+        hangup.notified().await;
         match read_beside(files.clone()).await {
             Ok(config) => drop(reload.send(config)),
             Err(what) => tracing::error!(what, "configuration not reloaded, the old one stays"),
