Deadlines passed on are what is left when the start leaves; the end keeps clear of the kill

Cause: start_request worked X-Patience out before its connection came up; a query counted as come when it was read, also after this process had had no processor time; the end of draining was 0.7 s and the longest deadline less 0.2 s, but never under 0.7 s. Change: Way::stamp_deadline, after the connection is up; pulse.rs: the scheduler's beats tell a gap, and what is read right after it counts from before it; answers are due 0.2 s, idle connections closed 0.15 s and the process ended 0.1 s before the earliest kill.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::discovery::EngineUpdate;
 use crate::planning::Planner;
+use crate::pulse::Pulse;
 use garnetwall::api::{BatchId, Effect, End, EngineId, Next, Note, Outcome, Report, ServiceGroup, Wait};
 use garnetwall::control::Control;
 use garnetwall_ledger::book::Sent;
@@ -58,6 +59,7 @@
             recovered: HashMap::new(),
             once_only: Vec::new(),
             wake: clock.now(),
+            pulse: Pulse::new(clock.now()),
         };
         let (in_hand, ends) = (watch::Sender::new(0), watch::Sender::new(None));
         let seats = Mutex::new(seats);
@@ -76,6 +78,7 @@
     fn fact<T>(&self, tell: impl FnOnce(&mut Seats, f64) -> T) -> T {
         let now = self.clock.now();
         let mut seats = self.seats();
+        seats.pulse.beat(now);
         let told = tell(&mut seats, now);
         let armed = seats.wake;
         loop {
@@ -201,6 +204,12 @@
         sleep_until(Instant::from_std(self.clock.instant(at.unwrap_or_default()))).await;
     }
 
+    /// The earliest time at which what was read at this instant can have come.
+    pub fn came(&self, read: std::time::Instant) -> f64 {
+        let (now, read) = (self.clock.now(), self.clock.at(read));
+        self.seats().pulse.came(now, read)
+    }
+
     pub fn in_hand(&self) -> usize {
         *self.in_hand.borrow()
     }
--- a/crates/gateway/src/desk/in_hand.rs
+++ b/crates/gateway/src/desk/in_hand.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::engines::Call;
 use crate::planning::{LaneTold, Passage, Planner};
+use crate::pulse::Pulse;
 use garnetwall::api::{BatchId, Place};
 use garnetwall::control::Control;
 use std::collections::{HashMap, VecDeque};
@@ -24,6 +25,7 @@
     /// By service group.
     pub(super) once_only: Vec<bool>,
     pub(super) wake: f64,
+    pub(super) pulse: Pulse,
 }
 
 pub(super) enum Job {
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -88,6 +88,7 @@
             abandoned: Abandoned::default(),
             gate: None,
             comes_by: None,
+            until: Instant::now(),
             may_have_come: false,
             unreadable: false,
             connection: 0,
@@ -163,7 +164,8 @@
         let gate = Gate::new(move || list.takes(target), wanted);
         let comes_by = Some(start.comes_by).filter(|by| *by < start.until);
         let gate = Some(Arc::new(gate));
-        let mut way = Way { dispatch: Some(id), gate, comes_by, ..self.way(target) };
+        let until = start.until;
+        let mut way = Way { dispatch: Some(id), gate, comes_by, until, ..self.way(target) };
         let over = way.live(call, start, wishes, tidings).await;
         self.ledger().close(id);
         over
--- a/crates/gateway/src/engines/way.rs
+++ b/crates/gateway/src/engines/way.rs
@@ -38,6 +38,8 @@
     pub(super) gate: Option<Arc<Gate>>,
     /// Its start has come whole by then or is not sent, where that is before its batch's end.
     pub(super) comes_by: Option<Instant>,
+    /// Nobody waits for its answer from then on.
+    pub(super) until: Instant,
     /// Its start may have come whole.
     pub(super) may_have_come: bool,
     /// Its body could not be read to its end.
--- a/crates/gateway/src/engines/way/exchange.rs
+++ b/crates/gateway/src/engines/way/exchange.rs
@@ -36,7 +36,7 @@
 
     async fn call_on_connection(
         &mut self,
-        request: Request<Outgoing>,
+        mut request: Request<Outgoing>,
         feed: Option<OutgoingBody>,
         within: Duration,
         asks: bool,
@@ -56,6 +56,9 @@
                 sender
             }
         };
+        if is_start {
+            self.stamp_deadline(&mut request);
+        }
         if let Some(gate) = &self.gate {
             if is_start {
                 gate.begins();
--- a/crates/gateway/src/engines/way/start.rs
+++ b/crates/gateway/src/engines/way/start.rs
@@ -24,7 +24,7 @@
         call: &Call,
         start: &Start,
     ) -> Option<(Request<Outgoing>, Option<OutgoingBody>)> {
-        let Start { further, until, .. } = *start;
+        let further = start.further;
         let mut request = request(Method::POST, self.target.address, "/c");
         let gate = self.gate.clone();
         let feed = match &call.statement {
@@ -50,11 +50,16 @@
         if let Some(mark) = &call.mark {
             head.insert(IDEMPOTENCY_KEY, mark.clone());
         }
-        let patience = until.saturating_duration_since(Instant::now()).as_secs_f64();
-        head.insert(DEADLINE, HeaderValue::from((patience * 1000.0).max(1.0) as u64));
         Some((request, feed))
     }
 
+    /// Tells the engine how long its answer is waited for, as it is when the start leaves: its connection may have taken long.
+    pub(super) fn stamp_deadline(&self, request: &mut Request<Outgoing>) {
+        let left = self.until.saturating_duration_since(Instant::now());
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+        request.headers_mut().insert(DEADLINE, HeaderValue::from(left));
+    }
+
     /// The last byte of a call that keeps its dispatch running is on its way.
     pub(super) fn sent_whole(&mut self) {
         self.may_have_come = true;
--- a/crates/gateway/src/front/streaming.rs
+++ b/crates/gateway/src/front/streaming.rs
@@ -35,7 +35,7 @@
     mut body: Body,
 ) -> Response {
     let length = body.size_hint().exact();
-    let came = front.desk.clock().at(peer.read_at());
+    let came = front.desk.came(peer.read_at());
     let (mut arrival, mut call) = match arrival(&front.decoded, group, head, client, PLACEHOLDER) {
         Ok(taken) => taken,
         Err(what) => return closing(error_response(StatusCode::BAD_REQUEST, &what)),
--- a/crates/gateway/src/front/submit.rs
+++ b/crates/gateway/src/front/submit.rs
@@ -54,7 +54,7 @@
         Ok(Err(_)) => return closing(error_response(StatusCode::BAD_REQUEST, "statement cut off")),
         Err(_) => return closing(error_response(StatusCode::REQUEST_TIMEOUT, "statement came too slowly")),
     };
-    let came = front.desk.clock().at(peer.read_at());
+    let came = front.desk.came(peer.read_at());
     let (arrival, call) = match arrival(&front.decoded, &group, &head, client, body) {
         Ok(taken) => taken,
         Err(what) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,14 +24,17 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
 /// Protocol: after SIGTERM clients go on coming for this long.
 const GOES_ON: Duration = Duration::from_millis(700);
 /// Protocol: SIGKILL comes no sooner than the longest limit, 3 s at most, and 0.7 s after SIGTERM.
 const LONGEST_STAY: f64 = 3.0;
-/// Kept clear of that in seconds, for answers to be written and read.
-const ANSWERS_OUT: f64 = 0.2;
+/// Before the earliest kill: all answers are due, idle connections of clients are closed, and the process has ended. What crosses a
+/// close is sent again elsewhere.
+const ANSWERS_DUE: Duration = Duration::from_millis(200);
+const CONNECTIONS_CLOSED: Duration = Duration::from_millis(150);
+const PROCESS_ENDED: Duration = Duration::from_millis(100);
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -155,15 +158,16 @@
             () = &mut stop => {}
         }
         self.enter(Phase::Draining);
-        let stay = GOES_ON + span(self.longest.min(LONGEST_STAY) - ANSWERS_OUT);
-        let end = Instant::now() + stay;
-        self.desk.ends(self.desk.clock().at(end));
+        let told = Instant::now();
+        let kill = GOES_ON + span(self.longest.min(LONGEST_STAY));
+        self.desk.ends(self.desk.clock().at(told + (kill - ANSWERS_DUE)));
         // It ends with the time alone: accepting does not.
-        let _ = timeout(GOES_ON, &mut accepting).await;
+        let goes_on = GOES_ON.min(kill - CONNECTIONS_CLOSED);
+        let _ = timeout_at((told + goes_on).into(), &mut accepting).await;
         // What the machine has accepted by now is served, too; those that ask for nothing make room.
         close.send_replace(true);
         shut.send_replace(true);
-        let last_answer = end + span(ANSWERS_OUT / 2.0);
+        let last_answer = told + (kill - PROCESS_ENDED);
         let _ = timeout_at(last_answer.into(), &mut accepting).await;
         drop(accepting);
         drop(listener);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log;
 pub mod plan_cli;
 pub mod planning;
+pub mod pulse;
 pub mod reconnect;
 pub mod rows;
 pub mod signals;
--- a/crates/gateway/tests/late_start.rs
+++ b/crates/gateway/tests/late_start.rs
@@ -200,9 +200,9 @@
 /// A query that came while the gateway had no processor time has less left than one that was read at once.
 #[test]
 fn a_query_that_waited_for_its_gateway_to_run_passes_on_what_is_left() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let service = service(&[listener.local_addr().unwrap()], |_| {});
     for waited in [300, 700] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let service = service(&[listener.local_addr().unwrap()], |_| {});
         let stream = service.open();
         service.healthy();
         service.stops();
