--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -3,6 +3,7 @@
 
 mod helper;
 
+use helper::faults::Faults;
 use helper::process::{ms, Process};
 use helper::*;
 use serde_json::json;
@@ -11,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Stdio};
 use std::thread::sleep;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const KEY: &str = "X-Item: 7f3a9c21e0b4d655\r\n";
 
@@ -22,11 +23,16 @@
     config: PathBuf,
     plan: PathBuf,
     address: std::net::SocketAddr,
+    faults: Faults,
     child: Child,
 }
 
 impl Lasting {
     fn start() -> Lasting {
+        Lasting::start_with(Faults::none())
+    }
+
+    fn start_with(faults: Faults) -> Lasting {
         let (engine, log) = (Process::start(), ChangeLog::start());
         let mut told = config(engine.address, log.address);
         told["settings"]["categories"][1]["give-up"] = json!(8000.0);
@@ -44,14 +50,15 @@
         .unwrap();
         let config = file(&told);
         let address = told["listen"].as_str().unwrap().parse().unwrap();
-        let child = Lasting::serve(&config, &plan);
-        let lasting = Lasting { engine, _log: log, config, plan, address, child };
+        let child = Lasting::serve(&config, &plan, &faults);
+        let lasting = Lasting { engine, _log: log, config, plan, address, faults, child };
         lasting.healthy();
         lasting
     }
 
-    fn serve(config: &Path, plan: &Path) -> Child {
+    fn serve(config: &Path, plan: &Path, faults: &Faults) -> Child {
         let mut command = program(&["serve", "--plan", plan.to_str().unwrap()]);
+        faults.strike(&mut command);
         command.env("PROXY_CONFIG", config).stderr(Stdio::null()).spawn().unwrap()
     }
 
@@ -63,7 +70,7 @@
     fn restarted(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
-        self.child = Lasting::serve(&self.config, &self.plan);
+        self.child = Lasting::serve(&self.config, &self.plan, &self.faults);
         self.healthy();
     }
 
@@ -106,9 +113,24 @@
 /// twice.
 #[test]
 fn killed_in_a_loop_no_once_only_batch_runs_twice() {
+    killed_in_a_loop(|_, _| {});
+}
+
+/// The same while the wall clock steps forward and back by seconds and by an hour between two processes.
+#[test]
+fn killed_in_a_loop_while_the_wall_clock_steps_none_runs_twice() {
+    killed_in_a_loop(|faults, round| faults.on("realtime", ["3600", "-3600", "7", "-7"][round as usize % 4]));
+}
+
+/// Kills by hand may be more: `GATEWAY_TEST_KILLS`.
+fn kills() -> u64 {
+    std::env::var("GATEWAY_TEST_KILLS").map_or(12, |n| n.parse().unwrap())
+}
+
+fn killed_in_a_loop(before_restart: impl Fn(&Faults, u64)) {
     let mut g = Lasting::start();
     let mut ids = Vec::new();
-    for round in 0..12u64 {
+    for round in 0..kills() {
         let batch: Vec<String> = (0..6).map(|_| new_id()).collect();
         let began = Instant::now();
         let streams: Vec<TcpStream> = batch
@@ -121,6 +143,7 @@
             .collect();
         // From before the first record to after the last answer.
         sleep(ms(round * 7 % 30).saturating_sub(began.elapsed()));
+        before_restart(&g.faults, round);
         g.restarted();
         drop(streams);
         for id in &batch {
@@ -140,6 +163,84 @@
     assert!(ids.iter().filter(|id| known(id)).count() > 20, "most came to the engine");
 }
 
+/// For so long the disk fails; by hand it may be longer: `GATEWAY_TEST_DISK_MS`.
+fn disk_fails_for() -> Duration {
+    ms(std::env::var("GATEWAY_TEST_DISK_MS").map_or(500, |n| n.parse().unwrap()))
+}
+
+const ENOSPC: i32 = 28;
+const EIO: i32 = 5;
+
+/// Which calls fail together: those of an ordinary write, and those that a whole new copy needs as well.
+const DISK_FAULTS: [&[&str]; 5] = [
+    &["disk-write"],
+    &["disk-sync"],
+    &["disk-write", "disk-open"],
+    &["disk-sync", "disk-rename"],
+    &["disk-write", "disk-sync", "disk-open", "disk-rename", "disk-truncate"],
+];
+
+fn load(g: &Lasting) -> Answer {
+    let stream = TcpStream::connect(g.address).unwrap();
+    let id = new_id();
+    Answer::of(call(stream, "POST /v1/load", &fields(&id, 3000), &format!("INSERT {id}")).expect("an answer"))
+}
+
+fn report(g: &Lasting) -> Answer {
+    let stream = TcpStream::connect(g.address).unwrap();
+    Answer::of(call(stream, "POST /v1/report", &fields(&new_id(), 3000), "SELECT 1").expect("an answer"))
+}
+
+/// While the disk fails: what needs no journal is served, what needs one is turned away at once. Then all is served again.
+fn fails_for_a_while(g: &Lasting, calls: &[&str]) {
+    let began = Instant::now();
+    while began.elapsed() < disk_fails_for() {
+        assert!(report(g).returned(), "{calls:?}");
+        let asked = Instant::now();
+        let turned = load(g);
+        assert!(
+            !turned.returned() && asked.elapsed() < ms(400),
+            "{calls:?}: {turned:?} after {:?}",
+            asked.elapsed()
+        );
+    }
+    calls.iter().for_each(|call| g.faults.off(call));
+    let back = Instant::now();
+    while !load(g).returned() {
+        assert!(back.elapsed() < ms(2000), "{calls:?}: not served again");
+        sleep(ms(20));
+    }
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    g.engine.dispatches().iter().for_each(|d| *runs.entry(d.id.clone()).or_default() += 1);
+    assert!(runs.values().all(|n| *n == 1), "{calls:?}: run twice");
+}
+
+#[test]
+fn a_disk_that_fails_for_a_while_is_used_again() {
+    for (n, calls) in DISK_FAULTS.into_iter().enumerate() {
+        let g = Lasting::start();
+        assert!(load(&g).returned());
+        let code = if n % 2 == 0 { ENOSPC } else { EIO };
+        calls.iter().for_each(|call| g.faults.on(call, &format!("1 {code}")));
+        fails_for_a_while(&g, calls);
+    }
+}
+
+/// A start while the disk fails is no refusal to serve what needs no journal, and forgets nothing that was sent.
+#[test]
+fn a_start_while_the_disk_fails_serves_what_needs_no_journal() {
+    let mut g = Lasting::start();
+    let first = new_id();
+    let _lost = g.sends(&first, "INSERT 1 /* runs 60000 */");
+    until("the start", || g.engine.dispatches().len() == 1);
+    let calls = ["disk-write", "disk-sync", "disk-open", "disk-rename", "disk-truncate"];
+    calls.iter().for_each(|call| g.faults.on(call, &format!("1 {EIO}")));
+    g.restarted();
+    let again = Answer::of(read_message(&mut std::io::BufReader::new(g.sends(&first, "INSERT 1"))).unwrap());
+    assert_eq!((again.status, &again.json), (500, &json!({"error": "Failed"})), "it may have run");
+    fails_for_a_while(&g, &calls);
+}
+
 #[test]
 fn a_journal_that_cant_be_opened_is_told_with_its_place() {
     let (engine, log) = (Engine::start(), ChangeLog::start());
