--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -57,6 +57,7 @@
             in_hand: HashMap::new(),
             over: VecDeque::new(),
             recovered: HashMap::new(),
+            awaits_recovery: false,
             once_only: Vec::new(),
             wake: clock.now(),
             pulse: Pulse::new(clock.now()),
@@ -126,10 +127,16 @@
         self.fact(|seats, _| seats.once_only = once_only);
     }
 
+    /// What an earlier process sent is not known yet: a once-only batch that comes may have run.
+    pub fn awaits_recovery(&self) {
+        self.seats().awaits_recovery = true;
+    }
+
     /// Once-only batches that an earlier process sent, and whether each is proved over: none is sent again, and the keys
     /// of those that are not rest for as long as a dispatch can run that nobody asks for.
     pub fn recovered(&self, known: &[(Sent, bool)], unasked: Duration) {
         self.fact(|seats, now| {
+            seats.awaits_recovery = false;
             for (sent, over) in known {
                 seats.recovered.insert(sent.id, sent.until as f64 / 1000.0);
                 if let Some(key) = sent.key.filter(|_| !over) {
--- a/crates/gateway/src/desk/ending.rs
+++ b/crates/gateway/src/desk/ending.rs
@@ -20,9 +20,7 @@
             seats.jobs.insert(b.job, Job::Over);
             let now = self.clock.now();
             seats.over.push_back((now + self.remembered, b.job));
-            if let Some((planner, passage)) = seats.planner.as_mut().zip(b.passage) {
-                planner.over(now, passage);
-            }
+            seats.leaves(now, b.passage);
         }
         self.in_hand.send_replace(seats.in_hand.len());
     }
--- a/crates/gateway/src/desk/in_hand.rs
+++ b/crates/gateway/src/desk/in_hand.rs
@@ -22,6 +22,8 @@
     pub(super) over: VecDeque<(f64, u64)>,
     /// Once-only batches that an earlier process sent, and until when their ids count.
     pub(super) recovered: HashMap<u64, f64>,
+    /// They are not known yet.
+    pub(super) awaits_recovery: bool,
     /// By service group.
     pub(super) once_only: Vec<bool>,
     pub(super) wake: f64,
@@ -69,6 +71,13 @@
         }
     }
 
+    /// The plan's limits are free again of one that it let in.
+    pub(super) fn leaves(&mut self, now: f64, passage: Option<Passage>) {
+        if let Some((planner, passage)) = self.planner.as_mut().zip(passage) {
+            planner.over(now, passage);
+        }
+    }
+
     pub(super) fn order(&self, id: BatchId, order: Order) {
         if let Some(b) = self.in_hand.get(&id) {
             b.order(order);
--- a/crates/gateway/src/desk/intake.rs
+++ b/crates/gateway/src/desk/intake.rs
@@ -41,6 +41,11 @@
             };
             let Arrival { group, tenant, key, cost, memory, data_set, .. } = a;
             let group = passage.as_ref().map_or(group, |p| p.group);
+            let is_once_only = seats.once_only.get(group).copied().unwrap_or_default();
+            if is_once_only && seats.awaits_recovery {
+                seats.leaves(now, passage);
+                return Taken::MayHaveRun;
+            }
             let lane = passage.as_ref().and_then(|p| p.lane);
             let shorter = passage.as_ref().and_then(|p| p.limit).map(|limit| now + limit.as_secs_f64());
             let limit = shorter.map_or(a.limit, |at| a.limit.min(at));
@@ -71,8 +76,7 @@
             tracing::debug!(batch = id, ?job, group, key = ?line, left, "taken");
             seats.control.take(now, b);
             let until = millis(limit + CLEAR.as_secs_f64());
-            let once_only = seats.once_only.get(group).copied().unwrap_or_default();
-            let once_only = once_only.then_some(Sent { id: a.job, key, until });
+            let once_only = is_once_only.then_some(Sent { id: a.job, key, until });
             let waiter = Waiter { desk: self.clone(), id, answer: receiver };
             Taken::New { id, orders, waiter, once_only, attended }
         })
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -7,6 +7,7 @@
 mod lenient;
 mod list;
 mod selection;
+mod start_times;
 mod stream;
 mod watch;
 
--- a/crates/gateway/src/discovery/connection.rs
+++ b/crates/gateway/src/discovery/connection.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -19,7 +20,9 @@
 /// Opens the change log after an event, for its stream. It takes nothing of the engines' budget, which keeps a descriptor
 /// back for it: engines that hold all of that must not keep out the news of them.
 pub(super) async fn open(log: SocketAddr, last: u64, dial: Duration) -> Result<Incoming, String> {
-    let up = timeout(dial, Socket::connect(log)).await.map_err(|_| "no connection in time")?;
+    let up = timeout(dial, Socket::connect(log, &AtomicBool::default()))
+        .await
+        .map_err(|_| "no connection in time")?;
     let line = Line::new(up.map_err(|e| e.to_string())?, None);
     let mut builder = http1::Builder::new();
     let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await;
--- a/crates/gateway/src/discovery/list.rs
+++ b/crates/gateway/src/discovery/list.rs
@@ -2,6 +2,7 @@
 
 use super::event::{EngineLine, Event};
 use super::selection::{Candidate, Selected, Selection, Status};
+use super::start_times::StartTimes;
 use crate::clock::{span, Clock};
 use garnetwall::api::{Condition, EngineId, Listed};
 use garnetwall_subset::SizeReason;
@@ -144,6 +145,7 @@
 impl State {
     fn apply(&mut self, event: Event, now: f64) -> ListChange {
         let Event { number, whole, lines } = event;
+        self.list.starts.hear(now, lines.iter().filter_map(|line| line.came_up));
         let Some(selection) = &mut self.selection else {
             let updates = self.list.apply(lines, whole, Instant::now());
             let Counts { ready, draining } = self.list.counts;
@@ -191,6 +193,7 @@
     counts: Counts,
     /// How many changes were applied.
     changes: u64,
+    starts: StartTimes,
     /// An index is another engine's once its own has been gone for this long: no query knows of it then.
     kept: Duration,
     /// Engines that have gone and whose indices are still kept, by when they went.
@@ -201,6 +204,8 @@
 
 struct Known {
     line: EngineLine,
+    /// When it started, on this process's clock.
+    started: Option<f64>,
     gone: Option<Instant>,
     /// Its last call came to nothing.
     out_of_reach: bool,
@@ -240,6 +245,7 @@
             known: Vec::new(),
             counts: Counts::default(),
             changes: 0,
+            starts: StartTimes::new(),
             kept,
             gone: BTreeSet::new(),
             free: BTreeSet::new(),
@@ -278,22 +284,29 @@
             None if line.condition == Condition::Gone => return None,
             None => self.index(&line, now),
         };
+        let started = self.started(engine, &line);
         let listed = Listed {
             engine,
             zone: line.zone,
             kind: line.kind,
             cell: line.cell,
-            came_up: line.came_up,
+            came_up: started,
             condition: line.condition,
             holders,
         };
         self.turn(engine, line.condition, now);
         let update = EngineUpdate { listed, id: line.id.clone(), address: line.address };
         let known = self.known.get_mut(engine)?;
-        (known.line, known.named_by) = (line, self.changes);
+        (known.line, known.started, known.named_by) = (line, started, self.changes);
         Some(update)
     }
 
+    /// When an engine started by this line of it; a start that was told before stays what it was held to be.
+    fn started(&self, engine: EngineId, line: &EngineLine) -> Option<f64> {
+        let before = self.known.get(engine).filter(|known| known.line.came_up == line.came_up);
+        before.and_then(|known| known.started).or_else(|| line.came_up.map(|told| self.starts.latest(told)))
+    }
+
     /// An index for a new engine: the lowest of those long gone, or the next.
     fn index(&mut self, line: &EngineLine, now: Instant) -> EngineId {
         while let Some((_, engine)) = self.gone.first().copied().filter(|(at, _)| now - *at > self.kept) {
@@ -303,7 +316,7 @@
         let engine = self.free.pop_first().unwrap_or(self.known.len());
         let line = EngineLine { condition: Condition::Gone, ..line.clone() };
         self.ids.insert(line.id.clone(), engine);
-        let new = Known { line, gone: None, out_of_reach: false, named_by: 0 };
+        let new = Known { line, started: None, gone: None, out_of_reach: false, named_by: 0 };
         match self.known.get_mut(engine) {
             Some(old) => drop(self.ids.remove(&std::mem::replace(old, new).line.id)),
             None => self.known.push(new),
--- a/crates/gateway/src/discovery/list/tests.rs
+++ b/crates/gateway/src/discovery/list/tests.rs
@@ -131,3 +131,30 @@
         }
     }
 }
+
+/// Starts are told on another machine's clock, which may differ from ours by seconds or an hour: an engine that may just have
+/// started counts as cold from when it was heard of, none as one of the future, and what was told of ages holds.
+#[test]
+fn a_start_told_on_another_clock_counts_as_late_as_it_can_be() {
+    for off in [-3600.0, -7.0, 0.0, 7.0, 3600.0] {
+        let clock = Clock::start();
+        let list = EngineList::new(Duration::from_secs(20), clock, None);
+        let now = clock.now();
+        let started =
+            |id: &str, ago: f64| EngineLine { came_up: Some(now + off - ago), ..line(id, Condition::Ready) };
+        let lines = vec![started("new", 0.0), started("old", 600.0), line("long ago", Condition::Ready)];
+        let first = list.apply(Event { number: 1, whole: true, lines: lines.clone() });
+        let age = |update: &EngineUpdate| update.listed.came_up.map(|at| now - at);
+        let told: Vec<_> = first.updates.iter().map(age).collect();
+        assert!(told[0].is_some_and(|age| (-0.5..0.5).contains(&age)), "{off}: {told:?}");
+        assert!(told[1].is_some_and(|age| (-0.5..600.5).contains(&age)), "{off}: {told:?}");
+        assert_eq!(told[2], None);
+        // Told again, also when more is known by then, it is the same start.
+        let later = list.apply(Event {
+            number: 2,
+            whole: false,
+            lines: vec![started("newer", -30.0), lines[0].clone()],
+        });
+        assert_eq!(later.updates[1].listed.came_up, first.updates[0].listed.came_up);
+    }
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -23,6 +23,7 @@
 use reply::Fault;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{watch, Semaphore};
@@ -116,9 +117,11 @@
         address: SocketAddr,
         gate: Option<Arc<Gate>>,
     ) -> Result<(Sender, Abandoned), Fault> {
+        // What holds the connection up so far lies here, not with the engine.
+        let held_here = AtomicBool::new(true);
         let dialled = timeout(self.dial, async {
             let permit = self.budget.clone().acquire_owned().await.map_err(io::Error::other)?;
-            let line = Line::new(Socket::connect(address).await?, Some(permit)).gated(gate);
+            let line = Line::new(Socket::connect(address, &held_here).await?, Some(permit)).gated(gate);
             let abandoned = line.abandoned();
             let mut builder = http1::Builder::new();
             let up = builder.max_buf_size(LONGEST_HEAD).handshake(line).await.map_err(io::Error::other)?;
@@ -130,6 +133,7 @@
                 Ok((sender, abandoned))
             }
             Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Err(Fault::Refused),
+            Err(_) if held_here.load(Ordering::Relaxed) => Err(Fault::Local),
             Ok(Err(_)) | Err(_) => Err(Fault::Unconnected),
         }
     }
@@ -178,7 +182,7 @@
             End::Errored | End::TimedOut | End::Unconnected | End::Broken => {
                 self.list.attempted(engine, true)
             }
-            End::Withdrawn | End::Moot => {}
+            End::Withdrawn | End::Moot | End::NotSent => {}
         }
     }
 
@@ -189,6 +193,7 @@
             true => self.probe_at(target).await,
             false => match self.connect(address, None).await {
                 Ok(_) => (End::Returned, None),
+                Err(Fault::Local) => (End::NotSent, None),
                 Err(_) => (End::Unconnected, None),
             },
         };
@@ -208,6 +213,7 @@
             Ok(reply) if reply.status == StatusCode::OK => (End::Returned, reply.report()),
             Ok(reply) => (End::Errored, reply.report()),
             Err(Fault::Refused | Fault::Unconnected) => (End::Unconnected, None),
+            Err(Fault::Local) => (End::NotSent, None),
             Err(Fault::Silent) => (End::TimedOut, None),
             Err(Fault::Broken | Fault::Garbled) => (End::Broken, None),
         }
@@ -219,7 +225,7 @@
         let out = match fault {
             Some(Fault::Refused | Fault::Unconnected) => true,
             // It was there to connect to; one that is cut off shows by the next connection.
-            Some(Fault::Silent | Fault::Broken | Fault::Garbled) => return,
+            Some(Fault::Local | Fault::Silent | Fault::Broken | Fault::Garbled) => return,
             None => false,
         };
         if !self.list.reached(target, !out) {
--- a/crates/gateway/src/engines/reply.rs
+++ b/crates/gateway/src/engines/reply.rs
@@ -25,6 +25,8 @@
     Refused,
     /// No connection came up, or it closed before a byte was written.
     Unconnected,
+    /// None could be begun here: this machine lacked a descriptor, a port or a route, or our own limit left none.
+    Local,
     /// Broken after writing.
     Broken,
     /// No answer by the bound.
@@ -37,7 +39,7 @@
     pub(super) fn lost(self) -> Lost {
         match self {
             Fault::Refused => Lost::Refused,
-            Fault::Unconnected | Fault::Broken | Fault::Silent => Lost::OnItsWay,
+            Fault::Unconnected | Fault::Local | Fault::Broken | Fault::Silent => Lost::OnItsWay,
             Fault::Garbled => Lost::Spoilt,
         }
     }
--- a/crates/gateway/src/engines/way/exchange.rs
+++ b/crates/gateway/src/engines/way/exchange.rs
@@ -29,7 +29,7 @@
                 self.abandoned.set();
                 self.tell(Fact::Useless(self.connection));
             }
-            Err(Fault::Unconnected) | Ok(_) => {}
+            Err(Fault::Unconnected | Fault::Local) | Ok(_) => {}
         }
         answer
     }
--- a/crates/gateway/src/engines/way/polling.rs
+++ b/crates/gateway/src/engines/way/polling.rs
@@ -57,7 +57,8 @@
             }
             if first && answer.is_err() && !self.may_have_come {
                 self.tell(Fact::NeverCame);
-                return PollOutcome::Over(Ended::of(End::Unconnected));
+                let local = matches!(answer, Err(Fault::Local));
+                return PollOutcome::Over(Ended::of(if local { End::NotSent } else { End::Unconnected }));
             }
             let told = match answer {
                 Ok(reply) => match news(&reply) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -188,7 +188,7 @@
 
     /// What a start needs of the system, tried again where that fails for a moment.
     async fn open(&self) -> io::Result<Opened> {
-        let keeper = Arc::new(retry("journal", || self.keeper()).await?);
+        let keeper = Arc::new(self.keeper()?);
         let store = retry("store of bodies", || self.store()).await?;
         let listener = retry("listener", || bind(self.config.listen)).await?;
         Ok(Opened { keeper, store, listener })
@@ -199,9 +199,10 @@
         let Some(journal) = self.config.plan.as_ref().and_then(|plan| plan.journal.as_ref()) else {
             return Ok(Keeper::default());
         };
-        let (keeper, open) = Keeper::open(&journal.directory, &self.config.name, self.desk.clock())?;
-        self.desk.recovered(&open, self.engines.unasked());
-        Ok(keeper)
+        self.desk.awaits_recovery();
+        let (desk, unasked) = (self.desk.clone(), self.engines.unasked());
+        let recovered = move |open: Vec<_>| desk.recovered(&open, unasked);
+        Keeper::open(&journal.directory, &self.config.name, self.desk.clock(), self.longest, recovered)
     }
 
     /// The store of bodies that the plan asks for.
@@ -303,7 +304,9 @@
             if end != End::Returned {
                 engines.attempted(engine, end);
             }
-            desk.probed(engine, end, report);
+            if end != End::NotSent {
+                desk.probed(engine, end, report);
+            }
         });
     }
 }
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -2,9 +2,11 @@
 //! bodies. It hands records over and waits for them; `garnetwall_ledger` and `garnetwall_bodies` decide what they mean.
 
 use crate::clock::Clock;
+use crate::machine_run::RunClock;
+use crate::system_fault::may_pass;
 use garnetwall_bodies::room::Policy;
 use garnetwall_bodies::{Disk, Limits, Spool, Store};
-use garnetwall_ledger::book::{Sent, WRITTEN_IN};
+use garnetwall_ledger::book::{Run, Sent, CLEAR, WRITTEN_IN};
 use garnetwall_ledger::journal::{FileLog, Journal};
 use garnetwall_plan::model::Bodies;
 use std::io;
@@ -16,30 +18,67 @@
 /// The journal, where there is one.
 #[derive(Default)]
 pub struct Keeper {
-    journal: Option<Journal>,
+    journal: Option<Kept>,
+}
+
+/// A journal, and the clocks that its times are told on.
+struct Kept {
+    journal: Journal,
+    clock: Clock,
+    run: RunClock,
+}
+
+impl Kept {
+    /// The same with its end on the clock of this run of the machine.
+    fn on_run_clock(&self, sent: Sent) -> Sent {
+        let left = sent.until.saturating_sub(millis(self.clock.now()));
+        Sent { until: self.run.millis() + left, ..sent }
+    }
 }
 
 impl Keeper {
-    /// Opens the journal of a gateway in a directory: itself, and what may have run before.
+    /// Opens the journal of a gateway in a directory; `recovered` is told what may have run before, with ends on the gateway's
+    /// clock, once that could be read. A disk that fails for now is tried again, and until it works nothing is promised.
+    /// `longest` is the longest limit of a batch in seconds.
     ///
     /// # Errors
     ///
-    /// With the path in the text.
-    pub fn open(directory: &str, gateway: &str, clock: Clock) -> io::Result<(Keeper, Vec<(Sent, bool)>)> {
+    /// One that can't pass, with the path in the text.
+    pub fn open(
+        directory: &str,
+        gateway: &str,
+        clock: Clock,
+        longest: f64,
+        recovered: impl FnOnce(Vec<(Sent, bool)>) + Send + 'static,
+    ) -> io::Result<Keeper> {
         let path = Path::new(directory).join(format!("{gateway}.once-only"));
-        let (log, held) = FileLog::open(&path)?;
-        let (journal, open) = Journal::start(log, &held, move || millis(clock.now()));
-        let may_run = open.iter().filter(|(_, over)| !over).count();
-        tracing::info!(path = %path.display(), known = open.len(), may_run, "journal of once-only batches opened");
-        Ok((Keeper { journal: Some(journal) }, open))
+        let shown = path.display().to_string();
+        let run = RunClock::start();
+        let told = move |mut open: Vec<(Sent, bool)>| {
+            let (here, there) = (millis(clock.now()), run.millis());
+            open.iter_mut().for_each(|(sent, _)| sent.until = here + sent.until.saturating_sub(there));
+            let may_run = open.iter().filter(|(_, over)| !over).count();
+            tracing::info!(path = shown, known = open.len(), may_run, "journal of once-only batches opened");
+            recovered(open);
+        };
+        let this = Run { id: run.run, span: millis(longest) + CLEAR.as_millis() as u64 };
+        let (journal, begun) =
+            Journal::start(FileLog::new(&path), this, move || run.millis(), Box::new(told));
+        match begun {
+            Err(fault) if may_pass(&fault) => {
+                tracing::error!(path = %path.display(), %fault, "journal can't be written for now: no once-only batch is sent");
+            }
+            begun => begun.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", path.display())))?,
+        }
+        Ok(Keeper { journal: Some(Kept { journal, clock, run }) })
     }
 
     /// Writes down that a once-only batch is about to be sent; whether it may be.
     pub async fn promise(&self, sent: Sent) -> bool {
-        let Some(journal) = &self.journal else { return true };
+        let Some(kept) = &self.journal else { return true };
         let (done, written) = oneshot::channel();
         // Whoever no longer waits did not send it.
-        journal.sent(sent, Box::new(move |result| drop(done.send(result))));
+        kept.journal.sent(kept.on_run_clock(sent), Box::new(move |result| drop(done.send(result))));
         match timeout(WRITTEN_IN, written).await {
             Ok(Ok(Ok(()))) => true,
             Ok(Ok(Err(fault))) => {
@@ -55,8 +94,8 @@
 
     /// It is proved over.
     pub fn over(&self, id: u64) {
-        if let Some(journal) = &self.journal {
-            journal.over(id);
+        if let Some(kept) = &self.journal {
+            kept.journal.over(id);
         }
     }
 }
@@ -92,7 +131,7 @@
     }
 }
 
-/// Unix milliseconds of a time on the clock.
+/// Milliseconds of a time, or of a span, in seconds.
 pub fn millis(now: f64) -> u64 {
     (now.max(0.0) * 1000.0) as u64
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod keeping;
 pub mod life;
 pub mod log;
+pub mod machine_run;
 pub mod plan_cli;
 pub mod planning;
 pub mod pulse;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -195,7 +195,8 @@
             Ok(Wish::Back) => Err(End::Unconnected),
             _ => Err(End::Moot),
         },
-        kept = promise => if kept { Ok(()) } else { Err(End::Unconnected) },
+        // Nothing was sent, and the engine is not at fault: the query is answered now.
+        kept = promise => if kept { Ok(()) } else { Err(End::Moot) },
     }
 }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -8,6 +8,7 @@
 use std::io::{self, IoSlice, Read as _};
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -39,15 +40,18 @@
         Socket(stream)
     }
 
-    /// Connects. What this machine lacks for a moment (a descriptor, a port, a route) is waited for: the caller bounds how long.
+    /// Connects. What this machine lacks for a moment (a descriptor, a port, a route) is waited for: the caller bounds how long,
+    /// and `held_here` tells it whether that is what is waited for.
     ///
     /// # Errors
     ///
     /// What the other end, or the network on the way to it, answers.
-    pub async fn connect(address: SocketAddr) -> io::Result<Socket> {
+    pub async fn connect(address: SocketAddr, held_here: &AtomicBool) -> io::Result<Socket> {
         loop {
+            held_here.store(false, Ordering::Relaxed);
             match TcpStream::connect(address).await {
                 Err(fault) if system_fault::is_local(&fault) => {
+                    held_here.store(true, Ordering::Relaxed);
                     tracing::debug!(%fault, %address, "no connection could be begun here");
                     sleep(LOCAL_RETRY_PAUSE).await;
                 }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -1,11 +1,14 @@
 //! What must outlive a process: once-only batches that were sent, and which of them are proved over. Records and what
 //! they add up to, without I/O; `journal` writes them.
+//!
+//! Times are milliseconds of a clock that goes evenly while the machine runs and is never set (on Linux `CLOCK_BOOTTIME`).
+//! Those of two processes can be compared where both ran in one run of the machine. Where that is not known, each id counts
+//! for its whole span after the new start, whatever any wall clock says.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// For so long past its limit a once-only batch counts as one that may run: the bound of what nobody asks for, and more
-/// than the clocks of two runs differ by.
+/// For so long past its limit a once-only batch counts as one that may run: more than the bound of what nobody asks for.
 pub const CLEAR: Duration = Duration::from_secs(5);
 /// A record that is not on the disk by then holds its batch up no longer: it is not sent.
 pub const WRITTEN_IN: Duration = Duration::from_millis(500);
@@ -16,13 +19,26 @@
 const MARK: u8 = b'G';
 const SENT: u8 = 1;
 const OVER: u8 = 2;
+const RUN: u8 = 3;
+
+/// In place of an end on a clock that can't be compared with that of the process that reads it.
+const NOT_COMPARABLE: u64 = u64::MAX;
+
+/// A run of the machine, from its start to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// What tells it from other runs; 0 where that is not known.
+    pub id: u64,
+    /// Milliseconds that an id counts at most from when it is sent.
+    pub span: u64,
+}
 
 /// A once-only batch that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sent {
     pub id: u64,
     pub key: Option<u64>,
-    /// Unix milliseconds: after that nobody asks for it, and nothing of it runs.
+    /// Milliseconds of the clock: after that nobody asks for it, and nothing of it runs.
     pub until: u64,
 }
 
@@ -34,6 +50,8 @@
     /// No dispatch of it runs any more, and its client has its answer. Its id still counts until its end, as a client
     /// may come with it again.
     Over { id: u64 },
+    /// Ends that follow are on the clock of this run of the machine.
+    Run(Run),
 }
 
 impl Record {
@@ -41,6 +59,7 @@
         let (kind, id, key, until) = match self {
             Record::Sent(s) => (SENT, s.id, s.key, s.until),
             Record::Over { id } => (OVER, *id, None, 0),
+            Record::Run(run) => (RUN, run.id, None, run.span),
         };
         let mut out = [0; RECORD];
         (out[0], out[1], out[2]) = (MARK, kind, u8::from(key.is_some()));
@@ -64,6 +83,7 @@
         match bytes[1] {
             SENT => Some(Record::Sent(Sent { id: number(8), key, until: number(24) })),
             OVER => Some(Record::Over { id: number(8) }),
+            RUN => Some(Record::Run(Run { id: number(8), span: number(24) })),
             _ => None,
         }
     }
@@ -90,6 +110,8 @@
 pub struct Book {
     /// Each with whether it is over.
     known: HashMap<u64, (Sent, bool)>,
+    /// The run of the machine on whose clock their ends are.
+    run: Option<Run>,
     /// Records since the last copy.
     records: usize,
     /// How many there are when it is next looked whether they are of use.
@@ -130,7 +152,26 @@
                     *over = true;
                 }
             }
+            Record::Run(run) => {
+                if self.run.is_some_and(|old| old.id != run.id) {
+                    self.known.values_mut().for_each(|(s, _)| s.until = NOT_COMPARABLE);
+                }
+                self.run = Some(*run);
+            }
+        }
+    }
+
+    /// Goes on in a run of the machine, whose clock says `now`: what was written in another one, or may have been, counts for
+    /// its whole span from now on.
+    pub fn go_on(&mut self, run: Run, now: u64) {
+        let same = self.run.is_some_and(|old| old.id == run.id && run.id != 0);
+        let span = self.run.map_or(0, |old| old.span).max(run.span);
+        for (sent, _) in self.known.values_mut() {
+            if !same || sent.until == NOT_COMPARABLE {
+                sent.until = now.saturating_add(span);
+            }
         }
+        self.run = Some(Run { span, ..run });
     }
 
     /// Batches that were sent and whose end is not past, each with whether it is proved over.
@@ -158,7 +199,7 @@
             let ended = over.then_some(Record::Over { id: s.id });
             std::iter::once(Record::Sent(s)).chain(ended)
         });
-        let records: Vec<Record> = records.collect();
+        let records: Vec<Record> = self.run.map(Record::Run).into_iter().chain(records).collect();
         (self.records, self.look_at) = (records.len(), 2 * records.len());
         records.iter().flat_map(Record::bytes).collect()
     }
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -1,19 +1,27 @@
 //! The journal of once-only batches: records on a disk that lasts, written by a thread of its own. All that waits when a
-//! write begins goes out with one sync (group commit). After a failed sync nothing is promised any more: what the disk
-//! has then is not known.
+//! write begins goes out with one sync (group commit).
+//!
+//! After a failed write or sync what the disk holds is not known, so nothing is promised until a whole new copy stands on it
+//! under the journal's name: written beside it, synced, renamed, and its folder synced. That is tried again at a pace for as
+//! long as it fails. Until the journal could be read for the first time what earlier processes sent is not known either.
 
-use crate::book::{Book, Record, Sent};
+use crate::book::{Book, Record, Run, Sent};
 use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 /// Records that go out with one sync at most.
 const MOST: usize = 4096;
+/// Between two tries to put a whole new copy on a disk that fails.
+const RESTORE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Where the journal is kept.
 pub trait Log: Send {
+    /// All that is there.
+    fn read(&mut self) -> io::Result<Vec<u8>>;
     fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
     fn sync(&mut self) -> io::Result<()>;
     /// Puts these bytes in the place of all that is there, all or nothing.
@@ -24,54 +32,58 @@
 #[derive(Debug)]
 pub struct FileLog {
     path: PathBuf,
-    file: File,
+    /// The copy that this process has put there.
+    file: Option<File>,
 }
 
 impl FileLog {
-    /// Opens or makes a journal: what is in it, cut to what is whole.
-    pub fn open(path: &Path) -> io::Result<(FileLog, Vec<u8>)> {
-        let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
-        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
-        let mut log = FileLog { path: path.to_path_buf(), file: file.map_err(named)? };
-        let mut bytes = Vec::new();
-        log.file.read_to_end(&mut bytes).map_err(named)?;
-        let good = Book::read(&bytes).1.good;
-        bytes.truncate(good);
-        log.cut(good as u64).map_err(named)?;
-        Ok((log, bytes))
+    /// A journal at a path, where there may be one already.
+    pub fn new(path: &Path) -> FileLog {
+        FileLog { path: path.to_path_buf(), file: None }
     }
 
-    fn cut(&mut self, good: u64) -> io::Result<()> {
-        self.file.set_len(good)?;
-        self.file.seek(SeekFrom::Start(good))?;
-        self.file.sync_data()?;
-        sync_folder(&self.path)
+    fn folder(&self) -> &Path {
+        self.path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."))
     }
 }
 
-/// A name is on the disk once its folder is.
-fn sync_folder(path: &Path) -> io::Result<()> {
-    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    File::open(folder)?.sync_all()
-}
-
 impl Log for FileLog {
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        match File::open(&self.path) {
+            Ok(mut file) => file.read_to_end(&mut bytes).map(drop)?,
+            // None was written yet, where its folder is there.
+            Err(fault) if fault.kind() == io::ErrorKind::NotFound => {
+                std::fs::metadata(self.folder())?;
+            }
+            Err(fault) => return Err(fault),
+        }
+        Ok(bytes)
+    }
+
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.file.write_all(bytes)
+        self.file.as_mut().ok_or(io::ErrorKind::NotConnected)?.write_all(bytes)
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        self.file.sync_data()
+        self.file.as_ref().ok_or(io::ErrorKind::NotConnected)?.sync_data()
     }
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file = None;
         let beside = self.path.with_extension("new");
-        let mut file = OpenOptions::new().write(true).create(true).truncate(true).open(&beside)?;
+        // A file of its own each time: what a failed sync left of the one before says nothing.
+        match std::fs::remove_file(&beside) {
+            Err(fault) if fault.kind() != io::ErrorKind::NotFound => return Err(fault),
+            _ => {}
+        }
+        let mut file = OpenOptions::new().write(true).create_new(true).open(&beside)?;
         file.write_all(bytes)?;
         file.sync_data()?;
         std::fs::rename(&beside, &self.path)?;
-        sync_folder(&self.path)?;
-        self.file = file;
+        // A name is on the disk once its folder is.
+        File::open(self.folder())?.sync_all()?;
+        self.file = Some(file);
         Ok(())
     }
 }
@@ -84,6 +96,9 @@
     Stop,
 }
 
+/// Told what earlier processes sent, each with whether it is proved over, once the journal could be read.
+pub type Recovered = Box<dyn FnOnce(Vec<(Sent, bool)>) + Send>;
+
 /// The journal of a running gateway.
 pub struct Journal {
     orders: Sender<Order>,
@@ -91,17 +106,27 @@
 }
 
 impl Journal {
-    /// Goes on with a log that holds these bytes; `now` gives Unix milliseconds.
+    /// Goes on with a log in a run of the machine, whose clock `now` gives in milliseconds. Whether it could be read and a whole
+    /// new copy be put there at once; if not, that is tried again, and until it succeeds nothing is promised.
     pub fn start(
         log: impl Log + 'static,
-        held: &[u8],
+        run: Run,
         now: impl Fn() -> u64 + Send + 'static,
-    ) -> (Journal, Vec<(Sent, bool)>) {
-        let book = Book::read(held).0;
-        let open = book.known(now());
+        recovered: Recovered,
+    ) -> (Journal, io::Result<()>) {
+        let mut writer = Writer {
+            log,
+            run,
+            now,
+            recovered: Some(recovered),
+            book: Book::default(),
+            is_sound: false,
+            tried: Instant::now(),
+        };
+        let begun = writer.restore();
         let (orders, taken) = channel();
-        let thread = std::thread::spawn(move || write_all(log, book, &taken, now));
-        (Journal { orders, thread: Some(thread) }, open)
+        let thread = std::thread::spawn(move || writer.write_all(&taken));
+        (Journal { orders, thread: Some(thread) }, begun)
     }
 
     /// A once-only batch is about to go out: it may once `done` is told so.
@@ -129,38 +154,97 @@
     }
 }
 
-fn write_all(mut log: impl Log, mut book: Book, orders: &Receiver<Order>, now: impl Fn() -> u64) {
-    let mut failed = false;
-    while let Ok(first) = orders.recv() {
-        let mut waiting = Vec::new();
-        let mut bytes = Vec::new();
-        let mut stops = false;
+/// The thread that writes.
+struct Writer<L, N> {
+    log: L,
+    run: Run,
+    now: N,
+    /// Until the log has been read.
+    recovered: Option<Recovered>,
+    book: Book,
+    /// The log holds all that was promised, and can be added to.
+    is_sound: bool,
+    /// When it was last tried to make it so.
+    tried: Instant,
+}
+
+impl<L: Log, N: Fn() -> u64> Writer<L, N> {
+    fn write_all(mut self, orders: &Receiver<Order>) {
+        loop {
+            let first = match self.is_sound {
+                true => orders.recv().map_err(|_| RecvTimeoutError::Disconnected),
+                false => orders.recv_timeout(RESTORE_PAUSE),
+            };
+            let stops = match first {
+                Ok(first) => self.write_group(first, orders),
+                Err(RecvTimeoutError::Timeout) => false,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            if stops {
+                return;
+            }
+            if !self.is_sound && self.tried.elapsed() >= RESTORE_PAUSE {
+                // It is tried again.
+                let _ = self.restore();
+            }
+        }
+    }
+
+    /// Writes an order and those that wait behind it; whether it is to stop.
+    fn write_group(&mut self, first: Order, orders: &Receiver<Order>) -> bool {
+        let (mut waiting, mut bytes, mut stops) = (Vec::new(), Vec::new(), false);
         for order in std::iter::once(first).chain(std::iter::from_fn(|| orders.try_recv().ok())).take(MOST) {
             match order {
+                // What is not promised is not sent, and need not be known.
+                Order::Write(Record::Sent(_), Some(done)) if !self.is_sound => {
+                    done(Err(io::Error::other("an earlier write of the journal failed")));
+                }
                 Order::Write(record, done) => {
                     bytes.extend_from_slice(&record.bytes());
-                    book.add(&record);
+                    self.book.add(&record);
                     waiting.extend(done);
                 }
                 Order::Stop => stops = true,
             }
         }
-        let wanted = !waiting.is_empty();
-        let written = match failed {
-            true => Err(io::Error::other("an earlier write of the journal failed")),
-            // What nobody waits for goes to the disk with the next that somebody does.
-            false => log.append(&bytes).and_then(|()| if wanted || stops { log.sync() } else { Ok(()) }),
-        };
-        failed |= written.is_err();
+        if self.is_sound {
+            self.append(&bytes, waiting, stops);
+        }
+        stops
+    }
+
+    fn append(&mut self, bytes: &[u8], waiting: Vec<Done>, stops: bool) {
+        // What nobody waits for goes to the disk with the next that somebody does.
+        let syncs = !waiting.is_empty() || stops;
+        let written = self.log.append(bytes).and_then(|()| if syncs { self.log.sync() } else { Ok(()) });
+        if written.is_err() {
+            (self.is_sound, self.tried) = (false, Instant::now());
+        }
         for done in waiting {
             done(written.as_ref().copied().map_err(|e| io::Error::new(e.kind(), e.to_string())));
         }
-        let at = now();
-        if !failed && book.is_stale(at) {
-            failed |= log.replace(&book.copy(at)).is_err();
+        let now = (self.now)();
+        if self.is_sound && self.book.is_stale(now) {
+            // Where it fails that is tried again.
+            let _ = self.restore();
         }
-        if stops {
-            return;
+    }
+
+    /// Reads the log if that was not done yet, and puts a whole new copy there.
+    fn restore(&mut self) -> io::Result<()> {
+        (self.is_sound, self.tried) = (false, Instant::now());
+        let now = (self.now)();
+        if self.recovered.is_some() {
+            let mut book = Book::read(&self.log.read()?).0;
+            book.go_on(self.run, now);
+            self.book = book;
+            if let Some(recovered) = self.recovered.take() {
+                recovered(self.book.known(now));
+            }
         }
+        let copy = self.book.copy(now);
+        self.log.replace(&copy)?;
+        self.is_sound = true;
+        Ok(())
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -152,6 +152,8 @@
     Broken,
     Withdrawn,
     Moot,
+    /// This gateway's own machine could not send it: it never ran, and says nothing of its engine.
+    NotSent,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/control.rs
+++ b/src/control.rs
@@ -360,8 +360,8 @@
         }
         let h = self.batches.get_mut(&id).expect("checked above");
         match o.end {
-            End::Full | End::Unconnected | End::Moot if sent.doubted => h.may_have_run = None,
-            End::Full | End::Unconnected | End::Moot => {}
+            End::Full | End::Unconnected | End::Moot | End::NotSent if sent.doubted => h.may_have_run = None,
+            End::Full | End::Unconnected | End::Moot | End::NotSent => {}
             _ => drop(h.may_have_run.get_or_insert(sent)),
         }
         if o.closed || o.end == End::Returned || stage == Stage::Ended {
@@ -683,7 +683,7 @@
                 self.feel(now, sent.engine, OVERDUE);
             }
             End::TimedOut | End::Withdrawn if e.last_good >= sent.at => {}
-            End::Moot => {}
+            End::Moot | End::NotSent => {}
             _ => self.failed(now, sent.engine),
         }
     }
