--- a/crates/gateway/tests/late_start.rs
+++ b/crates/gateway/tests/late_start.rs
@@ -213,3 +213,20 @@
         assert!(told <= 2000 - waited + SLACK, "told {told} ms after {waited}");
     }
 }
+
+/// A query with next to nothing left is answered at once, and what it passes on is no more than that.
+#[test]
+fn a_query_with_one_millisecond_left_is_answered_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = service(&[listener.local_addr().unwrap()], |_| {});
+    for group in ["report", "load"] {
+        let began = Instant::now();
+        let answer = service.batch_of(&new_id(), group, 1, "SELECT 1");
+        assert!(!answer.returned() && began.elapsed() < ms(200), "{answer:?} after {:?}", began.elapsed());
+    }
+    listener.set_nonblocking(true).unwrap();
+    if let Ok((stream, _)) = listener.accept() {
+        let came = read_for(stream, ms(200));
+        assert!(!started(&came) || told_deadline(&came) <= 1 + SLACK);
+    }
+}
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -67,6 +67,14 @@
     leaves_behind(10, drop);
 }
 
+/// A close that is only seen as a reset.
+#[test]
+fn a_reset_behind_a_second_call_counts_as_leaving() {
+    leaves_behind(10, |stream| {
+        socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+    });
+}
+
 #[test]
 fn a_half_close_behind_a_second_call_counts_as_leaving() {
     leaves_behind(10, |stream| {
--- a/crates/gateway/tests/machine_faults.rs
+++ b/crates/gateway/tests/machine_faults.rs
@@ -4,7 +4,7 @@
 mod helper;
 
 use helper::faults::Faults;
-use helper::process::ms;
+use helper::process::{ms, Process};
 use helper::*;
 use serde_json::{json, Value};
 use std::process::{Child, Stdio};
@@ -101,3 +101,50 @@
     }
     assert!(began.elapsed() < ms(1000), "{:?}", began.elapsed());
 }
+
+/// EADDRNOTAVAIL, ENOBUFS, ENETUNREACH at connect: this machine's own faults. Queries are answered, none as failed, and once it
+/// passes the engine is used at once.
+#[test]
+fn what_this_machine_lacks_to_connect_is_laid_to_no_engine() {
+    for code in [99, 105, 101] {
+        let faults = Faults::none();
+        let service = Service::by(|_| {}, serve_with(&faults));
+        all_are_answered(&service, 3);
+        faults.on("connect", &format!("1 {code}"));
+        let began = Instant::now();
+        while began.elapsed() < ms(1000) {
+            let answer = service.batch("load", "INSERT 1");
+            assert_eq!(answer.status, 503, "{code}: {answer:?}");
+        }
+        faults.off("connect");
+        let back = Instant::now();
+        all_are_answered(&service, 1);
+        assert!(back.elapsed() < ms(300), "{code}: used again only after {:?}", back.elapsed());
+    }
+}
+
+/// Connections that break as ETIMEDOUT or EHOSTUNREACH prove nothing: what may have run is not sent again.
+#[test]
+fn a_connection_that_times_out_proves_nothing() {
+    for code in [110, 113] {
+        let (engine, faults) = (Process::start(), Faults::none());
+        let told = |config: &mut Value| {
+            config["known"]["results"] = json!([change(0, true, &[line("s-0", engine.address, "SERVING")])]);
+        };
+        let service = Service::by(told, serve_with(&faults));
+        faults.on("broken", &format!("12 {code}"));
+        for _ in 0..60 {
+            let id = new_id();
+            let call_of = format!("INSERT {id} /* runs 5 */");
+            // Its own connection may break as well.
+            let _ = call(service.open(), "POST /v1/load", &fields(&id, 1000), &call_of);
+        }
+        let dispatches = engine.dispatches();
+        let mut ids: Vec<_> = dispatches.iter().map(|d| &d.id).collect();
+        ids.sort();
+        let sent = ids.len();
+        ids.dedup();
+        assert_eq!(ids.len(), sent, "{code}: run twice");
+        assert!(sent > 20, "{code}: {sent} came");
+    }
+}
