Half a head is answered before its close; late connections to the log are waited for

Cause: a connection whose first head had not come whole in 2 s was dropped with what had come of it; each connection to the log had the dial time alone to come up, however late each came. Change: 408 and an orderly close; the time for a connection to the log grows after ones that took too long, to 2.5 s.

--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on the change log: numbered events about the list of engines, applied once and in order.
 
-use super::connection;
+use super::connection::{self, OpenError};
 use super::event::{event_of_text, Event, NameIndex};
 use super::stream::{Sent, Stream};
 use crate::reconnect::Reconnect;
@@ -17,6 +17,10 @@
 /// each (`reconnect`), are over 6 s after the last line, when the third is begun.
 const SILENT: Duration = Duration::from_millis(2500);
 
+/// How much longer than the dial time a connection may take to come up after ones that took too long: to a log that is crowded it
+/// may come up late each time.
+const SLOW_CONNECT: [u32; 3] = [1, 4, 10];
+
 /// Until the log is at another address than this.
 async fn moved(log: &mut watch::Receiver<SocketAddr>, from: SocketAddr) -> Result<(), RecvError> {
     log.wait_for(|to| *to != from).await.map(drop)
@@ -37,6 +41,8 @@
     malformed: Option<u64>,
     /// The log is lost, and that was logged.
     lost: bool,
+    /// Connections in a row that took too long to come up or to be answered.
+    slow: usize,
 }
 
 impl Watch {
@@ -48,7 +54,7 @@
         dial: Duration,
         apply: Box<dyn FnMut(Event) + Send>,
     ) -> Self {
-        Watch { log, last, names, dial, apply, malformed: None, lost: false }
+        Watch { log, last, names, dial, apply, malformed: None, lost: false, slow: 0 }
     }
 
     /// Reads the log for as long as the gateway runs, with a fresh connection after every fault. Faults that
@@ -62,7 +68,7 @@
                 biased;
                 // An old stream is not listened to any more; the numbers go on.
                 Ok(()) = moved(&mut moves, log) => continue,
-                end = self.one_connection(log, begun + SILENT) => end,
+                end = self.one_connection(log, begun) => end,
             };
             match end {
                 Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
@@ -79,17 +85,35 @@
         }
     }
 
-    /// One connection to its end. Only whole lines show that the log lives: the first is due by `due`, and each puts that off.
-    async fn one_connection(&mut self, log: SocketAddr, mut due: Instant) -> Result<(), String> {
-        let answer = timeout_at(due, connection::open(log, self.last, self.dial));
-        let mut body = answer.await.map_err(|_| "no answer")??;
+    /// How long the next connection may take to come up.
+    fn connect_timeout(&self) -> Duration {
+        let step = self.slow.min(SLOW_CONNECT.len() - 1);
+        (self.dial * SLOW_CONNECT[step]).min(SILENT.max(self.dial))
+    }
+
+    /// One connection to its end. Only whole lines show that the log lives: each puts off when the next is due.
+    async fn one_connection(&mut self, log: SocketAddr, begun: Instant) -> Result<(), String> {
+        let connect = self.connect_timeout();
+        let mut due = begun + SILENT;
+        // Unless something else ends it, it was too slow.
+        let slow = std::mem::replace(&mut self.slow, 0) + 1;
+        let answer = timeout_at(due, connection::open(log, self.last, connect)).await;
+        let mut body = match answer {
+            Ok(Ok(body)) => body,
+            Ok(Err(OpenError::NotInTime)) | Err(_) => {
+                self.slow = slow;
+                return Err("no connection or answer in time".into());
+            }
+            Ok(Err(fault)) => return Err(fault.to_string()),
+        };
         tracing::info!(%log, last = self.last, "change log connected");
         self.lost = false;
         let mut stream = Stream::default();
         loop {
-            let Some(frame) = timeout_at(due, body.frame()).await.map_err(|_| "silent")? else {
-                return Ok(());
+            let Ok(frame) = timeout_at(due, body.frame()).await else {
+                return Err("silent".into());
             };
+            let Some(frame) = frame else { return Ok(()) };
             let bytes = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_else(|_| Bytes::new());
             let lines = stream.lines;
             for sent in stream.feed(&bytes)? {
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -12,7 +12,7 @@
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 use tower_service::Service;
@@ -26,11 +26,18 @@
 /// More than any head.
 const LONGEST_HEAD: usize = 16 << 10;
 
+/// The answer to a call of which only a part has come in its time.
+const HALF_A_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nConnection: close\r\n\
+    Content-Length: 36\r\n\r\n{\"error\":\"the call came too slowly\"}";
+
 /// How a connection's calls came to their end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Close {
-    /// The client has left, or said nothing for too long: nothing is owed.
+    /// The client has left: nothing is owed.
     Gone,
+    /// No whole head has come in its time; or none yet, and its place is wanted.
+    NoHead { evicted: bool },
     /// Its last answer said so, or what it sent is no call.
     Last,
     /// We were to close it, and no call was open.
@@ -73,6 +80,12 @@
         let evicted = close == Close::Evicted;
         let rest = connection.into_parts().read_buf;
         peer.unread(&rest);
+        if let Close::NoHead { evicted } = close {
+            if peer.has_unread() {
+                refuse_half_a_head(&peer, evicted).await;
+            }
+            return;
+        }
         // A call that had begun to come before we close is still taken, as the last.
         if closing || close == Close::Last || !peer.has_unread() {
             break evicted;
@@ -129,7 +142,7 @@
                 }
                 tracing::debug!(client = ?client.0, "a connection gives way");
                 if guest.said_nothing() {
-                    return Close::Gone;
+                    return Close::NoHead { evicted: true };
                 }
                 close = Close::Evicted;
                 Pin::new(&mut *connection).graceful_shutdown();
@@ -137,7 +150,7 @@
             () = &mut first_call, if guest.said_nothing() && !first_call.is_elapsed() => {
                 if guest.said_nothing() && (granted || !peer.has_unread()) {
                     tracing::debug!(client = ?client.0, "a silent connection is closed");
-                    return Close::Gone;
+                    return Close::NoHead { evicted: false };
                 }
                 // What had come while this process had no processor time is still read, but once.
                 granted = true;
@@ -157,6 +170,18 @@
     }
 }
 
+/// A client that writes slowly is told that its call was not read: the rest of it may cross our close.
+async fn refuse_half_a_head(peer: &Peer, evicted: bool) {
+    let mut stream = TokioIo::new(peer.stream());
+    // Whoever does not read it hears of the close.
+    let _ = timeout(LINGER_TIMEOUT, stream.write_all(HALF_A_HEAD)).await;
+    peer.shut();
+    if !evicted {
+        linger(peer).await;
+    }
+    peer.discard();
+}
+
 /// Lets a client that is still sending read its answer: closed with bytes unread, the connection would be reset
 /// and the answer lost.
 async fn linger(peer: &Peer) {
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -242,3 +242,15 @@
     }
     0
 }
+
+/// A call that comes too slowly is told so before its connection is closed: its last byte may cross the close.
+#[test]
+fn a_head_that_comes_too_slowly_is_answered() {
+    let service = Service::start();
+    let stream = service.open();
+    let call = text(&new_id(), "SELECT 1");
+    (&stream).write_all(&call.as_bytes()[..40]).unwrap();
+    let began = Instant::now();
+    let answer = answered(&stream).expect("an answer");
+    assert!(answer.status == 408 && began.elapsed() < ms(3000), "{answer:?} after {:?}", began.elapsed());
+}
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -591,3 +591,45 @@
     let _lives = watch.lives();
     s.healthy();
 }
+
+/// A log that is slow or crowded: each connection brings its first line only after longer than a silent one is waited for.
+#[test]
+fn a_log_whose_first_line_comes_late_is_heard_inside_its_seven_seconds() {
+    let (log, engine) = (Log::start(), Engine::start());
+    let mut told = config(free_address(), log.address);
+    told["known"]["results"] = json!([]);
+    let child = serve(&told);
+    let service = Service {
+        engine: engine.clone(),
+        log: ChangeLog::start(),
+        address: told["listen"].as_str().unwrap().parse().unwrap(),
+        config: told,
+        child,
+    };
+    let began = Instant::now();
+    let address = log.address;
+    let listener = log.listener;
+    let list = change(1, true, &[line("s-1", engine.address, "SERVING")]);
+    spawn(move || loop {
+        let Ok((stream, _)) = listener.accept() else {
+            sleep(ms(2));
+            continue;
+        };
+        let list = list.clone();
+        spawn(move || {
+            let watch = Watch::of(stream);
+            sleep(ms(3200));
+            // It may have been given up by now.
+            let _ = (&watch.stream).write_all(format!("{HEAD}id: 1\ndata: {list}\n\n").as_bytes());
+            sleep(ms(9000));
+        });
+    });
+    let healthy = || {
+        let asked = TcpStream::connect(service.address).ok().and_then(|s| call(s, "GET /healthz", "", ""));
+        asked.is_some_and(|answer| answer.first == "HTTP/1.1 200 OK")
+    };
+    while !healthy() {
+        assert!(began.elapsed() < ms(7000), "the log at {address} is never heard");
+        sleep(ms(20));
+    }
+}
