--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod faults;
 pub mod process;
+pub mod scripted_log;
 
 use faults::Faults;
 use serde_json::{json, Value};
