A slow change log is heard: further connections are opened beside it, none is given up for them

Cause: Watch::one_connection had one connection at a time, gave it up 2.5 s after it was begun or after its last whole line, and began again from the first byte. Change: discovery::connection_set decides without I/O or a clock which connections are open (three at most); discovery::sequence takes each event in once and in order over all of them; watch drives both.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -2,11 +2,13 @@
 //! indices; where a subset is configured, only its members. It knows neither the scheduler nor the engines' connections: it hands out plain values.
 
 mod connection;
+mod connection_set;
 mod driver;
 mod event;
 mod lenient;
 mod list;
 mod selection;
+mod sequence;
 mod start_times;
 mod stream;
 mod watch;
--- a/crates/gateway/src/discovery/connection.rs
+++ b/crates/gateway/src/discovery/connection.rs
@@ -11,9 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
 use thiserror::Error;
-use tokio::time::timeout;
 
 /// Protocol: the path of the log and the field that names the last event had.
 const PATH: &str = "/changes";
@@ -22,21 +20,19 @@
 /// Why the change log could not be opened.
 #[derive(Debug, Error)]
 pub(super) enum OpenError {
-    #[error("no connection in time")]
-    NotInTime,
-    #[error("{0}")]
+    #[error("not connected: {0}")]
     Connect(#[from] io::Error),
-    #[error("{0}")]
+    #[error("not answered: {0}")]
     Http(#[from] hyper::Error),
-    #[error("status {0}")]
+    #[error("answered with status {0}")]
     Status(StatusCode),
 }
 
-/// Opens the change log after an event, for its stream. It takes nothing of the engines' budget, which keeps a descriptor
+/// Opens the change log after an event, for its stream; it waits for as long as it is polled. It takes nothing of the engines' budget, which keeps a descriptor
 /// back for it: engines that hold all of that must not keep out the news of them.
-pub(super) async fn open(log: SocketAddr, last: u64, dial: Duration) -> Result<Incoming, OpenError> {
-    let up = timeout(dial, Socket::connect(log, &AtomicBool::default())).await;
-    let line = Line::new(up.map_err(|_| OpenError::NotInTime)??, None);
+pub(super) async fn open(log: SocketAddr, last: u64) -> Result<Incoming, OpenError> {
+    let socket = Socket::connect(log, &AtomicBool::default()).await?;
+    let line = Line::new(socket, None);
     let mut builder = http1::Builder::new();
     let (mut sender, connection) = builder.max_buf_size(LONGEST_HEAD).handshake(line).await?;
     tokio::spawn(async move { drop(connection.await) });
--- a/crates/gateway/src/discovery/stream.rs
+++ b/crates/gateway/src/discovery/stream.rs
@@ -1,8 +1,15 @@
 //! Server-sent events out of the bytes of a stream.
 
-/// More than any list in one event; what is longer is no event.
+use thiserror::Error;
+
+/// Bytes: more than any list in one event; what is longer is no event.
 const LONGEST_EVENT: usize = 4 << 20;
 
+/// An event that is too long to be one.
+#[derive(Debug, Error, PartialEq)]
+#[error("an event of over {LONGEST_EVENT} bytes")]
+pub struct EventTooLong;
+
 /// One server-sent event.
 #[derive(Debug, Default, PartialEq)]
 pub struct Sent {
@@ -23,7 +30,7 @@
 
 impl Stream {
     /// Takes bytes in and gives the events that are now whole; an error where one is too long.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Sent>, String> {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Sent>, EventTooLong> {
         self.rest.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(end) = self.rest.iter().skip(self.searched).position(|b| *b == b'\n') {
@@ -35,11 +42,16 @@
         }
         self.searched = self.rest.len();
         if self.rest.len() + self.event.data.len() > LONGEST_EVENT {
-            return Err("an event is too long".into());
+            return Err(EventTooLong);
         }
         Ok(events)
     }
 
+    /// Whether a line or an event has begun and is not over.
+    pub fn is_unfinished(&self) -> bool {
+        !self.rest.is_empty() || self.event != Sent::default()
+    }
+
     fn line(&mut self, line: &[u8]) -> Option<Sent> {
         if line.is_empty() {
             return Some(std::mem::take(&mut self.event)).filter(|event| !event.data.is_empty());
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,48 +1,107 @@
-//! The watch on the change log: numbered events about the list of engines, applied once and in order.
+//! The watch on the change log: numbered events about the list of engines, applied once and in order. Which connections are open
+//! is decided by [`ConnectionSet`], what becomes of an event by [`EventSequence`]; this drives both.
 
 use super::connection::{self, OpenError};
-use super::event::{event_of_text, Event, NameIndex};
-use super::stream::{Sent, Stream};
+use super::connection_set::{Action, CloseReason, ConnectionId, ConnectionSet, Received};
+use super::event::{Event, NameIndex};
+use super::sequence::{EventSequence, SequenceError, Taken};
+use super::stream::{EventTooLong, Stream};
 use crate::reconnect::Reconnect;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::sync::watch::{self, error::RecvError};
-use tokio::time::{sleep, timeout_at, Instant};
-
-/// Protocol: a comment comes each second, and what the log tells counts as told 7 s later. A stream of which no line has come
-/// whole for this long is silent, and so is a connection that has brought none this long after it was begun. Two comments
-/// are missed then, so that one that is late costs no new connection; and two silent connections in a row, with a pause after
-/// each (`reconnect`), are over 6 s after the last line, when the third is begun.
-const SILENT: Duration = Duration::from_millis(2500);
-
-/// How much longer than the dial time a connection may take to come up after ones that took too long: to a log that is crowded it
-/// may come up late each time.
-const SLOW_CONNECT: [u32; 3] = [1, 4, 10];
+use tokio::time::{sleep_until, Instant};
 
 /// Until the log is at another address than this.
 async fn moved(log: &mut watch::Receiver<SocketAddr>, from: SocketAddr) -> Result<(), RecvError> {
     log.wait_for(|to| *to != from).await.map(drop)
 }
 
+/// What ended a connection, other than its log in good order.
+#[derive(Debug, Error)]
+enum WatchError {
+    #[error(transparent)]
+    Open(#[from] OpenError),
+    #[error("broken: {0}")]
+    Read(#[from] hyper::Error),
+    #[error(transparent)]
+    TooLong(#[from] EventTooLong),
+    #[error(transparent)]
+    Sequence(#[from] SequenceError),
+    #[error("silent")]
+    Silent,
+}
+
+/// What comes next on a connection.
+enum Step {
+    /// It was answered.
+    Up(Incoming),
+    Bytes(Incoming, Bytes),
+    Ended(Result<(), WatchError>),
+}
+
+async fn open(log: SocketAddr, last: u64) -> Step {
+    match connection::open(log, last).await {
+        Ok(body) => Step::Up(body),
+        Err(fault) => Step::Ended(Err(fault.into())),
+    }
+}
+
+async fn read(mut body: Incoming) -> Step {
+    match body.frame().await {
+        None => Step::Ended(Ok(())),
+        Some(Err(fault)) => Step::Ended(Err(fault.into())),
+        Some(Ok(frame)) => Step::Bytes(body, frame.into_data().unwrap_or_default()),
+    }
+}
+
+/// An open connection; it closes when it is dropped.
+struct Connection {
+    id: ConnectionId,
+    stream: Stream,
+    /// It was answered.
+    up: bool,
+    next: Pin<Box<dyn Future<Output = Step> + Send>>,
+}
+
+impl Connection {
+    fn open(id: ConnectionId, log: SocketAddr, last: u64) -> Self {
+        Connection { id, stream: Stream::default(), up: false, next: Box::pin(open(log, last)) }
+    }
+}
+
+/// The next step of any of the connections; never, where there is none.
+async fn next_step(connections: &mut [Connection]) -> (usize, Step) {
+    poll_fn(|cx| {
+        for (place, connection) in connections.iter_mut().enumerate() {
+            if let Poll::Ready(step) = connection.next.as_mut().poll(cx) {
+                return Poll::Ready((place, step));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 /// Follows the log: where it is and how far it has been applied.
 pub struct Watch {
     /// Where the log is; a reload may name another address.
     log: watch::Receiver<SocketAddr>,
-    /// The number of the event that was applied last.
-    last: u64,
-    names: NameIndex,
-    /// A connection that is not up by then counts as never made.
-    dial: Duration,
+    sequence: EventSequence,
     /// Takes each event that is due.
     apply: Box<dyn FnMut(Event) + Send>,
-    /// The number of the event that was malformed last: it is passed over when it comes again.
-    malformed: Option<u64>,
+    connections: Vec<Connection>,
     /// The log is lost, and that was logged.
     lost: bool,
-    /// Connections in a row that took too long to come up or to be answered.
-    slow: usize,
+    /// What the times of the connection set count from.
+    began: Instant,
 }
 
 impl Watch {
@@ -51,105 +110,122 @@
         log: watch::Receiver<SocketAddr>,
         last: u64,
         names: NameIndex,
-        dial: Duration,
         apply: Box<dyn FnMut(Event) + Send>,
     ) -> Self {
-        Watch { log, last, names, dial, apply, malformed: None, lost: false, slow: 0 }
+        let sequence = EventSequence::new(last, names);
+        Watch { log, sequence, apply, connections: Vec::new(), lost: false, began: Instant::now() }
     }
 
-    /// Reads the log for as long as the gateway runs, with a fresh connection after every fault. Faults that
-    /// follow one another with no connection between are logged once.
-    pub async fn follow(mut self, mut reconnect: Reconnect) {
+    /// Reads the log for as long as the gateway runs. Faults that follow one another with no connection between are logged once.
+    pub async fn follow(mut self, reconnect: Reconnect) {
         let mut moves = self.log.clone();
+        let mut set = ConnectionSet::new(reconnect);
+        let mut log = *moves.borrow_and_update();
         loop {
-            let log = *moves.borrow_and_update();
-            let begun = Instant::now();
-            let end = tokio::select! {
+            self.act(&mut set, log);
+            let wake = self.began + set.wake();
+            tokio::select! {
                 biased;
-                // An old stream is not listened to any more; the numbers go on.
-                Ok(()) = moved(&mut moves, log) => continue,
-                end = self.one_connection(log, begun) => end,
-            };
-            match end {
-                Ok(()) => tracing::info!(last = self.last, "change log ended its stream"),
-                Err(fault) if !self.lost => {
-                    tracing::warn!(%fault, last = self.last, "change log lost");
-                    self.lost = true;
+                // Nothing of an old place is listened to any more; the numbers go on.
+                Ok(()) = moved(&mut moves, log) => {
+                    log = *moves.borrow_and_update();
+                    self.connections.clear();
+                    set.moved(self.now());
                 }
-                Err(fault) => tracing::debug!(%fault, last = self.last, "change log still lost"),
-            }
-            tokio::select! {
-                Ok(()) = moved(&mut moves, log) => {}
-                () = sleep(reconnect.wait(begun.elapsed())) => {}
+                (place, step) = next_step(&mut self.connections) => self.took(&mut set, place, step),
+                () = sleep_until(wake) => {}
             }
         }
     }
 
-    /// How long the next connection may take to come up.
-    fn connect_timeout(&self) -> Duration {
-        let step = self.slow.min(SLOW_CONNECT.len() - 1);
-        (self.dial * SLOW_CONNECT[step]).min(SILENT.max(self.dial))
+    fn now(&self) -> Duration {
+        self.began.elapsed()
     }
 
-    /// One connection to its end. Only whole lines show that the log lives: each puts off when the next is due.
-    async fn one_connection(&mut self, log: SocketAddr, begun: Instant) -> Result<(), String> {
-        let connect = self.connect_timeout();
-        let mut due = begun + SILENT;
-        // Unless something else ends it, it was too slow.
-        let slow = std::mem::replace(&mut self.slow, 0) + 1;
-        let answer = timeout_at(due, connection::open(log, self.last, connect)).await;
-        let mut body = match answer {
-            Ok(Ok(body)) => body,
-            Ok(Err(OpenError::NotInTime)) | Err(_) => {
-                self.slow = slow;
-                return Err("no connection or answer in time".into());
-            }
-            Ok(Err(fault)) => return Err(fault.to_string()),
-        };
-        tracing::info!(%log, last = self.last, "change log connected");
-        self.lost = false;
-        let mut stream = Stream::default();
-        loop {
-            let Ok(frame) = timeout_at(due, body.frame()).await else {
-                return Err("silent".into());
-            };
-            let Some(frame) = frame else { return Ok(()) };
-            let bytes = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_else(|_| Bytes::new());
-            let lines = stream.lines;
-            for sent in stream.feed(&bytes)? {
-                self.take(&sent)?;
-            }
-            if stream.lines > lines {
-                due = Instant::now() + SILENT;
+    /// Opens and closes what is due.
+    fn act(&mut self, set: &mut ConnectionSet, log: SocketAddr) {
+        while let Some(action) = set.poll(self.now()) {
+            match action {
+                Action::Open(id) => {
+                    let (open, last) = (self.connections.len(), self.sequence.last());
+                    if open > 0 {
+                        tracing::info!(open, last, "change log slow: another connection is opened beside");
+                    }
+                    self.connections.push(Connection::open(id, log, last));
+                }
+                Action::Close(id, reason) => {
+                    tracing::debug!(?reason, "change log: connection closed");
+                    self.connections.retain(|connection| connection.id != id);
+                    if reason == CloseReason::Silent {
+                        self.tell_lost(&WatchError::Silent);
+                    }
+                }
             }
         }
     }
 
-    /// Applies an event once and in order. A malformed one ends the connection; when it comes again on the next
-    /// it is passed over.
-    fn take(&mut self, sent: &Sent) -> Result<(), String> {
-        let expected = self.last.saturating_add(1);
-        let event = event_of_text(&sent.data, &self.names);
-        let number = event.as_ref().map_or(sent.number.unwrap_or(expected), |event| event.number);
-        match event {
-            _ if number < expected => {}
-            Ok(event) if number > expected && !event.whole => {
-                return Err(format!("event {number} came where {expected} was due"));
+    /// Takes in the next step of a connection.
+    fn took(&mut self, set: &mut ConnectionSet, place: usize, step: Step) {
+        let now = self.now();
+        let connection = &mut self.connections[place];
+        let id = connection.id;
+        let end = match step {
+            Step::Up(body) => {
+                tracing::info!(last = self.sequence.last(), "change log connected");
+                (connection.up, self.lost) = (true, false);
+                connection.next = Box::pin(read(body));
+                set.received(id, now, Received::default());
+                return;
             }
-            Ok(event) => {
-                self.last = number;
-                (self.apply)(event);
-            }
-            // One that can't be read does not speak for those that were due before it.
-            Err(what) if self.malformed == Some(number) && number == expected => {
-                tracing::warn!(event = number, what, "event passed over");
-                self.last = number;
+            Step::Bytes(body, bytes) => {
+                connection.next = Box::pin(read(body));
+                match self.take(set, place, now, &bytes) {
+                    Ok(()) => return,
+                    Err(fault) => Err(fault),
+                }
             }
-            Err(what) => {
-                self.malformed = Some(number);
-                return Err(format!("event {number}: {what}"));
+            Step::Ended(end) => end,
+        };
+        set.ended(id, now);
+        self.connections.remove(place);
+        match end {
+            Ok(()) => tracing::info!(last = self.sequence.last(), "change log ended its stream"),
+            Err(fault) => self.tell_lost(&fault),
+        }
+    }
+
+    /// Takes in bytes of a connection, and applies the events that are now whole.
+    fn take(
+        &mut self,
+        set: &mut ConnectionSet,
+        place: usize,
+        now: Duration,
+        bytes: &[u8],
+    ) -> Result<(), WatchError> {
+        let Connection { id, stream, .. } = &mut self.connections[place];
+        let lines = stream.lines;
+        let events = stream.feed(bytes)?;
+        let lines = stream.lines - lines;
+        set.received(*id, now, Received { bytes: bytes.len(), lines, unfinished: stream.is_unfinished() });
+        for event in events {
+            match self.sequence.take(&event)? {
+                Taken::Known => continue,
+                Taken::PassedOver => {}
+                Taken::Due(event) => (self.apply)(event),
             }
+            set.advanced(*id);
         }
         Ok(())
     }
+
+    /// Logs that the log can't be read, unless another connection is up.
+    fn tell_lost(&mut self, fault: &WatchError) {
+        let last = self.sequence.last();
+        if self.lost || self.connections.iter().any(|connection| connection.up) {
+            tracing::debug!(%fault, last, "change log still lost");
+            return;
+        }
+        tracing::warn!(%fault, last, "change log lost");
+        self.lost = true;
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -230,7 +230,7 @@
         let names = NameIndex::new(&self.config.decoded.names);
         let applying = discovery.clone();
         let apply = Box::new(move |event| applying.apply(event));
-        let watch = Watch::new(log.subscribe(), self.config.last_known, names, dial, apply);
+        let watch = Watch::new(log.subscribe(), self.config.last_known, names, apply);
         tokio::spawn(watch.follow(Reconnect::new(dial, self.config.seed)));
         tokio::spawn(reload(self.config.clone(), self.desk.clone(), reloads, log));
         let desk = self.desk.clone();
--- a/crates/gateway/src/reconnect.rs
+++ b/crates/gateway/src/reconnect.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-/// The longest pause between two connections. Two connections that fall silent one after the other, their pauses and a
-/// third connection stay inside the time by which the log counts as told.
+/// The longest pause between two connections.
 pub const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 /// The pace of one gateway's connections to the log.
@@ -25,6 +24,11 @@
         self.pause.saturating_sub(since) + self.pause.mul_f64(self.fraction())
     }
 
+    /// How much later than it could be a connection is opened beside one that is slow: a random part of a quarter of a pause.
+    pub fn jitter_beside(&mut self) -> Duration {
+        (self.pause / 4).mul_f64(self.fraction())
+    }
+
     /// The next random number from 0 to less than 1, by splitmix64.
     fn fraction(&mut self) -> f64 {
         self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
