A call made again after its connection lost the answer gets the same answer

Callers saw: a query that had succeeded was told 409, "this id has had its answer", when its client made the call again on a new connection, as the protocol has it (three times at most) where a connection ends with no answer. Cause: Desk::let_go kept the id of a query that is over and not its answer. Evidence: the connection reset with the answer unread, 409 for the same call, one attempt at the engine. Change: desk::kept_answers, until the query's deadline and in a 64th of the told memory; the same call by a fingerprint. Why it holds: what is kept is what was answered, and an id that is over reaches no code that sends.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -2,11 +2,12 @@
 //! and orders out, and decides nothing.
 //!
 //! This file has the lock, the timer and the facts that come in; `intake` takes queries, `ending` answers them and lets them
-//! go, `waiter` is who waits for one, `in_hand` what is kept of each, `order` the plain values that go in and out.
+//! go, `waiter` is who waits for one, `in_hand` what is kept of each, `kept_answers` the answers of those that are over, `order` the plain values that go in and out.
 
 mod ending;
 mod in_hand;
 mod intake;
+mod kept_answers;
 mod order;
 mod waiter;
 
@@ -19,7 +20,9 @@
 use garnetwall_ledger::book::Sent;
 use garnetwall_plan::Plan;
 use in_hand::{InHand, Seats};
+use kept_answers::KeptAnswers;
 use std::collections::{HashMap, VecDeque};
+use std::hash::RandomState;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -38,15 +41,19 @@
     ends: watch::Sender<Option<f64>>,
     /// How long an id that is over is remembered.
     remembered: f64,
+    /// For fingerprints of calls.
+    hashing: RandomState,
 }
 
 impl Desk {
-    /// A desk, and the engines that the module wants to have probed.
+    /// A desk, and the engines that the module wants to have probed. Ids that are over are remembered for so many seconds, and their
+    /// answers kept for the same call in so many bytes.
     pub fn new(
         control: Control,
         planner: Option<Planner>,
         clock: Clock,
         remembered: f64,
+        answer_bytes: usize,
     ) -> (Self, UnboundedReceiver<EngineId>) {
         let (probes, wanted) = unbounded_channel();
         let seats = Seats {
@@ -56,6 +63,7 @@
             jobs: HashMap::new(),
             in_hand: HashMap::new(),
             over: VecDeque::new(),
+            kept_answers: KeptAnswers::new(answer_bytes),
             recovered: HashMap::new(),
             awaits_recovery: false,
             once_only: Vec::new(),
@@ -64,7 +72,8 @@
         };
         let (in_hand, ends) = (watch::Sender::new(0), watch::Sender::new(None));
         let seats = Mutex::new(seats);
-        (Desk { clock, seats, earlier: Notify::new(), probes, in_hand, ends, remembered }, wanted)
+        let hashing = RandomState::new();
+        (Desk { clock, seats, earlier: Notify::new(), probes, in_hand, ends, remembered, hashing }, wanted)
     }
 
     pub fn clock(&self) -> Clock {
--- a/crates/gateway/src/desk/ending.rs
+++ b/crates/gateway/src/desk/ending.rs
@@ -19,6 +19,10 @@
         if let Some(b) = seats.in_hand.remove(&id) {
             seats.jobs.insert(b.job, Job::Over);
             let now = self.clock.now();
+            let last = b.answer.borrow().clone();
+            if let (Some(fingerprint), Some(last)) = (b.fingerprint, last) {
+                seats.kept_answers.keep(now, b.job, fingerprint, last, b.limit);
+            }
             seats.over.push_back((now + self.remembered, b.job));
             seats.leaves(now, b.passage);
         }
--- a/crates/gateway/src/desk/in_hand.rs
+++ b/crates/gateway/src/desk/in_hand.rs
@@ -1,5 +1,6 @@
 //! What the desk's lock guards: the module, and the queries in hand.
 
+use super::kept_answers::{Fingerprint, KeptAnswers};
 use super::{Final, Order};
 use crate::attended::Attended;
 use crate::clock::Clock;
@@ -20,6 +21,7 @@
     pub(super) jobs: HashMap<u64, Job>,
     pub(super) in_hand: HashMap<BatchId, InHand>,
     pub(super) over: VecDeque<(f64, u64)>,
+    pub(super) kept_answers: KeptAnswers,
     /// Once-only batches that an earlier process sent, and until when their ids count.
     pub(super) recovered: HashMap<u64, f64>,
     /// They are not known yet.
@@ -41,6 +43,8 @@
     pub(super) tenant: usize,
     pub(super) key: Option<u64>,
     pub(super) call: Arc<Call>,
+    /// None where the call can't be compared with another.
+    pub(super) fingerprint: Option<Fingerprint>,
     pub(super) orders: UnboundedSender<Order>,
     pub(super) answer: watch::Sender<Option<Final>>,
     pub(super) waiters: usize,
@@ -109,6 +113,7 @@
             self.over.pop_front();
             self.jobs.remove(&job);
         }
+        self.kept_answers.make_room(now);
         if !self.recovered.is_empty() {
             self.recovered.retain(|_, until| *until > now);
         }
--- a/crates/gateway/src/desk/intake.rs
+++ b/crates/gateway/src/desk/intake.rs
@@ -1,13 +1,15 @@
 //! A query comes in: it is new, joins the one of its id that is in hand, or is refused.
 
 use super::in_hand::{InHand, Job, Seats};
+use super::kept_answers::{Fingerprint, Kept};
 use super::{Arrival, Desk, Taken, Waiter};
 use crate::attended::Attended;
 use crate::clock::minute_of_day;
-use crate::engines::Call;
+use crate::engines::{Call, Statement};
 use crate::keeping::millis;
 use garnetwall::api::{Batch, BatchId};
 use garnetwall_ledger::book::{Sent, CLEAR};
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
@@ -24,10 +26,11 @@
 impl Desk {
     /// Takes a batch, or finds the one that has its id.
     pub fn take(self: &Arc<Self>, a: Arrival, call: Arc<Call>) -> Taken {
+        let fingerprint = self.fingerprint(&a, &call);
         self.fact(|seats, now| {
             seats.forget_over(now);
             match seats.jobs.get(&a.job) {
-                Some(Job::Over) => return Taken::Over,
+                Some(Job::Over) => return seats.over(now, a.job, fingerprint),
                 Some(&Job::InHand(id)) => return self.join(seats, now, id, &a, &call),
                 None => {}
             }
@@ -60,6 +63,7 @@
                 tenant,
                 key,
                 call,
+                fingerprint,
                 orders: sender,
                 answer,
                 waiters: 1,
@@ -82,6 +86,13 @@
         })
     }
 
+    /// What makes this call the same as another; none where its statement is not kept.
+    fn fingerprint(&self, a: &Arrival, call: &Call) -> Option<Fingerprint> {
+        let Statement::Whole(statement) = &call.statement else { return None };
+        let Call { id, group, mark, .. } = call;
+        Some(Fingerprint(self.hashing.hash_one((a.tenant, a.key, id, group, mark, statement))))
+    }
+
     fn join(self: &Arc<Self>, seats: &mut Seats, now: f64, id: BatchId, a: &Arrival, call: &Call) -> Taken {
         let Some(b) = seats.in_hand.get_mut(&id) else { return Taken::Over };
         if (b.tenant, b.key) != (a.tenant, a.key) || *b.call != *call {
@@ -95,6 +106,18 @@
     }
 }
 
+impl Seats {
+    /// What becomes of a call whose query is over: it runs no second time.
+    fn over(&self, now: f64, job: u64, fingerprint: Option<Fingerprint>) -> Taken {
+        let kept = fingerprint.map_or(Kept::Nothing, |of| self.kept_answers.get(now, job, of));
+        match kept {
+            Kept::Answer(last) => Taken::Answered(last),
+            Kept::Other => Taken::Other,
+            Kept::Nothing => Taken::Over,
+        }
+    }
+}
+
 /// A batch as routing sees it.
 fn routed(now: f64, a: &Arrival) -> garnetwall_routing::Batch {
     garnetwall_routing::Batch {
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -45,6 +45,16 @@
     }
 }
 
+impl Final {
+    /// Bytes of the rows that it holds.
+    pub(super) fn bytes(&self) -> usize {
+        match self {
+            Final::Returned(rows) => rows.len(),
+            Final::PushedBack { .. } | Final::Errored => 0,
+        }
+    }
+}
+
 impl From<Answer> for Final {
     fn from(answer: Answer) -> Self {
         match answer {
@@ -88,7 +98,9 @@
     Joined(Waiter),
     /// A batch that is not this one has this id.
     Other,
-    /// The batch of this id is over already.
+    /// The batch of this id is over already, with this answer.
+    Answered(Final),
+    /// The batch of this id is over already, and its answer was not kept.
     Over,
     /// An earlier process sent it, and it may have run.
     MayHaveRun,
--- a/crates/gateway/src/front/answers.rs
+++ b/crates/gateway/src/front/answers.rs
@@ -25,8 +25,13 @@
 }
 
 pub(super) async fn final_response(waiter: Waiter) -> Response {
+    response_of(waiter.answer().await)
+}
+
+/// A final answer as a response.
+pub(super) fn response_of(answer: Final) -> Response {
     let json = (CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    match waiter.answer().await {
+    match answer {
         Final::Returned(body) => (StatusCode::OK, [json], body).into_response(),
         Final::PushedBack { come_back } => rejected(&json!({"error": "Busy"}), come_back),
         Final::Errored => error_response(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
--- a/crates/gateway/src/front/submit.rs
+++ b/crates/gateway/src/front/submit.rs
@@ -1,6 +1,6 @@
 //! A batch comes in, or is withdrawn.
 
-use super::answers::{closing, error_response, final_response, turned_away};
+use super::answers::{closing, error_response, final_response, response_of, turned_away};
 use super::intake::{arrival, field, hex, QUERY_ID};
 use super::streaming::submit_streamed;
 use super::{Client, Front, FIRST_REQUEST_TIMEOUT};
@@ -95,6 +95,7 @@
         Taken::Other => {
             return Err(error_response(StatusCode::CONFLICT, "this id is that of another batch").into())
         }
+        Taken::Answered(answer) => return Err(response_of(answer).into()),
         Taken::Over => return Err(error_response(StatusCode::CONFLICT, "this id has had its answer").into()),
         Taken::MayHaveRun => return Err(error_response(StatusCode::INTERNAL_SERVER_ERROR, "Failed").into()),
         Taken::Turned(turned) => return Err(turned_away(front, turned).into()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,7 +87,7 @@
         let planner = plan.map(|plan| Planner::new(&config.decoded, plan, budget.room as f64));
         let settings = Settings { room, groups: groups.clone(), ..settings.clone() };
         let control = Control::new(settings, config.seed, clock.now());
-        let (desk, probes) = Desk::new(control, planner, clock, longest);
+        let (desk, probes) = Desk::new(control, planner, clock, longest, budget.kept_answers);
         desk.grouped(&groups);
         let notes_every = config.decoded.settings.notes_every;
         let selection = selection(&config, &groups);
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -26,6 +26,8 @@
 /// for the program, the buffers of connections and what an allocator can't give back.
 const STATEMENTS: usize = 8;
 const RESULTS: usize = 4;
+/// One in so many bytes of the told memory is for answers that clients may ask for again.
+const KEPT_ANSWERS: usize = 64;
 /// A result in hand: its pages, and the answer made of them.
 const RESULT: usize = 2 * rows::RESULT;
 
@@ -58,6 +60,8 @@
     pub room: usize,
     /// Bytes of statements that may be in hand at once.
     pub statements: Arc<Semaphore>,
+    /// Bytes of answers that are kept for clients whose connection ended before they had theirs.
+    pub kept_answers: usize,
 }
 
 impl Budget {
@@ -73,6 +77,7 @@
             engines: Arc::new(Semaphore::new(engines)),
             room: (limit / 3).min(memory / RESULTS / RESULT).max(1),
             statements: Arc::new(Semaphore::new(memory / STATEMENTS)),
+            kept_answers: memory / KEPT_ANSWERS,
         }
     }
 }
