--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -9,6 +9,7 @@
 //   socket N E    one in N calls of socket fails with E
 //   connect N E   one in N calls of connect fails with E
 //   realtime S    the wall clock is off by S seconds
+//   disk-slow MS  each sync of a regular file or a folder takes so many milliseconds longer
 //   disk-CALL N E one in N calls on a regular file fails with E; CALL is open, write, sync, truncate or rename
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -175,12 +176,18 @@
     return (fd < 0 || is_kind(fd, S_IFREG) || is_kind(fd, S_IFDIR)) && strikes(f) ? (int)f.number : 0;
 }
 
+static void slow_sync(void) {
+    usleep((useconds_t)fault("disk-slow").one_in * 1000);
+}
+
 int fsync(int fd) {
+    slow_sync();
     int error = disk("disk-sync", fd);
     return error ? (int)failed(error) : (int)syscall(SYS_fsync, fd);
 }
 
 int fdatasync(int fd) {
+    slow_sync();
     int error = disk("disk-sync", fd);
     return error ? (int)failed(error) : (int)syscall(SYS_fdatasync, fd);
 }
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -226,6 +226,21 @@
     }
 }
 
+/// What happened: each sync took 0.8 s, and no non-idempotent query was sent at all, though all of them had seven seconds: each was answered
+/// as failed after 0.5 s. The cause was a bound of its own on the journal's promise (`WRITTEN_IN`), shorter than the query's; the
+/// evidence is `journal is too slow: a once-only batch was not sent` for each, and no attempt at the engine.
+#[test]
+fn a_disk_whose_syncs_are_slow_is_used() {
+    let g = Lasting::start();
+    assert!(load(&g).returned());
+    g.faults.on("disk-slow", "800");
+    for _ in 0..3 {
+        let began = Instant::now();
+        assert!(load(&g).returned(), "after {:?}", began.elapsed());
+        assert!(began.elapsed() >= ms(800), "nothing leaves before its record is on the disk");
+    }
+}
+
 /// A start while the disk fails is no refusal to serve what needs no journal, and forgets nothing that was sent.
 #[test]
 fn a_start_while_the_disk_fails_serves_what_needs_no_journal() {
--- a/crates/gateway/tests/repeated_calls.rs
+++ b/crates/gateway/tests/repeated_calls.rs
@@ -4,7 +4,7 @@
 //! What happened: while the query was in hand the call joined it, but once the query had its final answer the call was told 409,
 //! "this id has had its answer", and the client counted a query as failed that had succeeded. The cause: `Desk::let_go` kept the id of a query
 //! that is over, so that it never runs twice, and not its answer. The evidence: the connection is reset with the answer unread, the
-//! same call gets 409, and the engine has had one attempt.
+//! same call gets 409, and the engine has had one attempt. Since then answers are kept until the query's deadline, in bounded bytes.
 
 mod helper;
 
