Engines whose every answer is late are heard: each call in vain is followed by a longer wait

Callers saw: through a link that delays each answer by 0.8 s a query was not served after 7.6 of 9 s and two attempts, which the engine had run; a non-idempotent one is told failed after it has run. Cause: Way::poll_timeout waited 0.3 s, after a call in vain 0.75 s, and began anew with each answered call; 2.25 s unheard end an attempt. Evidence: the engine answered each call, on a connection given up before. Change: engines::way::patience: the third call in a row has what is left of the 2.25 s, and what an answer took once the next may take half as long again.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -28,7 +28,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{watch, Semaphore};
 use tokio::time::timeout;
-use way::Way;
+use way::{AnswerPatience, Way};
 
 /// Protocol: news is held back this long at most.
 const NEWS: Duration = Duration::from_millis(250);
@@ -93,7 +93,7 @@
             may_have_come: false,
             unreadable: false,
             connection: 0,
-            silent: false,
+            patience: AnswerPatience::new(self.dial, Instant::now()),
         }
     }
 
--- a/crates/gateway/src/engines/way.rs
+++ b/crates/gateway/src/engines/way.rs
@@ -3,13 +3,14 @@
 mod cancel;
 mod exchange;
 mod pages;
+mod patience;
 mod polling;
 mod start;
 
 use super::call::{Call, Ended, Start, Tidings, Wish};
 use super::outgoing::{path, request, Outgoing, Sender};
 use super::reply::Fault;
-use super::{Engines, Target, LONGER, NEWS};
+use super::{Engines, Target};
 use crate::sockets::{Abandoned, Gate};
 use bytes::Bytes;
 use garnetwall::api::End;
@@ -19,6 +20,7 @@
 use garnetwall_ledger::{Asking, Connection, DispatchId, Fact};
 use http::{Method, Request};
 use http_body_util::channel::Sender as BodySender;
+pub(super) use patience::AnswerPatience;
 use polling::PollOutcome;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -46,8 +48,8 @@
     pub(super) unreadable: bool,
     /// The number of the connection that is up, or was last.
     pub(super) connection: Connection,
-    /// The last call was not answered: the next is given more time, in case the engine is only slow.
-    pub(super) silent: bool,
+    /// How long answers are waited for.
+    pub(super) patience: AnswerPatience,
 }
 
 /// A body on its way to an engine.
@@ -91,7 +93,7 @@
 
     /// How long news may take once a connection is up.
     fn poll_timeout(&self) -> Duration {
-        NEWS + if self.silent { self.engines.dial * 2 } else { LONGER }
+        self.patience.timeout(Instant::now())
     }
 
     fn tell(&self, fact: Fact) {
--- a/crates/gateway/src/engines/way/exchange.rs
+++ b/crates/gateway/src/engines/way/exchange.rs
@@ -6,7 +6,7 @@
 use garnetwall_bodies::body::ReadFault;
 use garnetwall_ledger::Fact;
 use http::{Method, Request};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 impl Way<'_> {
@@ -20,7 +20,11 @@
         asks: bool,
     ) -> Result<Reply, Fault> {
         let answer = self.call_on_connection(request, feed, within, asks).await;
-        self.silent = matches!(answer, Err(Fault::Silent));
+        match answer {
+            Ok(_) => {}
+            Err(Fault::Silent) => self.patience.missed(),
+            Err(_) => self.patience.failed(),
+        }
         self.engines.heard(self.target, answer.as_ref().err());
         match answer {
             Err(Fault::Refused) => self.tell(Fact::Refused),
@@ -70,7 +74,11 @@
             if asks {
                 self.sent_whole();
             }
+            let began = Instant::now();
             let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
+            if answer.is_ok() {
+                self.patience.answered(Instant::now(), began.elapsed());
+            }
             self.sender = answer.is_ok().then_some(sender);
             return answer;
         };
@@ -97,7 +105,14 @@
             fed = self.send_body(feed) => fed,
         };
         match fed {
-            Ok(()) => timeout(within, exchanging).await.unwrap_or(Err(Fault::Silent)),
+            Ok(()) => {
+                let began = Instant::now();
+                let answer = timeout(within, exchanging).await.unwrap_or(Err(Fault::Silent));
+                if answer.is_ok() {
+                    self.patience.answered(Instant::now(), began.elapsed());
+                }
+                answer
+            }
             Err(fault) => {
                 tracing::debug!(%fault, "a body could not be sent to its end");
                 self.unreadable = !matches!(fault, ReadFault::CutOff);
--- a/crates/gateway/src/engines/way/polling.rs
+++ b/crates/gateway/src/engines/way/polling.rs
@@ -161,7 +161,8 @@
         self.drop_if_garbled(told);
         match step {
             Step::Ask(after) => {
-                if !after.is_zero() {
+                // One that was waited for in vain has taken its time already.
+                if !after.is_zero() && told != Err(Fault::Silent) {
                     sleep(after).await;
                 }
                 true
