--- a/crates/gateway/src/discovery/connection_set.rs
+++ b/crates/gateway/src/discovery/connection_set.rs
@@ -19,7 +19,7 @@
 /// So many bytes of an unfinished line count as life for a time, as a whole line does.
 pub(super) const PROGRESS: usize = 16 << 10;
 /// But for no longer than this where no other connection is open: another may still tell in time.
-pub(super) const LONG_LINE: Duration = Duration::from_millis(4500);
+pub(super) const LONG_LINE: Duration = Duration::from_millis(6000);
 /// A connection that brings bytes, but neither a whole line nor `PROGRESS` of one, is closed after this; behind two that bring much of
 /// one, a third is opened after this.
 pub(super) const LONGEST_LINE: Duration = Duration::from_secs(20);
--- a/crates/scale/src/beside/engines.rs
+++ b/crates/scale/src/beside/engines.rs
@@ -76,6 +76,8 @@
     recorder: Recorder,
     /// Connections that are open, by gateway.
     connections: Vec<AtomicUsize>,
+    /// Connections that came up since the start, by gateway.
+    connections_made: Vec<AtomicUsize>,
     uneven: bool,
     pub ports: Vec<u16>,
 }
@@ -98,6 +100,7 @@
             engines: std::iter::repeat_with(engine).take(engines).collect(),
             recorder,
             connections: (0..gateways).map(|_| AtomicUsize::new(0)).collect(),
+            connections_made: (0..gateways).map(|_| AtomicUsize::new(0)).collect(),
             uneven,
             ports: ports.collect::<std::io::Result<_>>()?,
         });
@@ -112,6 +115,11 @@
         self.connections[gateway].load(Ordering::Relaxed)
     }
 
+    /// Connections to engines that a gateway has made since the start.
+    pub fn connections_made(&self, gateway: usize) -> usize {
+        self.connections_made[gateway].load(Ordering::Relaxed)
+    }
+
     /// The process at this address ends, with all that it runs; the next one there has a new generation.
     pub fn kill(&self, slot: usize) {
         let engine = &self.engines[slot];
@@ -155,6 +163,7 @@
             return;
         }
         self.connections[gateway].fetch_add(1, Ordering::Relaxed);
+        self.connections_made[gateway].fetch_add(1, Ordering::Relaxed);
         self.recorder.facts().met.entry(gateway).or_default().insert(slot);
         let engines = self.clone();
         let service = service_fn(move |request| {
--- a/crates/scale/src/beside/measure.rs
+++ b/crates/scale/src/beside/measure.rs
@@ -47,6 +47,7 @@
             figure("most_resident_bytes", peak.resident_bytes as f64),
             figure("most_descriptors", peak.descriptors as f64),
             figure("most_connections_to_engines", peak.connections as f64),
+            figure("connections_made", stage.engines.connections_made(gateway) as f64),
             figure("watch_bytes", stage.log.bytes_to_gateway(gateway) as f64),
             figure("watch_bytes_over_predicted", stage.log.bytes_to_gateway(gateway) as f64 / predicted),
             figure("watch_bytes_per_second", stage.log.bytes_to_gateway(gateway) as f64 / seconds),
