Of a long list of engines a choice looks at a sample: its cost no longer grows with the list

Cause: Control::choose looks at every ready engine for each query, 0.10 us each. Change: of over 512 engines a random sample of 256; the whole list where that holds fewer than 32 candidates, or with a lane.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,8 @@
 const BUSY_AT_MARK: f64 = 0.9; // share of cores busy that stands for the mark; threads also read and write
 const CURVE: f64 = 8.0; // power of the chance's fall past the mark; steep, as work done falls past the knee
 const HEAVIEST: f64 = 3.0; // times the usual work up to which the curve steepens; light batches need not wait
+const SAMPLED: usize = 256; // engines that a choice looks at in a list of over twice as many
+const FEWEST: usize = 32; // candidates of a sample, below which the whole list is looked through
 const REDRAW: (f64, f64) = (0.02, 0.06); // seconds until a redraw, drawn evenly; short against any goal
 const TICK: f64 = 0.1; // seconds between periodic looks; trouble is followed within a fraction of a second
 const STOOD: f64 = 0.3; // seconds between calls from which this gateway stood still; ticks come far sooner
@@ -419,10 +421,10 @@
     /// The engine with fewest of our threads a core, of those that would start the batch at once; where there
     /// is none, the least of all, by chance.
     fn choose(&mut self, now: f64, id: BatchId) -> Option<EngineId> {
-        let candidates = self.candidates(now, id);
+        let (candidates, share) = self.candidates(now, id);
         let b = self.batches[&id].b;
         let (need, average) = (self.need(&b), average_load(&candidates));
-        let mut kinds = self.kinds_of(now, &candidates);
+        let mut kinds = self.kinds_of(now, &candidates, share);
         let locked = self.locked(&b);
         let mut best: Option<([f64; 4], f64, EngineId)> = None;
         for c in &candidates {
@@ -448,25 +450,39 @@
         (marks < 1.0 || self.chance.draw() < chance).then_some(engine)
     }
 
-    /// The engines that a batch may go to now, by index; of a lane, its first preference that has any.
-    fn candidates(&self, now: f64, id: BatchId) -> Vec<Candidate> {
+    /// The engines that a batch may go to now, by index; of a lane, its first preference that has any. Of a long list a random
+    /// sample, with the share of the list that was looked at.
+    fn candidates(&mut self, now: f64, id: BatchId) -> (Vec<Candidate>, f64) {
         let h = &self.batches[&id];
         if !self.may_leave(now, h) {
-            return Vec::new();
+            return (Vec::new(), 1.0);
+        }
+        if self.ready.len() > 2 * SAMPLED && h.b.lane.is_none() {
+            let sample = sample(&mut self.chance, &self.ready, SAMPLED);
+            let found = self.open_to(now, id, &sample);
+            if found.len() >= FEWEST {
+                return (found, SAMPLED as f64 / self.ready.len() as f64);
+            }
         }
+        (self.open_to(now, id, &self.ready), 1.0)
+    }
+
+    /// Of some engines those that a batch which may leave may go to now.
+    fn open_to(&self, now: f64, id: BatchId, engines: &[EngineId]) -> Vec<Candidate> {
+        let h = &self.batches[&id];
         let work = self.work(&h.b);
         let open = |engine: &EngineId| {
             let e = &self.engines[*engine];
             let candidate = Candidate::new(*engine, e, self.able_cores(now, e));
             (fit(e, now) && self.allowed(now, h, work, &candidate)).then_some(candidate)
         };
-        let mut found = Vec::with_capacity(self.ready.len());
+        let mut found = Vec::with_capacity(engines.len());
         let Some(lane) = h.b.lane else {
-            found.extend(self.ready.iter().filter_map(open));
+            found.extend(engines.iter().filter_map(open));
             return found;
         };
         for tier in self.tiers(lane) {
-            found.extend(self.ready.iter().filter(|engine| tier.holds(**engine)).filter_map(open));
+            found.extend(engines.iter().filter(|engine| tier.holds(**engine)).filter_map(open));
             if !found.is_empty() {
                 break;
             }
@@ -474,10 +490,10 @@
         found
     }
 
-    /// What counts alike for all candidates of a kind.
-    fn kinds_of(&self, now: f64, candidates: &[Candidate]) -> KindViews {
+    /// What counts alike for all candidates of a kind; they are those in this share of the list.
+    fn kinds_of(&self, now: f64, candidates: &[Candidate], share: f64) -> KindViews {
         let mut views = KindViews::default();
-        candidates.iter().for_each(|c| views.of(c.kind).able_cores += c.able_cores);
+        candidates.iter().for_each(|c| views.of(c.kind).able_cores += c.able_cores / share);
         for view in views.iter_mut() {
             let sent = self.kinds.get(&view.kind).map_or(0.0, |k| k.sent.sum(now, KIND_LIFE));
             (view.pool, view.sent) = (self.pool(now, view.kind), sent / view.able_cores);
@@ -874,6 +890,30 @@
     }
 }
 
+/// So many different engines of a list, drawn evenly: steps of a random length that shares no divisor with the list's.
+fn sample(chance: &mut Chance, list: &[EngineId], many: usize) -> Vec<EngineId> {
+    let length = list.len();
+    let mut draw = || (chance.draw() * length as f64) as usize % length;
+    let (mut at, mut step) = (draw(), draw().max(1));
+    while gcd(step, length) != 1 {
+        step = step % length + 1;
+    }
+    let mut drawn = Vec::with_capacity(many);
+    for _ in 0..many {
+        drawn.push(list[at]);
+        at = (at + step) % length;
+    }
+    drawn
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    if b == 0 {
+        a
+    } else {
+        gcd(b, a % b)
+    }
+}
+
 /// Gateways that work with an engine: this one at least and all at most; what is no number counts as all.
 fn holders(line: &Listed, all: f64) -> f64 {
     line.holders.map_or(all, |told| told.min(all).max(all.min(1.0)))
