--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -3,6 +3,7 @@
 // A fault is on while a file of its name stands in the folder that GATEWAY_FAULTS names. The file holds one number, or two:
 //   short N       one in N reads and writes of a socket is cut short
 //   eintr N       one in N reads and writes of a socket, and one in N accepts, is interrupted (EINTR)
+//   wake N        one in N writes by which a signal's handler wakes the gateway is interrupted
 //   waits N       one in N waits for events is interrupted
 //   broken N E    one in N reads and writes of a socket fails with the error number E
 //   accept N      one in N accepts fails, with one error after another
@@ -94,6 +95,8 @@
 }
 
 ssize_t send(int fd, const void *bytes, size_t length, int flags) {
+    // Of all that the gateway sends only its handlers' wakes are one byte that may not wait.
+    if (length == 1 && flags & MSG_DONTWAIT && strikes(fault("wake"))) return failed(EINTR);
     size_t most = length ? allowed(length) : 0;
     if (!length) return REAL(send)(fd, bytes, length, flags);
     return most ? REAL(send)(fd, bytes, most, flags) : -1;
--- a/crates/gateway/tests/machine_faults.rs
+++ b/crates/gateway/tests/machine_faults.rs
@@ -148,3 +148,41 @@
         assert!(sent > 20, "{code}: {sent} came");
     }
 }
+
+/// What happened: seed 111 of the soak, with one in ten calls interrupted and deadlines of 500 ms, met its kill 1.2 s after SIGTERM with the
+/// gateway still there, in 7 of 16 plays. The cause: the write by which the signal's handler wakes the gateway was interrupted, and the
+/// flags were looked at every 250 ms only, while the end keeps 100 ms clear of the earliest kill. The evidence: with every such write
+/// interrupted the end comes up to 250 ms late, and never so with none.
+#[test]
+fn a_signal_whose_wake_is_lost_is_heeded_in_time() {
+    const DEADLINE: u64 = 500;
+    for _ in 0..6 {
+        let faults = Faults::none();
+        let mut service = Service::by(
+            |config| {
+                for n in 0..2 {
+                    config["settings"]["categories"][n]["give-up"] = json!(DEADLINE as f64);
+                }
+            },
+            serve_with(&faults),
+        );
+        faults.on("wake", "1");
+        // A client whose every query lasts until its deadline, up to the end.
+        let address = service.address;
+        let client = std::thread::spawn(move || {
+            while let Ok(stream) = std::net::TcpStream::connect(address) {
+                let slow = "SELECT 1 /* keeps delete */";
+                if call(stream, "POST /v1/report", &fields(&new_id(), DEADLINE as u32), slow).is_none() {
+                    return;
+                }
+            }
+        });
+        std::thread::sleep(ms(20));
+        service.signal("TERM");
+        let told = Instant::now();
+        assert!(service.child.wait().unwrap().success());
+        let took = told.elapsed();
+        client.join().unwrap();
+        assert!(took < ms(700 + DEADLINE), "ended {took:?} after SIGTERM: a kill may have come before");
+    }
+}
--- a/tests/cold_sum.rs
+++ b/tests/cold_sum.rs
@@ -538,6 +538,11 @@
     keeps(300, 1, 0.25);
 }
 
+#[test]
+fn nine_hundred_gateways_keep_the_budget() {
+    keeps(900, 1, 0.2);
+}
+
 #[test]
 fn thirty_gateways_with_subsets_keep_the_budget_and_use_it() {
     keeps_with_subsets(30, 0.25);
