--- a/crates/gateway/src/engines/way/exchange.rs
+++ b/crates/gateway/src/engines/way/exchange.rs
@@ -6,6 +6,7 @@
 use garnetwall_bodies::body::ReadFault;
 use garnetwall_ledger::Fact;
 use http::{Method, Request};
+use std::future::Future;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
@@ -74,11 +75,7 @@
             if asks {
                 self.sent_whole();
             }
-            let began = Instant::now();
-            let answer = timeout(within, exchange(&mut sender, request)).await.unwrap_or(Err(Fault::Silent));
-            if answer.is_ok() {
-                self.patience.answered(Instant::now(), began.elapsed());
-            }
+            let answer = self.awaited(within, exchange(&mut sender, request)).await;
             self.sender = answer.is_ok().then_some(sender);
             return answer;
         };
@@ -88,6 +85,20 @@
         answer
     }
 
+    /// An answer that is waited for so long, and how long it took for those after it.
+    async fn awaited(
+        &mut self,
+        within: Duration,
+        answer: impl Future<Output = Result<Reply, Fault>>,
+    ) -> Result<Reply, Fault> {
+        let began = Instant::now();
+        let answer = timeout(within, answer).await.unwrap_or(Err(Fault::Silent));
+        if answer.is_ok() {
+            self.patience.answered(Instant::now(), began.elapsed());
+        }
+        answer
+    }
+
     /// A start whose body goes on as it comes. It takes as long as the body, which its batch's limit bounds; the answer
     /// may come before the body is sent.
     async fn streamed(
@@ -105,14 +116,7 @@
             fed = self.send_body(feed) => fed,
         };
         match fed {
-            Ok(()) => {
-                let began = Instant::now();
-                let answer = timeout(within, exchanging).await.unwrap_or(Err(Fault::Silent));
-                if answer.is_ok() {
-                    self.patience.answered(Instant::now(), began.elapsed());
-                }
-                answer
-            }
+            Ok(()) => self.awaited(within, exchanging).await,
             Err(fault) => {
                 tracing::debug!(%fault, "a body could not be sent to its end");
                 self.unreadable = !matches!(fault, ReadFault::CutOff);
--- a/crates/gateway/src/engines/way/patience.rs
+++ b/crates/gateway/src/engines/way/patience.rs
@@ -50,7 +50,12 @@
     /// How long the answer to the next call may take, once its connection is up.
     pub(in crate::engines) fn timeout(&self, now: Instant) -> Duration {
         // What is left of the time after which an attempt that was not heard of counts as unknown.
-        let left = (NEWS + UNASKED).saturating_sub(now.saturating_duration_since(self.heard)).max(USUAL);
+        let left = (NEWS + UNASKED).saturating_sub(now.saturating_duration_since(self.heard));
+        if left.is_zero() && self.missed > 0 {
+            // Asking has stopped by then; what is looked up to give the attempt up is waited for as a second call is.
+            return NEWS + self.dial * 2;
+        }
+        let left = left.max(USUAL);
         let longer = match self.missed {
             0 => USUAL,
             1 => NEWS + self.dial * 2,
--- a/crates/gateway/src/engines/way/patience/tests.rs
+++ b/crates/gateway/src/engines/way/patience/tests.rs
@@ -59,6 +59,14 @@
     assert_eq!(patience.timeout(patience.heard), USUAL);
 }
 
+/// An engine that is only slow can still be asked whether it has the attempt that is given up.
+#[test]
+fn what_is_looked_up_after_that_is_waited_for_as_a_second_call_is() {
+    let mut patience = AnswerPatience::new(DIAL, Instant::now());
+    patience.missed();
+    assert_eq!(patience.timeout(patience.heard + NEWS + UNASKED), NEWS + DIAL * 2);
+}
+
 #[test]
 fn a_broken_connection_makes_nobody_patient() {
     let mut patience = AnswerPatience::new(DIAL, Instant::now());
--- a/crates/gateway/tests/helper/scripted_log.rs
+++ b/crates/gateway/tests/helper/scripted_log.rs
@@ -1,6 +1,6 @@
 //! A change log of which each connection is played by a script: late, in pieces, at a rate, silent or reset.
 
-use super::{read_message, ChangeLog};
+use super::read_message;
 use serde_json::Value;
 use socket2::SockRef;
 use std::io::{BufReader, ErrorKind, Read, Write};
@@ -144,8 +144,3 @@
         log
     }
 }
-
-/// A change log that no gateway is connected to.
-pub fn unused() -> ChangeLog {
-    ChangeLog::start()
-}
--- a/crates/gateway/tests/slow_discovery.rs
+++ b/crates/gateway/tests/slow_discovery.rs
@@ -12,7 +12,7 @@
 mod helper;
 
 use helper::process::ms;
-use helper::scripted_log::{event_text, unused, Connection, ScriptedLog, COMMENT, HEAD};
+use helper::scripted_log::{event_text, Connection, ScriptedLog, COMMENT, HEAD};
 use helper::*;
 use serde_json::{json, Value};
 use std::net::TcpStream;
@@ -44,7 +44,7 @@
     config["known"]["results"] = json!([]);
     let address = config["listen"].as_str().unwrap().parse().unwrap();
     let child = serve(&config);
-    let service = Service { engine, log: unused(), config, address, child };
+    let service = Service { engine, log: ChangeLog::start(), config, address, child };
     let healthy = || {
         let asked = TcpStream::connect(service.address).ok().and_then(|s| call(s, "GET /healthz", "", ""));
         asked.is_some_and(|answer| answer.first == "HTTP/1.1 200 OK")
