--- a/review/standins/src/bin/case-1.rs
+++ b/review/standins/src/bin/case-1.rs
@@ -1,149 +1,113 @@
-//! Case 1: usual clients write their statements slowly, in small pieces. The platform kills a gateway that is over its
-//! memory limit.
+//! Case 1: the gateway stalls, and sale-loads of one key come meanwhile, on an open connection and on a new one.
 
-use review_standins::client::{self, Outcome};
-use review_standins::engine::Engine;
-use review_standins::gateway::{free_address, Gateway};
+use review_standins::client;
+use review_standins::engine::{Engine, Run};
+use review_standins::gateway::{free_address, signal, Gateway};
 use review_standins::record::Record;
 use review_standins::{change_log, http, ms, with_trouble};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::exit;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
-use std::thread::{self, sleep, JoinHandle};
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-/// Limits of the gateway. The pages allow 32 to 192 MB and 256 to 1,024 descriptors.
-const MEMORY_MB: u64 = 64;
-const SOCKETS: usize = 256;
-/// Clients that write slowly. All clients together hold a third of the descriptors at most, 85.
-const SLOW_CLIENTS: usize = 60;
-/// Clients whose queries run meanwhile.
-const OTHER_CLIENTS: usize = 10;
-/// A statement of theirs has 4,800 bytes and is written within 1.5 s: 16 bytes each 5 ms.
-const STATEMENT_BYTES: usize = 4800;
-const PIECE_BYTES: usize = 16;
-const PIECE_GAP: Duration = Duration::from_millis(5);
-const ALLOW_MS: u64 = 5000;
-const PATIENCE: Duration = Duration::from_secs(8);
+/// Stalls, each with a key of its own.
+const ROUNDS: usize = 8;
+/// The pages have stalls of 300 to 2,000 ms, 2 to 4 s apart.
+const STALL: Duration = Duration::from_millis(800);
+const BETWEEN_STALLS: Duration = Duration::from_millis(2500);
+/// When the two sale-loads are written, counted from the start of the stall. The page has requests of one key at least
+/// 60 ms apart.
+const FIRST_AT: Duration = Duration::from_millis(150);
+const SECOND_AT: Duration = Duration::from_millis(450);
+const ALLOW_MS: u64 = 18_000;
+const PATIENCE: Duration = Duration::from_secs(20);
 
 fn config(address: SocketAddr, engines: &[Engine]) -> String {
     let log = change_log::start();
     let known = change_log::first_event(engines);
     format!(
         r#"{{"name":"g0","listen":"{address}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":{MEMORY_MB},"sockets":{SOCKETS}}},"changelog":"{log}",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"changelog":"{log}",
         "known":{{"seq":1,"results":[{known}]}},
         "settings":{{"kinds":["std"],"zones":["east"],"tenants":[{{"name":"acme"}}],"balancers":1,
+          "rules":{{"order-pause":500}},
           "allowed":{{"max-attempts":4,"cancelling":true,"retry-after":true,"max-retry-after":1000,"dial-timeout":250,
             "may-probe":true}},
-          "domain":{{"kind-cores":[64],"parallelism":[1]}},"telemetry":{{"how":"on_probe","fields":["depth","load_share"]}},
-          "categories":[{{"name":"lookup","semantics":"retryable","give-up":5000,"goal-time":4000,"worth":1}}]}}}}"#
+          "domain":{{"kind-cores":[8],"parallelism":[1,2],"loads":[false,true]}},
+          "telemetry":{{"how":"on_probe","fields":["depth","load_share"]}},
+          "categories":[{{"name":"lookup","semantics":"retryable","give-up":5000,"goal-time":1000,"worth":1}},
+            {{"name":"sale-load","semantics":"fragile","give-up":20000,"goal-time":4000,"worth":5,
+              "one-at-a-time":true}}]}}}}"#
     )
 }
 
-/// The platform: kills the gateway once its memory is over the limit. Counts private memory only, without the pages of
-/// the program's file. Returns the highest figure in kB, when told to stop, and whether it killed.
-struct Platform {
-    stop: Arc<AtomicBool>,
-    peak_kb: Arc<AtomicU64>,
-    watch: JoinHandle<bool>,
+/// Writes a request on a connection, and returns when its last byte was written.
+fn write(stream: &TcpStream, request: &str) -> Instant {
+    let _ = (&mut &*stream).write_all(request.as_bytes());
+    Instant::now()
 }
 
-impl Platform {
-    fn watch(process: u32, record: &Record) -> Platform {
-        let (stop, peak_kb) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-        let (stopped, peak, record) = (stop.clone(), peak_kb.clone(), record.clone());
-        let watch = thread::spawn(move || {
-            let mut ticks = 0;
-            while !stopped.load(Ordering::Relaxed) {
-                let kb = private_memory_kb(process);
-                peak.fetch_max(kb, Ordering::Relaxed);
-                if ticks % 10 == 0 {
-                    record.line(&format!("platform: the gateway uses {kb} kB"));
-                }
-                if kb > MEMORY_MB * 1024 {
-                    record.line(&format!("platform: {kb} kB are over the limit of {MEMORY_MB} MB; SIGKILL"));
-                    review_standins::gateway::kill(process);
-                    return true;
-                }
-                ticks += 1;
-                sleep(ms(10));
-            }
-            false
-        });
-        Platform { stop, peak_kb, watch }
-    }
-
-    fn stop(self) -> (u64, bool) {
-        self.stop.store(true, Ordering::Relaxed);
-        let has_killed = self.watch.join().unwrap_or(false);
-        (self.peak_kb.load(Ordering::Relaxed), has_killed)
-    }
+fn read_status(stream: &TcpStream) -> u16 {
+    let _ = stream.set_read_timeout(Some(PATIENCE));
+    let message = http::read(&mut BufReader::new(stream)).ok().flatten();
+    message.map_or(0, |message| message.status())
 }
 
-fn private_memory_kb(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
-    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the machine accepts connections");
+    let _ = stream.set_nodelay(true);
+    stream
 }
 
-/// A usual client whose statement is written in pieces, or whole without the disruption. One call, no repeat.
-fn slow_client(address: SocketAddr) -> JoinHandle<Option<Outcome>> {
-    thread::spawn(move || {
-        let id = client::new_id();
-        let text = "SELECT price FROM sales_17.lots WHERE serial IN (";
-        let statement = format!("{text}{})", "7".repeat(STATEMENT_BYTES - text.len() - 1));
-        let request = client::request("lookup", &id, ALLOW_MS, None, &statement);
-        let (head, body) = request.as_bytes().split_at(request.len() - statement.len());
-        let stream = TcpStream::connect(address).ok()?;
-        stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        let mut is_whole = (&stream).write_all(head).is_ok();
-        if with_trouble() {
-            let begun = Instant::now();
-            for (number, piece) in body.chunks(PIECE_BYTES).enumerate() {
-                sleep((begun + PIECE_GAP * number as u32).saturating_duration_since(Instant::now()));
-                is_whole &= (&stream).write_all(piece).is_ok();
-            }
-        } else {
-            is_whole &= (&stream).write_all(body).is_ok();
-        }
-        let sent = Instant::now();
-        let answer = http::read(&mut BufReader::new(&stream)).ok().flatten().filter(|_| is_whole);
-        let ended_connections = usize::from(answer.is_none());
-        Some(Outcome { id, sent, answer: answer.map(|answer| (Instant::now(), answer)), ended_connections })
-    })
-}
-
-fn other_client(address: SocketAddr) -> JoinHandle<Option<Outcome>> {
-    thread::spawn(move || {
-        let id = client::new_id();
-        let request = client::request("lookup", &id, ALLOW_MS, None, "SELECT 1 FROM sales_3.lots /* work 2500 */");
-        let stream = TcpStream::connect(address).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        (&stream).write_all(request.as_bytes()).ok()?;
-        let sent = Instant::now();
-        let answer = http::read(&mut BufReader::new(&stream)).ok().flatten();
-        let ended_connections = usize::from(answer.is_none());
-        Some(Outcome { id, sent, answer: answer.map(|answer| (Instant::now(), answer)), ended_connections })
-    })
-}
+/// Plays one round. Returns whether the rule was broken, or `None` if the loads did not both run.
+fn play_round(round: usize, gateway: &Gateway, engines: &[Engine], record: &Record) -> Option<bool> {
+    let key = format!("{:016x}", 0x5a1e_0000 + round);
+    let resting = connect(gateway.address);
+    write(&resting, &client::request("lookup", &client::new_id(), 4000, None, "SELECT 1 FROM sales_3.lots"));
+    record.line(&format!("round {round}: a look-up on the first client's connection: {}", read_status(&resting)));
+    sleep(ms(300));
 
-/// Writes down what became of the requests, and returns how many got no answer.
-fn unanswered(kind: &str, calls: Vec<JoinHandle<Option<Outcome>>>, record: &Record) -> usize {
-    let mut count = 0;
-    for outcome in calls.into_iter().filter_map(|call| call.join().ok().flatten()) {
-        let Outcome { id, sent, answer, .. } = outcome;
-        let text = match &answer {
-            Some((at, message)) => format!("{} after {} ms", message.start_line, (*at - sent).as_millis()),
-            None => "no answer, its connection ended".into(),
-        };
-        count += usize::from(answer.is_none());
-        record.line(&format!("{kind} request {id}, last byte written at {}: {text}", record.at(sent)));
+    let begun = Instant::now();
+    let until = |after: Duration| sleep((begun + after).saturating_duration_since(Instant::now()));
+    if with_trouble() {
+        record.line(&format!("round {round}: the gateway stalls"));
+        signal(gateway.process_id(), "STOP");
     }
-    count
+    let load = |price: u32| format!("UPDATE sales_17.lots SET price = {price} WHERE lot = {round} /* work 200 */");
+    let (first, second) = (client::new_id(), client::new_id());
+    until(FIRST_AT);
+    let first_at = write(&resting, &client::request("sale-load", &first, ALLOW_MS, Some(&key), &load(100)));
+    record.line(&format!("round {round}: load {first} written on the open connection, price 100"));
+    until(SECOND_AT);
+    let new = connect(gateway.address);
+    let second_at = write(&new, &client::request("sale-load", &second, ALLOW_MS, Some(&key), &load(200)));
+    record.line(&format!("round {round}: load {second} written on a new connection, price 200"));
+    until(STALL);
+    if with_trouble() {
+        signal(gateway.process_id(), "CONT");
+        record.line(&format!("round {round}: the gateway goes on"));
+    }
+    let answers = (read_status(&resting), read_status(&new));
+
+    let runs: Vec<Run> = engines.iter().flat_map(Engine::runs).collect();
+    let run = |id: &str| runs.iter().find(|run| run.id == id).filter(|run| run.completed).cloned();
+    let (Some(first_run), Some(second_run)) = (run(&first), run(&second)) else {
+        record.line(&format!("round {round}: answers {answers:?}; not both loads ran to their end"));
+        return None;
+    };
+    let is_broken = second_run.begun < first_run.begun;
+    let left = if is_broken { 100 } else { 200 };
+    record.line(&format!(
+        "round {round}: taken {} and {} ms after the start of the run, begun at {} and {}; answers {answers:?}; the price left \
+         is {left}{}",
+        record.at(first_at),
+        record.at(second_at),
+        record.at(first_run.begun),
+        record.at(second_run.begun),
+        if is_broken { ": OUT OF ORDER, the later load is overwritten" } else { "" }
+    ));
+    Some(is_broken)
 }
 
 fn main() {
@@ -151,22 +115,24 @@
     let engines: Vec<Engine> = (1..=3).map(|n| Engine::start(&format!("e{n}"), &record)).collect();
     let address = free_address();
     let mut gateway = Gateway::start(address, &config(address, &engines), &record);
-    let platform = Platform::watch(gateway.process_id(), &record);
-
-    let others: Vec<_> = (0..OTHER_CLIENTS).map(|_| other_client(address)).collect();
-    sleep(ms(100));
-    let way = if with_trouble() { "in pieces of 16 bytes, one each 5 ms" } else { "whole" };
-    record.line(&format!("{SLOW_CLIENTS} clients write statements of {STATEMENT_BYTES} bytes {way}"));
-    let slow: Vec<_> = (0..SLOW_CLIENTS).map(|_| slow_client(address)).collect();
-    let unanswered_slow = unanswered("slow", slow, &record);
-    let unanswered_others = unanswered("other", others, &record);
-    let (peak_kb, was_killed) = platform.stop();
-    let has_ended = gateway.has_exited();
+    let mut broken = 0;
+    let mut played = 0;
+    for round in 1..=ROUNDS {
+        let begun = Instant::now();
+        if let Some(is_broken) = play_round(round, &gateway, &engines, &record) {
+            played += 1;
+            broken += usize::from(is_broken);
+        }
+        thread::sleep((begun + STALL + BETWEEN_STALLS).saturating_duration_since(Instant::now()));
+    }
+    let crashed = gateway.has_exited();
     drop(gateway);
     record.say(&format!(
-        "peak of private memory {peak_kb} kB, limit {} kB; killed for memory: {was_killed}; requests without an answer: \
-         {unanswered_others} of {OTHER_CLIENTS} whose queries ran, {unanswered_slow} of {SLOW_CLIENTS} written slowly",
-        MEMORY_MB * 1024
+        "of {played} pairs of sale-loads of one key {broken} ran in another order than they were taken; the gateway has ended \
+         by itself: {crashed}"
     ));
-    exit(i32::from(was_killed || has_ended));
+    if played == 0 {
+        exit(2);
+    }
+    exit(i32::from(broken > 0 || crashed));
 }
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -1,6 +1,5 @@
 //! An engine. It runs all that it is sent at once, and holds a query until it ends, is deleted, or has not been asked
 //! for in 2 s. The comment `/* work N */` in a statement tells how many milliseconds the query runs; 50 otherwise.
-//! `/* rows N */` tells how many rows its result has; 1 otherwise.
 
 use crate::http::{self, Message};
 use crate::ms;
@@ -36,27 +35,6 @@
 struct Shared {
     runs: Mutex<Vec<Run>>,
     changed: Condvar,
-    spoil: Mutex<Option<Spoil>>,
-}
-
-/// Spoils good answers: their length does not fit, as it is less than what follows.
-#[derive(Clone, Debug)]
-pub struct Spoil {
-    /// One in so many good answers is spoilt.
-    pub one_in: u64,
-    /// State of the random numbers; the start value is the seed.
-    pub random: u64,
-}
-
-impl Spoil {
-    /// A random number below `limit` (splitmix64).
-    fn below(&mut self, limit: u64) -> u64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.random;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (mixed ^ (mixed >> 31)) % limit
-    }
 }
 
 /// The value of a directive `/* NAME N */` in a statement.
@@ -65,13 +43,6 @@
     rest.split(' ').next()?.parse().ok()
 }
 
-/// The rows of a statement's result, as an engine writes them.
-pub fn rows(statement: &str) -> Vec<[String; 3]> {
-    let count = directive(statement, "rows").unwrap_or(1);
-    let row = |number: u64| [format!("lot-{}", 1000 + number), format!("{}", 40 + number * 7 % 50), "sold".into()];
-    (0..count).map(row).collect()
-}
-
 /// A started engine.
 #[derive(Clone)]
 pub struct Engine {
@@ -112,33 +83,13 @@
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
         while let Ok(Some(request)) = http::read(&mut reader) {
-            let answer = self.spoilt(self.answer(&request));
+            let answer = self.answer(&request);
             if (&stream).write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
-    /// Spoils the engine's good answers from now on.
-    pub fn spoil_answers(&self, spoil: Spoil) {
-        *self.shared.spoil.lock().unwrap() = Some(spoil);
-    }
-
-    fn spoilt(&self, answer: String) -> String {
-        let mut spoil = self.shared.spoil.lock().unwrap();
-        let Some(spoil) = spoil.as_mut().filter(|_| answer.contains("Result-Pages: ")) else {
-            return answer;
-        };
-        let Some((head, body)) = answer.split_once("\r\n\r\n") else { return answer };
-        if spoil.below(spoil.one_in) != 0 {
-            return answer;
-        }
-        let right = format!("Content-Length: {}", body.len());
-        let wrong = format!("Content-Length: {}", spoil.below(body.len() as u64));
-        self.record.line(&format!("engine {} spoils an answer: {wrong} instead of {}", self.name, body.len()));
-        format!("{}\r\n\r\n{body}", head.replace(&right, &wrong))
-    }
-
     fn answer(&self, request: &Message) -> String {
         let mut words = request.start_line.split(' ');
         let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
@@ -198,7 +149,7 @@
                     true => http::response(
                         "200 OK",
                         &format!("Result-Pages: 1\r\nQuery-Cost: {}\r\n", run.work.as_millis()),
-                        &rows(&run.statement).iter().map(|row| row.join("\t") + "\n").collect::<String>(),
+                        &format!("{id}\t{}\tdone\n", self.name),
                     ),
                     false => http::response("500 Error", "", ""),
                 };
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -17,9 +17,9 @@
     pid_file: PathBuf,
 }
 
-/// Kills a process that the case started.
-pub fn kill(process: u32) {
-    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -9 {process}")]).status();
+/// Sends a signal, such as `KILL`, to a process that the case started.
+pub fn signal(process: u32, name: &str) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {process}")]).status();
 }
 
 /// A free loopback port.
