Review: the stand-ins are built into the root's target folder

The build's own files name the folder they were built in, and stood in review/; git ignored them, but a check of the folder finds them.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -3,7 +3,7 @@
 set -u
 number=$1
 root=$(cd "$(dirname "$0")/.." && pwd)
-program=$root/review/standins/target/release/case-$number
+program=$root/target/review/release/case-$number
 folder=$(mktemp -d) || exit 2
 if [[ ! -x $program ]]; then
     echo "the case could not run: build review/build.sh first" >&2
