Log how long the last byte of a request had waited unread

`query received` now has unread_ms, which the system tells (TCP_INFO, in ticks of a monotonic clock).

--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -12,6 +12,7 @@
 use crate::scheduling::scheduler::{Admission, OpenedQuery, QueryAnswer, Waiter};
 use axum::response::Response;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
 /// Admitted query, which has a final answer or will get one.
@@ -32,8 +33,27 @@
     }
 }
 
-/// Admits a query, or joins an open query with the same key. `arrived_at` is when the request arrived, in seconds on
-/// the scheduler's clock. If the query is new, `statement_memory` stays reserved until its task ends.
+/// When a request arrived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    /// How long its last byte had waited unread, by the system's account.
+    unread: Duration,
+    /// The earliest time at which it can have arrived, in seconds on the scheduler's clock. The deadline counts from it.
+    earliest: f64,
+}
+
+impl Arrival {
+    /// Determines when the request that was last read from `stream` arrived.
+    pub fn of(state: &ServerState, stream: &StreamHandle) -> Self {
+        Arrival {
+            unread: stream.arrived_at().elapsed(),
+            earliest: state.scheduler.arrival_time(stream.last_read_at()),
+        }
+    }
+}
+
+/// Admits a query, or joins an open query with the same key. If the query is new, `statement_memory` stays reserved until
+/// its task ends.
 ///
 /// # Errors
 ///
@@ -42,12 +62,13 @@
 pub(super) fn admit(
     state: &ServerState,
     query: SubmittedQuery,
-    arrived_at: f64,
+    arrival: Arrival,
     statement_memory: OwnedSemaphorePermit,
     stream: &StreamHandle,
 ) -> Result<AdmittedQuery, SubmissionError> {
+    log_arrival(query.head.query_key, arrival.unread);
     check_client_connected(stream, query.head.query_key)?;
-    let send_time = state.earliest_send_time(query.head.ordering_key, arrived_at);
+    let send_time = state.earliest_send_time(query.head.ordering_key, arrival.earliest);
     let TimedQuery {
         arriving,
         forwarded_query,
@@ -68,6 +89,11 @@
     }
 }
 
+fn log_arrival(query_key: u64, unread: Duration) {
+    let unread_ms = unread.as_millis();
+    tracing::debug!(query_key = %format_args!("{query_key:016x}"), unread_ms, "query received");
+}
+
 /// Starts the task of a new query, and returns the query's first waiter.
 fn spawn_query_task(
     state: &ServerState,
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -92,6 +92,17 @@
         self.state().last_read_at
     }
 
+    /// Returns when the newest bytes of the connection arrived. They may have waited unread, for example while this
+    /// process had no processor time. If the system does not tell, returns when bytes were last read.
+    pub fn arrived_at(&self) -> Instant {
+        let state = self.state();
+        let now = Instant::now();
+        let age = state.io.inner().time_since_last_arrival();
+        let arrived_at = age.and_then(|age| now.checked_sub(age));
+        // Bytes that were read had arrived by then; the system may tell of later ones.
+        arrived_at.map_or(state.last_read_at, |at| at.min(state.last_read_at))
+    }
+
     /// Reads the bytes that the kernel holds, as far as the read-ahead buffer has space. Reads even if the runtime has
     /// not reported the socket readable yet: for a connection just accepted, that report comes one turn of the event
     /// loop later, when later bytes on other connections may already have been read.
--- a/crates/gateway/src/http/streamed_body.rs
+++ b/crates/gateway/src/http/streamed_body.rs
@@ -3,7 +3,7 @@
 //! The query runs while its body arrives. The body store keeps the bytes that have arrived, so that a retry can send
 //! them again.
 
-use super::admission::{admit, AdmittedQuery};
+use super::admission::{admit, AdmittedQuery, Arrival};
 use super::request_head::{RequestError, RequestHead, Submission, SubmittedQuery};
 use super::responses::{answer_response, close_after};
 use super::submission_error::SubmissionError;
@@ -43,9 +43,7 @@
     mut body: Body,
 ) -> Result<Response, SubmissionError> {
     let length = body.size_hint().exact();
-    let arrived_at = state
-        .scheduler
-        .arrival_time(submission.stream.last_read_at());
+    let arrival = Arrival::of(state, &submission.stream);
     let head = RequestHead::parse(&state.platform, &submission, None)?;
     let retention = retention(state, head.class);
     let stored = store.admit(head.tenant, head.class, length, retention)?;
@@ -67,7 +65,7 @@
     // The body store has its own memory budget, so nothing is reserved for the statement here.
     let memory = state.reserve_statement_bytes(0)?;
     let query_key = query.head.query_key;
-    match admit(state, query, arrived_at, memory, &submission.stream)? {
+    match admit(state, query, arrival, memory, &submission.stream)? {
         AdmittedQuery::Answered(answer) => Ok(close_after(answer_response(answer))),
         AdmittedQuery::Open(waiter) => {
             answer_while_receiving(state, waiter, query_key, &mut body, &stored).await
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -1,6 +1,6 @@
 //! Handler stage: handles requests that submit or cancel a query.
 
-use super::admission::admit;
+use super::admission::{admit, Arrival};
 use super::request_head::{query_key, RequestHead, Submission, SubmittedQuery};
 use super::responses::error_response;
 use super::streamed_body::submit_streamed;
@@ -61,9 +61,7 @@
     let length = statement_length(&submission.headers, &body)?;
     let memory = state.reserve_statement_bytes(length)?;
     let statement = read_statement(body).await?;
-    let arrived_at = state
-        .scheduler
-        .arrival_time(submission.stream.last_read_at());
+    let arrival = Arrival::of(state, &submission.stream);
     let head = RequestHead::parse(&state.platform, &submission, Some(&statement))
         .inspect_err(|error| tracing::debug!(%error, "request rejected as invalid"))?;
     let query = SubmittedQuery {
@@ -73,7 +71,7 @@
         data_set: data_set(&statement).unwrap_or(0),
         statement: Statement::Complete(statement),
     };
-    let admitted = admit(state, query, arrived_at, memory, &submission.stream)?;
+    let admitted = admit(state, query, arrival, memory, &submission.stream)?;
     Ok(admitted.response().await)
 }
 
--- a/crates/gateway/src/system.rs
+++ b/crates/gateway/src/system.rs
@@ -10,4 +10,5 @@
 pub mod signals;
 pub mod socket;
 pub mod stall_detector;
+pub mod tcp_info;
 pub mod write_timeout;
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -4,6 +4,7 @@
 //! as the sign that the socket is drained or full, and would then wait for a readiness event that may never arrive.
 
 use crate::system::os_error;
+use crate::system::tcp_info::time_since_last_arrival;
 use socket2::SockRef;
 use std::future::Future;
 use std::io::{self, IoSlice, Read as _};
@@ -112,6 +113,11 @@
         uninterrupted(|| (&*SockRef::from(&self.0)).read(bytes))
     }
 
+    /// How long ago the newest bytes arrived, whether or not they were read; `None` if the system does not tell.
+    pub fn time_since_last_arrival(&self) -> Option<Duration> {
+        time_since_last_arrival(&self.0)
+    }
+
     /// Reads the bytes that have arrived, or registers the task to be woken when some arrive.
     pub fn poll_read_bytes(
         &self,
