Admit queries of a key in the order in which their last bytes arrived

What callers saw: the gateway stood still for 800 ms; of two loads of one key that came meanwhile, the later one, on a new connection, ran first, and the earlier one, on an open connection, overwrote its change. 8 of 8 pairs.

Cause: queries were admitted as they were read, and after a stall the accepting task read new connections before the tasks of open ones ran. No order of tasks is right for both orders of the pair. Evidence: unread_ms=352 of the later query is logged before unread_ms=652 of the earlier one, and strace shows accept4 ahead of the read of the open connection that epoll_wait had named first.

Change: a query with an ordering key, and a cancellation, waits for its turn. The gateway first accepts, reads and parses whatever has come, then grants the turns by the time at which the newest bytes of each request arrived, which the system tells on a monotonic clock. Why it holds: what came before the pass is read in it, on whichever connection, and the order is that of the system's times, not of tasks. Reading new connections in the accepting task is taken out.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,8 @@
 use crate::configuration::Config;
 use crate::discovery::EngineList;
 use crate::engines::{self, result_rows, Engines};
+use crate::http::accept::{AcceptQueue, Acceptor};
+use crate::http::arrival_order::{grant_turns, ArrivalOrder};
 use crate::http::client_connections::ClientConnections;
 use crate::http::send_time::SendTimeEstimator;
 use crate::http::{self, ServerState};
@@ -125,18 +127,19 @@
             listener,
         } = resources;
         self.start_background_tasks(reloads);
-        let router = http::router(Arc::new(self.server_state(journal, store.clone())));
+        let server_state = Arc::new(self.server_state(journal, store.clone()));
+        let arrival_order = server_state.arrival_order.clone();
         let clients = ClientConnections::new(self.budget.client_connections.clone());
         let stop_accepting = watch::Sender::new(false);
         let close_connections = watch::Sender::new(false);
-        // Serving and draining poll the same future, since it may hold an accepted connection that waits for a permit.
-        let mut accepting = Box::pin(http::accept(
-            &listener,
-            &router,
-            &clients,
-            stop_accepting.subscribe(),
+        let (acceptor, accept_queue) = Acceptor::new(
+            http::router(server_state),
+            clients.clone(),
             close_connections.subscribe(),
-        ));
+        );
+        start_granting_turns(arrival_order, accept_queue, clients.clone());
+        // Serving and draining poll the same future, since it may hold an accepted connection that waits for a permit.
+        let mut accepting = Box::pin(acceptor.run(&listener, stop_accepting.subscribe()));
 
         self.serve(accepting.as_mut(), stop).await;
         let schedule = self
@@ -223,6 +226,7 @@
             body_store: store,
             platform: self.config.platform.clone(),
             phase: self.phase.subscribe(),
+            arrival_order: Arc::default(),
             statement_memory: self.budget.statement_memory.clone(),
             send_time_estimator: Mutex::new(SendTimeEstimator::new(
                 self.budget.query_capacity,
@@ -292,6 +296,15 @@
     }
 }
 
+/// Starts the task that gives requests their turn in the order of their arrival.
+fn start_granting_turns(
+    order: Arc<ArrivalOrder>,
+    accept_queue: AcceptQueue,
+    clients: Arc<ClientConnections>,
+) {
+    tokio::spawn(async move { grant_turns(&order, accept_queue, &clients).await });
+}
+
 /// Splits the configured limits on descriptors and memory into budgets.
 fn resource_budget(config: &Config) -> ResourceBudget {
     ResourceBudget::from_limits(ResourceLimits {
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -1,18 +1,20 @@
 //! Serves HTTP to clients: turns requests into queries, and final answers into responses.
 //!
 //! A request passes through these stages:
-//! 1. Connection: [`accept`](accept()) accepts the connection, [`client_connections`] limits how many are open,
-//!    `connection` serves it, and [`client_stream`] reads and writes its bytes.
+//! 1. Connection: [`accept`] accepts the connection, [`client_connections`] limits how many are open, `connection`
+//!    serves it, and [`client_stream`] reads and writes its bytes.
 //! 2. Handler: `submission` handles requests that submit or cancel a query, and passes long bodies to `streamed_body`.
 //! 3. Parse: `request_head` checks the request head, and [`statement`] finds the data set in the SQL statement.
-//! 4. Admission: [`send_time`] estimates when the client sent the query, and `admission` passes it to the scheduler.
+//! 4. Admission: [`arrival_order`] gives requests their turn in the order of their arrival, [`send_time`] estimates when
+//!    the client sent the query, and `admission` passes it to the scheduler.
 //! 5. Response: `responses` builds the responses, and `submission_error` maps each reason for not admitting a query to
 //!    one.
 //!
 //! Header names and paths of the client protocol are defined only in `request_head`, `responses` and [`router`].
 
-mod accept;
+pub mod accept;
 mod admission;
+pub mod arrival_order;
 pub mod client_connections;
 pub mod client_stream;
 mod connection;
@@ -25,6 +27,7 @@
 mod submission_error;
 
 use crate::engines::Engines;
+use crate::http::arrival_order::ArrivalOrder;
 use crate::http::send_time::SendTimeEstimator;
 use crate::phase::Phase;
 use crate::scheduling::scheduler::Scheduler;
@@ -44,8 +47,6 @@
 use submission_error::SubmissionError;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 
-pub use accept::accept;
-
 /// Maximum time to read the head of a connection's first request, the rest of a head that has arrived in part when the
 /// gateway closes the connection, a body that is read whole, or one chunk of a streamed body before its query is
 /// admitted.
@@ -68,6 +69,8 @@
     /// Stores bodies that are longer than the longest statement that is read whole, or of unknown length. `None` if the
     /// plan configures no body store; such bodies are then rejected.
     pub body_store: Option<Arc<Store>>,
+    /// Gives requests whose order matters their turn.
+    pub arrival_order: Arc<ArrivalOrder>,
     /// Estimates when clients sent their queries.
     pub send_time_estimator: Mutex<SendTimeEstimator>,
     /// Memory budget for statements: one permit per byte.
--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -5,15 +5,14 @@
 use crate::http::client_connections::ClientConnections;
 use crate::http::client_stream::StreamHandle;
 use crate::system::os_error;
+use crate::system::socket::accept_now;
 use axum::Router;
-use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::coop::unconstrained;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -22,81 +21,153 @@
 /// become free as connections close.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
 
-/// Accepts connections, and serves each in a task of its own. Returns once `stop_accepting` is set and no connection
-/// waits to be accepted. When `close_connections` is set, the tasks close their connections after any open request.
-pub async fn accept(
-    listener: &TcpListener,
-    router: &Router,
-    connections: &Arc<ClientConnections>,
-    mut stop_accepting: watch::Receiver<bool>,
+/// Handle to [`Acceptor`], for waiting until no connection is left in the system's accept queue.
+pub struct AcceptQueue {
+    drain_requests: mpsc::Sender<DrainRequest>,
+}
+
+/// Asks the acceptor to accept all connections that wait. It drops the request when it has done so.
+struct DrainRequest {
+    _done: oneshot::Sender<()>,
+}
+
+impl AcceptQueue {
+    /// Waits until each connection that is in the accept queue now is accepted. Returns at once if the gateway accepts
+    /// no more connections.
+    pub async fn drain(&self) {
+        let (sender, done) = oneshot::channel();
+        let request = DrainRequest { _done: sender };
+        // Both errors say that the request was dropped: the queue is drained, or the acceptor has ended.
+        if self.drain_requests.send(request).await.is_ok() {
+            let _ = done.await;
+        }
+    }
+}
+
+/// Accepts client connections, and serves each in a task of its own.
+pub struct Acceptor {
+    router: Router,
+    connections: Arc<ClientConnections>,
+    /// When set, the tasks close their connections after any open request.
     close_connections: watch::Receiver<bool>,
-) {
-    let mut has_failed = false;
-    for number in 0.. {
-        let Some(accepted) = next_connection(listener, &mut stop_accepting).await else {
-            return;
+    drain_requests: mpsc::Receiver<DrainRequest>,
+    /// Number of the next connection.
+    next_number: u64,
+    /// Whether the last accept failed.
+    has_failed: bool,
+}
+
+/// What the acceptor has to do next.
+enum Event {
+    /// A connection was accepted, or accepting one failed.
+    Accepted(io::Result<(TcpStream, SocketAddr)>),
+    DrainRequested(DrainRequest),
+    /// No more connections are to be accepted, and none waits.
+    Stopped,
+}
+
+impl Acceptor {
+    /// Returns an acceptor and the handle to its accept queue. When `close_connections` is set, connections are closed
+    /// after any open request.
+    pub fn new(
+        router: Router,
+        connections: Arc<ClientConnections>,
+        close_connections: watch::Receiver<bool>,
+    ) -> (Acceptor, AcceptQueue) {
+        let (sender, drain_requests) = mpsc::channel(1);
+        let acceptor = Acceptor {
+            router,
+            connections,
+            close_connections,
+            drain_requests,
+            next_number: 0,
+            has_failed: false,
         };
+        let accept_queue = AcceptQueue {
+            drain_requests: sender,
+        };
+        (acceptor, accept_queue)
+    }
+
+    /// Accepts connections. Returns once `stop_accepting` is set and no connection waits to be accepted.
+    pub async fn run(mut self, listener: &TcpListener, mut stop_accepting: watch::Receiver<bool>) {
+        loop {
+            match self.next_event(listener, &mut stop_accepting).await {
+                Event::Accepted(accepted) => self.accepted(accepted).await,
+                Event::DrainRequested(request) => {
+                    self.drain(listener).await;
+                    drop(request);
+                }
+                Event::Stopped => return,
+            }
+        }
+    }
+
+    async fn next_event(
+        &mut self,
+        listener: &TcpListener,
+        stop_accepting: &mut watch::Receiver<bool>,
+    ) -> Event {
+        loop {
+            if *stop_accepting.borrow_and_update() {
+                yield_now().await;
+                return tokio::select! {
+                    biased;
+                    // `unconstrained` is needed because a task that has used up its cooperative budget is told that no
+                    // connection waits, even if one does.
+                    accepted = unconstrained(listener.accept()) => Event::Accepted(accepted),
+                    () = std::future::ready(()) => Event::Stopped,
+                };
+            }
+            tokio::select! {
+                biased;
+                accepted = listener.accept() => return Event::Accepted(accepted),
+                Some(request) = self.drain_requests.recv() => return Event::DrainRequested(request),
+                Ok(()) = stop_accepting.changed() => {}
+            }
+        }
+    }
+
+    /// Accepts all connections that wait. Asks the system, since the runtime learns of a new connection only at its
+    /// next poll.
+    async fn drain(&mut self, listener: &TcpListener) {
+        while let Some(accepted) = accept_now(listener) {
+            self.accepted(accepted).await;
+        }
+    }
+
+    /// Serves an accepted connection, or handles the error of an accept.
+    async fn accepted(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
             Ok((stream, address)) => {
-                has_failed = false;
-                let connection = connections.acquire(number).await;
-                let stream = StreamHandle::new(stream);
-                stream.read_available();
-                let client = ClientAddress(address.ip().to_canonical());
-                let server = ConnectionServer::new(
-                    stream,
-                    client,
-                    router.clone(),
-                    connection,
-                    close_connections.clone(),
-                );
-                spawn_polled(server.run()).await;
+                self.has_failed = false;
+                self.serve(stream, address).await;
             }
-            Err(error) if !has_failed => {
-                has_failed = true;
+            Err(error) if !self.has_failed => {
+                self.has_failed = true;
                 tracing::warn!(%error, "accepting a client connection failed; repeats are not logged until one succeeds");
             }
             Err(error) if os_error::needs_accept_pause(&error) => sleep(ACCEPT_RETRY_PAUSE).await,
             Err(_) => {}
         }
     }
-}
-
-/// Waits for the next connection, and returns it or the accept error. Returns `None` if `stop_accepting` is set and no
-/// connection waits to be accepted.
-async fn next_connection(
-    listener: &TcpListener,
-    stop_accepting: &mut watch::Receiver<bool>,
-) -> Option<io::Result<(TcpStream, SocketAddr)>> {
-    loop {
-        if *stop_accepting.borrow_and_update() {
-            yield_now().await;
-            return tokio::select! {
-                biased;
-                // `unconstrained` is needed because a task that has used up its cooperative budget is told that no
-                // connection waits, even if one does.
-                accepted = unconstrained(listener.accept()) => Some(accepted),
-                () = std::future::ready(()) => None,
-            };
-        }
-        tokio::select! {
-            biased;
-            accepted = listener.accept() => return Some(accepted),
-            Ok(()) = stop_accepting.changed() => {}
-        }
-    }
-}
 
-/// Polls a task once, and spawns it if it has not completed.
-///
-/// Queries of one ordering key must be admitted in the order in which they arrived, even if they arrived while this
-/// process had no processor time. The tasks of older connections may already be in the run queue, and a task that is
-/// only spawned would run after them. The poll here reads the request on the new connection before requests that
-/// arrived later on older connections.
-async fn spawn_polled(task: impl Future<Output = ()> + Send + 'static) {
-    let mut task = Box::pin(task);
-    let first_poll = poll_fn(|cx| Poll::Ready(task.as_mut().poll(cx))).await;
-    if first_poll.is_pending() {
-        tokio::spawn(task);
+    /// Waits for a slot, then starts the task that serves the connection.
+    async fn serve(&mut self, stream: TcpStream, address: SocketAddr) {
+        let stream = StreamHandle::new(stream);
+        let connection = self
+            .connections
+            .acquire(self.next_number, stream.clone())
+            .await;
+        self.next_number += 1;
+        stream.read_available();
+        let server = ConnectionServer::new(
+            stream,
+            ClientAddress(address.ip().to_canonical()),
+            self.router.clone(),
+            connection,
+            self.close_connections.clone(),
+        );
+        tokio::spawn(server.run());
     }
 }
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -12,7 +12,7 @@
 use crate::scheduling::scheduler::{Admission, OpenedQuery, QueryAnswer, Waiter};
 use axum::response::Response;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
 
 /// Admitted query, which has a final answer or will get one.
@@ -36,7 +36,9 @@
 /// When a request arrived.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
-    /// How long its last byte had waited unread, by the system's account.
+    /// When its last byte arrived, by the system's account. Determines the order of requests.
+    at: Instant,
+    /// How long its last byte had waited unread.
     unread: Duration,
     /// The earliest time at which it can have arrived, in seconds on the scheduler's clock. The deadline counts from it.
     earliest: f64,
@@ -45,21 +47,23 @@
 impl Arrival {
     /// Determines when the request that was last read from `stream` arrived.
     pub fn of(state: &ServerState, stream: &StreamHandle) -> Self {
+        let at = stream.arrived_at();
         Arrival {
-            unread: stream.arrived_at().elapsed(),
+            at,
+            unread: at.elapsed(),
             earliest: state.scheduler.arrival_time(stream.last_read_at()),
         }
     }
 }
 
-/// Admits a query, or joins an open query with the same key. If the query is new, `statement_memory` stays reserved until
-/// its task ends.
+/// Admits a query, or joins an open query with the same key. A query with an ordering key waits for its turn in the
+/// order of arrival. If the query is new, `statement_memory` stays reserved until its task ends.
 ///
 /// # Errors
 ///
 /// Fails if the client has closed its connection, the query key belongs to a different query or to an ended one whose
 /// answer is not cached, an earlier gateway process may have sent the query, or the plan denies it.
-pub(super) fn admit(
+pub(super) async fn admit(
     state: &ServerState,
     query: SubmittedQuery,
     arrival: Arrival,
@@ -67,6 +71,10 @@
     stream: &StreamHandle,
 ) -> Result<AdmittedQuery, SubmissionError> {
     log_arrival(query.head.query_key, arrival.unread);
+    let _turn = match query.head.ordering_key {
+        Some(_) => state.arrival_order.turn(arrival.at).await,
+        None => None,
+    };
     check_client_connected(stream, query.head.query_key)?;
     let send_time = state.earliest_send_time(query.head.ordering_key, arrival.earliest);
     let TimedQuery {
--- a/crates/gateway/src/http/client_connections.rs
+++ b/crates/gateway/src/http/client_connections.rs
@@ -1,5 +1,6 @@
 //! Connection stage: tracks the state of each open client connection, and selects one to evict when no slot is free.
 
+use crate::http::client_stream::StreamHandle;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -32,8 +33,9 @@
     }
 }
 
-/// Eviction data of one open connection.
+/// One open connection, with its eviction data.
 struct ConnectionEntry {
+    stream: StreamHandle,
     state: ConnectionState,
     /// When `state` was entered.
     state_since: Instant,
@@ -43,8 +45,9 @@
 }
 
 impl ConnectionEntry {
-    fn new(eviction: Arc<Notify>) -> Self {
+    fn new(stream: StreamHandle, eviction: Arc<Notify>) -> Self {
         ConnectionEntry {
+            stream,
             state: ConnectionState::New,
             state_since: Instant::now(),
             eviction,
@@ -69,6 +72,10 @@
             .is_some_and(|at| at.elapsed() < NEW_CONNECTION_GRACE)
     }
 
+    fn has_unread_request(&self) -> bool {
+        self.state != ConnectionState::Closing && self.stream.has_unread_request()
+    }
+
     fn may_be_evicted(&self) -> bool {
         self.current_state().is_evictable() && self.eviction_requested_at.is_none()
     }
@@ -100,11 +107,11 @@
 
     /// Registers an accepted connection under `number`, which must be unique. Waits for a slot; while none is free,
     /// evicts connections that have no open request.
-    pub async fn acquire(self: &Arc<Self>, number: u64) -> ClientConnection {
+    pub async fn acquire(self: &Arc<Self>, number: u64, stream: StreamHandle) -> ClientConnection {
         let slot = self.acquire_slot().await;
         let eviction = Arc::new(Notify::new());
         self.entries()
-            .insert(number, ConnectionEntry::new(eviction.clone()));
+            .insert(number, ConnectionEntry::new(stream, eviction.clone()));
         self.open_count.send_modify(|count| *count += 1);
         ClientConnection {
             connections: self.clone(),
@@ -148,6 +155,25 @@
         }
     }
 
+    /// Returns the numbers of the connections on which bytes of a request have arrived that are still to be processed.
+    pub fn with_unread_requests(&self) -> Vec<u64> {
+        let entries = self.entries();
+        entries
+            .iter()
+            .filter(|(_, entry)| entry.has_unread_request())
+            .map(|(number, _)| *number)
+            .collect()
+    }
+
+    /// Whether bytes of a request have arrived on a connection that are still to be processed. False for a connection
+    /// that has closed.
+    pub fn has_unread_request(&self, number: u64) -> bool {
+        let entries = self.entries();
+        entries
+            .get(&number)
+            .is_some_and(ConnectionEntry::has_unread_request)
+    }
+
     /// Completes when no connection is open.
     pub async fn all_closed(&self) {
         // `wait_for` fails only if the sender is dropped, and `self` owns the sender.
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -52,6 +52,11 @@
     /// Whether bytes were read ahead since the connection's task was last woken to parse.
     parser_needs_wake: bool,
     last_read_at: Instant,
+    /// Whether a request, or a part of one, is still to be received. False from when a request was received whole until
+    /// its response is ready.
+    awaits_request: bool,
+    /// Whether the parser was polled since the last bytes were read ahead, so that it could have taken them.
+    is_offered: bool,
     /// Timer until the next check for a close by the client; set while the read-ahead buffer is full.
     close_check: Option<Pin<Box<Sleep>>>,
     write_timeout: WriteTimeout,
@@ -73,6 +78,8 @@
             end: None,
             parser_needs_wake: false,
             last_read_at: Instant::now(),
+            awaits_request: true,
+            is_offered: true,
             close_check: None,
             write_timeout: WriteTimeout::default(),
         })))
@@ -103,9 +110,30 @@
         arrived_at.map_or(state.last_read_at, |at| at.min(state.last_read_at))
     }
 
+    /// Records that a request was received whole: bytes that follow are not awaited until its response is ready.
+    pub fn request_received(&self) {
+        self.state().awaits_request = false;
+    }
+
+    /// Records that the response to the open request is ready: the next request is awaited.
+    pub fn response_ready(&self) {
+        self.state().awaits_request = true;
+    }
+
+    /// Whether bytes of an awaited request have arrived that the parser was not polled for. Reads from the socket first.
+    /// Bytes that the parser leaves, such as those of a pipelined request, do not count.
+    pub fn has_unread_request(&self) -> bool {
+        let mut state = self.state();
+        if !state.awaits_request {
+            return false;
+        }
+        state.read_available();
+        !state.is_offered
+    }
+
     /// Reads the bytes that the kernel holds, as far as the read-ahead buffer has space. Reads even if the runtime has
     /// not reported the socket readable yet: for a connection just accepted, that report comes one turn of the event
-    /// loop later, when later bytes on other connections may already have been read.
+    /// loop later.
     pub fn read_available(&self) {
         self.state().read_available();
     }
@@ -125,11 +153,14 @@
     }
 
     /// Completes when the client has ended its side of the connection. The stream is checked only in polls in which
-    /// `is_watched` returns true.
+    /// `is_watched` returns true. The parser must be polled before.
     pub async fn closed_by_client(&self, is_watched: impl Fn() -> bool) {
         poll_fn(|cx| {
-            if is_watched() {
-                self.state().poll_closed_by_client(cx)
+            let is_watched = is_watched();
+            let mut state = self.state();
+            state.is_offered = true;
+            if is_watched {
+                state.poll_closed_by_client(cx)
             } else {
                 Poll::Pending
             }
@@ -175,6 +206,7 @@
             Ok(count) => {
                 self.last_read_at = Instant::now();
                 self.parser_needs_wake = true;
+                self.is_offered = false;
                 self.read_ahead.extend_from_slice(&buffer[..count]);
                 return ReadOutcome::Received;
             }
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -112,6 +112,7 @@
         let _ = timeout(LINGER_TIMEOUT, stream.write_all(PARTIAL_HEAD_RESPONSE)).await;
         self.stream.shut_down_write();
         if mode == CloseMode::Linger {
+            self.connection.started_closing();
             linger(&self.stream).await;
         }
         self.stream.discard_received();
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -271,10 +271,12 @@
         request.extensions_mut().insert(self.client);
         let response = self.router.clone().call(request);
         let connection = self.connection.clone();
+        let stream = self.stream.clone();
         connection.request_started();
         Box::pin(async move {
             let response = response.await;
             connection.response_ready();
+            stream.response_ready();
             response
         })
     }
--- a/crates/gateway/src/http/streamed_body.rs
+++ b/crates/gateway/src/http/streamed_body.rs
@@ -65,7 +65,8 @@
     // The body store has its own memory budget, so nothing is reserved for the statement here.
     let memory = state.reserve_statement_bytes(0)?;
     let query_key = query.head.query_key;
-    match admit(state, query, arrival, memory, &submission.stream)? {
+    submission.stream.request_received();
+    match admit(state, query, arrival, memory, &submission.stream).await? {
         AdmittedQuery::Answered(answer) => Ok(close_after(answer_response(answer))),
         AdmittedQuery::Open(waiter) => {
             answer_while_receiving(state, waiter, query_key, &mut body, &stored).await
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -61,6 +61,7 @@
     let length = statement_length(&submission.headers, &body)?;
     let memory = state.reserve_statement_bytes(length)?;
     let statement = read_statement(body).await?;
+    submission.stream.request_received();
     let arrival = Arrival::of(state, &submission.stream);
     let head = RequestHead::parse(&state.platform, &submission, Some(&statement))
         .inspect_err(|error| tracing::debug!(%error, "request rejected as invalid"))?;
@@ -71,7 +72,7 @@
         data_set: data_set(&statement).unwrap_or(0),
         statement: Statement::Complete(statement),
     };
-    let admitted = admit(state, query, arrival, memory, &submission.stream)?;
+    let admitted = admit(state, query, arrival, memory, &submission.stream).await?;
     Ok(admitted.response().await)
 }
 
@@ -96,12 +97,18 @@
         .map_err(|_| SubmissionError::BodyTruncated)
 }
 
-/// Handles a request that cancels an open query.
-pub(super) async fn cancel(State(state): State<Arc<ServerState>>, headers: HeaderMap) -> Response {
+/// Handles a request that cancels an open query, after requests that arrived before it.
+pub(super) async fn cancel(
+    State(state): State<Arc<ServerState>>,
+    Extension(stream): Extension<StreamHandle>,
+    headers: HeaderMap,
+) -> Response {
     let query_key = match query_key(&headers) {
         Ok(query_key) => query_key,
         Err(error) => return error_response(StatusCode::BAD_REQUEST, &error.to_string()),
     };
+    stream.request_received();
+    let _turn = state.arrival_order.turn(stream.arrived_at()).await;
     match state.scheduler.cancel(query_key) {
         CancelOutcome::Cancelled => StatusCode::NO_CONTENT.into_response(),
         CancelOutcome::NotOpen => {
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -5,7 +5,7 @@
 
 use crate::system::os_error;
 use crate::system::tcp_info::time_since_last_arrival;
-use socket2::SockRef;
+use socket2::{SockAddr, SockRef};
 use std::future::Future;
 use std::io::{self, IoSlice, Read as _};
 use std::net::{Shutdown, SocketAddr};
@@ -14,7 +14,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 /// Pause before a connect that failed for a local reason is retried.
@@ -34,6 +34,23 @@
     }
 }
 
+/// Accepts a connection that waits. It calls the system directly, because the runtime learns of a new connection only at
+/// its next poll. Returns `None` if no connection waits.
+pub fn accept_now(listener: &TcpListener) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+    match uninterrupted(|| SockRef::from(listener).accept()) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+        accepted => Some(accepted.and_then(|(socket, address)| into_stream(socket, &address))),
+    }
+}
+
+/// Hands an accepted socket to the runtime.
+fn into_stream(socket: socket2::Socket, address: &SockAddr) -> io::Result<(TcpStream, SocketAddr)> {
+    let address = address.as_socket().ok_or(io::ErrorKind::InvalidData)?;
+    socket.set_nonblocking(true)?;
+    let stream = TcpStream::from_std(socket.into())?;
+    Ok((stream, address))
+}
+
 /// Whether a pending connect waits for a local resource or for the peer. The caller reads it when the connect fails or
 /// times out, to attribute the failure.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/gateway/tests/arrival_order.rs
@@ -0,0 +1,387 @@
+//! Queries of a key run in the order in which their last bytes arrived, also where the gateway process had no processor
+//! time meanwhile and reads them all at once. A fake engine records the order in which attempts reach it.
+
+mod helper;
+
+use helper::faults::Faults;
+use helper::process::{ms, FakeEngineProcess};
+use helper::*;
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+
+/// The least times, by the protocol, between two requests of a key, after one on an open and on a new connection.
+const GAP_MS: u64 = 60;
+const NEW_CONNECTION_GAP_MS: u64 = 250;
+/// Time from the last request to the end of the stall.
+const REST_OF_STALL_MS: u64 = 20;
+
+/// State of a connection when the gateway process is stopped.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionState {
+    /// The gateway has served a request on it.
+    Open,
+    /// It is not yet connected.
+    New,
+}
+
+/// A gateway whose queries all go to one engine.
+struct OneEngine {
+    test_bed: TestBed,
+    engine: FakeEngineProcess,
+}
+
+impl OneEngine {
+    fn start() -> OneEngine {
+        OneEngine::start_with_launcher(serve)
+    }
+
+    fn start_with_faults(faults: &Faults) -> OneEngine {
+        OneEngine::start_with_launcher(|config| {
+            let mut command = gateway_command(&["serve"]);
+            faults.apply_to(&mut command);
+            command
+                .env("PROXY_CONFIG", write_config(config))
+                .stderr(std::process::Stdio::null())
+                .spawn()
+                .unwrap()
+        })
+    }
+
+    fn start_with_launcher(serve: impl Fn(&Value) -> std::process::Child) -> OneEngine {
+        let engine = FakeEngineProcess::start();
+        let address = engine.address;
+        let change = |config: &mut Value| {
+            config["known"]["results"] =
+                json!([full_list_event(0, &[endpoint("s-0", address, "SERVING")])]);
+        };
+        let test_bed = TestBed::start_with_launcher(change, serve);
+        OneEngine { test_bed, engine }
+    }
+
+    /// Opens a connection and gets one answer on it.
+    fn open_connection(&self) -> TcpStream {
+        let stream = self.test_bed.open();
+        stream.set_nodelay(true).unwrap();
+        assert!(round_trip(stream.try_clone().unwrap(), "GET /healthz", "", "").is_some());
+        stream
+    }
+
+    fn new_connection(&self) -> TcpStream {
+        let stream = self.test_bed.open();
+        stream.set_nodelay(true).unwrap();
+        stream
+    }
+
+    /// Stops the gateway process with two connections, opened before or after it is stopped.
+    fn pause_with_two_connections(&self, state: ConnectionState) -> [TcpStream; 2] {
+        match state {
+            ConnectionState::Open => {
+                let connections = [(); 2].map(|()| self.open_connection());
+                self.test_bed.pause();
+                connections
+            }
+            ConnectionState::New => {
+                self.test_bed.pause();
+                [(); 2].map(|()| self.new_connection())
+            }
+        }
+    }
+
+    /// Lets the gateway go on, reads the answers on these connections, and asserts that the engine received the
+    /// statements in this order.
+    fn assert_order(&self, streams: &[&TcpStream], statements: &[&str]) {
+        sleep(ms(REST_OF_STALL_MS));
+        self.test_bed.signal("CONT");
+        for stream in streams {
+            let message = read_message(&mut BufReader::new(*stream)).expect("an answer");
+            assert!(Answer::of(message).succeeded());
+        }
+        assert_eq!(self.received("INSERT"), statements, "order at the engine");
+    }
+
+    /// Returns the statements with this beginning that the engine received, in the order received.
+    fn received(&self, beginning: &str) -> Vec<String> {
+        let attempts = self.engine.attempts();
+        let statements = attempts.into_iter().map(|attempt| attempt.statement);
+        statements
+            .filter(|statement| statement.starts_with(beginning))
+            .collect()
+    }
+}
+
+/// Formats a non-idempotent query with the ordering key of these tests.
+fn load(statement: &str) -> String {
+    request_text("load", "X-Item: 7f3a9c21e0b4d655\r\n", statement)
+}
+
+/// Formats an idempotent query without an ordering key.
+fn report(statement: &str) -> String {
+    request_text("report", "", statement)
+}
+
+fn request_text(class: &str, more_headers: &str, statement: &str) -> String {
+    let headers = request_headers(&new_id(), 2900) + more_headers;
+    let length = statement.len();
+    format!("POST /v1/{class} HTTP/1.1\r\nHost: g\r\n{headers}Content-Length: {length}\r\n\r\n{statement}")
+}
+
+fn write(mut stream: &TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+/// Guards against the fault of review case 1: after a stall, a later query on a new connection ran before an earlier
+/// one of its key on an open connection.
+#[test]
+fn earlier_query_on_an_open_connection_runs_before_a_later_one_on_a_new_connection() {
+    for gap_ms in [GAP_MS, 300] {
+        let gateway = OneEngine::start();
+        let open = gateway.open_connection();
+        gateway.test_bed.pause();
+        write(&open, &load("INSERT 1"));
+        sleep(ms(gap_ms));
+        let new = gateway.new_connection();
+        write(&new, &load("INSERT 2"));
+        gateway.assert_order(&[&open, &new], &["INSERT 1", "INSERT 2"]);
+    }
+}
+
+/// The wall clock is stepped between the two queries.
+#[test]
+fn step_of_the_wall_clock_does_not_change_the_order_of_arrival() {
+    for step in ["3600", "-3600"] {
+        let faults = Faults::new();
+        let gateway = OneEngine::start_with_faults(&faults);
+        let open = gateway.open_connection();
+        gateway.test_bed.pause();
+        write(&open, &load("INSERT 1"));
+        sleep(ms(GAP_MS));
+        faults.enable("realtime", step);
+        let new = gateway.new_connection();
+        write(&new, &load("INSERT 2"));
+        gateway.assert_order(&[&open, &new], &["INSERT 1", "INSERT 2"]);
+    }
+}
+
+/// Left open by docs/incidents/fleet-order.md.
+#[test]
+fn three_queries_of_a_stall_run_in_order_where_the_last_is_on_a_second_new_connection() {
+    let gateway = OneEngine::start();
+    let open = gateway.open_connection();
+    gateway.test_bed.pause();
+    let first = gateway.new_connection();
+    write(&first, &load("INSERT 1"));
+    sleep(ms(NEW_CONNECTION_GAP_MS));
+    write(&open, &load("INSERT 2"));
+    sleep(ms(GAP_MS));
+    let last = gateway.new_connection();
+    write(&last, &load("INSERT 3"));
+    gateway.assert_order(
+        &[&first, &open, &last],
+        &["INSERT 1", "INSERT 2", "INSERT 3"],
+    );
+}
+
+/// The connection that is accepted first carries the request that arrives last.
+#[test]
+fn queries_on_new_connections_run_in_the_order_of_their_requests_not_of_their_connects() {
+    let gateway = OneEngine::start();
+    gateway.test_bed.pause();
+    let accepted_first = gateway.new_connection();
+    let accepted_last = gateway.new_connection();
+    write(&accepted_last, &load("INSERT 1"));
+    sleep(ms(NEW_CONNECTION_GAP_MS));
+    write(&accepted_first, &load("INSERT 2"));
+    gateway.assert_order(
+        &[&accepted_last, &accepted_first],
+        &["INSERT 1", "INSERT 2"],
+    );
+}
+
+/// The first bytes of the later request arrive before the whole earlier one: a part of its head, the whole head, and a
+/// part of its statement.
+#[test]
+fn queries_in_pieces_run_in_the_order_of_their_last_bytes() {
+    let later = load("INSERT 2");
+    let head_length = later.len() - "INSERT 2".len();
+    for split in [20, head_length, head_length + 4] {
+        for state in [ConnectionState::Open, ConnectionState::New] {
+            let gateway = OneEngine::start();
+            let [in_pieces, whole] = gateway.pause_with_two_connections(state);
+            write(&in_pieces, &later[..split]);
+            sleep(ms(GAP_MS));
+            write(&whole, &load("INSERT 1"));
+            sleep(ms(NEW_CONNECTION_GAP_MS));
+            write(&in_pieces, &later[split..]);
+            gateway.assert_order(&[&whole, &in_pieces], &["INSERT 1", "INSERT 2"]);
+        }
+    }
+}
+
+/// A part of the later request is read before the stall.
+#[test]
+fn query_whose_head_was_read_before_the_stall_runs_after_one_that_is_whole_before_it() {
+    let gateway = OneEngine::start();
+    let (in_pieces, whole) = (gateway.open_connection(), gateway.open_connection());
+    let later = load("INSERT 2");
+    let split = later.len() - 3;
+    write(&in_pieces, &later[..split]);
+    sleep(ms(50));
+    gateway.test_bed.pause();
+    write(&whole, &load("INSERT 1"));
+    sleep(ms(GAP_MS));
+    write(&in_pieces, &later[split..]);
+    gateway.assert_order(&[&whole, &in_pieces], &["INSERT 1", "INSERT 2"]);
+}
+
+/// The earlier statement takes many reads, the later one a single read.
+#[test]
+fn earlier_long_statement_runs_before_a_later_short_one() {
+    for length in [40_000, 120_000] {
+        let gateway = OneEngine::start();
+        let open = gateway.open_connection();
+        let long = format!("INSERT 1 /* {} */", "x".repeat(length));
+        gateway.test_bed.pause();
+        write(&open, &load(&long));
+        sleep(ms(GAP_MS));
+        let new = gateway.new_connection();
+        write(&new, &load("INSERT 2"));
+        gateway.assert_order(&[&open, &new], &[&long, "INSERT 2"]);
+    }
+}
+
+/// Requests of 40 clients arrive in one stall, in turn on an open and on a new connection, half of them of the key.
+#[test]
+fn many_queries_of_a_stall_run_in_order_beside_those_of_other_clients() {
+    const PAIRS: usize = 5;
+    let gateway = OneEngine::start();
+    let open: Vec<TcpStream> = (0..2 * PAIRS).map(|_| gateway.open_connection()).collect();
+    gateway.test_bed.pause();
+    let mut streams = Vec::new();
+    let mut statements = Vec::new();
+    for (number, stream) in open.into_iter().rev().enumerate() {
+        let other = gateway.new_connection();
+        let text = load(&format!("OTHER {number}"));
+        write(
+            &other,
+            &text
+                .replace("X-Item: 7f3a9c21e0b4d655\r\n", "")
+                .replace("/load", "/report"),
+        );
+        let is_new = number % 2 == 1;
+        let stream = if is_new {
+            gateway.new_connection()
+        } else {
+            stream
+        };
+        statements.push(format!("INSERT {number}"));
+        write(&stream, &load(&statements[number]));
+        streams.push((stream, other));
+        sleep(ms(if is_new {
+            NEW_CONNECTION_GAP_MS
+        } else {
+            GAP_MS
+        }));
+    }
+    gateway.test_bed.signal("CONT");
+    for (stream, other) in &streams {
+        for stream in [stream, other] {
+            let message = read_message(&mut BufReader::new(stream)).expect("an answer");
+            assert!(Answer::of(message).succeeded());
+        }
+    }
+    assert_eq!(
+        gateway.received("INSERT"),
+        statements,
+        "order at the engine"
+    );
+}
+
+/// The gateway process is stopped again and again while it catches up.
+#[test]
+fn queries_of_a_stall_run_in_order_where_further_stalls_follow_at_once() {
+    let gateway = OneEngine::start();
+    let open: Vec<TcpStream> = (0..20).map(|_| gateway.open_connection()).collect();
+    gateway.test_bed.pause();
+    let statements: Vec<String> = (0..4).map(|number| format!("INSERT {number}")).collect();
+    let mut keyed = Vec::new();
+    for statement in &statements {
+        let number = keyed.len();
+        let stream = match number % 2 {
+            0 => open[number].try_clone().unwrap(),
+            _ => gateway.new_connection(),
+        };
+        write(&stream, &load(statement));
+        keyed.push(stream);
+        sleep(ms(NEW_CONNECTION_GAP_MS));
+    }
+    for other in &open[10..] {
+        write(other, &report("SELECT 1 /* runs 5 */"));
+    }
+    for _ in 0..5 {
+        gateway.test_bed.signal("CONT");
+        gateway.test_bed.pause();
+        sleep(ms(120));
+    }
+    gateway.test_bed.signal("CONT");
+    for stream in &keyed {
+        let message = read_message(&mut BufReader::new(stream)).expect("an answer");
+        assert!(Answer::of(message).succeeded());
+    }
+    assert_eq!(
+        gateway.received("INSERT"),
+        statements,
+        "order at the engine"
+    );
+}
+
+/// Accepts fail for 30 ms after the stall. The connection that can't be accepted has the earlier query.
+#[test]
+fn query_on_a_connection_that_is_accepted_late_runs_before_a_later_one() {
+    let faults = Faults::new();
+    let gateway = OneEngine::start_with_faults(&faults);
+    let open = gateway.open_connection();
+    gateway.test_bed.pause();
+    faults.enable("accept", "1");
+    let new = gateway.new_connection();
+    write(&new, &load("INSERT 1"));
+    sleep(ms(NEW_CONNECTION_GAP_MS));
+    write(&open, &load("INSERT 2"));
+    let disabling = std::thread::spawn(move || {
+        sleep(ms(REST_OF_STALL_MS + 30));
+        faults.disable("accept");
+    });
+    gateway.assert_order(&[&new, &open], &["INSERT 1", "INSERT 2"]);
+    disabling.join().unwrap();
+}
+
+/// The same cause on another path: the cancellation was handled before the query that it names. It arrives whole on a
+/// new connection, or in pieces on an open one, the first before the query.
+#[test]
+fn cancellation_that_arrives_after_its_query_in_a_stall_cancels_it() {
+    for cancel_state in [ConnectionState::New, ConnectionState::Open] {
+        let gateway = OneEngine::start();
+        let (open, other) = (gateway.open_connection(), gateway.open_connection());
+        let headers = request_headers(&new_id(), 2900);
+        let cancel = format!("DELETE /v1/load HTTP/1.1\r\nHost: g\r\n{headers}\r\n");
+        let first_piece = match cancel_state {
+            ConnectionState::New => 0,
+            ConnectionState::Open => 30,
+        };
+        gateway.test_bed.pause();
+        write(&other, &cancel[..first_piece]);
+        sleep(ms(20));
+        send_request(&open, "POST /v1/load", &headers, "INSERT 1 /* runs 500 */");
+        sleep(ms(GAP_MS));
+        let canceller = match cancel_state {
+            ConnectionState::New => gateway.new_connection(),
+            ConnectionState::Open => other,
+        };
+        write(&canceller, &cancel[first_piece..]);
+        sleep(ms(150));
+        gateway.test_bed.signal("CONT");
+        let cancelled = read_message(&mut BufReader::new(&canceller)).expect("an answer");
+        assert_eq!(cancelled.start_line, "HTTP/1.1 204 No Content");
+    }
+}
