Copy the pieces of a body together as they arrive

What callers saw: 60 usual clients write statements of 4,800 bytes in pieces of 16; a gateway with a limit of 64 MB is over it after 0.7 s and killed, and 70 requests end without an answer.

Cause: hyper hands out a body as slices of its read buffer, and reads into a fresh 8 kB for as long as a slice is alive. The slices were kept until the body was whole; the budget counts declared bytes. The same cause in the other direction: pages of engines.

Change: read_whole copies each piece into one buffer of the announced length, for statements and for responses of engines. Why it holds: no slice outlives the read of the next piece, so a body holds its own length in whatever pieces it comes.

--- a/crates/gateway/src/engines/response.rs
+++ b/crates/gateway/src/engines/response.rs
@@ -5,11 +5,11 @@
 use super::request::{RequestBody, Sender};
 use super::result_rows;
 use crate::system::clock::MILLIS_PER_SECOND;
+use crate::whole_body::{read_whole, WholeBodyError};
 use bytes::Bytes;
 use garnetwall::api::{AttemptEnd, LoadReport, Progress};
 use garnetwall_ledger::CallFailure;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 
 /// The reason why a call to an engine failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -165,16 +165,15 @@
     sender.ready().await?;
     let response = sender.send_request(request).await?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, result_rows::MAX_PAGE_BYTES)
-        .collect()
+    let body = read_whole(body, result_rows::MAX_PAGE_BYTES)
         .await
-        .map_err(|error| match error.is::<LengthLimitError>() {
-            true => CallError::InvalidResponse,
-            false => CallError::ConnectionLost,
+        .map_err(|error| match error {
+            WholeBodyError::TooLong => CallError::InvalidResponse,
+            WholeBodyError::Incomplete => CallError::ConnectionLost,
         })?;
     Ok(Reply {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body,
     })
 }
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -10,7 +10,8 @@
 use crate::http::client_stream::StreamHandle;
 use crate::http::statement::data_set;
 use crate::scheduling::scheduler::CancelOutcome;
-use axum::body::{to_bytes, Body};
+use crate::whole_body::read_whole;
+use axum::body::Body;
 use axum::extract::{Path, State};
 use axum::http::header::{HeaderMap, TRANSFER_ENCODING};
 use axum::http::StatusCode;
@@ -60,7 +61,7 @@
 ) -> Result<Response, SubmissionError> {
     let length = statement_length(&submission.headers, &body)?;
     let memory = state.reserve_statement_bytes(length)?;
-    let statement = read_statement(body).await?;
+    let statement = read_statement(body, length).await?;
     submission.stream.request_received();
     let arrival = Arrival::of(state, &submission.stream);
     let head = RequestHead::parse(&state.platform, &submission, Some(&statement))
@@ -89,8 +90,9 @@
         .ok_or(SubmissionError::StatementTooLong)
 }
 
-async fn read_statement(body: Body) -> Result<Bytes, SubmissionError> {
-    let read = to_bytes(body, MAX_STATEMENT_BYTES as usize);
+/// Reads a statement of `length` bytes. Takes up no more memory than was reserved for it.
+async fn read_statement(body: Body, length: u32) -> Result<Bytes, SubmissionError> {
+    let read = read_whole(body, length as usize);
     timeout(REQUEST_READ_TIMEOUT, read)
         .await
         .map_err(|_| SubmissionError::BodyReadTimeout)?
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod scheduling;
 pub mod storage;
 pub mod system;
+pub mod whole_body;
--- a/crates/gateway/tests/bodies.rs
+++ b/crates/gateway/tests/bodies.rs
@@ -293,6 +293,38 @@
 /// Body storage in memory and in files, up to 220 MiB for each body.
 const FILES: &str = "  memory 8MiB\n  batch-memory 2MiB\n  files 1GiB\n  directory \"FOLDER\"\n  batch 220MiB\n  unknown-length";
 
+/// The pieces of a streamed body are joined, so that none of them holds a read buffer of 8 kB.
+#[test]
+fn bodies_in_small_pieces_stay_within_the_memory_limit() {
+    const CLIENTS: usize = 20;
+    const PIECE_BYTES: usize = 100;
+    let gateway = BodyStorageGateway::start(FILES, "");
+    let body = body("", 300 * KIB);
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            let (stream, body) = (gateway.test_bed.open(), &body);
+            scope.spawn(move || {
+                stream.set_nodelay(true).unwrap();
+                let headers = request_headers(&new_id(), 60_000);
+                let length = body.len();
+                let head = format!("POST /v1/report HTTP/1.1\r\nHost: g\r\n{headers}Content-Length: {length}\r\n\r\n");
+                (&stream).write_all(head.as_bytes()).unwrap();
+                for piece in body.chunks(PIECE_BYTES) {
+                    (&stream).write_all(piece).unwrap();
+                }
+                let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+                assert!(Answer::of(answer).succeeded());
+            });
+        }
+    });
+    let peak = gateway.peak_memory_mib();
+    assert!(
+        peak < 64,
+        "peak memory of {peak} MiB, expected less than 64"
+    );
+    println!("peak memory of {peak} MiB");
+}
+
 /// The first attempt of each query fails. The retry gets the same bytes, from memory or from files.
 #[test]
 fn bodies_of_every_size_are_retried_complete() {
--- a/crates/gateway/tests/floods.rs
+++ b/crates/gateway/tests/floods.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -240,3 +241,119 @@
         signalled_at.elapsed()
     );
 }
+
+/// Writes `bytes` in pieces of `piece_bytes`, evenly within `duration`. Returns false if the peer closes before.
+fn write_in_pieces(
+    mut stream: &TcpStream,
+    bytes: &[u8],
+    piece_bytes: usize,
+    duration: Duration,
+) -> bool {
+    let gap = duration / bytes.len().div_ceil(piece_bytes) as u32;
+    let began = Instant::now();
+    bytes
+        .chunks(piece_bytes)
+        .enumerate()
+        .all(|(number, piece)| {
+            sleep((began + gap * number as u32).saturating_duration_since(Instant::now()));
+            stream.write_all(piece).is_ok()
+        })
+}
+
+/// Guards against the fault of review case 2: each piece of a statement held a read buffer of 8 kB until the statement
+/// was whole, beside the budget for statements.
+#[test]
+fn statements_in_small_pieces_stay_within_the_memory_limit() {
+    const CLIENTS: usize = SOCKETS / 3;
+    const STATEMENT_BYTES: usize = 4800;
+    let engine = FakeEngineProcess::start();
+    for piece_bytes in [1, 16, 1000] {
+        let test_bed = start_test_bed(engine.address, |_| {});
+        // A piece takes the sender a fraction of a millisecond, so shorter pieces allow for a shorter statement.
+        let length = STATEMENT_BYTES.min(450 * piece_bytes);
+        let statement = format!("SELECT 1 /* {} */", "7".repeat(length));
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|_| {
+                let (stream, statement) = (test_bed.open(), statement.clone());
+                spawn(move || {
+                    stream.set_nodelay(true).unwrap();
+                    let headers = request_headers(&new_id(), 3000);
+                    let length = statement.len();
+                    let head = format!(
+                        "POST /v1/report HTTP/1.1\r\nHost: g\r\n{headers}Content-Length: {length}\r\n\r\n"
+                    );
+                    (&stream).write_all(head.as_bytes()).unwrap();
+                    write_in_pieces(&stream, statement.as_bytes(), piece_bytes, ms(1500));
+                    read_message(&mut BufReader::new(stream)).map(Answer::of)
+                })
+            })
+            .collect();
+        for client in clients {
+            let answer = client.join().unwrap().expect("an answer");
+            assert!(answer.succeeded(), "{answer:?}");
+        }
+        assert_within_limits(&test_bed);
+    }
+}
+
+/// The same cause in the other direction: each piece of an engine's response held a read buffer until the page was
+/// whole.
+#[test]
+fn pages_in_small_pieces_stay_within_the_memory_limit() {
+    const QUERIES: usize = SOCKETS / 4;
+    const PAGES: usize = 3;
+    let page = "a\tb\tc\n".repeat(950);
+    for piece_bytes in [4, 16, 1000] {
+        let page = page.clone();
+        let engine = engine_in_pieces(piece_bytes, move |path| {
+            let is_first = path.ends_with("/0") || path == "/c";
+            let headers = match is_first {
+                true => format!("Result-Pages: {PAGES}\r\n"),
+                false => format!("Result-Page: {}\r\n", path.rsplit('/').next().unwrap()),
+            };
+            http_response("200 OK", &headers, &page)
+        });
+        let test_bed = start_test_bed(engine, |_| {});
+        let queries: Vec<_> = (0..QUERIES)
+            .map(|_| {
+                let stream = test_bed.open();
+                let headers = request_headers(&new_id(), 3000);
+                spawn(move || round_trip(stream, "POST /v1/report", &headers, "SELECT 1"))
+            })
+            .collect();
+        for query in queries {
+            let answer = Answer::of(query.join().unwrap().expect("an answer"));
+            assert!(answer.succeeded(), "{answer:?}");
+            let rows = answer.json["data"].as_array().map(Vec::len);
+            assert_eq!(rows, Some(950 * PAGES), "number of rows");
+        }
+        assert_within_limits(&test_bed);
+    }
+}
+
+/// Starts an engine whose responses, by path, are written in pieces within 0.2 s; returns its address.
+fn engine_in_pieces(
+    piece_bytes: usize,
+    response: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let response = Arc::new(response);
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let response = response.clone();
+            spawn(move || {
+                stream.set_nodelay(true).unwrap();
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(request) = read_message(&mut reader) {
+                    let path = request.start_line.split(' ').nth(1).unwrap();
+                    let bytes = response(path).into_bytes();
+                    if !write_in_pieces(&stream, &bytes, piece_bytes, ms(200)) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
