Wake the task of a connection whose bytes the look for unread requests reads

Cause: has_unread_request reads from the socket beside the connection's task, and epoll reports an edge only while the socket holds bytes; the task slept on.

Change: the check wakes the task whenever it finds bytes that the parser was not polled for, so each byte read there is followed by a poll of its parser.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,13 +121,8 @@
             self.set_phase(Phase::Stopped);
             return Ok(());
         };
-        let StartResources {
-            journal,
-            store,
-            listener,
-        } = resources;
         self.start_background_tasks(reloads);
-        let server_state = Arc::new(self.server_state(journal, store.clone()));
+        let server_state = Arc::new(self.server_state(&resources));
         let arrival_order = server_state.arrival_order.clone();
         let clients = ClientConnections::new(self.budget.client_connections.clone());
         let stop_accepting = watch::Sender::new(false);
@@ -139,16 +134,16 @@
         );
         start_granting_turns(arrival_order, accept_queue, clients.clone());
         // Serving and draining poll the same future, since it may hold an accepted connection that waits for a permit.
-        let mut accepting = Box::pin(acceptor.run(&listener, stop_accepting.subscribe()));
+        let mut accepting = Box::pin(acceptor.run(&resources.listener, stop_accepting.subscribe()));
 
         self.serve(accepting.as_mut(), stop).await;
         let schedule = self
             .drain(accepting.as_mut(), &stop_accepting, &close_connections)
             .await;
         drop(accepting);
-        drop(listener);
+        drop(resources.listener);
         self.finish_requests(&clients, &schedule).await;
-        self.finish_shutdown(store.as_deref());
+        self.finish_shutdown(resources.store.as_deref());
         Ok(())
     }
 
@@ -218,12 +213,12 @@
         body_store::body_store(bodies, names, &self.config.name).map(Some)
     }
 
-    fn server_state(&self, journal: Arc<QueryJournal>, store: Option<Arc<Store>>) -> ServerState {
+    fn server_state(&self, resources: &StartResources) -> ServerState {
         ServerState {
             scheduler: self.scheduler.clone(),
             engines: self.engines.clone(),
-            journal,
-            body_store: store,
+            journal: resources.journal.clone(),
+            body_store: resources.store.clone(),
             platform: self.config.platform.clone(),
             phase: self.phase.subscribe(),
             arrival_order: Arc::default(),
--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -37,7 +37,7 @@
     pub async fn drain(&self) {
         let (sender, done) = oneshot::channel();
         let request = DrainRequest { _done: sender };
-        // Both errors say that the request was dropped: the queue is drained, or the acceptor has ended.
+        // An error of either call means that the request was dropped: the queue is drained, or the acceptor has ended.
         if self.drain_requests.send(request).await.is_ok() {
             let _ = done.await;
         }
@@ -48,7 +48,7 @@
 pub struct Acceptor {
     router: Router,
     connections: Arc<ClientConnections>,
-    /// When set, the tasks close their connections after any open request.
+    /// Once set, the tasks close their connections after any open request.
     close_connections: watch::Receiver<bool>,
     drain_requests: mpsc::Receiver<DrainRequest>,
     /// Number of the next connection.
@@ -57,7 +57,7 @@
     has_failed: bool,
 }
 
-/// What the acceptor has to do next.
+/// Event for the acceptor.
 enum Event {
     /// A connection was accepted, or accepting one failed.
     Accepted(io::Result<(TcpStream, SocketAddr)>),
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -33,14 +33,14 @@
     }
 }
 
-/// When a request arrived.
+/// Arrival times of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
-    /// When its last byte arrived, by the system's account. Determines the order of requests.
+    /// Arrival of its last byte, as the system tells it. Determines the order of requests.
     at: Instant,
-    /// How long its last byte had waited unread.
+    /// Time for which its last byte had waited unread.
     unread: Duration,
-    /// The earliest time at which it can have arrived, in seconds on the scheduler's clock. The deadline counts from it.
+    /// Earliest time at which it can have arrived, in seconds on the scheduler's clock. The deadline counts from it.
     earliest: f64,
 }
 
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
@@ -57,6 +57,8 @@
     awaits_request: bool,
     /// Whether the parser was polled since the last bytes were read ahead, so that it could have taken them.
     is_offered: bool,
+    /// Wakes the task that serves the connection. `None` before it has waited for the client.
+    task: Option<Waker>,
     /// Timer until the next check for a close by the client; set while the read-ahead buffer is full.
     close_check: Option<Pin<Box<Sleep>>>,
     write_timeout: WriteTimeout,
@@ -80,6 +82,7 @@
             last_read_at: Instant::now(),
             awaits_request: true,
             is_offered: true,
+            task: None,
             close_check: None,
             write_timeout: WriteTimeout::default(),
         })))
@@ -120,7 +123,8 @@
         self.state().awaits_request = true;
     }
 
-    /// Whether bytes of an awaited request have arrived that the parser was not polled for. Reads from the socket first.
+    /// Whether bytes of an awaited request have arrived that the parser was not polled for. Reads from the socket first,
+    /// and wakes the connection's task for such bytes: the system reports a socket readable only while it holds bytes.
     /// Bytes that the parser leaves, such as those of a pipelined request, do not count.
     pub fn has_unread_request(&self) -> bool {
         let mut state = self.state();
@@ -128,7 +132,13 @@
             return false;
         }
         state.read_available();
-        !state.is_offered
+        if state.is_offered {
+            return false;
+        }
+        if let Some(task) = &state.task {
+            task.wake_by_ref();
+        }
+        true
     }
 
     /// Reads the bytes that the kernel holds, as far as the read-ahead buffer has space. Reads even if the runtime has
@@ -159,6 +169,7 @@
             let is_watched = is_watched();
             let mut state = self.state();
             state.is_offered = true;
+            state.set_task(cx.waker());
             if is_watched {
                 state.poll_closed_by_client(cx)
             } else {
@@ -216,6 +227,16 @@
         ReadOutcome::Nothing
     }
 
+    fn set_task(&mut self, task: &Waker) {
+        if !self
+            .task
+            .as_ref()
+            .is_some_and(|known| known.will_wake(task))
+        {
+            self.task = Some(task.clone());
+        }
+    }
+
     fn is_read_ahead_full(&self) -> bool {
         self.read_ahead.len() >= READ_AHEAD_BYTES
     }
@@ -275,6 +296,7 @@
         mut buffer: ReadBufCursor,
     ) -> Poll<io::Result<()>> {
         let mut state = self.0.state();
+        state.is_offered = true;
         if !state.read_ahead.is_empty() {
             let count = state.read_ahead.len().min(buffer.remaining());
             buffer.put_slice(&state.read_ahead[..count]);
@@ -321,3 +343,6 @@
         state.write_timeout.apply(cx, result)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -130,7 +130,7 @@
         uninterrupted(|| (&*SockRef::from(&self.0)).read(bytes))
     }
 
-    /// How long ago the newest bytes arrived, whether or not they were read; `None` if the system does not tell.
+    /// Returns the time since the newest bytes arrived, whether or not they were read; `None` if the system does not tell.
     pub fn time_since_last_arrival(&self) -> Option<Duration> {
         time_since_last_arrival(&self.0)
     }
--- a/crates/gateway/tests/arrival_order.rs
+++ b/crates/gateway/tests/arrival_order.rs
@@ -94,10 +94,7 @@
     fn assert_order(&self, streams: &[&TcpStream], statements: &[&str]) {
         sleep(ms(REST_OF_STALL_MS));
         self.test_bed.signal("CONT");
-        for stream in streams {
-            let message = read_message(&mut BufReader::new(*stream)).expect("an answer");
-            assert!(Answer::of(message).succeeded());
-        }
+        streams.iter().for_each(|stream| assert_succeeds(stream));
         assert_eq!(self.received("INSERT"), statements, "order at the engine");
     }
 
@@ -127,6 +124,12 @@
     format!("POST /v1/{class} HTTP/1.1\r\nHost: g\r\n{headers}Content-Length: {length}\r\n\r\n{statement}")
 }
 
+/// Reads an answer and asserts that the query succeeded.
+fn assert_succeeds(stream: &TcpStream) {
+    let message = read_message(&mut BufReader::new(stream)).expect("an answer");
+    assert!(Answer::of(message).succeeded());
+}
+
 fn write(mut stream: &TcpStream, text: &str) {
     stream.write_all(text.as_bytes()).unwrap();
 }
@@ -286,10 +289,8 @@
     }
     gateway.test_bed.signal("CONT");
     for (stream, other) in &streams {
-        for stream in [stream, other] {
-            let message = read_message(&mut BufReader::new(stream)).expect("an answer");
-            assert!(Answer::of(message).succeeded());
-        }
+        assert_succeeds(stream);
+        assert_succeeds(other);
     }
     assert_eq!(
         gateway.received("INSERT"),
@@ -325,10 +326,7 @@
         sleep(ms(120));
     }
     gateway.test_bed.signal("CONT");
-    for stream in &keyed {
-        let message = read_message(&mut BufReader::new(stream)).expect("an answer");
-        assert!(Answer::of(message).succeeded());
-    }
+    keyed.iter().for_each(assert_succeeds);
     assert_eq!(
         gateway.received("INSERT"),
         statements,
@@ -336,6 +334,28 @@
     );
 }
 
+/// Clients that send queries with keys of their own, each as soon as the last one is answered. The gateway looks at their
+/// connections while it grants turns, and must not keep a request that it finds there from being parsed.
+#[test]
+fn concurrent_queries_with_keys_are_answered_in_time() {
+    const CLIENTS: usize = 2;
+    const QUERIES: usize = 200;
+    let test_bed = TestBed::start();
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            let stream = test_bed.open();
+            scope.spawn(move || {
+                for _ in 0..QUERIES {
+                    let id = new_id();
+                    let headers = format!("{}X-Item: {id}\r\n", request_headers(&id, 1000));
+                    send_request(&stream, "POST /v1/load", &headers, "INSERT 1");
+                    assert_succeeds(&stream);
+                }
+            });
+        }
+    });
+}
+
 /// Accepts fail for 30 ms after the stall. The connection that can't be accepted has the earlier query.
 #[test]
 fn query_on_a_connection_that_is_accepted_late_runs_before_a_later_one() {
