--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -11,6 +11,8 @@
 //   accept N      one in N accepts fails, with a different error each time
 //   socket N E    one in N calls of socket fails with E
 //   connect N E   one in N calls of connect fails with E
+//   tcp-info N L  one in N reads of TCP_INFO fills in only L bytes
+//   threads N E   one in N starts of a thread fails with E
 //   realtime S    the wall clock is S seconds ahead; a negative S sets it back
 //   disk-slow MS  each sync of a regular file or a directory takes MS milliseconds longer
 //   disk-CALL N E one in N calls on a regular file fails with E; CALL is open, write, sync, truncate or rename
@@ -18,6 +20,9 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -159,6 +164,19 @@
     return (int)syscall(SYS_connect, fd, address, size);
 }
 
+int getsockopt(int fd, int level, int name, void *value, socklen_t *size) {
+    struct fault f = {0, 0};
+    if (level == IPPROTO_TCP && name == TCP_INFO) f = fault("tcp-info");
+    if (should_fail(f) && *size > (socklen_t)f.number) *size = (socklen_t)f.number;
+    return (int)syscall(SYS_getsockopt, fd, level, name, value, size);
+}
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*start)(void *), void *argument) {
+    struct fault f = fault("threads");
+    if (should_fail(f)) return (int)f.number;
+    return REAL(pthread_create)(thread, attributes, start, argument);
+}
+
 int epoll_wait(int fd, struct epoll_event *events, int max_events, int timeout) {
     if (should_fail(fault("waits"))) return (int)fail_with(EINTR);
     return REAL(epoll_wait)(fd, events, max_events, timeout);
