Log, count and report panics of tasks, and each end of a client connection

Cause: a task that panicked left one line without a connection, a query or a kind of task, no counter told of it, and /healthz stayed 200. The ends of client connections had a line for some reasons only, without a number to follow.

GET /metrics exports the counters (prometheus-client): panics, connections accepted, not accepted and ended by reason, responses by status, readiness. Each end of a client connection is logged at debug with its number and reason. Gateway::new takes the supervisor.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::configuration::plan_commands;
 use crate::configuration::{self, Config, ConfigError, Files};
 use crate::gateway::{Gateway, StartError};
+use crate::supervision::Supervisor;
 use crate::system::log::{print_error, Log};
 use crate::system::os_error::retry_blocking;
 use crate::system::signals::{SignalEvents, Signals};
@@ -143,7 +144,9 @@
     };
     let (reload, reloads) = unbounded_channel();
     tokio::spawn(reload_on_hangup(files, hangup, reload));
-    Gateway::new(config).run(stopped, reloads).await?;
+    Gateway::new(config, Supervisor::default())
+        .run(stopped, reloads)
+        .await?;
     Ok(())
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::scheduling::scheduler::Scheduler;
 use crate::storage::body_store;
 use crate::storage::query_journal::QueryJournal;
+use crate::supervision::Supervisor;
 use crate::system::clock::Clock;
 use crate::system::os_error::retry;
 use crate::system::resource_budget::{ResourceBudget, ResourceLimits};
@@ -51,6 +52,7 @@
     scheduler: Arc<Scheduler>,
     /// Receives the engines to health check. [`Gateway::start_background_tasks`] takes it.
     health_check_requests: Option<UnboundedReceiver<EngineId>>,
+    supervisor: Supervisor,
     /// The longest deadline of any query class, in seconds.
     longest_deadline_seconds: f64,
 }
@@ -63,8 +65,9 @@
 }
 
 impl Gateway {
-    /// Creates a gateway in the phase [`Phase::Starting`]; [`Gateway::run`] starts it.
-    pub fn new(config: Config) -> Self {
+    /// Creates a gateway in the phase [`Phase::Starting`]; [`Gateway::run`] starts it. `supervisor` records the panics
+    /// of its tasks, and may watch tasks of the caller as well.
+    pub fn new(config: Config, supervisor: Supervisor) -> Self {
         let clock = Clock::start();
         let budget = resource_budget(&config);
         let classes = query_classes(&config);
@@ -97,6 +100,7 @@
             engines: Arc::new(engines),
             scheduler: Arc::new(scheduler),
             health_check_requests: Some(health_check_requests),
+            supervisor,
             config,
             longest_deadline_seconds,
         }
@@ -131,6 +135,7 @@
             http::router(server_state),
             clients.clone(),
             close_connections.subscribe(),
+            self.supervisor.clone(),
         );
         start_granting_turns(arrival_order, accept_queue, clients.clone());
         // Serving and draining poll the same future, since it may hold an accepted connection that waits for a permit.
@@ -222,6 +227,7 @@
             platform: self.config.platform.clone(),
             phase: self.phase.subscribe(),
             arrival_order: Arc::default(),
+            supervisor: self.supervisor.clone(),
             statement_memory: self.budget.statement_memory.clone(),
             send_time_estimator: Mutex::new(SendTimeEstimator::new(
                 self.budget.query_capacity,
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -32,7 +32,9 @@
 use crate::phase::Phase;
 use crate::scheduling::scheduler::Scheduler;
 use crate::storage::query_journal::QueryJournal;
+use crate::supervision::{Supervisor, Task};
 use axum::extract::State;
+use axum::http::header::CONTENT_TYPE;
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
@@ -54,6 +56,9 @@
 /// The protocol requires that the connection of a client that cannot be served is closed within 3 s.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Media type of the page of metrics.
+const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// State shared by all request handlers.
 pub struct ServerState {
     /// Admits and cancels queries.
@@ -73,6 +78,8 @@
     pub arrival_order: Arc<ArrivalOrder>,
     /// Estimates when clients sent their queries.
     pub send_time_estimator: Mutex<SendTimeEstimator>,
+    /// Records panics of request handlers, and holds the counters that the gateway exports.
+    pub supervisor: Supervisor,
     /// Memory budget for statements: one permit per byte.
     pub statement_memory: Arc<Semaphore>,
 }
@@ -107,6 +114,7 @@
 pub fn router(state: Arc<ServerState>) -> Router {
     Router::new()
         .route("/healthz", get(health))
+        .route("/metrics", get(metrics))
         .route("/v1/{class}", post(submit).delete(cancel))
         .fallback(|| async { error_response(StatusCode::NOT_FOUND, "no such path") })
         .method_not_allowed_fallback(|| async {
@@ -115,12 +123,45 @@
         .with_state(state)
 }
 
+/// Whether the gateway serves, and if not, the reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Readiness {
+    Ready,
+    /// The gateway starts, drains or has stopped.
+    NotServing,
+    /// The gateway serves, but panics of these kinds of task repeat.
+    TasksFailing(Vec<Task>),
+}
+
+impl Readiness {
+    fn of(state: &ServerState) -> Self {
+        if *state.phase.borrow() != Phase::Serving {
+            return Readiness::NotServing;
+        }
+        let failing = state.supervisor.failing_tasks();
+        match failing.is_empty() {
+            true => Readiness::Ready,
+            false => Readiness::TasksFailing(failing),
+        }
+    }
+}
+
 async fn health(State(state): State<Arc<ServerState>>) -> Response {
-    let phase = *state.phase.borrow();
-    match phase {
-        Phase::Serving => (StatusCode::OK, "serving\n").into_response(),
-        Phase::Starting | Phase::Draining | Phase::Stopped => {
-            (StatusCode::SERVICE_UNAVAILABLE, "not serving\n").into_response()
+    match Readiness::of(&state) {
+        Readiness::Ready => (StatusCode::OK, "serving\n").into_response(),
+        Readiness::NotServing => (StatusCode::SERVICE_UNAVAILABLE, "not serving\n").into_response(),
+        Readiness::TasksFailing(tasks) => {
+            let text = format!("not ready: these tasks panic repeatedly: {tasks:?}\n");
+            (StatusCode::SERVICE_UNAVAILABLE, text).into_response()
         }
     }
 }
+
+/// Responds with all counters in the text format of Prometheus.
+async fn metrics(State(state): State<Arc<ServerState>>) -> Response {
+    let is_ready = Readiness::of(&state) == Readiness::Ready;
+    match state.supervisor.metrics().render(is_ready) {
+        Ok(page) => ([(CONTENT_TYPE, METRICS_CONTENT_TYPE)], page).into_response(),
+        Err(error) => error_response(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -4,6 +4,7 @@
 use super::ClientAddress;
 use crate::http::client_connections::ClientConnections;
 use crate::http::client_stream::StreamHandle;
+use crate::supervision::{Supervisor, Task};
 use crate::system::os_error;
 use crate::system::socket::accept_now;
 use axum::Router;
@@ -50,6 +51,7 @@
     connections: Arc<ClientConnections>,
     /// Once set, the tasks close their connections after any open request.
     close_connections: watch::Receiver<bool>,
+    supervisor: Supervisor,
     drain_requests: mpsc::Receiver<DrainRequest>,
     /// Number of the next connection.
     next_number: u64,
@@ -73,12 +75,14 @@
         router: Router,
         connections: Arc<ClientConnections>,
         close_connections: watch::Receiver<bool>,
+        supervisor: Supervisor,
     ) -> (Acceptor, AcceptQueue) {
         let (sender, drain_requests) = mpsc::channel(1);
         let acceptor = Acceptor {
             router,
             connections,
             close_connections,
+            supervisor,
             drain_requests,
             next_number: 0,
             has_failed: false,
@@ -138,17 +142,19 @@
 
     /// Serves an accepted connection, or handles the error of an accept.
     async fn accepted(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) {
-        match accepted {
+        let error = match accepted {
             Ok((stream, address)) => {
                 self.has_failed = false;
-                self.serve(stream, address).await;
+                return self.serve(stream, address).await;
             }
-            Err(error) if !self.has_failed => {
-                self.has_failed = true;
-                tracing::warn!(%error, "accepting a client connection failed; repeats are not logged until one succeeds");
-            }
-            Err(error) if os_error::needs_accept_pause(&error) => sleep(ACCEPT_RETRY_PAUSE).await,
-            Err(_) => {}
+            Err(error) => error,
+        };
+        self.supervisor.metrics().accept_failed();
+        if !self.has_failed {
+            self.has_failed = true;
+            tracing::warn!(%error, "accepting a client connection failed; repeats are not logged until one succeeds");
+        } else if os_error::needs_accept_pause(&error) {
+            sleep(ACCEPT_RETRY_PAUSE).await;
         }
     }
 
@@ -161,13 +167,15 @@
             .await;
         self.next_number += 1;
         stream.read_available();
+        self.supervisor.metrics().connection_accepted();
         let server = ConnectionServer::new(
             stream,
             ClientAddress(address.ip().to_canonical()),
             self.router.clone(),
             connection,
             self.close_connections.clone(),
+            self.supervisor.clone(),
         );
-        tokio::spawn(server.run());
+        self.supervisor.spawn(Task::ClientConnection, server.run());
     }
 }
--- a/crates/gateway/src/http/arrival_order/tests.rs
+++ b/crates/gateway/src/http/arrival_order/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::http::accept::Acceptor;
 use crate::http::client_stream::StreamHandle;
+use crate::supervision::Supervisor;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -99,6 +100,7 @@
             axum::Router::new(),
             connections.clone(),
             watch::Sender::new(false).subscribe(),
+            Supervisor::default(),
         );
         drop(acceptor);
         tokio::spawn(async move { catch_up(&accept_queue, &connections).await })
--- a/crates/gateway/src/http/client_connections.rs
+++ b/crates/gateway/src/http/client_connections.rs
@@ -195,6 +195,11 @@
 }
 
 impl ClientConnection {
+    /// The number that identifies the connection in the log.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     fn set_state(&self, state: ConnectionState) {
         if let Some(entry) = self.connections.entries().get_mut(&self.number) {
             entry.state = state;
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -5,9 +5,11 @@
 use super::{ClientAddress, REQUEST_READ_TIMEOUT};
 use crate::http::client_connections::ClientConnection;
 use crate::http::client_stream::StreamHandle;
+use crate::metrics::ConnectionEnd;
+use crate::supervision::Supervisor;
 use axum::Router;
 use hyper_util::rt::TokioIo;
-use request_loop::{CloseReason, RemainingRequests, RequestLoop};
+use request_loop::{RemainingRequests, RequestLoop};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -42,6 +44,7 @@
     router: Router,
     connection: Arc<ClientConnection>,
     close_connections: watch::Receiver<bool>,
+    supervisor: Supervisor,
 }
 
 impl ConnectionServer {
@@ -53,6 +56,7 @@
         router: Router,
         connection: ClientConnection,
         close_connections: watch::Receiver<bool>,
+        supervisor: Supervisor,
     ) -> Self {
         ConnectionServer {
             stream,
@@ -60,32 +64,46 @@
             router,
             connection: Arc::new(connection),
             close_connections,
+            supervisor,
         }
     }
 
     /// Serves the connection until the client closes it, no request arrives in time, it is evicted, or the gateway
     /// shuts down.
     pub async fn run(mut self) {
-        let mut remaining_requests = RemainingRequests::Unlimited;
-        let mode = loop {
-            let mode = match RequestLoop::new(&mut self, remaining_requests).run().await {
-                CloseReason::ClientClosed => return,
-                CloseReason::Silent => return self.close_unserved(CloseMode::Linger).await,
-                CloseReason::EvictedUnserved => {
-                    return self.close_unserved(CloseMode::Immediate).await
-                }
-                CloseReason::LastResponse => break CloseMode::Linger,
-                CloseReason::Shutdown => CloseMode::Linger,
-                CloseReason::Evicted => CloseMode::Immediate,
-            };
-            let was_last = remaining_requests == RemainingRequests::One;
-            if was_last || !self.stream.has_unparsed_bytes() {
-                break mode;
+        let end = self.serve_requests().await;
+        self.record_end(end);
+        match end {
+            ConnectionEnd::ClientClosed => {}
+            ConnectionEnd::Silent => self.close_unserved(CloseMode::Linger).await,
+            ConnectionEnd::EvictedUnserved => self.close_unserved(CloseMode::Immediate).await,
+            ConnectionEnd::LastResponse | ConnectionEnd::Shutdown => {
+                self.close(CloseMode::Linger).await
             }
+            ConnectionEnd::Evicted => self.close(CloseMode::Immediate).await,
+        }
+    }
+
+    /// Serves requests until no further one is to be read, and returns the reason.
+    async fn serve_requests(&mut self) -> ConnectionEnd {
+        let end = RequestLoop::new(self, RemainingRequests::Unlimited)
+            .run()
+            .await;
+        match end {
             // A request whose first bytes arrived before the close is still served, as the last one.
-            remaining_requests = RemainingRequests::One;
-        };
-        self.close(mode).await;
+            ConnectionEnd::LastResponse | ConnectionEnd::Shutdown | ConnectionEnd::Evicted
+                if self.stream.has_unparsed_bytes() =>
+            {
+                RequestLoop::new(self, RemainingRequests::One).run().await
+            }
+            end => end,
+        }
+    }
+
+    fn record_end(&self, reason: ConnectionEnd) {
+        self.supervisor.metrics().connection_ended(reason);
+        let connection = self.connection.number();
+        tracing::debug!(connection, client = %self.client.0, ?reason, "client connection ended");
     }
 
     /// Closes the connection after its last response. An eviction ends the wait for the client.
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -3,6 +3,8 @@
 use super::{ClientAddress, ConnectionServer, REQUEST_READ_TIMEOUT};
 use crate::http::client_connections::ClientConnection;
 use crate::http::client_stream::{ClientStream, StreamHandle};
+use crate::metrics::ConnectionEnd;
+use crate::supervision::Supervisor;
 use axum::response::Response;
 use axum::Router;
 use hyper::body::Incoming;
@@ -26,23 +28,6 @@
 /// Size of the HTTP parser's buffer in bytes; larger than any valid request head.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// Reason why no further request is read from a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CloseReason {
-    /// The client closed the connection; no response is written.
-    ClientClosed,
-    /// The first request head did not arrive completely in time.
-    Silent,
-    /// The connection was evicted before its first request head arrived completely.
-    EvictedUnserved,
-    /// The last response announced the close, or the HTTP protocol failed, for example because of an invalid request.
-    LastResponse,
-    /// The gateway is closing its connections, and no request was open.
-    Shutdown,
-    /// The connection was evicted while idle.
-    Evicted,
-}
-
 /// Limit on the number of requests that are still read from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RemainingRequests {
@@ -88,9 +73,9 @@
     /// Continue serving.
     Continue,
     /// Stop serving without a further response.
-    Close(CloseReason),
+    Close(ConnectionEnd),
     /// Stop serving after the response to the open request, if there is one.
-    CloseAfterResponse(CloseReason),
+    CloseAfterResponse(ConnectionEnd),
 }
 
 /// Runs HTTP on a connection, and handles closes by the client, evictions, time-outs and the shutdown of the gateway.
@@ -102,7 +87,7 @@
     grace_granted: bool,
     shutdown: ShutdownProgress,
     /// Reason to return when HTTP processing ends without an error.
-    close_reason: CloseReason,
+    close_reason: ConnectionEnd,
 }
 
 impl<'a> RequestLoop<'a> {
@@ -120,13 +105,13 @@
             first_request_timeout: Box::pin(sleep(REQUEST_READ_TIMEOUT)),
             grace_granted: false,
             shutdown: ShutdownProgress::NotRequested,
-            close_reason: CloseReason::LastResponse,
+            close_reason: ConnectionEnd::LastResponse,
         }
     }
 
     /// Serves requests until no further one is to be read, and returns the reason. Unparsed bytes are put back into the
     /// stream, unless the client closed the connection.
-    pub async fn run(mut self) -> CloseReason {
+    pub async fn run(mut self) -> ConnectionEnd {
         let reason = loop {
             let event = self.next_event().await;
             match self.handle(event) {
@@ -138,7 +123,7 @@
                 }
             }
         };
-        if reason != CloseReason::ClientClosed {
+        if reason != ConnectionEnd::ClientClosed {
             let unparsed = self.http.into_parts().read_buf;
             self.server.stream.unread(&unparsed);
         }
@@ -173,12 +158,12 @@
         match event {
             Event::HttpEnded(Ok(())) => Step::Close(self.close_reason),
             Event::HttpEnded(Err(error)) => {
-                tracing::debug!(client = %self.client(), %error, "HTTP processing on a client connection failed");
-                Step::Close(CloseReason::LastResponse)
+                tracing::debug!(connection = self.number(), client = %self.client(), %error, "HTTP processing on a client connection failed");
+                Step::Close(ConnectionEnd::LastResponse)
             }
             Event::ClientClosed => {
-                tracing::debug!(client = %self.client(), "client closed its connection before its response was ready");
-                Step::Close(CloseReason::ClientClosed)
+                tracing::debug!(connection = self.number(), client = %self.client(), "client closed its connection before its response was ready");
+                Step::Close(ConnectionEnd::ClientClosed)
             }
             Event::EvictionRequested => self.eviction_requested(),
             Event::FirstRequestTimeout => self.first_request_timed_out(),
@@ -194,11 +179,11 @@
             connection.cancel_eviction();
             return Step::Continue;
         }
-        tracing::debug!(client = %self.client(), "client connection without an open request evicted to free its slot");
+        tracing::debug!(connection = self.number(), client = %self.client(), "client connection without an open request evicted to free its slot");
         if connection.awaits_first_request() {
-            return Step::Close(CloseReason::EvictedUnserved);
+            return Step::Close(ConnectionEnd::EvictedUnserved);
         }
-        Step::CloseAfterResponse(CloseReason::Evicted)
+        Step::CloseAfterResponse(ConnectionEnd::Evicted)
     }
 
     /// Closes the connection, unless its first request head was read in the meantime, or bytes have arrived that the
@@ -208,8 +193,8 @@
         let awaits_first_request = self.server.connection.awaits_first_request();
         if awaits_first_request && (self.grace_granted || !self.server.stream.has_unparsed_bytes())
         {
-            tracing::debug!(client = %self.client(), "client connection closed: the first request head did not arrive in time");
-            return Step::Close(CloseReason::Silent);
+            tracing::debug!(connection = self.number(), client = %self.client(), "client connection closed: the first request head did not arrive in time");
+            return Step::Close(ConnectionEnd::Silent);
         }
         self.grace_granted = true;
         self.first_request_timeout
@@ -231,12 +216,16 @@
         }
         self.shutdown = ShutdownProgress::Handled;
         let reason = match has_request {
-            true => CloseReason::LastResponse,
-            false => CloseReason::Shutdown,
+            true => ConnectionEnd::LastResponse,
+            false => ConnectionEnd::Shutdown,
         };
         Step::CloseAfterResponse(reason)
     }
 
+    fn number(&self) -> u64 {
+        self.server.connection.number()
+    }
+
     fn client(&self) -> std::net::IpAddr {
         self.server.client.0
     }
@@ -248,6 +237,7 @@
     client: ClientAddress,
     router: Router,
     connection: Arc<ClientConnection>,
+    supervisor: Supervisor,
 }
 
 impl RequestService {
@@ -257,6 +247,7 @@
             client: server.client,
             router: server.router.clone(),
             connection: server.connection.clone(),
+            supervisor: server.supervisor.clone(),
         }
     }
 }
@@ -272,9 +263,15 @@
         let response = self.router.clone().call(request);
         let connection = self.connection.clone();
         let stream = self.stream.clone();
+        let supervisor = self.supervisor.clone();
         connection.request_started();
         Box::pin(async move {
             let response = response.await;
+            if let Ok(response) = &response {
+                supervisor
+                    .metrics()
+                    .response_ready(response.status().as_u16());
+            }
             connection.response_ready();
             stream.response_ready();
             response
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,147 @@
+//! Counts events of the gateway, and renders the counters in the text format of Prometheus.
+
+use crate::supervision::Task;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::fmt;
+
+/// Reason for which the gateway has closed a client connection, or sees it closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ConnectionEnd {
+    /// The client closed it.
+    ClientClosed,
+    /// No complete head of a first request arrived in time.
+    Silent,
+    /// It was evicted before the head of its first request had arrived.
+    EvictedUnserved,
+    /// It was evicted while idle.
+    Evicted,
+    /// The last response announced the close, or the HTTP protocol failed.
+    LastResponse,
+    /// The gateway shuts down.
+    Shutdown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TaskLabel {
+    task: Task,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabel {
+    reason: ConnectionEnd,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabel {
+    status: u16,
+}
+
+/// The counters of a gateway.
+pub struct Metrics {
+    registry: Registry,
+    task_panics: Family<TaskLabel, Counter>,
+    connections_accepted: Counter,
+    accept_failures: Counter,
+    connections_ended: Family<EndLabel, Counter>,
+    responses: Family<StatusLabel, Counter>,
+    ready: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("garnetwall"),
+            task_panics: Family::default(),
+            connections_accepted: Counter::default(),
+            accept_failures: Counter::default(),
+            connections_ended: Family::default(),
+            responses: Family::default(),
+            ready: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "task_panics",
+            "Panics by kind of task",
+            self.task_panics.clone(),
+        );
+        registry.register(
+            "client_connections_accepted",
+            "Accepted client connections",
+            self.connections_accepted.clone(),
+        );
+        registry.register(
+            "client_accept_failures",
+            "Client connections that could not be accepted",
+            self.accept_failures.clone(),
+        );
+        registry.register(
+            "client_connections_ended",
+            "Ended client connections by reason",
+            self.connections_ended.clone(),
+        );
+        registry.register(
+            "responses",
+            "Responses to clients by status",
+            self.responses.clone(),
+        );
+        registry.register(
+            "ready",
+            "1 if the health check answers 200, otherwise 0",
+            self.ready.clone(),
+        );
+    }
+
+    /// Counts a panic of a task.
+    pub fn task_panicked(&self, task: Task) {
+        self.task_panics.get_or_create(&TaskLabel { task }).inc();
+    }
+
+    /// Counts an accepted client connection.
+    pub fn connection_accepted(&self) {
+        self.connections_accepted.inc();
+    }
+
+    /// Counts a client connection that could not be accepted.
+    pub fn accept_failed(&self) {
+        self.accept_failures.inc();
+    }
+
+    /// Counts the end of a client connection.
+    pub fn connection_ended(&self, reason: ConnectionEnd) {
+        self.connections_ended
+            .get_or_create(&EndLabel { reason })
+            .inc();
+    }
+
+    /// Counts a response of a request handler.
+    pub fn response_ready(&self, status: u16) {
+        self.responses.get_or_create(&StatusLabel { status }).inc();
+    }
+
+    /// Renders all counters in the text format of Prometheus. `is_ready` is the answer of the health check.
+    ///
+    /// # Errors
+    ///
+    /// A counter could not be rendered.
+    pub fn render(&self, is_ready: bool) -> Result<String, fmt::Error> {
+        self.ready.set(i64::from(is_ready));
+        let mut page = String::new();
+        encode(&mut page, &self.registry)?;
+        Ok(page)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/metrics/tests.rs
@@ -0,0 +1,23 @@
+use super::*;
+
+#[test]
+fn page_has_each_counter_with_its_labels() {
+    let metrics = Metrics::default();
+    metrics.task_panicked(Task::ArrivalOrder);
+    metrics.task_panicked(Task::ArrivalOrder);
+    metrics.connection_accepted();
+    metrics.accept_failed();
+    metrics.connection_ended(ConnectionEnd::Shutdown);
+    metrics.response_ready(503);
+    let page = metrics.render(true).unwrap();
+    for line in [
+        r#"garnetwall_task_panics_total{task="ArrivalOrder"} 2"#,
+        "garnetwall_client_connections_accepted_total 1",
+        "garnetwall_client_accept_failures_total 1",
+        r#"garnetwall_client_connections_ended_total{reason="Shutdown"} 1"#,
+        r#"garnetwall_responses_total{status="503"} 1"#,
+        "garnetwall_ready 1",
+    ] {
+        assert!(page.lines().any(|found| found == line), "{line}: {page}");
+    }
+}
