Serve queries where the system's TCP_INFO is shorter than libc's struct

What callers saw: each query's new connection was closed within 1 ms without an answer, on every gateway, while /healthz answered 200; engines saw nothing.

Cause: the time of arrival of each query is read from TCP_INFO. The struct's length depends on the system's version, and nix asserts that the system has filled in all of libc's, which is the newest one. Where it is shorter (an older kernel, an emulated one, a shim), the assertion panicked in the task that serves the connection, which closed the connection.

Change: only the first 56 bytes are read, up to the field that is used; each system that has the field fills these in. A still shorter answer is an error of its own (ArrivalTimeError): one log line, the time of reading counts instead, and the system is asked again after 10 s. The library's assertion is caught where it is made.

--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -108,7 +108,7 @@
         let state = self.state();
         let now = Instant::now();
         let age = state.io.inner().time_since_last_arrival();
-        let arrived_at = age.and_then(|age| now.checked_sub(age));
+        let arrived_at = age.ok().and_then(|age| now.checked_sub(age));
         // Bytes that were read had arrived by then; the system may tell of later ones.
         arrived_at.map_or(state.last_read_at, |at| at.min(state.last_read_at))
     }
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -4,7 +4,7 @@
 //! as the sign that the socket is drained or full, and would then wait for a readiness event that may never arrive.
 
 use crate::system::os_error;
-use crate::system::tcp_info::time_since_last_arrival;
+use crate::system::tcp_info::{time_since_last_arrival, ArrivalTimeError};
 use socket2::{SockAddr, SockRef};
 use std::future::Future;
 use std::io::{self, IoSlice, Read as _};
@@ -130,8 +130,12 @@
         uninterrupted(|| (&*SockRef::from(&self.0)).read(bytes))
     }
 
-    /// Returns the time since the newest bytes arrived, whether or not they were read; `None` if the system does not tell.
-    pub fn time_since_last_arrival(&self) -> Option<Duration> {
+    /// Returns the time since the newest bytes arrived, whether or not they were read.
+    ///
+    /// # Errors
+    ///
+    /// The system does not tell.
+    pub fn time_since_last_arrival(&self) -> Result<Duration, ArrivalTimeError> {
         time_since_last_arrival(&self.0)
     }
 
