Answer the client of a request whose handling or HTTP connection panics

What callers saw: with a wall clock past year 9999 or before 1970 each request, new, on a resting connection or in flight, was closed without an answer.

Cause: hyper renders its date header at each poll of a server connection, and httpdate panics outside these years. The panic ended the connection's task, and nothing wrote an answer. The same held for any panic in a handler (as that on TCP_INFO) or in HTTP processing: a value that a library asserts on cost the client its answer, without a counter.

Change: a panic of a handler is answered 500 on its connection, which is then closed. After a panic of the HTTP connection the gateway writes the answer itself: 500 where a request had been passed to its handler, 503 where one had arrived that had not, nothing where a response had begun. Both are counted and logged with the number of the connection, path and id of the query. As /healthz goes the same way, it is not 200 while that lasts.

Why it holds: the answer does not depend on which library panicked; what has been written on the connection decides.

New: request_whose_handler_or_response_panics_is_answered_as_failed.

--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -43,6 +43,19 @@
     Nothing,
 }
 
+/// Progress of the response to the last request that was passed to its handler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseProgress {
+    /// No request was passed to a handler yet.
+    NoRequest,
+    /// No byte of the response is written.
+    Due,
+    /// A part of the response may be written.
+    Begun,
+    /// The response is written.
+    Written,
+}
+
 struct StreamState {
     io: TokioIo<Socket>,
     /// Bytes that were read from the socket and that the parser has not taken.
@@ -55,6 +68,7 @@
     /// Whether a request, or a part of one, is still to be received. False from when a request was received whole until
     /// its response is ready.
     awaits_request: bool,
+    response_progress: ResponseProgress,
     /// Whether the parser was polled since the last bytes were read ahead, so that it could have taken them.
     is_offered: bool,
     /// Wakes the task that serves the connection. `None` before it has waited for the client.
@@ -81,6 +95,7 @@
             parser_needs_wake: false,
             last_read_at: Instant::now(),
             awaits_request: true,
+            response_progress: ResponseProgress::NoRequest,
             is_offered: true,
             task: None,
             close_check: None,
@@ -113,6 +128,21 @@
         arrived_at.map_or(state.last_read_at, |at| at.min(state.last_read_at))
     }
 
+    /// Records that a request was passed to its handler.
+    pub fn request_started(&self) {
+        self.state().response_progress = ResponseProgress::Due;
+    }
+
+    /// Returns the progress of the response to the last request.
+    pub(super) fn response_progress(&self) -> ResponseProgress {
+        self.state().response_progress
+    }
+
+    /// Completes when bytes have arrived that the parser has not taken, or the client has ended its side.
+    pub async fn received(&self) {
+        poll_fn(|cx| self.state().poll_received(cx)).await
+    }
+
     /// Records that a request was received whole: bytes that follow are not awaited until its response is ready.
     pub fn request_received(&self) {
         self.state().awaits_request = false;
@@ -259,6 +289,30 @@
         self.end.is_some() || self.is_read_ahead_full() && self.io.inner().is_read_closed()
     }
 
+    fn poll_received(&mut self, cx: &mut Context) -> Poll<()> {
+        while self.read_ahead.is_empty() && self.end.is_none() {
+            let mut buffer = [0; READ_AHEAD_BYTES];
+            let result = ready!(self.io.inner().poll_read_bytes(cx, &mut buffer));
+            self.record_read(result, &buffer);
+        }
+        Poll::Ready(())
+    }
+
+    /// Records the result of a write to the client.
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
+        let is_written = matches!(result, Poll::Ready(Ok(1..)));
+        if is_written && self.response_progress == ResponseProgress::Due {
+            self.response_progress = ResponseProgress::Begun;
+        }
+    }
+
+    /// Records that all bytes handed to the connection are written.
+    fn record_flush(&mut self) {
+        if self.response_progress == ResponseProgress::Begun {
+            self.response_progress = ResponseProgress::Written;
+        }
+    }
+
     fn poll_closed_by_client(&mut self, cx: &mut Context) -> Poll<()> {
         loop {
             if self.is_closed_by_client() {
@@ -318,11 +372,17 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_write(cx, bytes);
+        state.record_write(&result);
         state.write_timeout.apply(cx, result)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.state().io).poll_flush(cx)
+        let mut state = self.0.state();
+        let result = Pin::new(&mut state.io).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &result {
+            state.record_flush();
+        }
+        result
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -340,6 +400,7 @@
     ) -> Poll<io::Result<usize>> {
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_write_vectored(cx, buffers);
+        state.record_write(&result);
         state.write_timeout.apply(cx, result)
     }
 }
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -1,11 +1,12 @@
 //! Connection stage: serves one client connection, and closes it in a way that lets the client read its last response.
 
+mod after_panic;
 mod request_loop;
 
 use super::{ClientAddress, REQUEST_READ_TIMEOUT};
 use crate::http::client_connections::ClientConnection;
 use crate::http::client_stream::StreamHandle;
-use crate::metrics::ConnectionEnd;
+use crate::metrics::{ConnectionEnd, Metrics};
 use crate::supervision::Supervisor;
 use axum::Router;
 use hyper_util::rt::TokioIo;
@@ -81,6 +82,7 @@
                 self.close(CloseMode::Linger).await
             }
             ConnectionEnd::Evicted => self.close(CloseMode::Immediate).await,
+            ConnectionEnd::Panicked => self.close_after_panic().await,
         }
     }
 
@@ -100,8 +102,12 @@
         }
     }
 
+    fn metrics(&self) -> &Metrics {
+        self.supervisor.metrics()
+    }
+
     fn record_end(&self, reason: ConnectionEnd) {
-        self.supervisor.metrics().connection_ended(reason);
+        self.metrics().connection_ended(reason);
         let connection = self.connection.number();
         tracing::debug!(connection, client = %self.client.0, ?reason, "client connection ended");
     }
@@ -150,3 +156,6 @@
     };
     let _ = timeout(LINGER_TIMEOUT, read_to_end).await;
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -3,13 +3,16 @@
 use super::{ClientAddress, ConnectionServer, REQUEST_READ_TIMEOUT};
 use crate::http::client_connections::ClientConnection;
 use crate::http::client_stream::{ClientStream, StreamHandle};
+use crate::http::request_head::{QUERY_KEY_HEADER, QUERY_PATH_PREFIX};
+use crate::http::responses::handler_panicked_response;
 use crate::metrics::ConnectionEnd;
-use crate::supervision::Supervisor;
+use crate::supervision::{catch_panic, Supervisor, Task, TaskPanic};
+use axum::http::HeaderValue;
 use axum::response::Response;
 use axum::Router;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::Request;
+use hyper::{Method, Request, Uri};
 use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
@@ -62,6 +65,8 @@
 enum Event {
     /// HTTP processing ended with an error or after the last response.
     HttpEnded(hyper::Result<()>),
+    /// HTTP processing panicked.
+    HttpPanicked(TaskPanic),
     ClientClosed,
     EvictionRequested,
     FirstRequestTimeout,
@@ -144,7 +149,10 @@
             connection.awaits_first_request() && !first_request_timeout.is_elapsed();
         tokio::select! {
             biased;
-            result = poll_fn(|cx| http.poll_without_shutdown(cx)) => Event::HttpEnded(result),
+            result = catch_panic(poll_fn(|cx| http.poll_without_shutdown(cx))) => match result {
+                Ok(result) => Event::HttpEnded(result),
+                Err(panic) => Event::HttpPanicked(panic),
+            },
             () = stream.closed_by_client(|| connection.has_request()) => Event::ClientClosed,
             () = connection.eviction.notified() => Event::EvictionRequested,
             () = first_request_timeout, if awaits_first_request => Event::FirstRequestTimeout,
@@ -161,6 +169,12 @@
                 tracing::debug!(connection = self.number(), client = %self.client(), %error, "HTTP processing on a client connection failed");
                 Step::Close(ConnectionEnd::LastResponse)
             }
+            Event::HttpPanicked(panic) => {
+                let supervisor = &self.server.supervisor;
+                supervisor.record_panic(Task::ClientConnection, &panic);
+                tracing::error!(connection = self.number(), client = %self.client(), "HTTP processing on a client connection panicked");
+                Step::Close(ConnectionEnd::Panicked)
+            }
             Event::ClientClosed => {
                 tracing::debug!(connection = self.number(), client = %self.client(), "client closed its connection before its response was ready");
                 Step::Close(ConnectionEnd::ClientClosed)
@@ -252,6 +266,40 @@
     }
 }
 
+/// Facts of a request that are logged if its handler panics.
+struct LoggedRequest {
+    method: Method,
+    uri: Uri,
+    query_key: Option<HeaderValue>,
+}
+
+impl LoggedRequest {
+    fn of(request: &Request<Incoming>) -> Self {
+        LoggedRequest {
+            method: request.method().clone(),
+            uri: request.uri().clone(),
+            query_key: request.headers().get(QUERY_KEY_HEADER).cloned(),
+        }
+    }
+
+    /// The kind of task that its handler counts as.
+    fn task(&self) -> Task {
+        match self.uri.path().starts_with(QUERY_PATH_PREFIX) {
+            true => Task::Request,
+            false => Task::StatusPage,
+        }
+    }
+
+    fn log_panic(&self, connection: u64) {
+        let LoggedRequest {
+            method,
+            uri,
+            query_key,
+        } = self;
+        tracing::error!(connection, %method, path = uri.path(), ?query_key, "request handler panicked; its request is answered as failed");
+    }
+}
+
 impl hyper::service::Service<Request<Incoming>> for RequestService {
     type Response = Response;
     type Error = Infallible;
@@ -260,21 +308,29 @@
     fn call(&self, mut request: Request<Incoming>) -> Self::Future {
         request.extensions_mut().insert(self.stream.clone());
         request.extensions_mut().insert(self.client);
-        let response = self.router.clone().call(request);
+        let logged = LoggedRequest::of(&request);
+        let mut router = self.router.clone();
+        let response = async move { router.call(request).await };
         let connection = self.connection.clone();
         let stream = self.stream.clone();
         let supervisor = self.supervisor.clone();
         connection.request_started();
+        stream.request_started();
         Box::pin(async move {
-            let response = response.await;
-            if let Ok(response) = &response {
-                supervisor
-                    .metrics()
-                    .response_ready(response.status().as_u16());
-            }
+            let response = match supervisor.watch(logged.task(), response).await {
+                Ok(Ok(response)) => response,
+                Ok(Err(never)) => match never {},
+                Err(_) => {
+                    logged.log_panic(connection.number());
+                    handler_panicked_response()
+                }
+            };
+            supervisor
+                .metrics()
+                .response_ready(response.status().as_u16());
             connection.response_ready();
             stream.response_ready();
-            response
+            Ok(response)
         })
     }
 }
--- a/crates/gateway/src/http/request_head.rs
+++ b/crates/gateway/src/http/request_head.rs
@@ -11,8 +11,10 @@
 use std::sync::Arc;
 use thiserror::Error;
 
+/// Start of the paths of query classes, by the protocol.
+pub(super) const QUERY_PATH_PREFIX: &str = "/v1/";
 /// Header with the query key; this and the following header names are defined by the protocol.
-const QUERY_KEY_HEADER: &str = "x-job-id";
+pub(super) const QUERY_KEY_HEADER: &str = "x-job-id";
 const DEADLINE_HEADER: &str = "x-allow-ms";
 const TENANT_HEADER: &str = "x-team";
 const ORDERING_KEY_HEADER: &str = "x-item";
--- a/crates/gateway/src/http/responses.rs
+++ b/crates/gateway/src/http/responses.rs
@@ -37,6 +37,12 @@
     response
 }
 
+/// Returns the response to a request whose handler panicked. Its query, if it was admitted, may have run. Parts of the
+/// request may be unread, so the connection is closed.
+pub(super) fn handler_panicked_response() -> Response {
+    close_after(answer_response(QueryAnswer::Failed))
+}
+
 /// Returns a response with a JSON body that carries `text` as its error.
 pub(super) fn error_response(status: StatusCode, text: &str) -> Response {
     json_response(status, json!({"error": text}).to_string())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,19 @@
     LastResponse,
     /// The gateway shuts down.
     Shutdown,
+    /// HTTP processing panicked.
+    Panicked,
+}
+
+/// How the client of a request was answered after a panic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum PanicAnswer {
+    /// 500: the query may have run.
+    Failed,
+    /// 503: nothing of the request was handled.
+    Busy,
+    /// No answer was due, or a part of it was already written.
+    None,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -36,6 +49,11 @@
     reason: ConnectionEnd,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabel {
+    answer: PanicAnswer,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StatusLabel {
     status: u16,
@@ -49,6 +67,7 @@
     accept_failures: Counter,
     connections_ended: Family<EndLabel, Counter>,
     responses: Family<StatusLabel, Counter>,
+    panic_answers: Family<AnswerLabel, Counter>,
     ready: Gauge,
 }
 
@@ -61,6 +80,7 @@
             accept_failures: Counter::default(),
             connections_ended: Family::default(),
             responses: Family::default(),
+            panic_answers: Family::default(),
             ready: Gauge::default(),
         };
         metrics.register();
@@ -96,6 +116,11 @@
             "Responses to clients by status",
             self.responses.clone(),
         );
+        registry.register(
+            "panic_answers",
+            "Client connections on which HTTP processing panicked, by the answer that was written",
+            self.panic_answers.clone(),
+        );
         registry.register(
             "ready",
             "1 if the health check answers 200, otherwise 0",
@@ -130,6 +155,13 @@
         self.responses.get_or_create(&StatusLabel { status }).inc();
     }
 
+    /// Counts how the client of a connection was answered after HTTP processing panicked.
+    pub fn answered_after_panic(&self, answer: PanicAnswer) {
+        self.panic_answers
+            .get_or_create(&AnswerLabel { answer })
+            .inc();
+    }
+
     /// Renders all counters in the text format of Prometheus. `is_ready` is the answer of the health check.
     ///
     /// # Errors
--- a/crates/gateway/src/metrics/tests.rs
+++ b/crates/gateway/src/metrics/tests.rs
@@ -9,6 +9,7 @@
     metrics.accept_failed();
     metrics.connection_ended(ConnectionEnd::Shutdown);
     metrics.response_ready(503);
+    metrics.answered_after_panic(PanicAnswer::Busy);
     let page = metrics.render(true).unwrap();
     for line in [
         r#"garnetwall_task_panics_total{task="ArrivalOrder"} 2"#,
@@ -16,6 +17,7 @@
         "garnetwall_client_accept_failures_total 1",
         r#"garnetwall_client_connections_ended_total{reason="Shutdown"} 1"#,
         r#"garnetwall_responses_total{status="503"} 1"#,
+        r#"garnetwall_panic_answers_total{answer="Busy"} 1"#,
         "garnetwall_ready 1",
     ] {
         assert!(page.lines().any(|found| found == line), "{line}: {page}");
--- a/crates/gateway/src/supervision.rs
+++ b/crates/gateway/src/supervision.rs
@@ -62,6 +62,8 @@
     Signals,
     /// Opens a connection to one candidate of the engine subset.
     SubsetCandidate,
+    /// Answers a health check or a request for metrics.
+    StatusPage,
     /// Maintains the engine subset.
     SubsetMaintenance,
 }
