Start, reload and serve where the system refuses a thread for a moment

What callers saw: a start ended the process; after a SIGHUP in such a moment no later SIGHUP did anything, and the gateway called itself healthy.

Cause: std::thread::spawn, tracing-appender and tokio's spawn_blocking panic where the system has no thread (EAGAIN).

With a body store the runtime's pool gets its thread at the start and keeps it, as calls of spawn_blocking wait for a thread only where there is one.

Result: sighup_takes_effect_although_the_system_had_no_thread, start_is_retried_while_the_system_has_no_thread and, new, long_bodies_and_recorded_queries_are_served_although_the_system_has_no_thread pass; all three fail without this change. The first is stricter than it was: one SIGHUP, in the moment without a thread, has to do.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -5,18 +5,23 @@
 use crate::gateway::{Gateway, StartError};
 use crate::supervision::Supervisor;
 use crate::system::log::{print_error, Log};
-use crate::system::os_error::retry_blocking;
+use crate::system::os_error::{retry, retry_blocking};
 use crate::system::signals::{SignalEvents, Signals};
+use crate::system::thread::run_in_thread;
 use pico_args::Arguments;
 use std::ffi::OsString;
 use std::io;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::Notify;
-use tokio::task::JoinError;
+
+/// Time after which an idle thread of the pool for blocking calls ends: longer than any run of the program.
+const POOL_THREAD_KEEP_ALIVE: Duration = Duration::from_secs(u32::MAX as u64);
 
 const HELP: &str = "\
 garnetwall: admission control for queries on a pool of engines
@@ -54,7 +59,9 @@
     Config(#[from] ConfigError),
     /// The thread that reads the configuration files has panicked.
     #[error("could not read the configuration: {0}")]
-    ReadPanicked(#[from] JoinError),
+    ReadPanicked(#[from] RecvError),
+    #[error("could not start the thread that reads the configuration: {0}")]
+    ReadThread(#[source] io::Error),
     #[error("could not install the signal handlers: {0}")]
     Signals(#[source] io::Error),
     #[error("could not start the log: {0}")]
@@ -122,7 +129,12 @@
 fn serve(files: Files) -> Result<(), CommandError> {
     let signals = Signals::install().map_err(CommandError::Signals)?;
     let log = retry_blocking(Log::start).map_err(CommandError::Log)?;
-    let runtime = retry_blocking(|| Builder::new_current_thread().enable_all().build());
+    let runtime = retry_blocking(|| {
+        Builder::new_current_thread()
+            .enable_all()
+            .thread_keep_alive(POOL_THREAD_KEEP_ALIVE)
+            .build()
+    });
     let runtime = runtime.map_err(CommandError::Runtime)?;
     let result = runtime.block_on(serve_until_stopped(files, signals));
     // A thread that is still reading a file must not delay the exit.
@@ -173,8 +185,14 @@
     }
 }
 
-/// Reads the files in a separate thread, so that serving does not wait for the file system.
+/// Reads the files in a separate thread, so that serving does not wait for the file system. While the system has no
+/// thread, tries again for [`START_TIMEOUT`](crate::system::os_error::START_TIMEOUT).
 async fn read_config_in_thread(files: Files) -> Result<Config, CommandError> {
-    let config = tokio::task::spawn_blocking(move || read_config(files)).await?;
+    let start = || {
+        let files = files.clone();
+        run_in_thread("configuration", || read_config(files))
+    };
+    let config = retry("configuration", start).await;
+    let config = config.map_err(CommandError::ReadThread)?.await?;
     Ok(config?)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::system::clock::Clock;
 use crate::system::os_error::retry;
 use crate::system::resource_budget::{ResourceBudget, ResourceLimits};
+use crate::system::thread::start_pool_thread;
 use garnetwall::api::{EngineId, QueryClass, Settings};
 use garnetwall::controller::AdmissionController;
 use garnetwall_bodies::Store;
@@ -112,8 +113,7 @@
     ///
     /// # Errors
     ///
-    /// The journal, the body store or the listening socket cannot be opened. Transient failures of the body store and
-    /// of the socket are retried for [`START_TIMEOUT`](crate::system::os_error::START_TIMEOUT) before they count.
+    /// The journal, the body store or the listening socket cannot be opened. Transient failures are retried for [`START_TIMEOUT`](crate::system::os_error::START_TIMEOUT) before they count.
     pub async fn run(
         mut self,
         stop: impl Future<Output = ()>,
@@ -170,9 +170,11 @@
         }
     }
 
-    /// Opens the journal, the body store and the listening socket, retrying transient failures of the last two.
+    /// Opens the journal, the body store and the listening socket, retrying transient failures.
     async fn acquire_resources(&self) -> Result<StartResources, StartError> {
-        let journal = self.open_journal().map_err(StartError::Journal)?;
+        let journal = retry("query journal", || self.open_journal())
+            .await
+            .map_err(StartError::Journal)?;
         let store = retry("body store", || self.open_body_store())
             .await
             .map_err(StartError::BodyStore)?;
@@ -214,6 +216,7 @@
         let Some(bodies) = plan.and_then(|plan| plan.bodies.as_ref()) else {
             return Ok(None);
         };
+        start_pool_thread()?;
         let names = &self.config.platform.names.classes;
         body_store::body_store(bodies, names, &self.config.name).map(Some)
     }
--- a/crates/gateway/src/storage/query_journal.rs
+++ b/crates/gateway/src/storage/query_journal.rs
@@ -105,7 +105,7 @@
             boot,
             move || boot_clock.millis(),
             Box::new(on_journal_read),
-        );
+        )?;
         check_opened(&path, restore_result)?;
         Ok(QueryJournal {
             open: Some(OpenJournal {
--- a/crates/gateway/src/system.rs
+++ b/crates/gateway/src/system.rs
@@ -11,4 +11,5 @@
 pub mod socket;
 pub mod stall_detector;
 pub mod tcp_info;
+pub mod thread;
 pub mod write_timeout;
--- a/crates/gateway/src/system/log.rs
+++ b/crates/gateway/src/system/log.rs
@@ -4,6 +4,8 @@
 //! Entries that do not fit in the queue are dropped, and their number is logged after the next entry that is written.
 //! An entry that cannot be written, for example because the reader has exited, is dropped as well.
 
+use crate::supervision::catch_panic_of_call;
+use nix::errno::Errno;
 use std::fmt::Display;
 use std::fs::File;
 use std::io::{self, Write};
@@ -47,7 +49,7 @@
     ///
     /// # Errors
     ///
-    /// The descriptor of standard error cannot be duplicated.
+    /// The descriptor of standard error cannot be duplicated, or the system has no thread for the log.
     pub fn start() -> io::Result<Log> {
         let filter =
             EnvFilter::try_from_env("GARNETWALL_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
@@ -65,7 +67,7 @@
         let builder = NonBlockingBuilder::default()
             .lossy(true)
             .buffered_lines_limit(QUEUE_CAPACITY);
-        let (queue, worker) = builder.thread_name("log").finish(log_writer);
+        let (queue, worker) = start_worker(builder.thread_name("log"), log_writer)?;
         let counter = queue.error_counter();
         // The cell is set only here, so this cannot fail.
         let _ = dropped.set(counter.clone());
@@ -103,6 +105,21 @@
     }
 }
 
+/// Starts the thread that writes the log.
+///
+/// # Errors
+///
+/// The system has no thread.
+fn start_worker(
+    builder: NonBlockingBuilder,
+    writer: LogWriter,
+) -> io::Result<(NonBlocking, WorkerGuard)> {
+    // The builder panics if the system has no thread, so this is asked for first.
+    thread::Builder::new().spawn(|| ())?;
+    let started = catch_panic_of_call(|| builder.finish(writer));
+    started.map_err(|_| Errno::EAGAIN.into())
+}
+
 /// Puts entries into the queue and counts them.
 struct CountingQueue {
     queue: NonBlocking,
@@ -179,10 +196,12 @@
 pub fn print_error(error: &impl Display) {
     let text = format!("garnetwall: {error}\n");
     let (done, written) = mpsc::channel();
-    thread::spawn(move || {
+    let print = move || {
         // This fails if the reader has exited; the message is lost then.
         let _ = io::stderr().write_all(text.as_bytes());
         let _ = done.send(());
-    });
+    };
+    // Without a thread the message is lost, since a reader that stalls must not hold up the exit.
+    let _ = thread::Builder::new().spawn(print);
     let _ = written.recv_timeout(PRINT_ERROR_TIMEOUT);
 }
--- a/crates/gateway/src/system/os_error.rs
+++ b/crates/gateway/src/system/os_error.rs
@@ -82,8 +82,7 @@
     }
 }
 
-/// Like [`retry_blocking`], but does not block the thread, and logs the first failure. `step` is the name of the start
-/// step in the log.
+/// Like [`retry_blocking`], but does not block the thread, and logs the first failure. `step` names the step in the log.
 ///
 /// # Errors
 ///
@@ -95,7 +94,7 @@
         match attempt() {
             Err(error) if is_transient(&error) && started.elapsed() < START_TIMEOUT => {
                 if !is_logged {
-                    tracing::warn!(%error, step, "start step failed, retrying");
+                    tracing::warn!(%error, step, "step failed, retrying");
                     is_logged = true;
                 }
                 tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/gateway/tests/system_values.rs
+++ b/crates/gateway/tests/system_values.rs
@@ -222,7 +222,6 @@
     test_bed.signal("HUP");
     std::thread::sleep(ms(300));
     faults.disable("threads");
-    test_bed.signal("HUP");
     wait_until("the new change log is read", || {
         !next_log.last_event_ids.lock().unwrap().is_empty()
     });
@@ -241,3 +240,49 @@
     let test_bed = start_with(&faults);
     assert!(test_bed.query("report", "SELECT 1").succeeded());
 }
+
+/// Long bodies are written to a spool file by a pool of threads, whose idle ones end after 10 s by default.
+#[test]
+fn long_bodies_and_recorded_queries_are_served_although_the_system_has_no_thread() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+        "threads-{}-{}",
+        std::process::id(),
+        new_id()
+    ));
+    std::fs::create_dir_all(&folder).unwrap();
+    let plan = folder.join("a.plan");
+    let directory = format!("directory {:?}", folder.to_str().unwrap());
+    let bodies = format!("bodies store {{\n  memory 512KiB\n  batch-memory 256KiB\n  files 64MiB\n  {directory}\n  batch 32MiB\n}}\n");
+    let journal = format!("journal once-only {{\n  {directory}\n}}\n");
+    std::fs::write(&plan, bodies + &journal).unwrap();
+
+    let faults = Faults::new();
+    faults.enable("threads", NO_THREAD);
+    let later = faults.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(ms(400));
+        later.disable("threads");
+    });
+    let test_bed = TestBed::start_with_launcher(
+        |_| {},
+        |config| {
+            let mut command = gateway_command(&["serve", "--plan"]);
+            command
+                .arg(&plan)
+                .env("PROXY_CONFIG", write_config(config))
+                .stderr(Stdio::null());
+            faults.apply_to(&mut command);
+            command.spawn().unwrap()
+        },
+    );
+    assert!(test_bed.query("load", "INSERT 1").succeeded());
+    std::thread::sleep(ms(11_000));
+    faults.enable("threads", NO_THREAD);
+    let long = format!("SELECT '{}' FROM sales_1.orders", "x".repeat(400_000));
+    for n in 0..3 {
+        let answer = test_bed.query("report", &long);
+        assert!(answer.succeeded(), "query {n}: {answer:?}");
+    }
+    assert!(test_bed.query("load", "INSERT 2").succeeded());
+    assert_eq!(health(&test_bed), Some(200));
+}
--- a/crates/ledger/benches/journal.rs
+++ b/crates/ledger/benches/journal.rs
@@ -22,7 +22,7 @@
         let StartedJournal {
             journal,
             restore_result,
-        } = Journal::start(FileStorage::new(&path), boot, || 0, Box::new(drop));
+        } = Journal::start(FileStorage::new(&path), boot, || 0, Box::new(drop)).unwrap();
         restore_result.unwrap_or_else(|e| panic!("{e}"));
         let (on_written, written) = channel();
         let started_at = Instant::now();
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -19,7 +19,7 @@
 
 use crate::records::{Boot, Record, StartedQuery};
 use std::io;
-use std::sync::mpsc::{channel, Sender};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread::JoinHandle;
 use writer::{Command, Writer};
 
@@ -39,29 +39,51 @@
     pub restore_result: io::Result<()>,
 }
 
+/// A writer that has read the journal, and the commands that it is to carry out.
+struct StartedWriter<S, C> {
+    writer: Writer<S, C>,
+    commands: Receiver<Command>,
+}
+
 impl Journal {
     /// Reads the journal in `storage`, replaces it by a compacted one and starts the writing thread.
     ///
     /// `boot` is the present boot, and `clock_ms` returns the time of its clock in milliseconds. `recovery` is called
     /// once, on this thread or the writing thread, as soon as the journal has been read.
+    ///
+    /// # Errors
+    ///
+    /// The system has no thread. The journal was not read, and `recovery` is not called.
     pub fn start(
         storage: impl JournalStorage + 'static,
         boot: Boot,
         clock_ms: impl Fn() -> u64 + Send + 'static,
         recovery: RecoveryCallback,
-    ) -> StartedJournal {
+    ) -> io::Result<StartedJournal> {
+        let (start, started) = channel::<StartedWriter<_, _>>();
+        let thread = std::thread::Builder::new()
+            .name("journal".to_owned())
+            .spawn(move || {
+                if let Ok(StartedWriter { writer, commands }) = started.recv() {
+                    writer.run(&commands);
+                }
+            })?;
         let mut writer = Writer::new(storage, boot, clock_ms, recovery);
         let restore_result = writer.restore();
         let (commands, receiver) = channel();
-        let thread = std::thread::spawn(move || writer.run(&receiver));
+        // This fails only after the thread has ended, and it ends after it has received the writer.
+        let _ = start.send(StartedWriter {
+            writer,
+            commands: receiver,
+        });
         let journal = Journal {
             commands,
             thread: Some(thread),
         };
-        StartedJournal {
+        Ok(StartedJournal {
             journal,
             restore_result,
-        }
+        })
     }
 
     /// Records that a non-idempotent query is about to be sent. The query may be sent once `on_written` was called with
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -200,7 +200,7 @@
     let StartedJournal {
         journal,
         restore_result,
-    } = Journal::start(storage.clone(), BOOT, || 0, ignore_recovery());
+    } = Journal::start(storage.clone(), BOOT, || 0, ignore_recovery()).unwrap();
     assert_eq!(
         restore_result.is_ok(),
         first_failure > 2,
@@ -294,7 +294,8 @@
         BOOT,
         || 1_000_000,
         ignore_recovery(),
-    );
+    )
+    .unwrap();
     restore_result.unwrap();
     for id in 0..20_000u64 {
         let may_run_until_ms = if id < 19_990 { 1 } else { u64::MAX };
@@ -327,7 +328,7 @@
     let StartedJournal {
         journal,
         restore_result,
-    } = Journal::start(FileStorage::new(path), BOOT, || 0, ignore_recovery());
+    } = Journal::start(FileStorage::new(path), BOOT, || 0, ignore_recovery()).unwrap();
     restore_result.unwrap();
     for id in first_id.. {
         commit(&journal, id).unwrap();
--- a/crates/ledger/tests/stored_records.rs
+++ b/crates/ledger/tests/stored_records.rs
@@ -133,7 +133,7 @@
     let StartedJournal {
         journal,
         restore_result,
-    } = Journal::start(storage, BOOT, || 1_138_170, callback);
+    } = Journal::start(storage, BOOT, || 1_138_170, callback).unwrap();
     restore_result.unwrap();
     assert_eq!(recovery.recv().unwrap(), all_recovered());
     journal.record_finished(THIRD.query_key);
