End a query whose task panics: its answer, its key and its attempt

What callers saw: nothing, until they left; the query stayed open, its answer was never given, its key's later queries waited behind it for good, and the exit waited for it.

Cause: the task of a query was started and never looked at; only its regular end answered, reported and released the query. It is the incident's class: a value that a library asserts on ends a task that nobody supervises.

Change: the task catches its own panic. The ledger's entry of an attempt is closed with the attempt, however it ends.

Why it holds: what the end needs (the attempt, its engine, its number) is kept beside the future that panics, not in it.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -13,6 +13,26 @@
 mod request;
 mod response;
 pub mod result_rows;
+/// An attempt that is open in the ledger. It is closed when this is dropped, also by a panic.
+struct OpenAttempt<'a> {
+    engines: &'a Engines,
+    id: AttemptId,
+}
+
+impl<'a> OpenAttempt<'a> {
+    fn new(engines: &'a Engines, query: &ForwardedQuery) -> Self {
+        let progress_expiry = engines.progress_expiry(query);
+        let id = engines.ledger().open(engines.now(), progress_expiry);
+        OpenAttempt { engines, id }
+    }
+}
+
+impl Drop for OpenAttempt<'_> {
+    fn drop(&mut self) {
+        self.engines.ledger().close(self.id);
+    }
+}
+
 #[cfg(test)]
 mod tests;
 
@@ -28,7 +48,7 @@
 use crate::system::send_gate::SendGate;
 use attempt::EngineSession;
 use garnetwall::api::{AttemptEnd, EngineId};
-use garnetwall_ledger::{Ledger, ProgressEvents, ProtocolLimits};
+use garnetwall_ledger::{AttemptId, Ledger, ProgressEvents, ProtocolLimits};
 use garnetwall_settings::NetworkTimeouts;
 use protocol::{CANCEL_RETRY_PAUSE, LONG_POLL_LIMIT, MAX_UNPOLLED_RUN, POLL_EXPIRY};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -95,6 +115,14 @@
         MAX_UNPOLLED_RUN
     }
 
+    /// The longest time for which an attempt of a query can run after its task has panicked, since nothing polls it.
+    pub fn longest_unattended_run(&self, query: &ForwardedQuery) -> Duration {
+        match self.protocol_limits.progress_events {
+            ProgressEvents::KeepRunning => MAX_UNPOLLED_RUN + self.progress_expiry(query),
+            ProgressEvents::NotSent => MAX_UNPOLLED_RUN,
+        }
+    }
+
     /// The current time on the ledger's clock.
     fn now(&self) -> Duration {
         self.started_at.elapsed()
@@ -125,12 +153,10 @@
         cancellation: watch::Receiver<CancellationState>,
         events: AttemptEvents,
     ) -> AttemptResult {
-        let id = self.ledger().open(self.now(), self.progress_expiry(query));
+        let open = OpenAttempt::new(self, query);
         let send_gate = self.send_gate(target, &start, cancellation.clone());
-        let mut session = EngineSession::for_attempt(self, target, id, send_gate, &start);
-        let result = session.run(query, &start, cancellation, events).await;
-        self.ledger().close(id);
-        result
+        let mut session = EngineSession::for_attempt(self, target, open.id, send_gate, &start);
+        session.run(query, &start, cancellation, events).await
     }
 
     /// The time after its last poll for which progress events alone are assumed to keep an attempt running. The
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -16,7 +16,7 @@
 //! | `Attempt` in `src/controller/attempt_state.rs` | admission controller, in the state of the query | the load that the attempt adds to its engine, and when it is overdue | when the engine is chosen | when `attempt_ended` reports its end |
 //! | `ScheduledAttempt` in `scheduling/query_task.rs` | task of the query | engine, number and start time, with which its outcome is reported | on `Command::BeginAttempt` | after its end is reported |
 //! | `AttemptInFlight` in `scheduling/query_task/attempt_in_flight.rs` | task of the query | response deadline, commands and events during the exchange with the engine | once the engine's address is known | when the exchange ends |
-//! | `AttemptId`, with `OpenAttempt` behind it, in `crates/ledger` | [`Engines`] | the proof that the attempt does not run any more | before the session, once the journal permits the attempt | after the session |
+//! | `AttemptId`, with `OpenAttempt` behind it, in `crates/ledger` | [`Engines`] | the proof that the attempt does not run any more | before the session, once the journal permits the attempt | after the session, also if it panics |
 //! | [`EngineSession`] | `Engines::run_attempt` | connection, calls, deadlines | with its ledger entry | once the attempt has ended, or can't be running any more |
 //!
 //! Two deadlines bound an attempt. After its *response deadline* nobody waits for its response; the engine is told the
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -118,6 +118,7 @@
         journal: state.journal.clone(),
         journal_entry: opened.journal_entry,
         client_presence: opened.client_presence,
+        supervisor: state.supervisor.clone(),
         _memory: statement_memory,
     };
     tokio::spawn(task.run());
--- a/crates/gateway/src/scheduling/query_task.rs
+++ b/crates/gateway/src/scheduling/query_task.rs
@@ -10,6 +10,7 @@
 use crate::scheduling::log_millis;
 use crate::scheduling::scheduler::{Command, QueryAnswer, Scheduler};
 use crate::storage::query_journal::QueryJournal;
+use crate::supervision::{catch_panic, Supervisor, Task, TaskPanic};
 use attempt_in_flight::AttemptInFlight;
 use bytes::Bytes;
 use garnetwall::api::{AttemptEnd, AttemptOutcome, EngineId, FollowUp, QueryId};
@@ -18,6 +19,7 @@
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::sleep;
 
 /// An admitted query with everything that its attempts need.
 pub struct QueryTask {
@@ -37,10 +39,20 @@
     pub journal_entry: Option<StartedQuery>,
     /// Flag that tells whether a client waits for the answer.
     pub client_presence: ClientPresence,
+    /// Records a panic of the task.
+    pub supervisor: Supervisor,
     /// The statement's part of the memory budget, held until the task ends.
     pub _memory: OwnedSemaphorePermit,
 }
 
+/// Attempts of a query so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct AttemptHistory {
+    begun: u32,
+    /// The attempt whose end is not reported to the scheduler yet.
+    in_flight: Option<ScheduledAttempt>,
+}
+
 /// Whether a query still needs an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum QueryStatus {
@@ -88,13 +100,23 @@
 }
 
 impl QueryTask {
-    /// Runs until the query is finished and every attempt has ended. The task may outlive the client's connection.
+    /// Runs until the query is finished and every attempt has ended. The task may outlive the client's connection. After
+    /// a panic the query is answered as failed.
     pub async fn run(mut self) {
-        let mut attempts_begun = 0;
+        let mut attempts = AttemptHistory::default();
+        let result = catch_panic(self.run_commands(&mut attempts)).await;
+        match result {
+            Ok(()) => self.supervisor.record_success(Task::Query),
+            Err(panic) => self.end_after_panic(attempts, &panic).await,
+        }
+        self.release(attempts.begun);
+    }
+
+    async fn run_commands(&mut self, attempts: &mut AttemptHistory) {
         let mut status = QueryStatus::Open;
         while status == QueryStatus::Open {
             let Some(command) = self.commands.recv().await else {
-                break;
+                return;
             };
             status = match command {
                 Command::BeginAttempt {
@@ -104,17 +126,20 @@
                 } => {
                     let attempt = ScheduledAttempt {
                         engine,
-                        number: attempts_begun,
+                        number: attempts.begun,
                         started_at: Instant::now(),
                     };
                     let start = AttemptStart {
-                        is_retry: attempts_begun > 0,
+                        is_retry: attempts.begun > 0,
                         response_deadline,
                         send_deadline,
                         client_presence: self.client_presence.clone(),
                     };
-                    attempts_begun += 1;
-                    self.run_attempt(attempt, start).await
+                    attempts.begun += 1;
+                    attempts.in_flight = Some(attempt);
+                    let status = self.run_attempt(attempt, start).await;
+                    attempts.in_flight = None;
+                    status
                 }
                 Command::Answer(answer) => {
                     self.scheduler
@@ -126,7 +151,29 @@
                 Command::CancelAttempt { .. } => QueryStatus::Open,
             };
         }
-        self.release(attempts_begun);
+    }
+
+    /// Answers the query as failed, and waits until the engine cannot be running its last attempt any more, so that no
+    /// query of its ordering key begins before.
+    async fn end_after_panic(&self, attempts: AttemptHistory, panic: &TaskPanic) {
+        self.supervisor.record_panic(Task::Query, panic);
+        let engine = attempts.in_flight.map(|attempt| attempt.engine);
+        let query_key = &self.forwarded_query.query_key;
+        tracing::error!(
+            query_id = self.query_id,
+            ?query_key,
+            attempts = attempts.begun,
+            engine,
+            "task of a query panicked; the query is answered as failed"
+        );
+        self.scheduler.end_as_failed(self.query_id);
+        let Some(attempt) = attempts.in_flight else {
+            return;
+        };
+        sleep(self.engines.longest_unattended_run(&self.forwarded_query)).await;
+        let result = AttemptResult::from_end(AttemptEnd::Cancelled);
+        let outcome = attempt.outcome(&result, QueryStatus::Finished);
+        self.scheduler.attempt_ended(self.query_id, outcome, None);
     }
 
     /// Records the end of the query in the journal and releases the query. By then every attempt is proved to have
@@ -228,3 +275,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/scheduling/scheduler/open_query.rs
+++ b/crates/gateway/src/scheduling/scheduler/open_query.rs
@@ -46,8 +46,7 @@
 impl OpenQuery {
     /// Sends a command to the query's task.
     pub(super) fn send_command(&self, command: Command) {
-        // Sending fails only if the task has ended: after the answer and the last attempt, or by a panic. After a panic
-        // the query gets no answer until its client has left or cancels it, and it is never released.
+        // Sending fails only if the task has ended: after the answer and the last attempt.
         let _ = self.commands.send(command);
     }
 
--- a/crates/gateway/src/scheduling/scheduler/query_end.rs
+++ b/crates/gateway/src/scheduling/scheduler/query_end.rs
@@ -21,6 +21,11 @@
         }
     }
 
+    /// Answers a query as failed, unless it already has an answer. No further attempt of it begins.
+    pub fn end_as_failed(&self, id: QueryId) {
+        self.handle_event(|state, now| state.end_as_failed(now, id));
+    }
+
     /// Releases a query that is finished and whose attempts have all ended. Its key stays known for the retention time.
     /// Its answer goes to the answer cache, unless the statement was streamed.
     pub fn release(&self, id: QueryId) {
--- a/crates/gateway/src/scheduling/scheduler/state.rs
+++ b/crates/gateway/src/scheduling/scheduler/state.rs
@@ -102,19 +102,27 @@
         }
     }
 
-    /// Ends a query whose client has left or has cancelled it. No further attempt begins, and every client that still
-    /// waits for the query is answered that it failed.
+    /// Ends a query whose client has left or has cancelled it, unless it already has an answer.
     pub(super) fn client_left(&mut self, now: f64, id: QueryId) {
+        let query = self.open_queries.get(&id);
+        if let Some(query) = query.filter(|query| !query.is_finished()) {
+            let remaining_ms = log_millis(query.deadline - now);
+            tracing::debug!(
+                query_id = id,
+                remaining_ms,
+                "client left or cancelled the query; answered as failed"
+            );
+            self.end_as_failed(now, id);
+        }
+    }
+
+    /// Ends a query, unless it already has an answer. No further attempt begins, and every client that still waits for
+    /// the query is answered that it failed.
+    pub(super) fn end_as_failed(&mut self, now: f64, id: QueryId) {
         let query = self.open_queries.get(&id);
         let Some(query) = query.filter(|query| !query.is_finished()) else {
             return;
         };
-        let remaining_ms = log_millis(query.deadline - now);
-        tracing::debug!(
-            query_id = id,
-            remaining_ms,
-            "client left or cancelled the query; answered as failed"
-        );
         query.answer.send_replace(Some(QueryAnswer::Failed));
         query.send_command(Command::ClientLeft);
         self.controller.client_left(now, id);
