Restart background tasks that panic, and count those that end by a panic

A panic ended turns (each later query with a key waited for good), the watch of the change log (no drain was noticed any more), reloads, the scheduler's timer, health checks, the subset's maintenance or the signals' task (SIGTERM did nothing), while /healthz answered 200.

Cause: these tasks were started and never looked at.

Tasks of one connection, health check or departure are started by the supervisor as well. A candidate of the subset whose connect panics counts as not reached; before, it was never tried again. A panic while a connection is accepted costs that connection, not the process.

Result: watch_goes_on_after_an_event_whose_handling_panics passes: the event after the one that panics is applied. On the code before, the task ended with it. An event whose handling panics is not applied again; a log line has its number.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -3,7 +3,7 @@
 use crate::configuration::plan_commands;
 use crate::configuration::{self, Config, ConfigError, Files};
 use crate::gateway::{Gateway, StartError};
-use crate::supervision::Supervisor;
+use crate::supervision::{Supervisor, Task};
 use crate::system::log::{print_error, Log};
 use crate::system::os_error::{retry, retry_blocking};
 use crate::system::signals::{SignalEvents, Signals};
@@ -144,7 +144,8 @@
 }
 
 async fn serve_until_stopped(files: Files, signals: Signals) -> Result<(), CommandError> {
-    let SignalEvents { mut stop, hangup } = signals.listen();
+    let supervisor = Supervisor::default();
+    let SignalEvents { mut stop, hangup } = signals.listen(&supervisor);
     let mut stopped = Box::pin(async move {
         // This fails only after the task that listens for signals has ended, and that task ends with the runtime.
         let _ = stop.wait_for(|stop| *stop).await;
@@ -155,7 +156,14 @@
         config = read_config_in_thread(files.clone()) => config?,
     };
     let (reload, reloads) = unbounded_channel();
-    tokio::spawn(reload_on_hangup(files, hangup, reload));
+    let reloads_on_hangup = ReloadOnHangup {
+        files,
+        hangup,
+        reload,
+    };
+    supervisor.spawn_restarting(Task::ConfigurationRead, reloads_on_hangup, |reloads| {
+        Box::pin(reloads.run())
+    });
     Gateway::new(config, Supervisor::default())
         .run(stopped, reloads)
         .await?;
@@ -164,22 +172,31 @@
 
 /// Reads the files again at each SIGHUP and sends the configuration to the gateway. An invalid configuration is logged
 /// and ignored.
-async fn reload_on_hangup(files: Files, hangup: Arc<Notify>, reload: UnboundedSender<Config>) {
-    loop {
-        hangup.notified().await;
-        match read_config_in_thread(files.clone()).await {
-            // The send fails only if the gateway has stopped.
-            Ok(config) => {
-                let _ = reload.send(config);
-            }
-            Err(error) => {
-                // A string field is logged in quotes with escaped line breaks; the text of an invalid plan has several
-                // lines.
-                let error = error.to_string();
-                tracing::error!(
-                    error,
-                    "configuration not reloaded, the previous one stays in force"
-                );
+struct ReloadOnHangup {
+    files: Files,
+    hangup: Arc<Notify>,
+    reload: UnboundedSender<Config>,
+}
+
+impl ReloadOnHangup {
+    /// Never returns.
+    async fn run(&self) {
+        loop {
+            self.hangup.notified().await;
+            match read_config_in_thread(self.files.clone()).await {
+                // The send fails only if the gateway has stopped.
+                Ok(config) => {
+                    let _ = self.reload.send(config);
+                }
+                Err(error) => {
+                    // A string field is logged in quotes with escaped line breaks; the text of an invalid plan has
+                    // several lines.
+                    let error = error.to_string();
+                    tracing::error!(
+                        error,
+                        "configuration not reloaded, the previous one stays in force"
+                    );
+                }
             }
         }
     }
--- a/crates/gateway/src/discovery/connection.rs
+++ b/crates/gateway/src/discovery/connection.rs
@@ -1,5 +1,6 @@
 //! Opens connections to the change log.
 
+use crate::supervision::{Supervisor, Task};
 use crate::system::budgeted_stream::{BudgetedStream, MAX_RESPONSE_HEAD_BYTES};
 use crate::system::socket::{ConnectWait, Socket};
 use bytes::Bytes;
@@ -41,7 +42,11 @@
 /// # Errors
 ///
 /// Returns an error if the log cannot be reached, the connection fails, or the status is not 200.
-pub(super) async fn open(log: SocketAddr, last_event: u64) -> Result<Incoming, OpenError> {
+pub(super) async fn open(
+    log: SocketAddr,
+    last_event: u64,
+    supervisor: &Supervisor,
+) -> Result<Incoming, OpenError> {
     let socket = Socket::connect(log, &ConnectWait::remote()).await?;
     let stream = BudgetedStream::new(socket, None);
     let mut builder = http1::Builder::new();
@@ -49,7 +54,7 @@
         .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
         .handshake(stream)
         .await?;
-    tokio::spawn(async move {
+    supervisor.spawn(Task::ChangeLogConnection, async move {
         // Ignored here, because reading the response or its body returns the same error.
         let _ = connection.await;
     });
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -10,6 +10,7 @@
 use super::sequence::{EventOutcome, EventSequence, SequenceError};
 use super::stream::{EventParser, EventTooLong};
 use crate::discovery::reconnect::ReconnectBackoff;
+use crate::supervision::Supervisor;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -54,8 +55,8 @@
 }
 
 /// Opens a connection to the log.
-async fn open(log: SocketAddr, last_event: u64) -> LogStep {
-    match connection::open(log, last_event).await {
+async fn open(log: SocketAddr, last_event: u64, supervisor: Supervisor) -> LogStep {
+    match connection::open(log, last_event, &supervisor).await {
         Ok(body) => LogStep::Opened(body),
         Err(error) => LogStep::Ended(Err(error.into())),
     }
@@ -89,12 +90,12 @@
 }
 
 impl LogConnection {
-    fn open(id: ConnectionId, log: SocketAddr, last_event: u64) -> Self {
+    fn open(id: ConnectionId, log: SocketAddr, last_event: u64, supervisor: Supervisor) -> Self {
         LogConnection {
             id,
             state: LogConnectionState::Connecting,
             parser: EventParser::default(),
-            next_step: Box::pin(open(log, last_event)),
+            next_step: Box::pin(open(log, last_event, supervisor)),
         }
     }
 }
@@ -136,18 +137,23 @@
     connections: Vec<LogConnection>,
     /// Whether the loss of the log has been logged and no connection established since.
     is_lost: bool,
+    reconnect: ReconnectBackoff,
+    supervisor: Supervisor,
     /// The moment from which the times passed to the connection set are counted.
     started: Instant,
 }
 
 impl ChangeLogWatch {
     /// Creates a watch on the log at the current address in `log`. `last_event` is the number of the last event that
-    /// was applied before; each later one is passed to `apply`. `names` resolves the names of zones and kinds.
+    /// was applied before; each later one is passed to `apply`. `names` resolves the names of zones and kinds, and
+    /// `reconnect` sets the pace of connections.
     pub fn new(
         log: watch::Receiver<SocketAddr>,
         last_event: u64,
         names: NameIndex,
         apply: Box<dyn FnMut(Event) + Send>,
+        reconnect: ReconnectBackoff,
+        supervisor: Supervisor,
     ) -> Self {
         ChangeLogWatch {
             log,
@@ -155,15 +161,28 @@
             apply,
             connections: Vec::new(),
             is_lost: false,
+            reconnect,
+            supervisor,
             started: Instant::now(),
         }
     }
 
     /// Follows the log until the future is dropped; it never completes. An error of a connection is logged as a warning
     /// only if no other connection is streaming, and only once until the log answers a connection again.
-    pub async fn follow(mut self, reconnect: ReconnectBackoff) {
+    ///
+    /// It may be called again after a panic. It then opens new connections; an event whose handling panicked is not
+    /// applied again.
+    pub async fn follow(&mut self) {
+        if !self.connections.is_empty() {
+            let last_event = self.sequence.last();
+            tracing::error!(
+                last_event,
+                "change log watch begins again after a panic; the last event may not be applied"
+            );
+            self.connections.clear();
+        }
         let mut addresses = self.log.clone();
-        let mut set = ConnectionSet::new(reconnect);
+        let mut set = ConnectionSet::new(self.reconnect.clone());
         let mut address = *addresses.borrow_and_update();
         loop {
             self.run_actions(&mut set, address);
@@ -210,8 +229,12 @@
                 "all open change log connections are overdue; opening another one"
             );
         }
-        self.connections
-            .push(LogConnection::open(id, log, last_event));
+        self.connections.push(LogConnection::open(
+            id,
+            log,
+            last_event,
+            self.supervisor.clone(),
+        ));
     }
 
     fn close(&mut self, id: ConnectionId, reason: LogCloseReason) {
@@ -317,3 +340,6 @@
         self.is_lost = true;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -13,26 +13,6 @@
 mod request;
 mod response;
 pub mod result_rows;
-/// An attempt that is open in the ledger. It is closed when this is dropped, also by a panic.
-struct OpenAttempt<'a> {
-    engines: &'a Engines,
-    id: AttemptId,
-}
-
-impl<'a> OpenAttempt<'a> {
-    fn new(engines: &'a Engines, query: &ForwardedQuery) -> Self {
-        let progress_expiry = engines.progress_expiry(query);
-        let id = engines.ledger().open(engines.now(), progress_expiry);
-        OpenAttempt { engines, id }
-    }
-}
-
-impl Drop for OpenAttempt<'_> {
-    fn drop(&mut self) {
-        self.engines.ledger().close(self.id);
-    }
-}
-
 #[cfg(test)]
 mod tests;
 
@@ -43,6 +23,7 @@
 };
 
 use crate::discovery::{EngineHealth, EngineList};
+use crate::supervision::Supervisor;
 use crate::system::clock::clamped_duration;
 use crate::system::resource_budget::ResourceBudget;
 use crate::system::send_gate::SendGate;
@@ -66,6 +47,8 @@
     connection_permits: Arc<Semaphore>,
     connect_timeout: Duration,
     list: Arc<EngineList>,
+    /// Starts the tasks of connections.
+    supervisor: Supervisor,
     /// Attempts that were started and are not proved to have ended.
     ledger: Mutex<Ledger>,
     protocol_limits: ProtocolLimits,
@@ -85,6 +68,7 @@
         budget: &ResourceBudget,
         longest_deadline: f64,
         list: Arc<EngineList>,
+        supervisor: Supervisor,
     ) -> Self {
         let progress_events = if progress_interval > 0.0 {
             ProgressEvents::KeepRunning
@@ -101,6 +85,7 @@
             connection_permits: budget.engine_connections.clone(),
             connect_timeout: clamped_duration(network.connect_timeout),
             list,
+            supervisor,
             ledger: Mutex::new(Ledger::new(protocol_limits)),
             protocol_limits,
             longest_deadline: clamped_duration(longest_deadline),
@@ -153,9 +138,9 @@
         cancellation: watch::Receiver<CancellationState>,
         events: AttemptEvents,
     ) -> AttemptResult {
-        let open = OpenAttempt::new(self, query);
+        let entry = LedgerEntry::new(self, query);
         let send_gate = self.send_gate(target, &start, cancellation.clone());
-        let mut session = EngineSession::for_attempt(self, target, open.id, send_gate, &start);
+        let mut session = EngineSession::for_attempt(self, target, entry.id, send_gate, &start);
         session.run(query, &start, cancellation, events).await
     }
 
@@ -203,3 +188,23 @@
         self.list.attempt_ended(engine, health);
     }
 }
+
+/// The ledger's entry of an attempt in flight, which is closed on drop, also by a panic.
+struct LedgerEntry<'a> {
+    engines: &'a Engines,
+    id: AttemptId,
+}
+
+impl<'a> LedgerEntry<'a> {
+    fn new(engines: &'a Engines, query: &ForwardedQuery) -> Self {
+        let progress_expiry = engines.progress_expiry(query);
+        let id = engines.ledger().open(engines.now(), progress_expiry);
+        LedgerEntry { engines, id }
+    }
+}
+
+impl Drop for LedgerEntry<'_> {
+    fn drop(&mut self) {
+        self.engines.ledger().close(self.id);
+    }
+}
--- a/crates/gateway/src/engines/connect.rs
+++ b/crates/gateway/src/engines/connect.rs
@@ -3,6 +3,7 @@
 use super::request::Sender;
 use super::response::CallError;
 use super::Engines;
+use crate::supervision::Task;
 use crate::system::budgeted_stream::{AbortFlag, BudgetedStream, MAX_RESPONSE_HEAD_BYTES};
 use crate::system::send_gate::SendGate;
 use crate::system::socket::{ConnectWait, Socket};
@@ -65,7 +66,8 @@
             .await
             .map_err(io::Error::other)?;
         // The caller gets errors of the connection through the sender.
-        tokio::spawn(async move { drop(connection.await) });
+        let connection = async move { drop(connection.await) };
+        self.supervisor.spawn(Task::EngineConnection, connection);
         Ok(EngineConnection { sender, abort_flag })
     }
 }
--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -51,6 +51,7 @@
             &budget,
             5.0,
             list,
+            Supervisor::default(),
         );
         let silent = SilentEngine {
             listener,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 use crate::configuration::Config;
 use crate::discovery::EngineList;
 use crate::engines::{self, result_rows, Engines};
-use crate::http::accept::{AcceptQueue, Acceptor};
-use crate::http::arrival_order::{grant_turns, ArrivalOrder};
+use crate::http::accept::Acceptor;
+use crate::http::arrival_order::TurnGranter;
 use crate::http::client_connections::ClientConnections;
 use crate::http::send_time::SendTimeEstimator;
 use crate::http::{self, ServerState};
@@ -18,7 +18,7 @@
 use crate::scheduling::scheduler::Scheduler;
 use crate::storage::body_store;
 use crate::storage::query_journal::QueryJournal;
-use crate::supervision::Supervisor;
+use crate::supervision::{Supervisor, Task};
 use crate::system::clock::Clock;
 use crate::system::os_error::retry;
 use crate::system::resource_budget::{ResourceBudget, ResourceLimits};
@@ -80,6 +80,7 @@
             clock,
             longest_deadline_seconds,
             budget.answer_cache_bytes,
+            supervisor.clone(),
         );
         scheduler.set_classes(&classes);
         let list = Arc::new(EngineList::new(
@@ -93,6 +94,7 @@
             &budget,
             longest_deadline_seconds,
             list.clone(),
+            supervisor.clone(),
         );
         Gateway {
             phase: watch::Sender::new(Phase::Starting),
@@ -137,7 +139,9 @@
             close_connections.subscribe(),
             self.supervisor.clone(),
         );
-        start_granting_turns(arrival_order, accept_queue, clients.clone());
+        let turns = TurnGranter::new(arrival_order, accept_queue, clients.clone());
+        self.supervisor
+            .spawn_restarting(Task::ArrivalOrder, turns, |turns| Box::pin(turns.run()));
         // Serving and draining poll the same future, since it may hold an accepted connection that waits for a permit.
         let mut accepting = Box::pin(acceptor.run(&resources.listener, stop_accepting.subscribe()));
 
@@ -300,15 +304,6 @@
     }
 }
 
-/// Starts the task that gives requests their turn in the order of their arrival.
-fn start_granting_turns(
-    order: Arc<ArrivalOrder>,
-    accept_queue: AcceptQueue,
-    clients: Arc<ClientConnections>,
-) {
-    tokio::spawn(async move { grant_turns(&order, accept_queue, &clients).await });
-}
-
 /// Splits the configured limits on descriptors and memory into budgets.
 fn resource_budget(config: &Config) -> ResourceBudget {
     ResourceBudget::from_limits(ResourceLimits {
--- a/crates/gateway/src/gateway/background.rs
+++ b/crates/gateway/src/gateway/background.rs
@@ -1,7 +1,7 @@
 //! Starts the tasks that run beside the HTTP server until the gateway exits: the watch of the change log, reloads, the
 //! scheduler's timer, maintenance of the engine subset, and health checks.
 
-use super::reload::apply_reloads;
+use super::reload::Reloader;
 use super::Gateway;
 use crate::configuration::{subset, Config};
 use crate::discovery::reconnect::ReconnectBackoff;
@@ -10,6 +10,7 @@
 };
 use crate::engines::Engines;
 use crate::scheduling::scheduler::Scheduler;
+use crate::supervision::{Supervisor, Task};
 use crate::system::clock::clamped_duration;
 use garnetwall::api::{AttemptEnd, EngineId, QueryClass, Settings};
 use std::net::SocketAddr;
@@ -26,28 +27,45 @@
         }
         let change_log = watch::Sender::new(self.config.change_log);
         self.watch_change_log(discovery.clone(), change_log.subscribe());
-        tokio::spawn(apply_reloads(
-            self.config.clone(),
-            self.scheduler.clone(),
+        let reloader = Reloader {
+            initial_config: self.config.clone(),
+            scheduler: self.scheduler.clone(),
             reloads,
             change_log,
-        ));
-        let scheduler = self.scheduler.clone();
-        tokio::spawn(async move { scheduler.run_timer().await });
+        };
+        self.supervisor
+            .spawn_restarting(Task::ConfigurationReload, reloader, |reloader| {
+                Box::pin(reloader.run())
+            });
+        self.supervisor.spawn_restarting(
+            Task::SchedulerTimer,
+            self.scheduler.clone(),
+            |scheduler| Box::pin(scheduler.run_timer()),
+        );
         if self.config.subset.is_some() {
-            tokio::spawn(maintain_subset(
+            let maintenance = SubsetMaintenance {
                 discovery,
-                self.engines.clone(),
-                self.scheduler.clone(),
-                ConnectMethod::from_settings(&self.config.platform.settings),
-            ));
+                engines: self.engines.clone(),
+                scheduler: self.scheduler.clone(),
+                method: ConnectMethod::from_settings(&self.config.platform.settings),
+                supervisor: self.supervisor.clone(),
+            };
+            self.supervisor
+                .spawn_restarting(Task::SubsetMaintenance, maintenance, |maintenance| {
+                    Box::pin(maintenance.run())
+                });
         }
         if let Some(requests) = self.health_check_requests.take() {
-            tokio::spawn(check_health(
+            let checker = HealthChecker {
                 requests,
-                self.engines.clone(),
-                self.scheduler.clone(),
-            ));
+                engines: self.engines.clone(),
+                scheduler: self.scheduler.clone(),
+                supervisor: self.supervisor.clone(),
+            };
+            self.supervisor
+                .spawn_restarting(Task::HealthCheckRequests, checker, |checker| {
+                    Box::pin(checker.run())
+                });
         }
     }
 
@@ -61,9 +79,20 @@
     fn watch_change_log(&self, discovery: Arc<Discovery>, change_log: watch::Receiver<SocketAddr>) {
         let names = NameIndex::new(&self.config.platform.names);
         let apply = Box::new(move |event| discovery.apply(event));
-        let watch = ChangeLogWatch::new(change_log, self.config.last_initial_event, names, apply);
         let connect_timeout = clamped_duration(self.config.platform.network.connect_timeout);
-        tokio::spawn(watch.follow(ReconnectBackoff::new(connect_timeout, self.config.seed)));
+        let reconnect = ReconnectBackoff::new(connect_timeout, self.config.seed);
+        let watch = ChangeLogWatch::new(
+            change_log,
+            self.config.last_initial_event,
+            names,
+            apply,
+            reconnect,
+            self.supervisor.clone(),
+        );
+        self.supervisor
+            .spawn_restarting(Task::ChangeLogWatch, watch, |watch| {
+                Box::pin(watch.follow())
+            });
     }
 }
 
@@ -103,47 +132,75 @@
 }
 
 /// Keeps the engine subset filled: connects to candidates and reports each engine that joins to the scheduler.
-async fn maintain_subset(
+struct SubsetMaintenance {
     discovery: Arc<Discovery>,
     engines: Arc<Engines>,
     scheduler: Arc<Scheduler>,
     method: ConnectMethod,
-) {
-    let connect = |address| {
-        let engines = engines.clone();
-        async move {
-            match method {
-                ConnectMethod::HealthCheck => engines.connect_by_health_check(address).await,
-                ConnectMethod::WithoutRequest => engines.connect_without_request(address).await,
+    supervisor: Supervisor,
+}
+
+impl SubsetMaintenance {
+    /// Maintains the subset; never returns.
+    async fn run(&self) {
+        let connect = |address| {
+            let engines = self.engines.clone();
+            let supervisor = self.supervisor.clone();
+            let method = self.method;
+            async move {
+                let connecting = connect_to_candidate(&engines, address, method);
+                let outcome = supervisor.watch(Task::SubsetCandidate, connecting).await;
+                outcome.unwrap_or(HealthCheckOutcome {
+                    end: AttemptEnd::NotSent,
+                    report: None,
+                })
             }
-        }
-    };
-    discovery
-        .maintain_subset(connect, |engine, outcome| {
-            scheduler.health_check_ended(engine, outcome.end, outcome.report)
-        })
-        .await;
+        };
+        let joined = |engine, outcome: HealthCheckOutcome| {
+            self.scheduler
+                .health_check_ended(engine, outcome.end, outcome.report)
+        };
+        self.discovery.maintain_subset(connect, joined).await;
+    }
+}
+
+async fn connect_to_candidate(
+    engines: &Engines,
+    address: SocketAddr,
+    method: ConnectMethod,
+) -> HealthCheckOutcome {
+    match method {
+        ConnectMethod::HealthCheck => engines.connect_by_health_check(address).await,
+        ConnectMethod::WithoutRequest => engines.connect_without_request(address).await,
+    }
 }
 
 /// Runs the health checks that the admission controller requests, each in its own task.
-async fn check_health(
-    mut requests: UnboundedReceiver<EngineId>,
+struct HealthChecker {
+    requests: UnboundedReceiver<EngineId>,
     engines: Arc<Engines>,
     scheduler: Arc<Scheduler>,
-) {
-    while let Some(engine) = requests.recv().await {
-        let engines = engines.clone();
-        let scheduler = scheduler.clone();
-        tokio::spawn(async move {
-            let HealthCheckOutcome { end, report } = engines.health_check(engine).await;
-            // A successful health check does not prove that queries succeed on the engine, so only failures are
-            // recorded.
-            if end != AttemptEnd::Succeeded {
-                engines.record_attempt_end(engine, end);
-            }
-            if end != AttemptEnd::NotSent {
-                scheduler.health_check_ended(engine, end, report);
-            }
-        });
+    supervisor: Supervisor,
+}
+
+impl HealthChecker {
+    /// Returns when no more health checks are requested.
+    async fn run(&mut self) {
+        while let Some(engine) = self.requests.recv().await {
+            let check = check_health(engine, self.engines.clone(), self.scheduler.clone());
+            self.supervisor.spawn(Task::HealthCheck, check);
+        }
+    }
+}
+
+/// Checks the health of an engine, and reports the outcome.
+async fn check_health(engine: EngineId, engines: Arc<Engines>, scheduler: Arc<Scheduler>) {
+    let HealthCheckOutcome { end, report } = engines.health_check(engine).await;
+    // A successful health check does not prove that queries succeed on the engine, so only failures are recorded.
+    if end != AttemptEnd::Succeeded {
+        engines.record_attempt_end(engine, end);
+    }
+    if end != AttemptEnd::NotSent {
+        scheduler.health_check_ended(engine, end, report);
     }
 }
--- a/crates/gateway/src/gateway/reload.rs
+++ b/crates/gateway/src/gateway/reload.rs
@@ -12,23 +12,34 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
-/// Applies each configuration from `reloads` until the gateway exits. A key needs a restart if its value differs from
-/// the one in `initial_config`, with which the gateway was started.
-pub(super) async fn apply_reloads(
-    initial_config: Config,
-    scheduler: Arc<Scheduler>,
-    mut reloads: UnboundedReceiver<Config>,
-    change_log: watch::Sender<SocketAddr>,
-) {
-    while let Some(config) = reloads.recv().await {
-        for key in initial_config.keys_needing_restart(&config) {
+/// Applies each configuration that is read again.
+pub(super) struct Reloader {
+    /// The configuration with which the gateway was started. A key needs a restart if its value differs from this one.
+    pub initial_config: Config,
+    pub scheduler: Arc<Scheduler>,
+    /// Receives the configurations.
+    pub reloads: UnboundedReceiver<Config>,
+    /// The address of the change log.
+    pub change_log: watch::Sender<SocketAddr>,
+}
+
+impl Reloader {
+    /// Applies configurations until the gateway exits.
+    pub async fn run(&mut self) {
+        while let Some(config) = self.reloads.recv().await {
+            self.apply(&config);
+        }
+    }
+
+    fn apply(&self, config: &Config) {
+        for key in self.initial_config.keys_needing_restart(config) {
             log_restart_needed(&key);
         }
         if let Some(plan) = &config.plan {
-            update_plan(&initial_config, &scheduler, plan);
+            update_plan(&self.initial_config, &self.scheduler, plan);
         }
         tracing::info!(changelog = %config.change_log, "configuration reloaded");
-        change_log.send_replace(config.change_log);
+        self.change_log.send_replace(config.change_log);
     }
 }
 
--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -140,8 +140,16 @@
         }
     }
 
-    /// Serves an accepted connection, or handles the error of an accept.
+    /// Serves an accepted connection, or handles the error of an accept. A panic costs this connection alone.
     async fn accepted(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        let supervisor = self.supervisor.clone();
+        // The supervisor has recorded a panic, and there is nothing left of the connection.
+        let _ = supervisor
+            .watch(Task::Accept, self.serve_or_log(accepted))
+            .await;
+    }
+
+    async fn serve_or_log(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         let error = match accepted {
             Ok((stream, address)) => {
                 self.has_failed = false;
--- a/crates/gateway/src/http/arrival_order.rs
+++ b/crates/gateway/src/http/arrival_order.rs
@@ -4,14 +4,14 @@
 //! in another order, above all after a time in which this process had no processor time. A request whose effect depends
 //! on the order waits for its turn in [`ArrivalOrder`]: a query with an ordering key, and a cancellation.
 //!
-//! [`grant_turns`] works in passes. A pass first lets the gateway catch up: it waits until all requests that arrived
+//! [`TurnGranter`] works in passes. A pass first lets the gateway catch up: it waits until all requests that arrived
 //! before the pass began are read. It then grants their turns one by one, earliest arrival first.
 
 use super::accept::AcceptQueue;
 use super::client_connections::ClientConnections;
 use std::collections::BTreeMap;
 use std::pin::pin;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
@@ -95,17 +95,36 @@
     (Turn { _ended: sender }, ended)
 }
 
-/// Grants the turns of all requests. Never returns; the gateway runs this in the background.
-pub async fn grant_turns(
-    order: &ArrivalOrder,
+/// Grants the turns of all requests.
+pub struct TurnGranter {
+    order: Arc<ArrivalOrder>,
     accept_queue: AcceptQueue,
-    connections: &ClientConnections,
-) {
-    loop {
-        order.request_waits.notified().await;
-        let pass_began = Instant::now();
-        catch_up(&accept_queue, connections).await;
-        order.grant_until(pass_began).await;
+    connections: Arc<ClientConnections>,
+}
+
+impl TurnGranter {
+    /// Returns a granter of the turns in `order`, which lets the requests of `accept_queue` and `connections` be read
+    /// first.
+    pub fn new(
+        order: Arc<ArrivalOrder>,
+        accept_queue: AcceptQueue,
+        connections: Arc<ClientConnections>,
+    ) -> Self {
+        TurnGranter {
+            order,
+            accept_queue,
+            connections,
+        }
+    }
+
+    /// Grants turns. Never returns; the gateway runs this in the background.
+    pub async fn run(&self) {
+        loop {
+            self.order.request_waits.notified().await;
+            let pass_began = Instant::now();
+            catch_up(&self.accept_queue, &self.connections).await;
+            self.order.grant_until(pass_began).await;
+        }
     }
 }
 
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -54,8 +54,14 @@
         let clock = Clock::start();
         let supervisor = Supervisor::default();
         let controller = AdmissionController::new(settings(), 7, clock.now());
-        let (scheduler, _) =
-            Scheduler::new(controller, None, clock, LONGEST_DEADLINE_SECONDS, 1024);
+        let (scheduler, _) = Scheduler::new(
+            controller,
+            None,
+            clock,
+            LONGEST_DEADLINE_SECONDS,
+            1024,
+            supervisor.clone(),
+        );
         let address = SocketAddr::from(([127, 0, 0, 1], 4100));
         let endpoint = Endpoint {
             engine: 0,
@@ -84,7 +90,14 @@
             idle_timeout: 15.0,
         };
         let list = Arc::new(EngineList::new(Duration::from_secs(10), clock, None));
-        let engines = Engines::new(timeouts, 0.0, &budget, LONGEST_DEADLINE_SECONDS, list);
+        let engines = Engines::new(
+            timeouts,
+            0.0,
+            &budget,
+            LONGEST_DEADLINE_SECONDS,
+            list,
+            supervisor.clone(),
+        );
         let value = HeaderValue::from_static;
         OneEngine {
             scheduler: Arc::new(scheduler),
--- a/crates/gateway/src/scheduling/scheduler.rs
+++ b/crates/gateway/src/scheduling/scheduler.rs
@@ -28,6 +28,7 @@
 mod waiter;
 
 use crate::scheduling::plan_routing::PlanRouter;
+use crate::supervision::Supervisor;
 use crate::system::clock::Clock;
 use garnetwall::api::{EngineId, NextAction};
 use garnetwall::controller::AdmissionController;
@@ -55,6 +56,8 @@
     answers_due: watch::Sender<Option<f64>>,
     /// The time for which the key of a finished query is remembered, in seconds.
     finished_retention: f64,
+    /// Starts the tasks that end the queries of clients that have left.
+    supervisor: Supervisor,
     /// Hashes requests into fingerprints. Its random seed differs between processes, so fingerprints are valid only in
     /// this process.
     fingerprint_hasher: RandomState,
@@ -71,6 +74,7 @@
         clock: Clock,
         finished_retention: f64,
         answer_cache_bytes: usize,
+        supervisor: Supervisor,
     ) -> (Self, UnboundedReceiver<EngineId>) {
         let (health_checks, health_check_requests) = unbounded_channel();
         let state = SchedulerState::new(controller, plan_router, clock.now(), answer_cache_bytes);
@@ -82,6 +86,7 @@
             open_count: watch::Sender::new(0),
             answers_due: watch::Sender::new(None),
             finished_retention,
+            supervisor,
             fingerprint_hasher: RandomState::new(),
         };
         (scheduler, health_check_requests)
--- a/crates/gateway/src/scheduling/scheduler/waiter.rs
+++ b/crates/gateway/src/scheduling/scheduler/waiter.rs
@@ -2,6 +2,7 @@
 
 use super::open_query::{OpenQuery, WaiterGeneration};
 use super::{QueryAnswer, Scheduler};
+use crate::supervision::Task;
 use garnetwall::api::QueryId;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,11 +39,12 @@
         };
         let id = self.query_id;
         let scheduler = self.scheduler.clone();
-        let Ok(runtime) = Handle::try_current() else {
+        if Handle::try_current().is_err() {
             scheduler.client_left(id, generation);
             return;
-        };
-        runtime.spawn(async move {
+        }
+        let supervisor = scheduler.supervisor.clone();
+        supervisor.spawn(Task::ClientDeparture, async move {
             sleep(RECONNECT_WINDOW).await;
             scheduler.client_left(id, generation);
         });
--- a/crates/gateway/src/system/signals.rs
+++ b/crates/gateway/src/system/signals.rs
@@ -4,6 +4,7 @@
 //! process. A handler sets a flag, which cannot fail, and writes to a pipe that wakes the listening task. The flags are
 //! also polled, so that a lost wake-up only delays a signal.
 
+use crate::supervision::{Supervisor, Task};
 use crate::system::socket::uninterrupted;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::{flag, low_level::pipe};
@@ -57,34 +58,50 @@
     }
 
     /// Starts a task that turns the flags into events. The task runs until the current runtime ends.
-    pub fn listen(self) -> SignalEvents {
+    pub fn listen(self, supervisor: &Supervisor) -> SignalEvents {
         let (stop, stopped) = watch::channel(false);
         let hangup = Arc::new(Notify::new());
         let events = SignalEvents {
             stop: stopped,
             hangup: hangup.clone(),
         };
-        tokio::spawn(async move {
-            let wake_pipe = self
-                .wake_pipe
-                .and_then(|pipe| UnixStream::from_std(pipe).ok());
-            loop {
-                if self.stop.swap(false, Ordering::AcqRel) {
-                    stop.send_replace(true);
-                }
-                if self.hangup.swap(false, Ordering::AcqRel) {
-                    hangup.notify_one();
-                }
-                tokio::select! {
-                    () = wait_for_wake(wake_pipe.as_ref()) => {}
-                    () = sleep(FLAG_POLL_INTERVAL) => {}
-                }
-            }
-        });
+        let listener = SignalListener {
+            signals: self,
+            stop,
+            hangup,
+        };
+        supervisor.spawn_restarting(Task::Signals, listener, |listener| Box::pin(listener.run()));
         events
     }
 }
 
+/// Turns the flags that the handlers set into events.
+struct SignalListener {
+    signals: Signals,
+    stop: watch::Sender<bool>,
+    hangup: Arc<Notify>,
+}
+
+impl SignalListener {
+    /// Never returns.
+    async fn run(&mut self) {
+        let wake_pipe = self.signals.wake_pipe.take();
+        let wake_pipe = wake_pipe.and_then(|pipe| UnixStream::from_std(pipe).ok());
+        loop {
+            if self.signals.stop.swap(false, Ordering::AcqRel) {
+                self.stop.send_replace(true);
+            }
+            if self.signals.hangup.swap(false, Ordering::AcqRel) {
+                self.hangup.notify_one();
+            }
+            tokio::select! {
+                () = wait_for_wake(wake_pipe.as_ref()) => {}
+                () = sleep(FLAG_POLL_INTERVAL) => {}
+            }
+        }
+    }
+}
+
 /// Opens a pipe, registers its write end with each handler, and returns its read end.
 fn open_wake_pipe() -> io::Result<Pipe> {
     let (read, write) = Pipe::pair()?;
