--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Reason for which the gateway has closed a client connection, or sees it closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -59,9 +60,18 @@
     status: u16,
 }
 
+/// Number of panics in this process, in all of its threads.
+static PANICS: AtomicU64 = AtomicU64::new(0);
+
+/// Counts a panic, in whichever thread it is. For the process's panic hook.
+pub fn count_panic() {
+    PANICS.fetch_add(1, Ordering::Relaxed);
+}
+
 /// The counters of a gateway.
 pub struct Metrics {
     registry: Registry,
+    panics: Counter,
     task_panics: Family<TaskLabel, Counter>,
     connections_accepted: Counter,
     accept_failures: Counter,
@@ -75,6 +85,7 @@
     fn default() -> Self {
         let mut metrics = Metrics {
             registry: Registry::with_prefix("garnetwall"),
+            panics: Counter::default(),
             task_panics: Family::default(),
             connections_accepted: Counter::default(),
             accept_failures: Counter::default(),
@@ -91,6 +102,11 @@
 impl Metrics {
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "panics",
+            "Panics in this process, in all of its threads",
+            self.panics.clone(),
+        );
         registry.register(
             "task_panics",
             "Panics by kind of task",
@@ -169,6 +185,8 @@
     /// A counter could not be rendered.
     pub fn render(&self, is_ready: bool) -> Result<String, fmt::Error> {
         self.ready.set(i64::from(is_ready));
+        let panics = PANICS.load(Ordering::Relaxed);
+        self.panics.inner().store(panics, Ordering::Relaxed);
         let mut page = String::new();
         encode(&mut page, &self.registry)?;
         Ok(page)
--- a/crates/gateway/src/metrics/tests.rs
+++ b/crates/gateway/src/metrics/tests.rs
@@ -18,6 +18,7 @@
         r#"garnetwall_client_connections_ended_total{reason="Shutdown"} 1"#,
         r#"garnetwall_responses_total{status="503"} 1"#,
         r#"garnetwall_panic_answers_total{answer="Busy"} 1"#,
+        "garnetwall_panics_total 0",
         "garnetwall_ready 1",
     ] {
         assert!(page.lines().any(|found| found == line), "{line}: {page}");
--- a/crates/gateway/src/system/log.rs
+++ b/crates/gateway/src/system/log.rs
@@ -4,6 +4,7 @@
 //! Entries that do not fit in the queue are dropped, and their number is logged after the next entry that is written.
 //! An entry that cannot be written, for example because the reader has exited, is dropped as well.
 
+use crate::metrics::count_panic;
 use crate::supervision::catch_panic_of_call;
 use nix::errno::Errno;
 use std::fmt::Display;
@@ -83,7 +84,11 @@
             .log_internal_errors(false)
             .init();
         // The default hook would write to standard error directly and block on its reader.
-        std::panic::set_hook(Box::new(|panic| tracing::error!(%panic, "thread panicked")));
+        std::panic::set_hook(Box::new(|panic| {
+            count_panic();
+            let thread = thread::current();
+            tracing::error!(thread = thread.name(), %panic, "thread panicked");
+        }));
         Ok(Log {
             counts,
             dropped: counter,
--- a/crates/ledger/src/journal/writer.rs
+++ b/crates/ledger/src/journal/writer.rs
@@ -6,6 +6,7 @@
 use crate::records::{Boot, Record};
 use std::io;
 use std::ops::ControlFlow;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -68,28 +69,44 @@
 
     /// Carries out commands until [`Command::Stop`] is received or all senders are gone. While the storage fails,
     /// tries to restore it every [`RESTORE_INTERVAL`].
+    ///
+    /// A panic counts as a failure of the storage: the records in hand are not confirmed, and the journal is restored.
     pub(super) fn run(mut self, commands: &Receiver<Command>) {
         loop {
-            let received = if self.can_append {
-                commands.recv().map_err(|_| RecvTimeoutError::Disconnected)
-            } else {
-                commands.recv_timeout(RESTORE_INTERVAL)
-            };
-            let flow = match received {
-                Ok(first) => self.commit(first, commands),
-                Err(RecvTimeoutError::Timeout) => ControlFlow::Continue(()),
-                Err(RecvTimeoutError::Disconnected) => ControlFlow::Break(()),
-            };
-            if flow.is_break() {
-                return;
-            }
-            if !self.can_append && self.last_restore.elapsed() >= RESTORE_INTERVAL {
-                // A failed restore is retried after the next interval.
-                let _ = self.restore();
+            let step = catch_unwind(AssertUnwindSafe(|| self.run_step(commands)));
+            match step {
+                Ok(ControlFlow::Continue(())) => {}
+                Ok(ControlFlow::Break(())) => return,
+                Err(_) => self.storage_failed(),
             }
         }
     }
 
+    /// Waits for commands and carries them out, or restores the journal if that is due.
+    fn run_step(&mut self, commands: &Receiver<Command>) -> ControlFlow<()> {
+        let received = if self.can_append {
+            commands.recv().map_err(|_| RecvTimeoutError::Disconnected)
+        } else {
+            commands.recv_timeout(RESTORE_INTERVAL)
+        };
+        match received {
+            Ok(first) => self.commit(first, commands)?,
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
+        }
+        if !self.can_append && self.last_restore.elapsed() >= RESTORE_INTERVAL {
+            // A failed restore is retried after the next interval.
+            let _ = self.restore();
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Records that the content of the storage is unknown, so that nothing is appended until the journal is restored.
+    fn storage_failed(&mut self) {
+        self.can_append = false;
+        self.last_restore = Instant::now();
+    }
+
     /// Carries out `first` and the commands waiting after it, with one sync. Breaks if one of them is
     /// [`Command::Stop`].
     fn commit(&mut self, first: Command, commands: &Receiver<Command>) -> ControlFlow<()> {
@@ -138,8 +155,7 @@
             written = written.and_then(|()| self.storage.sync());
         }
         if written.is_err() {
-            self.can_append = false;
-            self.last_restore = Instant::now();
+            self.storage_failed();
         }
         let result = written.map_err(|error| JournalError::Storage(Arc::new(error)));
         for callback in group.callbacks {
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -127,6 +127,8 @@
     first_failure: usize,
     /// Number of operations in a row that fail.
     failures: usize,
+    /// Whether a failing operation panics instead of returning an error.
+    panics: bool,
 }
 
 impl FailingStorage {
@@ -134,7 +136,10 @@
         let mut operations = self.operations.lock().unwrap();
         operations.done += 1;
         let failing = operations.first_failure..operations.first_failure + operations.failures;
-        match failing.contains(&operations.done) {
+        let (fails, panics) = (failing.contains(&operations.done), operations.panics);
+        drop(operations);
+        assert!(!(fails && panics), "the storage panics");
+        match fails {
             true => Err(io::ErrorKind::StorageFull.into()),
             false => Ok(()),
         }
@@ -196,6 +201,7 @@
         done: 0,
         first_failure,
         failures,
+        panics: false,
     };
     let StartedJournal {
         journal,
@@ -239,6 +245,43 @@
     assert!(rejected > 0, "{case}: no query was rejected");
 }
 
+/// Operations 3 and 4 are the first append and its sync.
+#[test]
+fn journal_is_restored_after_a_panic_of_its_thread() {
+    for first_failure in [3, 4] {
+        let storage = FailingStorage::default();
+        *storage.operations.lock().unwrap() = Operations {
+            done: 0,
+            first_failure,
+            failures: 1,
+            panics: true,
+        };
+        let StartedJournal { journal, .. } =
+            Journal::start(storage.clone(), BOOT, || 0, ignore_recovery()).unwrap();
+        let (on_written, written) = channel();
+        let on_written = Box::new(move |result| drop(on_written.send(result)));
+        journal.record_started(query(0), on_written);
+        assert!(
+            written.recv().is_err(),
+            "the record should not be confirmed"
+        );
+        let started_at = std::time::Instant::now();
+        let confirmed = (1..).find(|id| {
+            assert!(
+                started_at.elapsed() < Duration::from_secs(2),
+                "no query was confirmed within 2 s"
+            );
+            std::thread::sleep(Duration::from_millis(5));
+            commit(&journal, *id).is_ok()
+        });
+        let stored = JournalState::replay(&storage.bytes.lock().unwrap());
+        let ids = stored.state.unexpired(0);
+        assert!(ids
+            .iter()
+            .any(|query| Some(query.record.query_key) == confirmed));
+    }
+}
+
 /// In the same boot a query may run for the rest of its time. In another or an unknown boot it may run for the longest
 /// query run from then on, because times of different boots are not comparable.
 #[test]
