Close a connection after its last response without looking for a further request

What callers saw: clients that send a body byte by byte were closed after 4 s instead of 2 s.

Cause: serve_requests looked for one more request after each last response; only after a shutdown or an eviction may one still come.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -93,7 +93,7 @@
             .await;
         match end {
             // A request whose first bytes arrived before the close is still served, as the last one.
-            ConnectionEnd::LastResponse | ConnectionEnd::Shutdown | ConnectionEnd::Evicted
+            ConnectionEnd::Shutdown | ConnectionEnd::Evicted
                 if self.stream.has_unparsed_bytes() =>
             {
                 RequestLoop::new(self, RemainingRequests::One).run().await
