--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -70,7 +70,7 @@
     statement_memory: OwnedSemaphorePermit,
     stream: &StreamHandle,
 ) -> Result<AdmittedQuery, SubmissionError> {
-    log_arrival(query.head.query_key, arrival.unread);
+    log_arrival(query.head.query_key, stream, arrival.unread);
     let _turn = match query.head.ordering_key {
         Some(_) => state.arrival_order.turn(arrival.at).await,
         None => None,
@@ -97,9 +97,9 @@
     }
 }
 
-fn log_arrival(query_key: u64, unread: Duration) {
+fn log_arrival(query_key: u64, stream: &StreamHandle, unread: Duration) {
     let unread_ms = unread.as_millis();
-    tracing::debug!(query_key = %format_args!("{query_key:016x}"), unread_ms, "query received");
+    tracing::debug!(query_key = %format_args!("{query_key:016x}"), connection = stream.connection(), unread_ms, "query received");
 }
 
 /// Starts the task of a new query, and returns the query's first waiter.
--- a/crates/gateway/src/http/client_connections.rs
+++ b/crates/gateway/src/http/client_connections.rs
@@ -109,6 +109,7 @@
     /// evicts connections that have no open request.
     pub async fn acquire(self: &Arc<Self>, number: u64, stream: StreamHandle) -> ClientConnection {
         let slot = self.acquire_slot().await;
+        stream.set_connection(number);
         let eviction = Arc::new(Notify::new());
         self.entries()
             .insert(number, ConnectionEntry::new(stream, eviction.clone()));
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -68,6 +68,8 @@
     /// Whether a request, or a part of one, is still to be received. False from when a request was received whole until
     /// its response is ready.
     awaits_request: bool,
+    /// Number of the connection in the log; 0 until it is registered.
+    connection: u64,
     response_progress: ResponseProgress,
     /// Whether the parser was polled since the last bytes were read ahead, so that it could have taken them.
     is_offered: bool,
@@ -95,6 +97,7 @@
             parser_needs_wake: false,
             last_read_at: Instant::now(),
             awaits_request: true,
+            connection: 0,
             response_progress: ResponseProgress::NoRequest,
             is_offered: true,
             task: None,
@@ -128,6 +131,16 @@
         arrived_at.map_or(state.last_read_at, |at| at.min(state.last_read_at))
     }
 
+    /// Sets the number of the connection in the log.
+    pub fn set_connection(&self, number: u64) {
+        self.state().connection = number;
+    }
+
+    /// Returns the number of the connection in the log.
+    pub fn connection(&self) -> u64 {
+        self.state().connection
+    }
+
     /// Records that a request was passed to its handler.
     pub fn request_started(&self) {
         self.state().response_progress = ResponseProgress::Due;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counts events of the gateway, and renders the counters in the text format of Prometheus.
 
 use crate::supervision::Task;
+use garnetwall::api::AttemptEnd;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -55,6 +56,16 @@
     answer: PanicAnswer,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabel {
+    end: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueryLabel {
+    answer: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StatusLabel {
     status: u16,
@@ -78,6 +89,10 @@
     connections_ended: Family<EndLabel, Counter>,
     responses: Family<StatusLabel, Counter>,
     panic_answers: Family<AnswerLabel, Counter>,
+    attempts_started: Counter,
+    retries_started: Counter,
+    attempts_ended: Family<AttemptLabel, Counter>,
+    query_answers: Family<QueryLabel, Counter>,
     ready: Gauge,
 }
 
@@ -92,15 +107,21 @@
             connections_ended: Family::default(),
             responses: Family::default(),
             panic_answers: Family::default(),
+            attempts_started: Counter::default(),
+            retries_started: Counter::default(),
+            attempts_ended: Family::default(),
+            query_answers: Family::default(),
             ready: Gauge::default(),
         };
-        metrics.register();
+        metrics.register_panics();
+        metrics.register_connections();
+        metrics.register_queries();
         metrics
     }
 }
 
 impl Metrics {
-    fn register(&mut self) {
+    fn register_panics(&mut self) {
         let registry = &mut self.registry;
         registry.register(
             "panics",
@@ -112,6 +133,20 @@
             "Panics by kind of task",
             self.task_panics.clone(),
         );
+        registry.register(
+            "panic_answers",
+            "Client connections on which HTTP processing panicked, by the answer that was written",
+            self.panic_answers.clone(),
+        );
+        registry.register(
+            "ready",
+            "1 if the health check answers 200, otherwise 0",
+            self.ready.clone(),
+        );
+    }
+
+    fn register_connections(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
             "client_connections_accepted",
             "Accepted client connections",
@@ -132,15 +167,29 @@
             "Responses to clients by status",
             self.responses.clone(),
         );
+    }
+
+    fn register_queries(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
-            "panic_answers",
-            "Client connections on which HTTP processing panicked, by the answer that was written",
-            self.panic_answers.clone(),
+            "attempts_started",
+            "Attempts given to engines, retries among them",
+            self.attempts_started.clone(),
         );
         registry.register(
-            "ready",
-            "1 if the health check answers 200, otherwise 0",
-            self.ready.clone(),
+            "retries_started",
+            "Attempts after the first one of their query",
+            self.retries_started.clone(),
+        );
+        registry.register(
+            "attempts_ended",
+            "Ended attempts by end",
+            self.attempts_ended.clone(),
+        );
+        registry.register(
+            "query_answers",
+            "Final answers by kind of queries whose client has not left",
+            self.query_answers.clone(),
         );
     }
 
@@ -178,6 +227,29 @@
             .inc();
     }
 
+    /// Counts an attempt that begins; `is_retry` unless it is the first one of its query.
+    pub fn attempt_started(&self, is_retry: bool) {
+        self.attempts_started.inc();
+        if is_retry {
+            self.retries_started.inc();
+        }
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt_ended(&self, end: AttemptEnd) {
+        let end = attempt_end_name(end);
+        self.attempts_ended
+            .get_or_create(&AttemptLabel { end })
+            .inc();
+    }
+
+    /// Counts the final answer of a query by the name of its kind.
+    pub fn query_answered(&self, answer: &'static str) {
+        self.query_answers
+            .get_or_create(&QueryLabel { answer })
+            .inc();
+    }
+
     /// Renders all counters in the text format of Prometheus. `is_ready` is the answer of the health check.
     ///
     /// # Errors
@@ -193,5 +265,20 @@
     }
 }
 
+/// The name of the end of an attempt, as it stands in the log.
+fn attempt_end_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Succeeded => "Succeeded",
+        AttemptEnd::Failed => "Failed",
+        AttemptEnd::Rejected => "Rejected",
+        AttemptEnd::ConnectFailed => "ConnectFailed",
+        AttemptEnd::ConnectionLost => "ConnectionLost",
+        AttemptEnd::TimedOut => "TimedOut",
+        AttemptEnd::Cancelled => "Cancelled",
+        AttemptEnd::NotNeeded => "NotNeeded",
+        AttemptEnd::NotSent => "NotSent",
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/scheduling/query_task.rs
+++ b/crates/gateway/src/scheduling/query_task.rs
@@ -135,6 +135,7 @@
                         send_deadline,
                         client_presence: self.client_presence.clone(),
                     };
+                    self.supervisor.metrics().attempt_started(start.is_retry);
                     attempts.begun += 1;
                     attempts.in_flight = Some(attempt);
                     let status = self.run_attempt(attempt, start).await;
@@ -215,6 +216,7 @@
     /// Reports the end of an attempt. Answers the query if the attempt succeeded or the scheduler decides so.
     fn attempt_ended(&self, attempt: ScheduledAttempt, ended: EndedAttempt) -> QueryStatus {
         let CheckedResult { result, rows } = self.check_rows(attempt, ended.result);
+        self.supervisor.metrics().attempt_ended(result.end);
         self.engines.record_attempt_end(attempt.engine, result.end);
         let outcome = attempt.outcome(&result, ended.query_status);
         tracing::debug!(
--- a/crates/gateway/src/scheduling/scheduler/query_end.rs
+++ b/crates/gateway/src/scheduling/scheduler/query_end.rs
@@ -17,6 +17,7 @@
                 remaining_ms = log_millis(query.deadline - self.clock.now()),
                 "query answered"
             );
+            self.supervisor.metrics().query_answered(answer.name());
             query.answer.send_replace(Some(answer));
         }
     }
