Split long functions and the client stream, name repeated panics as such

Change: the starts of background tasks, the panic hook, the begin of an attempt and the progress of a response are functions and a module of their own; panicking_tasks, longest_run_without_task. No behaviour changes.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -101,7 +101,7 @@
     }
 
     /// The longest time for which an attempt of a query can run after its task has panicked, since nothing polls it.
-    pub fn longest_unattended_run(&self, query: &ForwardedQuery) -> Duration {
+    pub fn longest_run_without_task(&self, query: &ForwardedQuery) -> Duration {
         match self.protocol_limits.progress_events {
             ProgressEvents::KeepRunning => MAX_UNPOLLED_RUN + self.progress_expiry(query),
             ProgressEvents::NotSent => MAX_UNPOLLED_RUN,
--- a/crates/gateway/src/gateway/background.rs
+++ b/crates/gateway/src/gateway/background.rs
@@ -27,6 +27,25 @@
         }
         let change_log = watch::Sender::new(self.config.change_log);
         self.watch_change_log(discovery.clone(), change_log.subscribe());
+        self.start_reloader(reloads, change_log);
+        self.supervisor.spawn_restarting(
+            Task::SchedulerTimer,
+            self.scheduler.clone(),
+            |scheduler| Box::pin(scheduler.run_timer()),
+        );
+        if self.config.subset.is_some() {
+            self.start_subset_maintenance(discovery);
+        }
+        if let Some(requests) = self.health_check_requests.take() {
+            self.start_health_checker(requests);
+        }
+    }
+
+    fn start_reloader(
+        &self,
+        reloads: UnboundedReceiver<Config>,
+        change_log: watch::Sender<SocketAddr>,
+    ) {
         let reloader = Reloader {
             initial_config: self.config.clone(),
             scheduler: self.scheduler.clone(),
@@ -37,36 +56,33 @@
             .spawn_restarting(Task::ConfigurationReload, reloader, |reloader| {
                 Box::pin(reloader.run())
             });
-        self.supervisor.spawn_restarting(
-            Task::SchedulerTimer,
-            self.scheduler.clone(),
-            |scheduler| Box::pin(scheduler.run_timer()),
-        );
-        if self.config.subset.is_some() {
-            let maintenance = SubsetMaintenance {
-                discovery,
-                engines: self.engines.clone(),
-                scheduler: self.scheduler.clone(),
-                method: ConnectMethod::from_settings(&self.config.platform.settings),
-                supervisor: self.supervisor.clone(),
-            };
-            self.supervisor
-                .spawn_restarting(Task::SubsetMaintenance, maintenance, |maintenance| {
-                    Box::pin(maintenance.run())
-                });
-        }
-        if let Some(requests) = self.health_check_requests.take() {
-            let checker = HealthChecker {
-                requests,
-                engines: self.engines.clone(),
-                scheduler: self.scheduler.clone(),
-                supervisor: self.supervisor.clone(),
-            };
-            self.supervisor
-                .spawn_restarting(Task::HealthCheckRequests, checker, |checker| {
-                    Box::pin(checker.run())
-                });
-        }
+    }
+
+    fn start_subset_maintenance(&self, discovery: Arc<Discovery>) {
+        let maintenance = SubsetMaintenance {
+            discovery,
+            engines: self.engines.clone(),
+            scheduler: self.scheduler.clone(),
+            method: ConnectMethod::from_settings(&self.config.platform.settings),
+            supervisor: self.supervisor.clone(),
+        };
+        self.supervisor
+            .spawn_restarting(Task::SubsetMaintenance, maintenance, |maintenance| {
+                Box::pin(maintenance.run())
+            });
+    }
+
+    fn start_health_checker(&self, requests: UnboundedReceiver<EngineId>) {
+        let checker = HealthChecker {
+            requests,
+            engines: self.engines.clone(),
+            scheduler: self.scheduler.clone(),
+            supervisor: self.supervisor.clone(),
+        };
+        self.supervisor
+            .spawn_restarting(Task::HealthCheckRequests, checker, |checker| {
+                Box::pin(checker.run())
+            });
     }
 
     /// Creates the discovery, which passes each change of the engine list to the scheduler.
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -130,7 +130,7 @@
     /// The gateway starts, drains or has stopped.
     NotServing,
     /// The gateway serves, but panics of these kinds of task repeat.
-    TasksFailing(Vec<Task>),
+    TasksPanicking(Vec<Task>),
 }
 
 impl Readiness {
@@ -138,10 +138,10 @@
         if *state.phase.borrow() != Phase::Serving {
             return Readiness::NotServing;
         }
-        let failing = state.supervisor.failing_tasks();
-        match failing.is_empty() {
+        let panicking = state.supervisor.panicking_tasks();
+        match panicking.is_empty() {
             true => Readiness::Ready,
-            false => Readiness::TasksFailing(failing),
+            false => Readiness::TasksPanicking(panicking),
         }
     }
 }
@@ -150,7 +150,7 @@
     match Readiness::of(&state) {
         Readiness::Ready => (StatusCode::OK, "serving\n").into_response(),
         Readiness::NotServing => (StatusCode::SERVICE_UNAVAILABLE, "not serving\n").into_response(),
-        Readiness::TasksFailing(tasks) => {
+        Readiness::TasksPanicking(tasks) => {
             let text = format!("not ready: these tasks panic repeatedly: {tasks:?}\n");
             (StatusCode::SERVICE_UNAVAILABLE, text).into_response()
         }
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -3,6 +3,10 @@
 //! The read-ahead detects that the client has closed the connection even if unparsed bytes precede the close. It also
 //! shows whether unparsed bytes have arrived before the gateway closes the connection.
 
+mod response_progress;
+
+pub(super) use response_progress::ResponseProgress;
+
 use crate::system::socket::Socket;
 use crate::system::write_timeout::WriteTimeout;
 use bytes::{Buf, Bytes, BytesMut};
@@ -43,19 +47,6 @@
     Nothing,
 }
 
-/// Progress of the response to the last request that was passed to its handler.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ResponseProgress {
-    /// No request was passed to a handler yet.
-    NoRequest,
-    /// No byte of the response is written.
-    Due,
-    /// A part of the response may be written.
-    Begun,
-    /// The response is written.
-    Written,
-}
-
 struct StreamState {
     io: TokioIo<Socket>,
     /// Bytes that were read from the socket and that the parser has not taken.
@@ -311,21 +302,6 @@
         Poll::Ready(())
     }
 
-    /// Records the result of a write to the client.
-    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
-        let is_written = matches!(result, Poll::Ready(Ok(1..)));
-        if is_written && self.response_progress == ResponseProgress::Due {
-            self.response_progress = ResponseProgress::Begun;
-        }
-    }
-
-    /// Records that all bytes handed to the connection are written.
-    fn record_flush(&mut self) {
-        if self.response_progress == ResponseProgress::Begun {
-            self.response_progress = ResponseProgress::Written;
-        }
-    }
-
     fn poll_closed_by_client(&mut self, cx: &mut Context) -> Poll<()> {
         loop {
             if self.is_closed_by_client() {
@@ -385,7 +361,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_write(cx, bytes);
-        state.record_write(&result);
+        state.response_progress.record_write(&result);
         state.write_timeout.apply(cx, result)
     }
 
@@ -393,7 +369,7 @@
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_flush(cx);
         if let Poll::Ready(Ok(())) = &result {
-            state.record_flush();
+            state.response_progress.record_flush();
         }
         result
     }
@@ -413,7 +389,7 @@
     ) -> Poll<io::Result<usize>> {
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_write_vectored(cx, buffers);
-        state.record_write(&result);
+        state.response_progress.record_write(&result);
         state.write_timeout.apply(cx, result)
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,9 +18,9 @@
     ClientClosed,
     /// No complete head of a first request arrived in time.
     Silent,
-    /// It was evicted before the head of its first request had arrived.
+    /// Evicted before the head of its first request had arrived.
     EvictedUnserved,
-    /// It was evicted while idle.
+    /// Evicted while no request was open.
     Evicted,
     /// The last response announced the close, or the HTTP protocol failed.
     LastResponse,
@@ -30,7 +30,7 @@
     Panicked,
 }
 
-/// How the client of a request was answered after a panic.
+/// Answer to the client of a connection whose HTTP processing panicked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum PanicAnswer {
     /// 500: the query may have run.
--- a/crates/gateway/src/scheduling/query_task.rs
+++ b/crates/gateway/src/scheduling/query_task.rs
@@ -124,23 +124,13 @@
                     response_deadline,
                     send_deadline,
                 } => {
-                    let attempt = ScheduledAttempt {
-                        engine,
-                        number: attempts.begun,
-                        started_at: Instant::now(),
-                    };
                     let start = AttemptStart {
                         is_retry: attempts.begun > 0,
                         response_deadline,
                         send_deadline,
                         client_presence: self.client_presence.clone(),
                     };
-                    self.supervisor.metrics().attempt_started(start.is_retry);
-                    attempts.begun += 1;
-                    attempts.in_flight = Some(attempt);
-                    let status = self.run_attempt(attempt, start).await;
-                    attempts.in_flight = None;
-                    status
+                    self.begin_attempt(attempts, engine, start).await
                 }
                 Command::Answer(answer) => {
                     self.scheduler
@@ -154,6 +144,26 @@
         }
     }
 
+    /// Runs the next attempt of the query, and keeps it in `attempts` until its end is reported.
+    async fn begin_attempt(
+        &mut self,
+        attempts: &mut AttemptHistory,
+        engine: EngineId,
+        start: AttemptStart,
+    ) -> QueryStatus {
+        let attempt = ScheduledAttempt {
+            engine,
+            number: attempts.begun,
+            started_at: Instant::now(),
+        };
+        self.supervisor.metrics().attempt_started(start.is_retry);
+        attempts.begun += 1;
+        attempts.in_flight = Some(attempt);
+        let status = self.run_attempt(attempt, start).await;
+        attempts.in_flight = None;
+        status
+    }
+
     /// Answers the query as failed, and waits until the engine cannot be running its last attempt any more, so that no
     /// query of its ordering key begins before.
     async fn end_after_panic(&self, attempts: AttemptHistory, panic: &TaskPanic) {
@@ -171,7 +181,7 @@
         let Some(attempt) = attempts.in_flight else {
             return;
         };
-        sleep(self.engines.longest_unattended_run(&self.forwarded_query)).await;
+        sleep(self.engines.longest_run_without_task(&self.forwarded_query)).await;
         let result = AttemptResult::from_end(AttemptEnd::Cancelled);
         let outcome = attempt.outcome(&result, QueryStatus::Finished);
         self.scheduler.attempt_ended(self.query_id, outcome, None);
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -177,7 +177,7 @@
     };
     let longest_run = gateway
         .engines
-        .longest_unattended_run(&gateway.forwarded_query);
+        .longest_run_without_task(&gateway.forwarded_query);
     let panic = catch_panic_of_call(|| panic!("in the task"));
     let panic = panic.map(|(): ()| ()).unwrap_err();
     let panicked_at = Instant::now();
--- a/crates/gateway/src/supervision.rs
+++ b/crates/gateway/src/supervision.rs
@@ -1,7 +1,7 @@
 //! Supervises the tasks of the gateway, so that a panic in one of them is noticed.
 //!
 //! A panic of a task is logged and counted, and ends that task alone. A task that has to run as long as the gateway is
-//! restarted. While the panics of a kind of task repeat, [`Supervisor::failing_tasks`] names it, and the health check
+//! restarted. While the panics of a kind of task repeat, [`Supervisor::panicking_tasks`] names it, and the health check
 //! answers that the gateway is not ready.
 
 mod failure_history;
@@ -205,20 +205,18 @@
 
     /// The kinds of task whose panics repeat: three or more without a success in between, the last one less than 10 s
     /// ago.
-    pub fn failing_tasks(&self) -> Vec<Task> {
+    pub fn panicking_tasks(&self) -> Vec<Task> {
         let now = Instant::now();
         let histories = self.histories();
-        let failing = histories
-            .iter()
-            .filter(|(_, history)| history.is_failing(now));
-        failing.map(|(task, _)| *task).collect()
+        let panicking = histories.iter().filter(|(_, history)| history.repeats(now));
+        panicking.map(|(task, _)| *task).collect()
     }
 }
 
 impl fmt::Debug for Supervisor {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.debug_struct("Supervisor")
-            .field("failing_tasks", &self.failing_tasks())
+            .field("panicking_tasks", &self.panicking_tasks())
             .finish_non_exhaustive()
     }
 }
--- a/crates/gateway/src/supervision/failure_history.rs
+++ b/crates/gateway/src/supervision/failure_history.rs
@@ -1,10 +1,10 @@
-//! Decides from the recent panics of a kind of task whether it is failing and when it is restarted.
+//! Decides from the recent panics of a kind of task whether its panics repeat.
 
 use std::time::{Duration, Instant};
 
-/// Number of panics without a success in between from which a kind of task counts as failing.
-const PANICS_TO_FAIL: u32 = 3;
-/// Time after its last panic for which a kind of task counts as failing.
+/// Number of panics without a success in between from which the panics of a kind of task repeat.
+const MIN_REPEATED_PANICS: u32 = 3;
+/// Time after its last panic for which its panics are remembered.
 const FAILURE_MEMORY: Duration = Duration::from_secs(10);
 
 /// Recent panics of one kind of task.
@@ -36,8 +36,8 @@
     }
 
     /// Whether the panics repeat, so that the work of these tasks is not done.
-    pub(super) fn is_failing(self, now: Instant) -> bool {
-        self.consecutive_panics >= PANICS_TO_FAIL && !self.is_forgotten(now)
+    pub(super) fn repeats(self, now: Instant) -> bool {
+        self.consecutive_panics >= MIN_REPEATED_PANICS && !self.is_forgotten(now)
     }
 
     fn is_forgotten(self, now: Instant) -> bool {
--- a/crates/gateway/src/supervision/tests.rs
+++ b/crates/gateway/src/supervision/tests.rs
@@ -37,7 +37,7 @@
     });
     assert_eq!(timeout(WAIT_LIMIT, runs).await.unwrap(), Ok(4));
     assert_eq!(panic_count(&supervisor, Task::Signals), 3);
-    assert_eq!(supervisor.failing_tasks(), [Task::Signals]);
+    assert_eq!(supervisor.panicking_tasks(), [Task::Signals]);
 }
 
 #[tokio::test]
@@ -54,13 +54,13 @@
     for expected in [&[][..], &[], &[Task::Request]] {
         let result: Result<(), _> = supervisor.watch(Task::Request, panic_once()).await;
         assert!(result.is_err());
-        assert_eq!(supervisor.failing_tasks(), expected);
+        assert_eq!(supervisor.panicking_tasks(), expected);
     }
     // A success of another kind of task changes nothing.
     let _ = supervisor.watch(Task::Query, async {}).await;
-    assert_eq!(supervisor.failing_tasks(), [Task::Request]);
+    assert_eq!(supervisor.panicking_tasks(), [Task::Request]);
     assert_eq!(supervisor.watch(Task::Request, async {}).await, Ok(()));
-    assert_eq!(supervisor.failing_tasks(), []);
+    assert_eq!(supervisor.panicking_tasks(), []);
     assert_eq!(panic_count(&supervisor, Task::Request), 3);
     assert_eq!(panics.load(Ordering::Relaxed), 3);
 }
@@ -72,8 +72,8 @@
     let history = FailureHistory::first_panic(start)
         .next_panic(at(4))
         .next_panic(at(8));
-    assert!(history.is_failing(at(17)));
-    assert!(!history.is_failing(at(18)));
+    assert!(history.repeats(at(17)));
+    assert!(!history.repeats(at(18)));
     assert_eq!(history.next_panic(at(18)).consecutive_panics, 1);
     assert_eq!(history.next_panic(at(17)).consecutive_panics, 4);
 }
--- a/crates/gateway/src/system/log.rs
+++ b/crates/gateway/src/system/log.rs
@@ -83,12 +83,7 @@
             .with_ansi(false)
             .log_internal_errors(false)
             .init();
-        // The default hook would write to standard error directly and block on its reader.
-        std::panic::set_hook(Box::new(|panic| {
-            count_panic();
-            let thread = thread::current();
-            tracing::error!(thread = thread.name(), %panic, "thread panicked");
-        }));
+        route_panics_to_log();
         Ok(Log {
             counts,
             dropped: counter,
@@ -110,6 +105,15 @@
     }
 }
 
+/// Replaces the default panic hook, which would write to standard error directly and block on its reader.
+fn route_panics_to_log() {
+    std::panic::set_hook(Box::new(|panic| {
+        count_panic();
+        let thread = thread::current();
+        tracing::error!(thread = thread.name(), %panic, "thread panicked");
+    }));
+}
+
 /// Starts the thread that writes the log.
 ///
 /// # Errors
--- a/crates/gateway/src/system/tcp_info.rs
+++ b/crates/gateway/src/system/tcp_info.rs
@@ -32,8 +32,8 @@
 /// Time after an answer shorter than [`TcpInfoStart`] until the system is asked again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// When the system is asked again; `None` while its answers are whole.
-static ASKED_AGAIN_AT: Mutex<Option<Instant>> = Mutex::new(None);
+/// Earliest time of the next call after a short answer; `None` while answers are whole.
+static RETRY_AT: Mutex<Option<Instant>> = Mutex::new(None);
 
 /// The reason for which the system does not tell a time of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -52,20 +52,18 @@
 ///
 /// The system does not tell. After [`ArrivalTimeError::TooShort`], it is asked again in 10 s.
 pub fn time_since_last_arrival(connection: &impl AsFd) -> Result<Duration, ArrivalTimeError> {
-    let mut asked_again_at = ASKED_AGAIN_AT
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    if asked_again_at.is_some_and(|at| Instant::now() < at) {
+    let mut retry_at = RETRY_AT.lock().unwrap_or_else(PoisonError::into_inner);
+    if retry_at.is_some_and(|at| Instant::now() < at) {
         return Err(ArrivalTimeError::TooShort);
     }
     // The getter asserts that the system has filled in the whole value.
     let Ok(info) = catch_panic_of_call(|| getsockopt(connection, TcpInfo)) else {
-        *asked_again_at = Some(Instant::now() + RETRY_INTERVAL);
+        *retry_at = Some(Instant::now() + RETRY_INTERVAL);
         let error = ArrivalTimeError::TooShort;
         tracing::warn!(%error, "queries of an ordering key run in the order in which they are read");
         return Err(error);
     };
-    *asked_again_at = None;
+    *retry_at = None;
     Ok(Duration::from_millis(info?[LAST_DATA_RECEIVED].into()))
 }
 
