--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -1,5 +1,5 @@
 //! Clients use their open connections until the earliest kill while a series of signals arrives. The seed draws the
-//! deadline, idle connections, slow engines, machine faults and signals. `GATEWAY_TEST_SEEDS=1..60` replaces the
+//! deadline, idle connections, slow engines, machine faults, system values that libraries assert on, and signals. `GATEWAY_TEST_SEEDS=1..60` replaces the
 //! default seeds.
 
 mod helper;
@@ -118,6 +118,16 @@
         .status();
 }
 
+/// Makes the system return short values or refuse threads in two of three seeds. It draws from a sequence of its own, so
+/// that all else of a seed is as it was.
+fn enable_system_values(seed: u64, faults: &Faults) {
+    match Random(!seed).below(3) {
+        0 => faults.enable("tcp-info", "2 4"),
+        1 => faults.enable("threads", "1 11"),
+        _ => {}
+    }
+}
+
 /// Runs one seed and asserts that each query is answered in time, that no non-idempotent query ran twice and that the
 /// gateway exited before the earliest kill.
 fn run_seed(seed: u64) {
@@ -147,6 +157,7 @@
         .spawn()
         .unwrap();
     wait_until("it listens", || TcpStream::connect(address).is_ok());
+    enable_system_values(seed, &faults);
     let idle: Vec<TcpStream> = match random.below(3) {
         0 => (0..IDLE_CONNECTIONS)
             .filter_map(|_| TcpStream::connect(address).ok())
--- a/crates/gateway/tests/system_values.rs
+++ b/crates/gateway/tests/system_values.rs
@@ -7,8 +7,11 @@
 use helper::process::ms;
 use helper::*;
 use serde_json::{json, Value};
+use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::process::{Child, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Seconds by which the wall clock is ahead so that its year has five digits.
@@ -286,3 +289,97 @@
     assert!(test_bed.query("load", "INSERT 2").succeeded());
     assert_eq!(health(&test_bed), Some(200));
 }
+
+/// Set by the protocol: new connections come for up to this long after SIGTERM.
+const NEW_CONNECTIONS_AFTER_TERM: Duration = Duration::from_millis(400);
+/// Number of clients of the crowd.
+const CROWD: usize = 60;
+/// Set by the protocol: a request whose connection is closed within this time has crossed the close.
+const CROSSING_LIMIT: Duration = Duration::from_millis(50);
+
+/// Sends queries, on open connections where the gateway leaves them open, until no more connections are to be opened.
+/// Returns the number of answers, or the query that got none.
+fn query_while_open(
+    address: std::net::SocketAddr,
+    client: usize,
+    opens_connections: &AtomicBool,
+) -> Result<usize, String> {
+    let mut answers = 0;
+    let mut resting: Option<TcpStream> = None;
+    loop {
+        let is_new = resting.is_none();
+        let stream = match resting.take() {
+            Some(stream) => stream,
+            None if !opens_connections.load(Ordering::Relaxed) => return Ok(answers),
+            None => TcpStream::connect(address).map_err(|error| error.to_string())?,
+        };
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+        let statement = ["SELECT 1", "SELECT 1 /* slow */"][(client + answers) % 2];
+        let request = format!(
+            "POST /v1/report HTTP/1.1\r\nHost: a\r\n{}Content-Length: {}\r\n\r\n{statement}",
+            request_headers(&new_id(), 3000),
+            statement.len()
+        );
+        let sent_at = Instant::now();
+        // A failed write shows in the read.
+        let _ = (&stream).write_all(request.as_bytes());
+        match read_message(&mut BufReader::new(stream.try_clone().unwrap())) {
+            Some(message) => {
+                answers += 1;
+                let connection = message.headers.get("connection");
+                resting = (connection.is_none_or(|value| value != "close")).then_some(stream);
+            }
+            None if !is_new && sent_at.elapsed() < CROSSING_LIMIT => {}
+            None => {
+                let kind = if is_new { "new" } else { "open" };
+                return Err(format!(
+                    "client {client}, answer {answers}: none on a {kind} connection after {:?}",
+                    sent_at.elapsed()
+                ));
+            }
+        }
+    }
+}
+
+#[test]
+fn crowd_is_answered_while_http_panics_and_the_gateway_is_stopped() {
+    let faults = Faults::new();
+    let mut test_bed = TestBed::start_with_launcher(
+        |config| config["limits"]["sockets"] = json!(1024),
+        serve_with(&faults),
+    );
+    let address = test_bed.address;
+    let opens_connections = Arc::new(AtomicBool::new(true));
+    let crowd: Vec<_> = (0..CROWD)
+        .map(|client| {
+            let opens_connections = opens_connections.clone();
+            std::thread::spawn(move || query_while_open(address, client, &opens_connections))
+        })
+        .collect();
+    std::thread::sleep(ms(400));
+    faults.enable("realtime", PAST_YEAR_9999);
+    std::thread::sleep(ms(1500));
+    let signalled_at = Instant::now();
+    for signal in ["TERM", "HUP", "TERM", "INT"] {
+        test_bed.signal(signal);
+        std::thread::sleep(ms(20));
+    }
+    std::thread::sleep(NEW_CONNECTIONS_AFTER_TERM.saturating_sub(signalled_at.elapsed()));
+    opens_connections.store(false, Ordering::Relaxed);
+    let answers: Vec<_> = crowd
+        .into_iter()
+        .map(|client| client.join().unwrap())
+        .collect();
+    let faulty: Vec<_> = answers.iter().filter(|answers| answers.is_err()).collect();
+    assert!(faulty.is_empty(), "{faulty:?}");
+    let answered: usize = answers.iter().flatten().sum();
+    assert!(answered > 10 * CROWD, "{answered} answers");
+    let status = test_bed.child.wait().unwrap();
+    assert!(status.success(), "{status:?}");
+    let earliest_kill = ms(3700);
+    assert!(
+        signalled_at.elapsed() < earliest_kill,
+        "{:?}",
+        signalled_at.elapsed()
+    );
+}
