Fault library of the tests: make system calls directly, not by dlsym

Cause: a fault of the test library, not of the gateway. Its send, which the signal handlers call, looked the real function up with dlsym; a second signal that came inside waited for the loader's lock, which the first held, and another thread's wait for it followed. In the program itself the handler calls the system's send.

Change: the interposed functions make the system calls themselves; pthread_create is looked up once, when the library is loaded. Each fault is injected as before.

--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -36,7 +36,13 @@
 #include <time.h>
 #include <unistd.h>
 
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+// Interposed functions make system calls themselves: a signal handler that calls dlsym waits for the loader's lock, which the
+// thread that it interrupted may hold.
+static int (*real_pthread_create)(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *);
+
+__attribute__((constructor)) static void find_real_functions(void) {
+    real_pthread_create = (__typeof__(real_pthread_create))dlsym(RTLD_NEXT, "pthread_create");
+}
 
 struct fault { long one_in, number; };
 
@@ -89,24 +95,20 @@
     return length;
 }
 
-ssize_t recv(int fd, void *bytes, size_t length, int flags) {
-    if (flags & MSG_PEEK || length == 0) return REAL(recv)(fd, bytes, length, flags);
-    size_t permitted = permitted_length(length);
-    return permitted ? REAL(recv)(fd, bytes, permitted, flags) : -1;
-}
-
 ssize_t recvfrom(int fd, void *bytes, size_t length, int flags, struct sockaddr *from, socklen_t *size) {
-    if (flags & MSG_PEEK || length == 0) return REAL(recvfrom)(fd, bytes, length, flags, from, size);
+    if (flags & MSG_PEEK || length == 0) return syscall(SYS_recvfrom, fd, bytes, length, flags, from, size);
     size_t permitted = permitted_length(length);
-    return permitted ? REAL(recvfrom)(fd, bytes, permitted, flags, from, size) : -1;
+    return permitted ? syscall(SYS_recvfrom, fd, bytes, permitted, flags, from, size) : -1;
 }
 
+ssize_t recv(int fd, void *bytes, size_t length, int flags) { return recvfrom(fd, bytes, length, flags, NULL, NULL); }
+
 ssize_t send(int fd, const void *bytes, size_t length, int flags) {
     // Only the signal handlers' wake-ups are single bytes that the gateway sends without blocking.
     if (length == 1 && flags & MSG_DONTWAIT && should_fail(fault("wake"))) return fail_with(EINTR);
     size_t permitted = length ? permitted_length(length) : 0;
-    if (!length) return REAL(send)(fd, bytes, length, flags);
-    return permitted ? REAL(send)(fd, bytes, permitted, flags) : -1;
+    if (!length) return syscall(SYS_sendto, fd, bytes, length, flags, NULL, 0);
+    return permitted ? syscall(SYS_sendto, fd, bytes, permitted, flags, NULL, 0) : -1;
 }
 
 ssize_t read(int fd, void *bytes, size_t length) {
@@ -174,12 +176,12 @@
 int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*start)(void *), void *argument) {
     struct fault f = fault("threads");
     if (should_fail(f)) return (int)f.number;
-    return REAL(pthread_create)(thread, attributes, start, argument);
+    return real_pthread_create(thread, attributes, start, argument);
 }
 
 int epoll_wait(int fd, struct epoll_event *events, int max_events, int timeout) {
     if (should_fail(fault("waits"))) return (int)fail_with(EINTR);
-    return REAL(epoll_wait)(fd, events, max_events, timeout);
+    return (int)syscall(SYS_epoll_pwait, fd, events, max_events, timeout, NULL, 0);
 }
 
 int clock_gettime(clockid_t clock, struct timespec *now) {
