Give the gateway the supervisor of the tasks that signals and reloads run in

What callers saw: nothing yet. /healthz and /metrics did not show panics of the task that turns signals into events and of the one that reads the configuration.

Seen on reading the change again; nothing makes these two tasks panic from outside, so no test shows it.

Change: the gateway gets the same supervisor.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -164,7 +164,7 @@
     supervisor.spawn_restarting(Task::ConfigurationRead, reloads_on_hangup, |reloads| {
         Box::pin(reloads.run())
     });
-    Gateway::new(config, Supervisor::default())
+    Gateway::new(config, supervisor)
         .run(stopped, reloads)
         .await?;
     Ok(())
