--- a/review/standins-2/src/change_log.rs
+++ b/review/standins-2/src/change_log.rs
@@ -4,7 +4,6 @@
 use crate::record::Record;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -47,7 +46,6 @@
 pub struct ChangeLog {
     pub address: SocketAddr,
     events: Arc<Mutex<Vec<String>>>,
-    is_up: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -58,7 +56,6 @@
         let log = ChangeLog {
             address: listener.local_addr()?,
             events: Arc::new(Mutex::new(vec![event(1, true, servers)])),
-            is_up: Arc::new(AtomicBool::new(true)),
             record: record.clone(),
         };
         log.listen(listener)?;
@@ -89,34 +86,17 @@
         }
     }
 
-    /// The log goes down: its connections end, new ones are refused.
-    pub fn stop(&self) {
-        self.is_up.store(false, Ordering::SeqCst);
-        sleep(TICK * 5);
-        self.record.line("change log is down");
-    }
-
-    /// The log comes back at its address.
-    pub fn resume(&self) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.address)?;
-        self.is_up.store(true, Ordering::SeqCst);
-        self.record.line("change log is up");
-        self.listen(listener)
-    }
-
     fn listen(&self, listener: TcpListener) -> std::io::Result<()> {
         listener.set_nonblocking(true)?;
         let log = self.clone();
-        spawn(move || {
-            while log.is_up.load(Ordering::SeqCst) {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nonblocking(false);
-                        let log = log.clone();
-                        spawn(move || log.serve(stream));
-                    }
-                    Err(_) => sleep(Duration::from_millis(1)),
+        spawn(move || loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let log = log.clone();
+                    spawn(move || log.serve(stream));
                 }
+                Err(_) => sleep(Duration::from_millis(1)),
             }
         });
         Ok(())
@@ -136,7 +116,7 @@
             .line(format!("change log: a reader from event {sent}"));
         let mut out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n".to_string();
         let mut commented = Instant::now();
-        while self.is_up.load(Ordering::SeqCst) {
+        loop {
             if !out.is_empty() && stream.write_all(out.as_bytes()).is_err() {
                 return;
             }
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -9,15 +9,16 @@
 use crate::record::Record;
 use crate::system::reset_on_close;
 use std::collections::{HashMap, HashSet};
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 const LONG_POLL: Duration = Duration::from_millis(250);
 const POLL_EXPIRY: Duration = Duration::from_secs(2);
+const MAX_PAGE_BYTES: usize = 6_000;
 const TICK: Duration = Duration::from_millis(5);
 
 /// The ids whose effect the nodes of a cell have applied.
@@ -35,7 +36,7 @@
 #[derive(Clone, Debug)]
 pub struct Start {
     pub id: String,
-    pub class: String,
+    pub statement: String,
     pub engine: String,
     pub at: f64,
 }
@@ -47,6 +48,43 @@
     pub effects: Arc<Mutex<Vec<Effect>>>,
 }
 
+/// The results of an engine, and how they are spoilt on their way.
+#[derive(Clone, Copy, Debug)]
+pub struct Answers {
+    /// Rows of each result.
+    pub rows: usize,
+    /// Bytes of the last column, beside the digits of the row's number.
+    pub filling: usize,
+    /// One in so many good answers has a `Content-Length` below its true one; 0 for none.
+    pub spoilt_one_in: u64,
+}
+
+impl Default for Answers {
+    fn default() -> Self {
+        Answers {
+            rows: 1,
+            filling: 1,
+            spoilt_one_in: 0,
+        }
+    }
+}
+
+impl Answers {
+    /// The pages of a result: whole rows, 6,000 bytes at most.
+    pub fn pages(&self) -> Vec<String> {
+        let mut pages = vec![String::new()];
+        for number in 0..self.rows {
+            let row = format!("{number}\t{}\t{}\n", number % 10, "x".repeat(self.filling));
+            if pages[pages.len() - 1].len() + row.len() > MAX_PAGE_BYTES {
+                pages.push(String::new());
+            }
+            let last = pages.len() - 1;
+            pages[last] += &row;
+        }
+        pages
+    }
+}
+
 struct Job {
     started: Instant,
     run_for: Duration,
@@ -63,6 +101,10 @@
     jobs: Mutex<HashMap<String, Job>>,
     connections: Mutex<Vec<TcpStream>>,
     is_up: AtomicBool,
+    answers: Answers,
+    pages: Vec<String>,
+    /// Good answers so far.
+    answered: AtomicU64,
 }
 
 /// A running engine.
@@ -80,6 +122,18 @@
         cell: &Cell,
         ledger: &Ledger,
         record: &Record,
+    ) -> std::io::Result<Engine> {
+        Engine::start_with(name, address, cell, ledger, record, Answers::default())
+    }
+
+    /// Starts an engine whose results are as `answers` says.
+    pub fn start_with(
+        name: &str,
+        address: SocketAddr,
+        cell: &Cell,
+        ledger: &Ledger,
+        record: &Record,
+        answers: Answers,
     ) -> std::io::Result<Engine> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
@@ -92,6 +146,9 @@
             jobs: Mutex::default(),
             connections: Mutex::default(),
             is_up: AtomicBool::new(true),
+            answers,
+            pages: answers.pages(),
+            answered: AtomicU64::new(0),
         });
         record.line(format!("engine {name} listens on {address}"));
         let accepting = shared.clone();
@@ -236,7 +293,11 @@
             }
             _ => {}
         }
-        self.news(stream, &id)
+        let page = path.split('/').nth(3).and_then(|text| text.parse().ok());
+        match page {
+            Some(page @ 1..) if method == "GET" => self.page(stream, &id, page),
+            _ => self.news(stream, &id),
+        }
     }
 
     fn begin(&self, id: &str, request: &Message) {
@@ -258,7 +319,7 @@
         ));
         self.ledger.starts.lock().unwrap().push(Start {
             id: id.to_string(),
-            class: class.clone(),
+            statement: statement.to_string(),
             engine: self.name.clone(),
             at: self.record.now(),
         });
@@ -274,6 +335,45 @@
         self.jobs.lock().unwrap().insert(id.to_string(), job);
     }
 
+    fn page(&self, stream: &mut TcpStream, id: &str, page: usize) -> std::io::Result<()> {
+        let is_known = {
+            let mut jobs = self.jobs.lock().unwrap();
+            let job = jobs.get_mut(id).filter(|job| job.is_done);
+            job.map(|job| job.last_asked = Instant::now()).is_some()
+        };
+        if !is_known || page >= self.pages.len() {
+            return write_response(stream, "500 Unknown", "", "");
+        }
+        let head = format!("Result-Page: {page}\r\n");
+        self.write_page(stream, id, &head, page)
+    }
+
+    /// Writes a page of a good answer, which may be spoilt: its `Content-Length` is too short, and all its bytes follow.
+    fn write_page(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        head: &str,
+        page: usize,
+    ) -> std::io::Result<()> {
+        let body = &self.pages[page];
+        let number = self.answered.fetch_add(1, Ordering::SeqCst);
+        let one_in = self.answers.spoilt_one_in;
+        let is_spoilt = one_in > 0 && number % one_in == one_in - 1 && body.len() > 1;
+        if !is_spoilt {
+            return write_response(stream, "200 OK", head, body);
+        }
+        let length =
+            1 + (number / one_in).wrapping_mul(0x9e37_79b9_7f4a_7c15) as usize % (body.len() - 1);
+        self.record.line(format!(
+            "engine {} page {page} of {id}: Content-Length {length} in place of {}",
+            self.name,
+            body.len()
+        ));
+        let text = format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {length}\r\n\r\n{body}");
+        stream.write_all(text.as_bytes())
+    }
+
     /// Answers with the end of the query, or after 250 ms that it is not yet over.
     fn news(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
         let asked = Instant::now();
@@ -294,8 +394,10 @@
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
             if is_done {
-                let head = "Result-Pages: 1\r\nQuery-Cost: 100\r\nQuery-Need: 64\r\n";
-                return write_response(stream, "200 OK", head, "a\tb\tc\n");
+                let count = self.pages.len();
+                let head =
+                    format!("Result-Pages: {count}\r\nQuery-Cost: 100\r\nQuery-Need: 64\r\n");
+                return self.write_page(stream, id, &head, 0);
             }
             if asked.elapsed() >= LONG_POLL {
                 return write_response(stream, "202 Not yet", "", "");
--- a/review/standins-2/src/flood.rs
+++ b/review/standins-2/src/flood.rs
@@ -3,7 +3,7 @@
 
 use crate::case::{loopback, Case, Verdict};
 use crate::change_log::{ChangeLog, Server};
-use crate::engine::{Cell, Engine, Ledger};
+use crate::engine::{Answers, Cell, Engine, Ledger};
 use crate::gateway::{Gateway, Told};
 use crate::http::{call, Call};
 use crate::settings::{lookup, sale_load, trend_report, Site};
@@ -29,13 +29,22 @@
     case: &Case,
     ledger: &Ledger,
     count: usize,
+) -> Result<(Vec<Engine>, Vec<Server>), String> {
+    start_engines_with(case, ledger, count, Answers::default())
+}
+
+pub fn start_engines_with(
+    case: &Case,
+    ledger: &Ledger,
+    count: usize,
+    answers: Answers,
 ) -> Result<(Vec<Engine>, Vec<Server>), String> {
     let cell = Cell::default();
     let mut engines = Vec::new();
     let mut servers = Vec::new();
     for number in 0..count {
         let id = format!("s-{number}");
-        let engine = Engine::start(&id, loopback(), &cell, ledger, &case.record)
+        let engine = Engine::start_with(&id, loopback(), &cell, ledger, &case.record, answers)
             .map_err(|error| error.to_string())?;
         servers.push(Server {
             id,
@@ -64,7 +73,6 @@
         .join(","),
         threads: "[1,4,2]",
         loads: "[false,false,true]",
-        drain_grace_ms: 2000,
         max_attempts: 4,
     }
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,8 +13,9 @@
 mod system;
 
 mod memory;
-mod outage;
 mod reuse;
+mod spoilt;
+mod wrong_length;
 
 use case::{Case, Verdict};
 use std::process::exit;
@@ -35,9 +36,9 @@
     let verdict = match name.as_str() {
         "flood" => flood::play(&case),
         "memory" => memory::play(&case),
-        "reuse-repeat" => reuse::play_repeat(&case),
-        "reuse-placement" => reuse::play_placement(&case),
-        "outage" => outage::play(&case),
+        "reuse" => reuse::play(&case),
+        "spoilt" => spoilt::play(&case),
+        "wrong-length" => wrong_length::play(&case),
         other => Err(format!("no case '{other}'")),
     };
     let code = match verdict {
--- a/review/standins-2/src/reuse.rs
+++ b/review/standins-2/src/reuse.rs
@@ -37,21 +37,15 @@
 }
 
 impl Pool {
-    fn start(case: &Case, kinds: [&'static str; 6]) -> Result<Pool, String> {
+    fn start(case: &Case) -> Result<Pool, String> {
         let mut pool = Pool {
             nodes: Vec::new(),
             cells: Default::default(),
             ledger: Ledger::default(),
         };
-        for (number, kind) in kinds.into_iter().enumerate() {
-            pool.add(
-                case,
-                &format!("s-{}", number + 1),
-                loopback(),
-                kind,
-                number / 3,
-                0,
-            )?;
+        for number in 0..6 {
+            let id = format!("s-{}", number + 1);
+            pool.add(case, &id, loopback(), number / 3, 0)?;
         }
         Ok(pool)
     }
@@ -61,7 +55,6 @@
         case: &Case,
         id: &str,
         address: SocketAddr,
-        kind: &'static str,
         cell: usize,
         started_ms: u64,
     ) -> Result<Server, String> {
@@ -70,7 +63,7 @@
         let server = Server {
             id: id.to_string(),
             address: engine.address,
-            kind,
+            kind: "engine-8",
             cell: cell as u32 + 1,
             state: "SERVING",
             started_ms,
@@ -86,20 +79,14 @@
         self.nodes.iter().map(|node| node.server.clone()).collect()
     }
 
-    /// The first node dies; a new one of another kind and cell gets its address. Returns when the list told of the new one,
-    /// in seconds of the record.
-    fn replace_first(
-        &mut self,
-        case: &Case,
-        log: &ChangeLog,
-        kind: &'static str,
-        cell: usize,
-    ) -> Result<f64, String> {
+    /// The first node dies; a new one of the other cell gets its address. Returns when the list told of the new one, in
+    /// seconds of the record.
+    fn replace_first(&mut self, case: &Case, log: &ChangeLog) -> Result<f64, String> {
         let died = Instant::now();
         let old = self.nodes[0].server.clone();
         self.nodes[0].engine.crash();
         sleep(SUCCESSOR_AFTER.saturating_sub(died.elapsed()));
-        let new = self.add(case, "s-7", old.address, kind, cell, unix_ms())?;
+        let new = self.add(case, "s-7", old.address, 1, unix_ms())?;
         sleep((SUCCESSOR_AFTER + LISTED_AFTER).saturating_sub(died.elapsed()));
         log.publish(&[new]);
         let listed_at = case.record.now();
@@ -122,7 +109,6 @@
         .join(","),
         threads: "[1,4,2]",
         loads: "[false,false,true]",
-        drain_grace_ms: 2000,
         max_attempts: 4,
     }
 }
@@ -145,11 +131,8 @@
 
 /// Loads whose repeats the nodes of a cell drop. The node of some of them dies after their effect was applied and
 /// before their end: they may be sent again inside its cell alone.
-pub fn play_repeat(case: &Case) -> Result<Verdict, String> {
-    let kinds = [
-        "engine-8", "engine-8", "engine-8", "engine-8", "engine-8", "engine-8",
-    ];
-    let mut pool = Pool::start(case, kinds)?;
+pub fn play(case: &Case) -> Result<Verdict, String> {
+    let mut pool = Pool::start(case)?;
     let log = ChangeLog::start(&pool.servers(), &case.record).map_err(|error| error.to_string())?;
     let settings = site().json();
     let told = Told {
@@ -198,7 +181,7 @@
         .say(format!("loads running by node: {running:?}"));
     let mut listed_at = f64::INFINITY;
     if case.trouble {
-        listed_at = pool.replace_first(case, &log, "engine-8", 1)?;
+        listed_at = pool.replace_first(case, &log)?;
     }
     for answer in calls {
         let _ = answer.join();
@@ -244,85 +227,3 @@
         Verdict::Broken
     })
 }
-
-/// Reports that are bound to the kind `engine-8`; the new node is of the kind `engine-16`.
-pub fn play_placement(case: &Case) -> Result<Verdict, String> {
-    let kinds = [
-        "engine-8",
-        "engine-8",
-        "engine-16",
-        "engine-8",
-        "engine-16",
-        "engine-16",
-    ];
-    let mut pool = Pool::start(case, kinds)?;
-    let log = ChangeLog::start(&pool.servers(), &case.record).map_err(|error| error.to_string())?;
-    let settings = site().json();
-    let told = Told {
-        change_log: log.address,
-        known: &log.known(),
-        memory_mb: 192,
-        settings: &settings,
-    };
-    let gateway = Gateway::start(&case.run, &case.scratch, &told, &case.record)?;
-    let address = gateway.address;
-    let record_case = Case {
-        record: case.record.clone(),
-        run: String::new(),
-        trouble: case.trouble,
-        scratch: case.scratch.join("unused"),
-    };
-    let traffic = spawn(move || {
-        let mut calls = Vec::new();
-        for number in 0..70_u64 {
-            let report = Call {
-                class: "trend-report",
-                id: 0x7e4d_0000_0000_0000 + number,
-                tenant: ["drava-agro", "pohorje-stroji", "mura-drazbe"][number as usize % 3],
-                allow_ms: 15_000,
-                key: None,
-                statement: "SELECT day, avg(price) FROM sales_17.lots GROUP BY day /* ms=1500 */"
-                    .into(),
-            };
-            calls.push(send(&record_case, address, report));
-            sleep(Duration::from_millis(120));
-        }
-        for answer in calls {
-            let _ = answer.join();
-        }
-    });
-    sleep(Duration::from_millis(1500));
-    let mut listed_at = f64::INFINITY;
-    if case.trouble {
-        listed_at = pool.replace_first(case, &log, "engine-16", 1)?;
-    }
-    let _ = traffic.join();
-    drop(gateway);
-    let kind_of: BTreeMap<_, _> = pool
-        .nodes
-        .iter()
-        .map(|node| (node.server.id.clone(), node.server.kind))
-        .collect();
-    let starts = pool.ledger.starts.lock().unwrap();
-    let elsewhere: Vec<_> = starts
-        .iter()
-        .filter(|start| start.class == "trend-report" && kind_of[&start.engine] != "engine-8")
-        .filter(|start| start.engine != "s-7" || start.at > listed_at + TOLD_SLACK_SECONDS)
-        .collect();
-    for start in &elsewhere {
-        case.record.say(format!(
-            "trend-report {} came to {} of kind {} at {:.3}",
-            start.id, start.engine, kind_of[&start.engine], start.at
-        ));
-    }
-    case.record.say(format!(
-        "{} starts, {} of them against the placement",
-        starts.len(),
-        elsewhere.len()
-    ));
-    Ok(if elsewhere.is_empty() {
-        Verdict::Held
-    } else {
-        Verdict::Broken
-    })
-}
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -8,7 +8,6 @@
     /// Threads and data loads by class.
     pub threads: &'static str,
     pub loads: &'static str,
-    pub drain_grace_ms: u32,
     pub max_attempts: u32,
 }
 
@@ -36,7 +35,6 @@
             classes,
             threads,
             loads,
-            drain_grace_ms,
             max_attempts,
         } = self;
         format!(
@@ -45,7 +43,7 @@
 "registry-mode":"pushed","telemetry":{{"how":"on_probe","fields":["depth","load_share"]}},
 "allowed":{{"cancelling":true,"may-probe":true,"peers":false,"may-duplicate":false,"retry-after":true,"max-retry-after":1000,"max-attempts":{max_attempts},"dial-timeout":250,"idle-close":30000,"open-cap":20000}},
 "domain":{{"kind-cores":[8,16],"kind-memory-mb":[16384,32768],"parallelism":{threads},"loads":{loads},"waits-for-loads":[false,false,false],"grants-count":false,"lanes-count":false,"progress":0,"tells-cost":true,"on-shortage":"shrink"}},
-"rules":{{"answer-slack":20,"drain-grace":{drain_grace_ms},"fall-multiple":3,"fall":2000,"cold-from":0.35,"warm-after":14000,"order-pause":500}},
+"rules":{{"answer-slack":20,"drain-grace":2000,"fall-multiple":3,"fall":2000,"cold-from":0.35,"warm-after":14000,"order-pause":500}},
 "categories":[{classes}]}}"#
         )
     }
