--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 cd "$here/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$run" ] || { echo "deploy/balancer.toml has no run command"; exit 2; }
-exec review/standins-2/target/release/standins-2 reuse-placement "$here" "$run"
+exec review/standins-2/target/release/standins-2 wrong-length "$here" "$run"
