Review: the stand-ins build into the root's target, and case 7 has addresses of its own

Found: a node that dies leaves its port free for a second, in which an outgoing connection of the same address can take it; a soak beside the review met that once. The nodes of case 7 now have loopback addresses that no client has.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,6 @@
 cd "$here/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$run" ] || { echo "deploy/balancer.toml has no run command"; exit 2; }
-exec review/standins-2/target/release/standins-2 memory "$here" "$run"
+program=target/review-2/release/standins-2
+[ -x "$program" ] || { echo "the stand-ins are not built: review/build-2.sh"; exit 2; }
+exec "$program" memory "$here" "$run"
--- a/review/standins-2/src/reuse.rs
+++ b/review/standins-2/src/reuse.rs
@@ -1,6 +1,6 @@
 //! A node dies, and a new node gets its address. The list tells of the new one before it tells that the old one is gone.
 
-use crate::case::{loopback, unix_ms, Case, Verdict};
+use crate::case::{unix_ms, Case, Verdict};
 use crate::change_log::{ChangeLog, Server};
 use crate::engine::{Cell, Engine, Ledger};
 use crate::gateway::{Gateway, Told};
@@ -45,7 +45,10 @@
         };
         for number in 0..6 {
             let id = format!("s-{}", number + 1);
-            pool.add(case, &id, loopback(), number / 3, 0)?;
+            // Outgoing connections of this machine's clients have the address 127.0.0.1, so none can take the port of a node
+            // that has died.
+            let address = SocketAddr::from(([127, 0, 1, number as u8 + 1], 0));
+            pool.add(case, &id, address, number / 3, 0)?;
         }
         Ok(pool)
     }
