Find the data set of a statement without a list of its tokens

Cause: the search for the data set split each statement into a list of tokens of strings, 95 bytes for each byte, which no budget counts; bytes that are not UTF-8 were copied beside it. Change: tokens are read one at a time and borrow from the statement; scopes are bounded. The search allocates nothing that grows with the statement, so its bytes are all that it holds, and those are budgeted.

--- a/crates/gateway/src/http/statement.rs
+++ b/crates/gateway/src/http/statement.rs
@@ -5,7 +5,8 @@
 
 mod tokens;
 
-use tokens::{tokenize, Token};
+use std::iter::Peekable;
+use tokens::{is_one_of, Name, Token, Tokens};
 
 /// Schema that belongs to no data set.
 const STAGING_SCHEMA: &str = "staging";
@@ -32,29 +33,33 @@
     "returning",
 ];
 
+/// Deepest nesting of parentheses in which table names are told from other names.
+const MAX_SCOPES: usize = 256;
+
 /// Returns the number of the data set that a statement reads or writes. It comes from the first table name whose schema
 /// has a number, else from the first other qualified name whose schema has one. Returns `None` if no schema has a
 /// number.
 pub fn data_set(statement: &[u8]) -> Option<u32> {
-    let text = String::from_utf8_lossy(statement);
-    let tokens = tokenize(&text);
-    let table_data_set = TableFinder::new(&tokens)
-        .tables()
-        .into_iter()
-        .find_map(schema_number);
-    table_data_set.or_else(|| {
-        tokens.iter().find_map(|token| match token {
-            Token::Name(parts) => schema_number(parts),
-            Token::Punctuation(_) => None,
-        })
-    })
+    let mut tokens = Tokens::new(statement).peekable();
+    let mut tables = TableFinder::new();
+    let mut first_named = None;
+    while let Some(token) = tokens.next() {
+        let is_table = tables.is_table(&token, &mut tokens);
+        let Token::Name(name) = token else {
+            continue;
+        };
+        let number = schema_number(&name);
+        if is_table && number.is_some() {
+            return number;
+        }
+        first_named = first_named.or(number);
+    }
+    first_named
 }
 
-/// Returns the number in the schema of a qualified name. The schema is the part before the last.
-fn schema_number(name: &[String]) -> Option<u32> {
-    let [.., schema, _] = name else {
-        return None;
-    };
+/// Returns the number in the schema of a qualified name.
+fn schema_number(name: &Name) -> Option<u32> {
+    let schema = std::str::from_utf8(name.schema?).ok()?;
     if schema.eq_ignore_ascii_case(STAGING_SCHEMA) {
         return None;
     }
@@ -76,50 +81,46 @@
     in_table_list: bool,
 }
 
-/// Collects the qualified names in positions where SQL expects a table.
-struct TableFinder<'a> {
-    tokens: &'a [Token],
+/// Tells which qualified names stand in positions where SQL expects a table.
+struct TableFinder {
     /// Open scopes, the innermost last. The first is the whole statement and is never closed.
     scopes: Vec<Scope>,
+    /// Number of open parentheses beyond [`MAX_SCOPES`]; names inside them are not taken for tables.
+    untracked_parentheses: usize,
     /// Whether the last name was `DISTINCT`, since no table name follows the `FROM` of `IS DISTINCT FROM`.
     after_distinct: bool,
-    found: Vec<&'a [String]>,
 }
 
-impl<'a> TableFinder<'a> {
-    fn new(tokens: &'a [Token]) -> Self {
+impl TableFinder {
+    fn new() -> Self {
         let statement_scope = Scope {
             has_clauses: true,
             expects_table: false,
             in_table_list: false,
         };
         TableFinder {
-            tokens,
             scopes: vec![statement_scope],
+            untracked_parentheses: 0,
             after_distinct: false,
-            found: Vec::new(),
         }
     }
 
-    /// Returns the qualified table names, in the order of the statement.
-    fn tables(mut self) -> Vec<&'a [String]> {
-        let tokens = self.tokens;
-        for (index, token) in tokens.iter().enumerate() {
-            match token {
-                Token::Punctuation('(') => self.open_scope(tokens.get(index + 1)),
-                Token::Punctuation(')') => self.close_scope(),
-                Token::Punctuation(',') => {
-                    let scope = self.scope();
-                    scope.expects_table = scope.in_table_list;
-                }
-                Token::Punctuation(_) => self.scope().expects_table = false,
-                Token::Name(parts) => match parts.as_slice() {
-                    [word] => self.handle_word(&word.to_ascii_lowercase()),
-                    parts => self.handle_qualified_name(parts),
-                },
+    /// Whether the next token of the statement is a qualified name in the position of a table; `following` are the
+    /// tokens after it.
+    fn is_table(&mut self, token: &Token, following: &mut Peekable<Tokens>) -> bool {
+        match token {
+            Token::Punctuation('(') => self.open_scope(following),
+            Token::Punctuation(')') => self.close_scope(),
+            _ if self.untracked_parentheses > 0 => {}
+            Token::Punctuation(',') => {
+                let scope = self.scope();
+                scope.expects_table = scope.in_table_list;
             }
+            Token::Punctuation(_) => self.scope().expects_table = false,
+            Token::Name(name) if name.schema.is_none() => self.handle_word(name.first),
+            Token::Name(_) => return self.handle_qualified_name(),
         }
-        self.found
+        false
     }
 
     fn scope(&mut self) -> &mut Scope {
@@ -128,8 +129,13 @@
             .expect("the scope of the whole statement is never closed")
     }
 
-    fn open_scope(&mut self, next: Option<&Token>) {
-        let is_query = next.is_some_and(|token| starts_with_keyword(token, &["select", "with"]));
+    fn open_scope(&mut self, following: &mut Peekable<Tokens>) {
+        if self.scopes.len() >= MAX_SCOPES {
+            self.untracked_parentheses += 1;
+            return;
+        }
+        let next = following.peek();
+        let is_query = next.is_some_and(|token| token.starts_with_keyword(&["select", "with"]));
         let is_nested = next == Some(&Token::Punctuation('('));
         let scope = self.scope();
         let expects_table = std::mem::take(&mut scope.expects_table);
@@ -143,21 +149,25 @@
     }
 
     fn close_scope(&mut self) {
-        if self.scopes.len() > 1 {
+        if self.untracked_parentheses > 0 {
+            self.untracked_parentheses -= 1;
+        } else if self.scopes.len() > 1 {
             self.scopes.pop();
         }
         self.after_distinct = false;
     }
 
-    /// Handles a keyword or a name without a schema; `word` is in lower case.
-    fn handle_word(&mut self, word: &str) {
-        let follows_distinct = std::mem::replace(&mut self.after_distinct, word == "distinct");
+    /// Handles a keyword or a name without a schema.
+    fn handle_word(&mut self, word: &[u8]) {
+        let is_distinct = word.eq_ignore_ascii_case(b"distinct");
+        let follows_distinct = std::mem::replace(&mut self.after_distinct, is_distinct);
         let scope = self.scope();
-        if TABLE_KEYWORDS.contains(&word) {
-            let is_distinct_from = word == "from" && follows_distinct;
+        if is_one_of(word, &TABLE_KEYWORDS) {
+            let is_from = word.eq_ignore_ascii_case(b"from");
+            let is_distinct_from = is_from && follows_distinct;
             scope.expects_table = scope.has_clauses && !is_distinct_from;
-            scope.in_table_list = scope.expects_table && word == "from";
-        } else if CLAUSE_KEYWORDS.contains(&word) {
+            scope.in_table_list = scope.expects_table && is_from;
+        } else if is_one_of(word, &CLAUSE_KEYWORDS) {
             scope.expects_table = false;
             scope.in_table_list = false;
         } else {
@@ -165,21 +175,10 @@
         }
     }
 
-    fn handle_qualified_name(&mut self, parts: &'a [String]) {
-        if std::mem::take(&mut self.scope().expects_table) {
-            self.found.push(parts);
-        }
+    /// Whether a qualified name stands in the position of a table.
+    fn handle_qualified_name(&mut self) -> bool {
         self.after_distinct = false;
-    }
-}
-
-/// Whether the token is a name whose first part is one of `keywords`.
-fn starts_with_keyword(token: &Token, keywords: &[&str]) -> bool {
-    match token {
-        Token::Name(parts) => parts
-            .first()
-            .is_some_and(|part| keywords.iter().any(|word| part.eq_ignore_ascii_case(word))),
-        Token::Punctuation(_) => false,
+        std::mem::take(&mut self.scope().expects_table)
     }
 }
 
--- a/crates/gateway/src/http/statement/tests.rs
+++ b/crates/gateway/src/http/statement/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn data_set_is_the_schema_number_of_the_table_read_or_written() {
-    let cases: [(&str, Option<u32>); 16] = [
+    let cases: [(&str, Option<u32>); 20] = [
         (
             "SELECT day, count(*) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day",
             Some(17),
@@ -46,12 +46,25 @@
         ("SELECT 1.5e3 FROM orders", None),
         ("SELECT 1 FROM staging.t_5", None),
         ("'unended from s_1.t", None),
+        ("SELECT é_1.x FROM (wärme_3.\"ö\"\"t\") größe", Some(3)),
+        ("SELECT 1 FROM a . s_14 . t, s_15.t", Some(14)),
+        ("SELECT $1, $a$b$ from x_1.t $a$ FROM s_16.t", Some(16)),
+        ("SELECT `from`.`s_1`, x FROM staging.t", None),
     ];
     for (statement, expected) in cases {
         assert_eq!(data_set(statement.as_bytes()), expected, "{statement}");
     }
 }
 
+/// Parentheses nested deeper than they are tracked hide no table after them.
+#[test]
+fn table_after_deeply_nested_parentheses_is_found() {
+    let open = "(".repeat(1000);
+    let close = ")".repeat(1000);
+    let statement = format!("SELECT x_1.y, {open}1{close} FROM s_5.t");
+    assert_eq!(data_set(statement.as_bytes()), Some(5));
+}
+
 #[test]
 fn malformed_statements_do_not_panic() {
     for bytes in [
