Ask again for a page with rows behind its end

Cause: a body that ends with a row counted as a whole page. What stood behind it, which alone shows that the length is wrong, stayed in hyper's buffer and was dropped with the connection. Change: a connection hands over what it read behind its last response. A page with a row behind it is not whole and is asked for again; if the row arrives with the call for the next page, the page before is fetched again. Noise or a second copy behind a page is no row. Why it holds: hyper looks behind a response in the turn in which it passes the body's end on, so what has come is seen before use.

--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -33,10 +33,11 @@
 mod polling;
 mod start;
 
+use super::connect::EngineConnection;
 use super::messages::{
     AttemptEvents, AttemptResult, AttemptStart, CancellationState, ForwardedQuery,
 };
-use super::request::{page_path, request, Sender};
+use super::request::{page_path, request};
 use super::response::CallError;
 use super::{EngineTarget, Engines};
 use crate::system::budgeted_stream::AbortFlag;
@@ -60,7 +61,7 @@
     /// The attempt's ledger entry; `None` for a health check.
     ledger_id: Option<AttemptId>,
     /// The open connection, if it has no call in flight.
-    sender: Option<Sender>,
+    connection: Option<EngineConnection>,
     /// Aborts the current connection, or the last one if none is open.
     abort_flag: AbortFlag,
     /// The number of the current connection, or of the last one if none is open.
@@ -75,6 +76,9 @@
     request_may_have_arrived: bool,
     /// Whether the body store failed to return the whole request body. `false` if the client cut the body off.
     stored_body_lost: bool,
+    /// Whether rows arrived on a connection after its last reply: that reply was cut by its length, and its rest came
+    /// later than the reply itself.
+    last_reply_was_cut: bool,
     call_timeout: CallTimeout,
 }
 
@@ -105,7 +109,7 @@
             engines,
             target,
             ledger_id: None,
-            sender: None,
+            connection: None,
             abort_flag: AbortFlag::default(),
             connection_id: ConnectionId::default(),
             send_gate: None,
@@ -113,6 +117,7 @@
             response_deadline: now,
             request_may_have_arrived: false,
             stored_body_lost: false,
+            last_reply_was_cut: false,
             call_timeout: CallTimeout::new(engines.connect_timeout, now),
         }
     }
@@ -189,7 +194,7 @@
     /// Drops the connection if it carried an invalid response.
     fn drop_connection_if_invalid(&mut self, response: Result<(), CallError>) {
         if response == Err(CallError::InvalidResponse) {
-            self.sender = None;
+            self.connection = None;
             self.record(Evidence::ConnectionUnusable(self.connection_id));
         }
     }
--- a/crates/gateway/src/engines/attempt/cancellable_call.rs
+++ b/crates/gateway/src/engines/attempt/cancellable_call.rs
@@ -83,7 +83,7 @@
     /// Aborts the connection of an interrupted call, whose response would otherwise be taken for that of the next call.
     fn abandon_connection(&mut self, start_request: StopOutcome) {
         self.abort_flag.abort();
-        self.sender = None;
+        self.connection = None;
         self.record(Evidence::ConnectionUnusable(self.connection_id));
         if start_request == StopOutcome::Stopped {
             self.record(Evidence::NeverReached);
--- a/crates/gateway/src/engines/attempt/exchange.rs
+++ b/crates/gateway/src/engines/attempt/exchange.rs
@@ -4,8 +4,9 @@
 use super::engine_call::{CallKind, EngineCall, StreamedBody};
 use super::EngineSession;
 use crate::engines::connect::EngineConnection;
-use crate::engines::request::{RequestBody, Sender};
-use crate::engines::response::{receive_reply, CallError, Reply};
+use crate::engines::request::RequestBody;
+use crate::engines::response::{CallError, Reply};
+use crate::engines::result_rows;
 use garnetwall_bodies::ReadError;
 use garnetwall_ledger::Evidence;
 use http::Request;
@@ -65,7 +66,7 @@
             mut request,
             streamed_body,
         } = call;
-        let mut sender = self.ready_connection(kind).await?;
+        let mut connection = self.ready_connection(kind).await?;
         if kind == CallKind::Start {
             self.set_remaining_time(&mut request);
         }
@@ -73,33 +74,45 @@
         let is_streamed = streamed_body.is_some();
         let response = match streamed_body {
             Some(body) => {
-                self.send_streamed(&mut sender, request, body, time_limit)
+                self.send_streamed(&mut connection, request, body, time_limit)
                     .await
             }
             None => {
-                self.send_complete(kind, &mut sender, request, time_limit)
+                self.send_complete(kind, &mut connection, request, time_limit)
                     .await
             }
         };
         // A connection can't carry another request if this one was not sent completely.
         let is_request_complete = !is_streamed || self.request_may_have_arrived;
-        self.sender = (response.is_ok() && is_request_complete).then_some(sender);
+        match response.is_ok() && is_request_complete {
+            true => self.connection = Some(connection),
+            false => self.check_surplus(connection),
+        }
         response
     }
 
+    /// Records whether a connection that carries no further call has received rows behind its last reply.
+    fn check_surplus(&mut self, mut connection: EngineConnection) {
+        if result_rows::begins_with_row(&connection.take_surplus()) {
+            self.last_reply_was_cut = true;
+        }
+    }
+
     /// Returns the open connection, or opens a new one.
-    async fn ready_connection(&mut self, kind: CallKind) -> Result<Sender, CallError> {
-        match self.sender.take() {
-            Some(sender) if !sender.is_closed() => return Ok(sender),
-            Some(_) => self.record(Evidence::ConnectionLost(self.connection_id)),
+    async fn ready_connection(&mut self, kind: CallKind) -> Result<EngineConnection, CallError> {
+        match self.connection.take() {
+            Some(connection) if !connection.is_closed() => return Ok(connection),
+            Some(closed) => {
+                self.check_surplus(closed);
+                self.record(Evidence::ConnectionLost(self.connection_id));
+            }
             None => {}
         }
         self.connection_id = self.connection_id.next();
         let gate = self.send_gate.clone().filter(|_| kind == CallKind::Start);
-        let EngineConnection { sender, abort_flag } =
-            self.engines.connect(self.target.address, gate).await?;
-        self.abort_flag = abort_flag;
-        Ok(sender)
+        let connection = self.engines.connect(self.target.address, gate).await?;
+        self.abort_flag = connection.abort_flag();
+        Ok(connection)
     }
 
     fn notify_send_gate(&self, kind: CallKind) {
@@ -134,14 +147,14 @@
     async fn send_complete(
         &mut self,
         kind: CallKind,
-        sender: &mut Sender,
+        connection: &mut EngineConnection,
         request: Request<RequestBody>,
         time_limit: Duration,
     ) -> Result<Reply, CallError> {
         if kind != CallKind::Other {
             self.record_request_sending();
         }
-        let receiving = receive_reply(sender, request);
+        let receiving = connection.receive_reply(request);
         self.await_response(time_limit, receiving).await
     }
 
@@ -149,12 +162,12 @@
     /// which the query's deadline bounds. The engine may respond before the body has been sent.
     async fn send_streamed(
         &mut self,
-        sender: &mut Sender,
+        connection: &mut EngineConnection,
         request: Request<RequestBody>,
         body: StreamedBody,
         time_limit: Duration,
     ) -> Result<Reply, CallError> {
-        let receiving = receive_reply(sender, request);
+        let receiving = connection.receive_reply(request);
         tokio::pin!(receiving);
         let body_result = tokio::select! {
             biased;
--- a/crates/gateway/src/engines/attempt/pages.rs
+++ b/crates/gateway/src/engines/attempt/pages.rs
@@ -11,9 +11,12 @@
 use garnetwall_ledger::PollSchedule;
 use http::StatusCode;
 
+/// Number of pages of one result that are fetched again because their length had cut them.
+const MAX_CUT_PAGES: usize = result_rows::MAX_PAGES;
+
 impl EngineSession<'_> {
-    /// Fetches all pages after the first. If a page can't be fetched, the result holds the pages fetched so far, and
-    /// its `end` tells the cause.
+    /// Fetches all pages after the first, and again each page of which a call that followed showed that its length had
+    /// cut it. If a page can't be fetched, `end` of the result tells the cause, and its pages are not complete.
     pub(super) async fn fetch_pages(
         &mut self,
         query: &ForwardedQuery,
@@ -21,12 +24,26 @@
         page_count: usize,
     ) -> AttemptResult {
         let mut result = first_page.into_result();
+        result.pages.resize(page_count.max(1), Bytes::new());
         let mut schedule = self.poll_schedule();
-        for page in 1..page_count {
+        let mut last_page = 0;
+        // The pages still to be fetched, the next one last.
+        let mut missing: Vec<usize> = (1..page_count).rev().collect();
+        let mut cut_pages = 0;
+        while let Some(page) = missing.pop() {
             match self.fetch_page(query, page, &mut schedule).await {
-                Ok(bytes) => result.pages.push(bytes),
+                Ok(bytes) => result.pages[page] = bytes,
                 Err(end) => return AttemptResult { end, ..result },
             }
+            if std::mem::take(&mut self.last_reply_was_cut) {
+                missing.push(last_page);
+                cut_pages += 1;
+            }
+            if cut_pages > MAX_CUT_PAGES {
+                let end = AttemptEnd::ConnectionLost;
+                return AttemptResult { end, ..result };
+            }
+            last_page = page;
         }
         result
     }
@@ -67,6 +84,9 @@
 }
 
 fn holds_page(reply: &Reply, page: usize) -> bool {
-    reply.number(response_header::PAGE_NUMBER) == Some(page as f64)
-        && result_rows::is_complete_page(&reply.body)
+    let is_requested = match page {
+        0 => reply.page_count().is_some(),
+        _ => reply.number(response_header::PAGE_NUMBER) == Some(page as f64),
+    };
+    is_requested && reply.holds_whole_page()
 }
--- a/crates/gateway/src/engines/connect.rs
+++ b/crates/gateway/src/engines/connect.rs
@@ -1,22 +1,80 @@
 //! Opens connections to engines within the connection budget and the connect timeout.
 
-use super::request::Sender;
-use super::response::CallError;
-use super::Engines;
+use super::request::{RequestBody, Sender};
+use super::response::{CallError, Reply};
+use super::{result_rows, Engines};
 use crate::supervision::Task;
 use crate::system::budgeted_stream::{AbortFlag, BudgetedStream, MAX_RESPONSE_HEAD_BYTES};
 use crate::system::send_gate::SendGate;
 use crate::system::socket::{ConnectWait, Socket};
+use crate::whole_body::{read_whole, WholeBodyError};
+use bytes::Bytes;
+use http::Request;
 use hyper::client::conn::http1;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// An open connection, with the flag that aborts it.
+/// An open connection.
 pub(super) struct EngineConnection {
-    pub(super) sender: Sender,
-    pub(super) abort_flag: AbortFlag,
+    sender: Sender,
+    abort_flag: AbortFlag,
+    /// Receives the bytes that the engine had sent beyond the last response when the connection ended.
+    surplus: oneshot::Receiver<Bytes>,
+}
+
+impl EngineConnection {
+    /// Returns the flag that aborts this connection.
+    pub(super) fn abort_flag(&self) -> AbortFlag {
+        self.abort_flag.clone()
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and receives the whole response.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] if the request can't be sent or the response can't be received. A body longer than a page may be
+    /// counts as [`CallError::InvalidResponse`].
+    pub(super) async fn receive_reply(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Reply, CallError> {
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let (head, body) = response.into_parts();
+        let body = read_whole(body, result_rows::MAX_PAGE_BYTES)
+            .await
+            .map_err(|error| match error {
+                WholeBodyError::TooLong => CallError::InvalidResponse,
+                WholeBodyError::Incomplete => CallError::ConnectionLost,
+            })?;
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body,
+            surplus: self.take_surplus(),
+        })
+    }
+
+    /// Returns the bytes that have arrived behind the last response. The connection's task reads on once it has passed a
+    /// body to its end, and ends at once if there are such bytes.
+    pub(super) fn take_surplus(&mut self) -> Bytes {
+        self.surplus.try_recv().unwrap_or_default()
+    }
+}
+
+/// Serves a connection until it ends, and returns the bytes that were read and belong to no response.
+async fn run_connection(mut connection: http1::Connection<BudgetedStream, RequestBody>) -> Bytes {
+    // The caller gets errors of the connection through the sender.
+    let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    connection.into_parts().read_buf
 }
 
 impl Engines {
@@ -65,9 +123,15 @@
             .handshake(stream)
             .await
             .map_err(io::Error::other)?;
-        // The caller gets errors of the connection through the sender.
-        let connection = async move { drop(connection.await) };
-        self.supervisor.spawn(Task::EngineConnection, connection);
-        Ok(EngineConnection { sender, abort_flag })
+        let (surplus_sender, surplus) = oneshot::channel();
+        self.supervisor.spawn(Task::EngineConnection, async move {
+            // Nobody receives the surplus of a connection that no call uses any more.
+            let _ = surplus_sender.send(run_connection(connection).await);
+        });
+        Ok(EngineConnection {
+            sender,
+            abort_flag,
+            surplus,
+        })
     }
 }
--- a/crates/gateway/src/engines/response.rs
+++ b/crates/gateway/src/engines/response.rs
@@ -1,15 +1,13 @@
-//! Responses of engines: receiving them, reading the state of an attempt from them, and the errors of calls.
+//! Responses of engines: reading the state of an attempt from them, and the errors of calls.
 
 use super::messages::AttemptResult;
 use super::protocol::{progress_kind, response_header};
-use super::request::{RequestBody, Sender};
 use super::result_rows;
 use crate::system::clock::MILLIS_PER_SECOND;
-use crate::whole_body::{read_whole, WholeBodyError};
 use bytes::Bytes;
 use garnetwall::api::{AttemptEnd, LoadReport, Progress};
 use garnetwall_ledger::CallFailure;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, StatusCode};
 
 /// The reason why a call to an engine failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +58,8 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The bytes that had arrived behind the body when it was complete.
+    pub(super) surplus: Bytes,
 }
 
 impl Reply {
@@ -107,7 +107,14 @@
         }
     }
 
-    fn page_count(&self) -> Option<usize> {
+    /// Whether the body is a whole page. A `Content-Length` that is too short can cut a page at the end of a row; the
+    /// rows that were cut off then stand behind the body. The engine gives the page again when it is asked for.
+    pub(super) fn holds_whole_page(&self) -> bool {
+        result_rows::is_complete_page(&self.body) && !result_rows::begins_with_row(&self.surplus)
+    }
+
+    /// The number of pages of the result; `None` if the response carries no valid one.
+    pub(super) fn page_count(&self) -> Option<usize> {
         let count = self.number(response_header::PAGE_COUNT)?;
         let is_valid = count.fract() == 0.0 && count <= result_rows::MAX_PAGES as f64;
         is_valid.then_some(count as usize)
@@ -141,7 +148,7 @@
 /// Reads the state of an attempt from the status, the headers and the body of a response.
 pub(super) fn attempt_status(reply: &Reply) -> AttemptStatus {
     match (reply.status, reply.never_ran(), reply.page_count()) {
-        (StatusCode::OK, _, Some(page_count)) if result_rows::is_complete_page(&reply.body) => {
+        (StatusCode::OK, _, Some(page_count)) if reply.holds_whole_page() => {
             AttemptStatus::Succeeded { page_count }
         }
         (StatusCode::ACCEPTED, _, _) => AttemptStatus::Running(reply.progress()),
@@ -151,29 +158,3 @@
         _ => AttemptStatus::Invalid,
     }
 }
-
-/// Sends a request over a connection and receives the whole response.
-///
-/// # Errors
-///
-/// [`CallError`] if the request can't be sent or the response can't be received. A body longer than a page may be
-/// counts as [`CallError::InvalidResponse`].
-pub(super) async fn receive_reply(
-    sender: &mut Sender,
-    request: Request<RequestBody>,
-) -> Result<Reply, CallError> {
-    sender.ready().await?;
-    let response = sender.send_request(request).await?;
-    let (head, body) = response.into_parts();
-    let body = read_whole(body, result_rows::MAX_PAGE_BYTES)
-        .await
-        .map_err(|error| match error {
-            WholeBodyError::TooLong => CallError::InvalidResponse,
-            WholeBodyError::Incomplete => CallError::ConnectionLost,
-        })?;
-    Ok(Reply {
-        status: head.status,
-        headers: head.headers,
-        body,
-    })
-}
--- a/crates/gateway/src/engines/result_rows.rs
+++ b/crates/gateway/src/engines/result_rows.rs
@@ -8,6 +8,9 @@
 const COLUMN_SEPARATOR: char = '\t';
 const ROW_END: char = '\n';
 
+/// Longest encoding of a character in UTF-8, in bytes.
+const MAX_CHARACTER_BYTES: usize = 4;
+
 /// Protocol: the maximum length of a page, in bytes.
 pub const MAX_PAGE_BYTES: usize = 6_000;
 /// Protocol: the maximum length of a result, in bytes.
@@ -88,6 +91,26 @@
             .all(|row| row.split(COLUMN_SEPARATOR).count() == COLUMN_COUNT)
 }
 
+/// Whether bytes begin with a row, or with a part of a row that has a column separator.
+pub fn begins_with_row(bytes: &[u8]) -> bool {
+    let row_length = bytes.iter().position(|byte| *byte == ROW_END as u8);
+    let (row, is_whole) = match row_length {
+        Some(length) => (&bytes[..length], true),
+        None => (bytes, false),
+    };
+    let Some(text) = row.utf8_chunks().next().map(|chunk| chunk.valid()) else {
+        return false;
+    };
+    let columns = text.split(COLUMN_SEPARATOR).count();
+    match is_whole {
+        true => columns == COLUMN_COUNT && text.len() == row.len(),
+        // The last character may have arrived in part.
+        false => {
+            (2..=COLUMN_COUNT).contains(&columns) && row.len() - text.len() < MAX_CHARACTER_BYTES
+        }
+    }
+}
+
 /// Estimates the document's length in bytes. Quotes and brackets take about a quarter of the length of the rows.
 fn json_capacity(bytes: usize) -> usize {
     bytes + bytes / 4 + 64
--- a/crates/gateway/src/engines/result_rows/tests.rs
+++ b/crates/gateway/src/engines/result_rows/tests.rs
@@ -36,3 +36,22 @@
     assert!(to_json(&[Bytes::from_static(&[0xff, b'\t', b'\t', b'\n'])]).is_err());
     assert!(to_json(&[Bytes::from(vec![b'a'; MAX_RESULT_BYTES + 1])]).is_err());
 }
+
+#[test]
+fn rows_behind_a_page_are_told_from_other_bytes() {
+    for rows in ["a\tb\tc\n", "\t\t\nx", "a\tb", "a\tb\tc", "é\t漢\t"] {
+        assert!(begins_with_row(rows.as_bytes()), "{rows:?}");
+    }
+    assert!(begins_with_row(b"a\tb\t\xe6\xbc"));
+    for other in [
+        "",
+        "a",
+        "noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nResult-Pages: 1\r\n\r\na\tb\tc\n",
+        "a\tb\n",
+        "a\tb\tc\td",
+    ] {
+        assert!(!begins_with_row(other.as_bytes()), "{other:?}");
+    }
+    assert!(!begins_with_row(b"\xff\xfe\t\xff\xff\xff"));
+}
