Reject requests with bytes behind their declared length

Cause: the declared bytes were admitted, and the rest, which had arrived with them, lay in the parser's own buffer, out of sight. Change: the parser gets a head and its body and nothing behind them while the request is open. Bytes behind it that begin no request are answered with 400 and a close: before admission, and as long as the query is open. Cancellations and streamed bodies too. Why it holds: a client has one call at a time on a connection; one that pipelines sends a request line, which is told apart.

--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -4,6 +4,7 @@
 
 use super::request_head::{SubmittedQuery, TimedQuery};
 use super::responses::answer_response;
+use super::submission::check_length;
 use super::submission_error::SubmissionError;
 use super::ServerState;
 use crate::engines::ForwardedQuery;
@@ -76,6 +77,7 @@
         None => None,
     };
     check_client_connected(stream, query.head.query_key)?;
+    check_length(stream)?;
     let send_time = state.earliest_send_time(query.head.ordering_key, arrival.earliest);
     let TimedQuery {
         arriving,
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -1,8 +1,10 @@
 //! Connection stage: reads a client's byte stream ahead of the HTTP parser.
 //!
 //! The read-ahead detects that the client has closed the connection even if unparsed bytes precede the close. It also
-//! shows whether unparsed bytes have arrived before the gateway closes the connection.
+//! shows whether unparsed bytes have arrived before the gateway closes the connection, and whether bytes stand behind an
+//! open request.
 
+mod request_framing;
 mod response_progress;
 
 pub(super) use response_progress::ResponseProgress;
@@ -12,6 +14,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use request_framing::{is_surplus, RequestFraming};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::Pin;
@@ -62,6 +65,7 @@
     /// Number of the connection in the log; 0 until it is registered.
     connection: u64,
     response_progress: ResponseProgress,
+    framing: RequestFraming,
     /// Whether the parser was polled since the last bytes were read ahead, so that it could have taken them.
     is_offered: bool,
     /// Wakes the task that serves the connection. `None` before it has waited for the client.
@@ -90,6 +94,7 @@
             awaits_request: true,
             connection: 0,
             response_progress: ResponseProgress::NoRequest,
+            framing: RequestFraming::START,
             is_offered: true,
             task: None,
             close_check: None,
@@ -132,9 +137,30 @@
         self.state().connection
     }
 
-    /// Records that a request was passed to its handler.
-    pub fn request_started(&self) {
-        self.state().response_progress = ResponseProgress::Due;
+    /// Records that a request was passed to its handler. Its body has `body_bytes` bytes; `None` if it declares no
+    /// length.
+    pub fn request_started(&self, body_bytes: Option<u64>) {
+        let mut state = self.state();
+        state.response_progress = ResponseProgress::Due;
+        state.framing.record_request(body_bytes);
+    }
+
+    /// Whether bytes have arrived behind the open request that begin no further one: its length is too short. Reads from
+    /// the socket first. Always false until the request has been read to its end.
+    pub fn has_surplus(&self) -> bool {
+        let mut state = self.state();
+        state.read_available();
+        state.has_surplus()
+    }
+
+    /// Completes once [`has_surplus`](Self::has_surplus). Must be polled by the task that serves the connection: it reads
+    /// ahead while a request is open, and is woken by what arrives.
+    pub async fn surplus(&self) {
+        poll_fn(|_| match self.state().has_surplus() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        })
+        .await
     }
 
     /// Returns the progress of the response to the last request.
@@ -154,7 +180,9 @@
 
     /// Records that the response to the open request is ready: the next request is awaited.
     pub fn response_ready(&self) {
-        self.state().awaits_request = true;
+        let mut state = self.state();
+        state.awaits_request = true;
+        state.framing.record_response();
     }
 
     /// Whether bytes of an awaited request have arrived that the parser was not polled for. Reads from the socket first,
@@ -219,11 +247,15 @@
         let later = std::mem::take(&mut state.read_ahead);
         state.read_ahead.extend_from_slice(bytes);
         state.read_ahead.extend_from_slice(&later);
+        state.framing = RequestFraming::START;
     }
 
-    /// Shuts down the gateway's write side of the connection; bytes already written are still sent.
+    /// Shuts down the gateway's write side of the connection; bytes already written are still sent. No further request
+    /// is told from what the client still sends.
     pub fn shut_down_write(&self) {
-        self.state().io.inner().shut_down_write();
+        let mut state = self.state();
+        state.framing = RequestFraming::Unframed;
+        state.io.inner().shut_down_write();
     }
 
     /// Reads and discards the bytes that have arrived, up to about 8 MiB. The kernel resets a connection that is closed
@@ -271,6 +303,10 @@
         }
     }
 
+    fn has_surplus(&self) -> bool {
+        self.framing.is_request_complete() && is_surplus(&self.read_ahead)
+    }
+
     fn is_read_ahead_full(&self) -> bool {
         self.read_ahead.len() >= READ_AHEAD_BYTES
     }
@@ -302,6 +338,25 @@
         Poll::Ready(())
     }
 
+    /// Gives the parser the bytes of the read-ahead buffer that belong to the part of the request that it reads. Pending
+    /// while the buffer has only bytes behind the open request: the parser is polled again once its response is ready.
+    fn read_parsable(&mut self, buffer: &mut ReadBufCursor) -> Poll<io::Result<()>> {
+        let count = self.read_ahead.len().min(buffer.remaining());
+        let readable = self.framing.readable(&self.read_ahead[..count]);
+        if readable == 0 {
+            return Poll::Pending;
+        }
+        let bytes = &self.read_ahead[..readable];
+        self.framing.record_read(bytes);
+        buffer.put_slice(bytes);
+        self.read_ahead.advance(readable);
+        if self.read_ahead.is_empty() {
+            // An idle connection holds no buffer.
+            self.read_ahead = BytesMut::new();
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn poll_closed_by_client(&mut self, cx: &mut Context) -> Poll<()> {
         loop {
             if self.is_closed_by_client() {
@@ -340,20 +395,16 @@
     ) -> Poll<io::Result<()>> {
         let mut state = self.0.state();
         state.is_offered = true;
+        ready!(state.poll_received(cx));
+        state.is_offered = true;
+        state.parser_needs_wake = false;
         if !state.read_ahead.is_empty() {
-            let count = state.read_ahead.len().min(buffer.remaining());
-            buffer.put_slice(&state.read_ahead[..count]);
-            state.read_ahead.advance(count);
-            return Poll::Ready(Ok(()));
+            return state.read_parsable(&mut buffer);
         }
         match state.end {
-            Some(StreamEnd::Closed) => return Poll::Ready(Ok(())),
-            Some(StreamEnd::Failed(kind)) => return Poll::Ready(Err(kind.into())),
-            None => {}
+            Some(StreamEnd::Failed(kind)) => Poll::Ready(Err(kind.into())),
+            Some(StreamEnd::Closed) | None => Poll::Ready(Ok(())),
         }
-        let result = ready!(Pin::new(&mut state.io).poll_read(cx, buffer));
-        state.last_read_at = Instant::now();
-        Poll::Ready(result)
     }
 }
 
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -10,7 +10,7 @@
 use axum::http::HeaderValue;
 use axum::response::Response;
 use axum::Router;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Uri};
 use hyper_util::rt::TokioTimer;
@@ -309,13 +309,14 @@
         request.extensions_mut().insert(self.stream.clone());
         request.extensions_mut().insert(self.client);
         let logged = LoggedRequest::of(&request);
+        let body_bytes = request.body().size_hint().exact();
         let mut router = self.router.clone();
         let response = async move { router.call(request).await };
         let connection = self.connection.clone();
         let stream = self.stream.clone();
         let supervisor = self.supervisor.clone();
         connection.request_started();
-        stream.request_started();
+        stream.request_started(body_bytes);
         Box::pin(async move {
             let response = match supervisor.watch(logged.task(), response).await {
                 Ok(Ok(response)) => response,
--- a/crates/gateway/src/http/streamed_body.rs
+++ b/crates/gateway/src/http/streamed_body.rs
@@ -6,9 +6,11 @@
 use super::admission::{admit, AdmittedQuery, Arrival};
 use super::request_head::{RequestError, RequestHead, Submission, SubmittedQuery};
 use super::responses::{answer_response, close_after};
+use super::submission::{check_length, response_unless_surplus};
 use super::submission_error::SubmissionError;
 use super::{ServerState, REQUEST_READ_TIMEOUT};
 use crate::engines::Statement;
+use crate::http::client_stream::StreamHandle;
 use crate::http::statement::data_set;
 use crate::scheduling::scheduler::Waiter;
 use axum::body::Body;
@@ -48,7 +50,7 @@
     let retention = retention(state, head.class);
     let stored = store.admit(head.tenant, head.class, length, retention)?;
     let _abort_guard = AbortOnDrop(stored.clone());
-    let prefix = receive_prefix(&mut body, &stored).await?;
+    let prefix = receive_prefix(&mut body, &stored, &submission.stream).await?;
     if prefix.is_empty() {
         return Err(RequestError::EmptyStatement.into());
     }
@@ -66,10 +68,11 @@
     let memory = state.reserve_statement_bytes(0)?;
     let query_key = query.head.query_key;
     submission.stream.request_received();
-    match admit(state, query, arrival, memory, &submission.stream).await? {
+    let stream = &submission.stream;
+    match admit(state, query, arrival, memory, stream).await? {
         AdmittedQuery::Answered(answer) => Ok(close_after(answer_response(answer))),
         AdmittedQuery::Open(waiter) => {
-            answer_while_receiving(state, waiter, query_key, &mut body, &stored).await
+            answer_while_receiving(state, waiter, query_key, &mut body, &stored, stream).await
         }
     }
 }
@@ -92,19 +95,21 @@
     query_key: u64,
     body: &mut Body,
     stored: &StoredBody,
+    stream: &StreamHandle,
 ) -> Result<Response, SubmissionError> {
     let answer = waiter.answer();
     tokio::pin!(answer);
     let received = tokio::select! {
         biased;
         answer = &mut answer => return Ok(close_after(answer_response(answer))),
-        received = receive_remaining(body, stored) => received,
+        received = receive_remaining(body, stored, stream) => received,
     };
     if let Err(error) = received {
         state.scheduler.cancel(query_key);
         return Err(error);
     }
-    Ok(answer_response(answer.await))
+    let response = async { answer_response(answer.await) };
+    response_unless_surplus(stream, response).await
 }
 
 /// Marks a stored body as truncated when its request handler ends or is dropped. A complete body stays complete.
@@ -117,7 +122,11 @@
 }
 
 /// Receives and stores at least the first [`PREFIX_BYTES`] of a body, or all of a shorter one.
-async fn receive_prefix(body: &mut Body, stored: &StoredBody) -> Result<Vec<u8>, SubmissionError> {
+async fn receive_prefix(
+    body: &mut Body,
+    stored: &StoredBody,
+    stream: &StreamHandle,
+) -> Result<Vec<u8>, SubmissionError> {
     let mut prefix = Vec::new();
     while prefix.len() < PREFIX_BYTES {
         let chunk = timeout(REQUEST_READ_TIMEOUT, next_chunk(body))
@@ -126,6 +135,8 @@
         let Some(bytes) = chunk else {
             break;
         };
+        // With the last bytes the statement could be run.
+        check_length(stream)?;
         prefix.extend_from_slice(&bytes);
         stored
             .push(bytes)
@@ -137,8 +148,13 @@
 
 /// Receives and stores the rest of a body. No time-out is needed here: the caller stops when the query ends, at its
 /// deadline at the latest.
-async fn receive_remaining(body: &mut Body, stored: &StoredBody) -> Result<(), SubmissionError> {
+async fn receive_remaining(
+    body: &mut Body,
+    stored: &StoredBody,
+    stream: &StreamHandle,
+) -> Result<(), SubmissionError> {
     while let Some(bytes) = next_chunk(body).await? {
+        check_length(stream)?;
         stored
             .push(bytes)
             .await
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -19,6 +19,7 @@
 use axum::Extension;
 use bytes::Bytes;
 use hyper::body::Body as _;
+use std::future::Future;
 use std::sync::Arc;
 use tokio::time::timeout;
 
@@ -62,6 +63,7 @@
     let length = statement_length(&submission.headers, &body)?;
     let memory = state.reserve_statement_bytes(length)?;
     let statement = read_statement(body, length).await?;
+    check_length(&submission.stream)?;
     submission.stream.request_received();
     let arrival = Arrival::of(state, &submission.stream);
     let head = RequestHead::parse(&state.platform, &submission, Some(&statement))
@@ -74,7 +76,28 @@
         statement: Statement::Complete(statement),
     };
     let admitted = admit(state, query, arrival, memory, &submission.stream).await?;
-    Ok(admitted.response().await)
+    response_unless_surplus(&submission.stream, admitted.response()).await
+}
+
+/// Fails if the request is longer than its declared length, so that no part of a statement is run in place of the whole.
+pub(super) fn check_length(stream: &StreamHandle) -> Result<(), SubmissionError> {
+    match stream.has_surplus() {
+        true => Err(SubmissionError::BodyLongerThanDeclared),
+        false => Ok(()),
+    }
+}
+
+/// Waits for the response to an admitted query. If it turns out before that the request is longer than its declared
+/// length, the request no longer waits for the query, as if its client had left.
+pub(super) async fn response_unless_surplus(
+    stream: &StreamHandle,
+    response: impl Future<Output = Response>,
+) -> Result<Response, SubmissionError> {
+    tokio::select! {
+        biased;
+        () = stream.surplus() => Err(SubmissionError::BodyLongerThanDeclared),
+        response = response => Ok(response),
+    }
 }
 
 /// Returns the length of a statement in bytes, from `Content-Length`. Rejects a request with `Transfer-Encoding`: if
@@ -104,17 +127,32 @@
     State(state): State<Arc<ServerState>>,
     Extension(stream): Extension<StreamHandle>,
     headers: HeaderMap,
+    body: Body,
 ) -> Response {
-    let query_key = match query_key(&headers) {
-        Ok(query_key) => query_key,
-        Err(error) => return error_response(StatusCode::BAD_REQUEST, &error.to_string()),
-    };
+    cancel_query(&state, &stream, &headers, body)
+        .await
+        .unwrap_or_else(SubmissionError::into_response)
+}
+
+async fn cancel_query(
+    state: &ServerState,
+    stream: &StreamHandle,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Response, SubmissionError> {
+    let query_key = query_key(headers)?;
+    let length = statement_length(headers, &body)?;
+    let memory = state.reserve_statement_bytes(length)?;
+    read_statement(body, length).await?;
+    drop(memory);
+    check_length(stream)?;
     stream.request_received();
     let _turn = state.arrival_order.turn(stream.arrived_at()).await;
-    match state.scheduler.cancel(query_key) {
+    check_length(stream)?;
+    Ok(match state.scheduler.cancel(query_key) {
         CancelOutcome::Cancelled => StatusCode::NO_CONTENT.into_response(),
         CancelOutcome::NotOpen => {
             error_response(StatusCode::NOT_FOUND, "no batch of this id is in hand")
         }
-    }
+    })
 }
--- a/crates/gateway/src/http/submission_error.rs
+++ b/crates/gateway/src/http/submission_error.rs
@@ -38,6 +38,9 @@
     /// The connection ended before the body was complete.
     #[error("statement cut off")]
     BodyTruncated,
+    /// Bytes that begin no request stand behind the body, so that the body is only a part of what the client meant.
+    #[error("more bytes than the Content-Length says")]
+    BodyLongerThanDeclared,
     /// The statement, or the next chunk of a streamed body, did not arrive in time.
     #[error("statement came too slowly")]
     BodyReadTimeout,
@@ -99,6 +102,7 @@
         match self {
             SubmissionError::InvalidHead(_)
             | SubmissionError::BodyTruncated
+            | SubmissionError::BodyLongerThanDeclared
             | SubmissionError::BodyNotStored
             | SubmissionError::ClientClosed => StatusCode::BAD_REQUEST,
             SubmissionError::BodyReadTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -133,6 +137,7 @@
             | SubmissionError::StatementMemoryFull
             | SubmissionError::BodyStoreFull
             | SubmissionError::BodyTruncated
+            | SubmissionError::BodyLongerThanDeclared
             | SubmissionError::BodyReadTimeout
             | SubmissionError::BodyNotStored
             | SubmissionError::ClientClosed => true,
