Look up a request's id before its statement is searched, and search in slices

Cause: each whole statement was searched for its data set before its id was looked up, in one go in the one thread, 40 ms for 262 kB. Change: a request under a known id is not searched; where the key is forgotten meanwhile, the scheduler asks for the data set. A search gives the thread back after each 16 kB. The fingerprint is made only for keys that need it.

--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -7,8 +7,9 @@
 use super::submission::check_length;
 use super::submission_error::SubmissionError;
 use super::ServerState;
-use crate::engines::ForwardedQuery;
+use crate::engines::{ForwardedQuery, Statement};
 use crate::http::client_stream::StreamHandle;
+use crate::http::statement::{find_data_set, NO_DATA_SET};
 use crate::scheduling::query_task::QueryTask;
 use crate::scheduling::scheduler::{Admission, OpenedQuery, QueryAnswer, Waiter};
 use axum::response::Response;
@@ -80,10 +81,18 @@
     check_length(stream)?;
     let send_time = state.earliest_send_time(query.head.ordering_key, arrival.earliest);
     let TimedQuery {
-        arriving,
+        mut arriving,
         forwarded_query,
     } = query.with_send_time(send_time);
-    match state.scheduler.admit(arriving, forwarded_query.clone()) {
+    let mut admission = state.scheduler.admit(arriving, forwarded_query.clone());
+    if let (Admission::DataSetRequired, Statement::Complete(statement)) =
+        (&admission, &forwarded_query.statement)
+    {
+        // The key was known when the request arrived, and has been forgotten since.
+        arriving.data_set = find_data_set(statement).await.or(Some(NO_DATA_SET));
+        admission = state.scheduler.admit(arriving, forwarded_query.clone());
+    }
+    match admission {
         Admission::New(opened) => {
             let waiter = spawn_query_task(state, opened, forwarded_query, statement_memory);
             Ok(AdmittedQuery::Open(waiter))
@@ -92,6 +101,8 @@
         Admission::Answered(answer) => Ok(AdmittedQuery::Answered(answer)),
         Admission::Conflict => Err(SubmissionError::QueryKeyConflict),
         Admission::AnswerNotCached => Err(SubmissionError::AnswerNotCached),
+        // Not reached with a data set, which a query has here.
+        Admission::DataSetRequired => Err(SubmissionError::AnswerNotCached),
         Admission::MayHaveRun => Err(SubmissionError::MayHaveRun),
         Admission::DeniedByPlan(denial) => {
             Err(SubmissionError::denied_by_plan(denial, &state.platform))
--- a/crates/gateway/src/http/request_head.rs
+++ b/crates/gateway/src/http/request_head.rs
@@ -76,8 +76,8 @@
     pub statement: Statement,
     /// Length of the statement in bytes. If the client declares none, the number of bytes that have arrived.
     pub statement_bytes: u64,
-    /// Number of the data set that the statement reads or writes; 0 if it names none.
-    pub data_set: u32,
+    /// Number of the data set that the statement reads or writes; `None` if the statement was not searched for it.
+    pub data_set: Option<u32>,
 }
 
 /// Query with its deadline, ready for admission: the fields that the scheduler uses, and the query as sent to the
--- a/crates/gateway/src/http/statement.rs
+++ b/crates/gateway/src/http/statement.rs
@@ -5,8 +5,11 @@
 
 mod tokens;
 
-use std::iter::Peekable;
 use tokens::{is_one_of, Name, Token, Tokens};
+use tokio::task::yield_now;
+
+/// Number of the data set of a statement that names none.
+pub const NO_DATA_SET: u32 = 0;
 
 /// Schema that belongs to no data set.
 const STAGING_SCHEMA: &str = "staging";
@@ -36,25 +39,66 @@
 /// Deepest nesting of parentheses in which table names are told from other names.
 const MAX_SCOPES: usize = 256;
 
+/// Number of bytes of a statement that are searched at a time. Other requests are served between.
+const SEARCH_SLICE_BYTES: usize = 16 << 10;
+
 /// Returns the number of the data set that a statement reads or writes. It comes from the first table name whose schema
 /// has a number, else from the first other qualified name whose schema has one. Returns `None` if no schema has a
 /// number.
-pub fn data_set(statement: &[u8]) -> Option<u32> {
-    let mut tokens = Tokens::new(statement).peekable();
-    let mut tables = TableFinder::new();
-    let mut first_named = None;
-    while let Some(token) = tokens.next() {
-        let is_table = tables.is_table(&token, &mut tokens);
-        let Token::Name(name) = token else {
-            continue;
-        };
-        let number = schema_number(&name);
-        if is_table && number.is_some() {
-            return number;
+pub async fn find_data_set(statement: &[u8]) -> Option<u32> {
+    let mut search = DataSetSearch::new(statement);
+    loop {
+        match search.run(SEARCH_SLICE_BYTES) {
+            SearchState::Finished(data_set) => return data_set,
+            SearchState::Unfinished => yield_now().await,
+        }
+    }
+}
+
+/// State of the search for a data set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SearchState {
+    /// A part of the statement is still to be read.
+    Unfinished,
+    /// Holds the number of the data set; `None` if the statement names none.
+    Finished(Option<u32>),
+}
+
+/// Search for the data set of a statement, which can be interrupted between two tokens.
+struct DataSetSearch<'a> {
+    tokens: Tokens<'a>,
+    tables: TableFinder,
+    /// Number in the schema of the first qualified name that has one.
+    first_named: Option<u32>,
+}
+
+impl<'a> DataSetSearch<'a> {
+    fn new(statement: &'a [u8]) -> Self {
+        DataSetSearch {
+            tokens: Tokens::new(statement),
+            tables: TableFinder::new(),
+            first_named: None,
+        }
+    }
+
+    /// Reads on until the search is finished, or until at least `slice_bytes` bytes are read.
+    fn run(&mut self, slice_bytes: usize) -> SearchState {
+        let slice_end = self.tokens.remaining_bytes().saturating_sub(slice_bytes);
+        while let Some(token) = self.tokens.next() {
+            let is_table = self.tables.is_table(&token, self.tokens);
+            if let Token::Name(name) = token {
+                let number = schema_number(&name);
+                if is_table && number.is_some() {
+                    return SearchState::Finished(number);
+                }
+                self.first_named = self.first_named.or(number);
+            }
+            if slice_end > 0 && self.tokens.remaining_bytes() <= slice_end {
+                return SearchState::Unfinished;
+            }
         }
-        first_named = first_named.or(number);
+        SearchState::Finished(self.first_named)
     }
-    first_named
 }
 
 /// Returns the number in the schema of a qualified name.
@@ -107,7 +151,7 @@
 
     /// Whether the next token of the statement is a qualified name in the position of a table; `following` are the
     /// tokens after it.
-    fn is_table(&mut self, token: &Token, following: &mut Peekable<Tokens>) -> bool {
+    fn is_table(&mut self, token: &Token, following: Tokens) -> bool {
         match token {
             Token::Punctuation('(') => self.open_scope(following),
             Token::Punctuation(')') => self.close_scope(),
@@ -129,14 +173,14 @@
             .expect("the scope of the whole statement is never closed")
     }
 
-    fn open_scope(&mut self, following: &mut Peekable<Tokens>) {
+    fn open_scope(&mut self, mut following: Tokens) {
         if self.scopes.len() >= MAX_SCOPES {
             self.untracked_parentheses += 1;
             return;
         }
-        let next = following.peek();
+        let next = following.next();
         let is_query = next.is_some_and(|token| token.starts_with_keyword(&["select", "with"]));
-        let is_nested = next == Some(&Token::Punctuation('('));
+        let is_nested = next == Some(Token::Punctuation('('));
         let scope = self.scope();
         let expects_table = std::mem::take(&mut scope.expects_table);
         let is_table_list = expects_table && !is_query;
--- a/crates/gateway/src/http/statement/tests.rs
+++ b/crates/gateway/src/http/statement/tests.rs
@@ -1,4 +1,20 @@
-use super::data_set;
+use super::{find_data_set, DataSetSearch, SearchState};
+
+/// Searches a statement in slices of these many bytes, and returns the data set and the number of slices.
+fn search_in_slices(statement: &[u8], slice_bytes: usize) -> (Option<u32>, usize) {
+    let mut search = DataSetSearch::new(statement);
+    let mut slices = 1;
+    loop {
+        match search.run(slice_bytes) {
+            SearchState::Finished(data_set) => return (data_set, slices),
+            SearchState::Unfinished => slices += 1,
+        }
+    }
+}
+
+fn data_set(statement: &[u8]) -> Option<u32> {
+    search_in_slices(statement, usize::MAX).0
+}
 
 #[test]
 fn data_set_is_the_schema_number_of_the_table_read_or_written() {
@@ -53,6 +69,8 @@
     ];
     for (statement, expected) in cases {
         assert_eq!(data_set(statement.as_bytes()), expected, "{statement}");
+        let (found, _) = search_in_slices(statement.as_bytes(), 1);
+        assert_eq!(found, expected, "{statement}, token by token");
     }
 }
 
@@ -82,3 +100,12 @@
         data_set(bytes);
     }
 }
+
+#[tokio::test]
+async fn long_statement_is_searched_in_slices() {
+    let names = "a,".repeat(100_000);
+    let statement = format!("SELECT {names} 1 FROM s_5.t");
+    let (found, slices) = search_in_slices(statement.as_bytes(), 10_000);
+    assert_eq!((found, slices), (Some(5), 21));
+    assert_eq!(find_data_set(statement.as_bytes()).await, Some(5));
+}
--- a/crates/gateway/src/http/statement/tokens.rs
+++ b/crates/gateway/src/http/statement/tokens.rs
@@ -43,6 +43,7 @@
 
 /// The tokens of a statement. Reading never fails: an unclosed string or comment extends to the end of the statement, and
 /// bytes that are not UTF-8 count as punctuation.
+#[derive(Clone, Copy)]
 pub(super) struct Tokens<'a> {
     remaining: &'a [u8],
 }
@@ -53,6 +54,11 @@
             remaining: statement,
         }
     }
+
+    /// Number of bytes that are not read yet.
+    pub fn remaining_bytes(&self) -> usize {
+        self.remaining.len()
+    }
 }
 
 impl<'a> Iterator for Tokens<'a> {
--- a/crates/gateway/src/http/streamed_body.rs
+++ b/crates/gateway/src/http/streamed_body.rs
@@ -11,7 +11,7 @@
 use super::{ServerState, REQUEST_READ_TIMEOUT};
 use crate::engines::Statement;
 use crate::http::client_stream::StreamHandle;
-use crate::http::statement::data_set;
+use crate::http::statement::{find_data_set, NO_DATA_SET};
 use crate::scheduling::scheduler::Waiter;
 use axum::body::Body;
 use axum::response::{IntoResponse, Response};
@@ -55,14 +55,14 @@
         return Err(RequestError::EmptyStatement.into());
     }
     let statement_bytes = length.unwrap_or(prefix.len() as u64);
-    let data_set = data_set(&prefix).unwrap_or(0);
+    let data_set = find_data_set(&prefix).await.unwrap_or(NO_DATA_SET);
     drop(prefix);
     let query = SubmittedQuery {
         head,
         client: submission.client,
         statement: Statement::Streamed(stored.clone()),
         statement_bytes,
-        data_set,
+        data_set: Some(data_set),
     };
     // The body store has its own memory budget, so nothing is reserved for the statement here.
     let memory = state.reserve_statement_bytes(0)?;
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -8,7 +8,7 @@
 use super::{ClientAddress, ServerState, REQUEST_READ_TIMEOUT};
 use crate::engines::Statement;
 use crate::http::client_stream::StreamHandle;
-use crate::http::statement::data_set;
+use crate::http::statement::{find_data_set, NO_DATA_SET};
 use crate::scheduling::scheduler::CancelOutcome;
 use crate::whole_body::read_whole;
 use axum::body::Body;
@@ -68,11 +68,16 @@
     let arrival = Arrival::of(state, &submission.stream);
     let head = RequestHead::parse(&state.platform, &submission, Some(&statement))
         .inspect_err(|error| tracing::debug!(%error, "request rejected as invalid"))?;
+    let data_set = match state.scheduler.is_known(head.query_key) {
+        // Such a request usually opens no query.
+        true => None,
+        false => Some(find_data_set(&statement).await.unwrap_or(NO_DATA_SET)),
+    };
     let query = SubmittedQuery {
         head,
         client: submission.client,
         statement_bytes: statement.len() as u64,
-        data_set: data_set(&statement).unwrap_or(0),
+        data_set,
         statement: Statement::Complete(statement),
     };
     let admitted = admit(state, query, arrival, memory, &submission.stream).await?;
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -122,7 +122,7 @@
             deadline: self.scheduler.clock().now() + LONGEST_DEADLINE_SECONDS,
             estimated_work: None,
             estimated_memory: None,
-            data_set: 0,
+            data_set: Some(0),
             client: [127, 0, 0, 1].into(),
             statement_bytes: 8,
         };
--- a/crates/gateway/src/scheduling/scheduler/admission.rs
+++ b/crates/gateway/src/scheduling/scheduler/admission.rs
@@ -33,6 +33,7 @@
     arriving: ArrivingQuery,
     forwarded_query: Arc<ForwardedQuery>,
     fingerprint: Option<Fingerprint>,
+    data_set: u32,
 }
 
 /// The terms on which a new query is admitted, set by its class and by the plan.
@@ -46,6 +47,12 @@
 }
 
 impl Scheduler {
+    /// Whether the key belongs to a query that is open, or that has finished and is remembered. Requests that open no
+    /// query need no work on their statement.
+    pub fn is_known(&self, query_key: u64) -> bool {
+        self.state().query_index.state(query_key).is_some()
+    }
+
     /// Opens an arriving query if its key is unknown and the plan admits it. Otherwise joins the open query of the same
     /// request, returns the cached answer, or tells why the query is not run.
     pub fn admit(
@@ -54,7 +61,6 @@
         forwarded_query: Arc<ForwardedQuery>,
     ) -> Admission {
         let query_key = arriving.query_key;
-        let fingerprint = self.fingerprint(&arriving, &forwarded_query);
         self.handle_event(|state, now| {
             state.discard_expired(now);
             match state.query_index.state(query_key) {
@@ -62,14 +68,19 @@
                     self.join(state, now, id, &arriving, &forwarded_query)
                 }
                 Some(QueryKeyState::Finished) => {
+                    let fingerprint = self.fingerprint(&arriving, &forwarded_query);
                     state.repeat_of_finished(now, query_key, fingerprint)
                 }
                 Some(QueryKeyState::Recovered) => Admission::MayHaveRun,
                 None => {
+                    let Some(data_set) = arriving.data_set else {
+                        return Admission::DataSetRequired;
+                    };
                     let new = NewQuery {
+                        fingerprint: self.fingerprint(&arriving, &forwarded_query),
                         arriving,
                         forwarded_query,
-                        fingerprint,
+                        data_set,
                     };
                     self.admit_new(state, now, new)
                 }
@@ -134,7 +145,7 @@
         now: f64,
         new: NewQuery,
     ) -> Admission {
-        let plan_admission = match state.admit_by_plan(now, &new.arriving) {
+        let plan_admission = match state.admit_by_plan(now, &new.arriving, new.data_set) {
             Ok(plan_admission) => plan_admission,
             Err(denial) => return Admission::DeniedByPlan(denial),
         };
@@ -155,7 +166,7 @@
     ) -> Admission {
         let query_key = new.arriving.query_key;
         let id = state.next_id();
-        let query = self.controller_query(now, id, &new.arriving, &terms);
+        let query = self.controller_query(now, id, &new, &terms);
         let journal_entry = terms
             .is_non_idempotent
             .then(|| journal_entry(&new.arriving, terms.deadline));
@@ -188,9 +199,10 @@
         &self,
         now: f64,
         id: QueryId,
-        arriving: &ArrivingQuery,
+        new: &NewQuery,
         terms: &AdmissionTerms,
     ) -> Query {
+        let arriving = &new.arriving;
         let deadline = match *self.answers_due.borrow() {
             Some(answers_due) => terms.deadline.min(answers_due),
             None => terms.deadline,
@@ -204,7 +216,7 @@
             remaining_time: deadline - now,
             estimated_work: arriving.estimated_work,
             estimated_memory: arriving.estimated_memory,
-            data_set: arriving.data_set,
+            data_set: new.data_set,
             endpoint_subset: plan_admission.and_then(|admission| admission.endpoint_subset),
         }
     }
@@ -263,6 +275,7 @@
         &mut self,
         now: f64,
         arriving: &ArrivingQuery,
+        data_set: u32,
     ) -> Result<Option<PlanAdmission>, PlanDenial> {
         let Some(plan_router) = self.plan_router.as_mut() else {
             return Ok(None);
@@ -272,7 +285,7 @@
             tenant: arriving.tenant,
             client: arriving.client,
             has_key: arriving.ordering_key.is_some(),
-            data_set: arriving.data_set,
+            data_set,
             minute: minute_of_day(now),
             statement_bytes: arriving.statement_bytes,
         };
--- a/crates/gateway/src/scheduling/scheduler/messages.rs
+++ b/crates/gateway/src/scheduling/scheduler/messages.rs
@@ -92,8 +92,8 @@
     pub estimated_work: Option<f64>,
     /// The client's estimate of the memory, in megabytes.
     pub estimated_memory: Option<f64>,
-    /// The data set that the query reads or loads.
-    pub data_set: u32,
+    /// The data set that the query reads or loads; `None` if its statement was not searched for it.
+    pub data_set: Option<u32>,
     /// The client's address.
     pub client: IpAddr,
     /// The length of the statement, in bytes.
@@ -146,6 +146,8 @@
     AnswerNotCached,
     /// An earlier process of this gateway may have sent the query, and the query may have run.
     MayHaveRun,
+    /// The query is new, and can be admitted only with its data set.
+    DataSetRequired,
     /// The plan does not admit the query.
     DeniedByPlan(PlanDenial),
 }
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -3,11 +3,14 @@
 
 mod helper;
 
-use helper::process::FakeEngineProcess;
+use helper::process::{ms, FakeEngineProcess};
 use helper::*;
 use serde_json::json;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::thread::{spawn, JoinHandle};
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
 
 /// The lowest memory limit of a deployment, in MiB.
 const MEMORY_MB: usize = 32;
@@ -83,3 +86,100 @@
         assert!(answer.succeeded(), "the open query: {answer:?}");
     }
 }
+
+/// Clients that send the same request again and again, each on a new connection, until dropped.
+struct Flood {
+    stopped: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    /// Starts clients that each send what `request` returns.
+    fn start(
+        test_bed: &TestBed,
+        clients: usize,
+        request: impl Fn() -> (String, String) + Clone + Send + 'static,
+    ) -> Flood {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let address = test_bed.address;
+        let client = |_| {
+            let (stopped, request) = (stopped.clone(), request.clone());
+            spawn(move || {
+                while !stopped.load(Ordering::Relaxed) {
+                    let (headers, statement) = request();
+                    if let Ok(stream) = TcpStream::connect(address) {
+                        round_trip(stream, "POST /v1/report", &headers, &statement);
+                    }
+                }
+            })
+        };
+        Flood {
+            clients: (0..clients).map(client).collect(),
+            stopped,
+        }
+    }
+
+    fn stop(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for client in self.clients {
+            client.join().unwrap();
+        }
+    }
+}
+
+/// Sends `count` queries, one each 50 ms, and asserts that each is served within `limit`.
+fn assert_queries_are_served(test_bed: &TestBed, count: usize, limit: Duration) {
+    let queries: Vec<_> = (0..count)
+        .map(|_| {
+            sleep(ms(50));
+            let address = test_bed.address;
+            spawn(move || {
+                let started_at = Instant::now();
+                let stream = TcpStream::connect(address).unwrap();
+                let headers = request_headers(&new_id(), 1500);
+                let statement = "SELECT price FROM sales_3.lots /* runs 100 */";
+                let answer = round_trip(stream, "POST /v1/report", &headers, statement);
+                (answer.map(Answer::of), started_at.elapsed())
+            })
+        })
+        .collect();
+    let answers = queries.into_iter().map(|query| query.join().unwrap());
+    for (number, (answer, duration)) in answers.enumerate() {
+        let is_served = answer.as_ref().is_some_and(Answer::succeeded);
+        assert!(
+            is_served && duration < limit,
+            "query {number}: {answer:?} after {duration:?}"
+        );
+    }
+}
+
+/// Guards against the fault of review case 6: each statement under the id of an open query was searched for its data set
+/// in the thread that serves all requests, 40 ms for one, and usual queries got no answer in time.
+#[test]
+fn long_statements_under_the_id_of_an_open_query_delay_no_other_client() {
+    let engine = FakeEngineProcess::start();
+    let test_bed = start_test_bed(&engine, 8000.0);
+    let id = new_id();
+    let open = open_query(&test_bed, &id, 4000);
+    wait_until("the query is open", || engine.attempts().len() == 1);
+    let statement = long_statement("a,");
+    let flood = Flood::start(&test_bed, 60, move || {
+        (request_headers(&id, 4000), statement.clone())
+    });
+    assert_queries_are_served(&test_bed, 30, ms(1000));
+    flood.stop();
+    assert!(Answer::of(open.join().unwrap().expect("an answer")).succeeded());
+}
+
+/// The same with a new id for each statement, so that each is searched.
+#[test]
+fn long_statements_under_new_ids_delay_no_other_client() {
+    let engine = FakeEngineProcess::start();
+    let test_bed = start_test_bed(&engine, 8000.0);
+    let statement = long_statement("a,") + " /* runs 1000 */";
+    let flood = Flood::start(&test_bed, 10, move || {
+        (request_headers(&new_id(), 2000), statement.clone())
+    });
+    assert_queries_are_served(&test_bed, 30, ms(1000));
+    flood.stop();
+}
