Let go of a request's head before its body is read, and box supervised tasks once

Cause: up to 90 kB for a connection: two parser buffers of 16 kB, the first kept by slices of headers, a copy of the header map, the task four times over, a buffer for closing in each task. Change: what is kept of a head is copied, the head is dropped before the body is read; the parser's buffer has 8 kB (a longer head gets 431).

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -148,7 +148,7 @@
 /// client that sends for longer is disconnected.
 async fn linger(stream: &StreamHandle) {
     let mut stream = TokioIo::new(stream.stream());
-    let mut discarded = [0; LINGER_READ_BYTES];
+    let mut discarded = vec![0; LINGER_READ_BYTES];
     let read_to_end = async {
         while let Ok(1..) = stream.read(&mut discarded).await {
             sleep(LINGER_READ_PAUSE).await;
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -3,16 +3,15 @@
 use super::{ClientAddress, ConnectionServer, REQUEST_READ_TIMEOUT};
 use crate::http::client_connections::ClientConnection;
 use crate::http::client_stream::{ClientStream, StreamHandle};
-use crate::http::request_head::{QUERY_KEY_HEADER, QUERY_PATH_PREFIX};
+use crate::http::request_head::{KEY_DIGITS, QUERY_KEY_HEADER, QUERY_PATH_PREFIX};
 use crate::http::responses::handler_panicked_response;
 use crate::metrics::ConnectionEnd;
 use crate::supervision::{catch_panic, Supervisor, Task, TaskPanic};
-use axum::http::HeaderValue;
 use axum::response::Response;
 use axum::Router;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
-use hyper::{Method, Request, Uri};
+use hyper::{Method, Request};
 use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
@@ -28,8 +27,10 @@
 /// Extra time for the first request head if bytes have arrived that the parser has not taken when
 /// [`REQUEST_READ_TIMEOUT`] expires.
 const UNPARSED_HEAD_GRACE: Duration = Duration::from_millis(20);
-/// Size of the HTTP parser's buffer in bytes; larger than any valid request head.
-const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Size of the HTTP parser's buffer in bytes, the smallest that hyper allows; larger than any valid request head.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Number of bytes of a path that are logged if a handler panics.
+const LOGGED_PATH_BYTES: usize = 64;
 
 /// Limit on the number of requests that are still read from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -266,25 +267,35 @@
     }
 }
 
-/// Facts of a request that are logged if its handler panics.
+/// Facts of a request that are logged if its handler panics. They are copies: slices of the head would keep the buffer
+/// that it was read into in memory as long as the request is open.
 struct LoggedRequest {
     method: Method,
-    uri: Uri,
-    query_key: Option<HeaderValue>,
+    path: String,
+    query_key: Option<String>,
 }
 
 impl LoggedRequest {
     fn of(request: &Request<Incoming>) -> Self {
         LoggedRequest {
             method: request.method().clone(),
-            uri: request.uri().clone(),
-            query_key: request.headers().get(QUERY_KEY_HEADER).cloned(),
+            path: request
+                .uri()
+                .path()
+                .chars()
+                .take(LOGGED_PATH_BYTES)
+                .collect(),
+            query_key: request
+                .headers()
+                .get(QUERY_KEY_HEADER)
+                .and_then(|key| key.to_str().ok())
+                .map(|key| key.chars().take(KEY_DIGITS).collect()),
         }
     }
 
     /// The kind of task that its handler counts as.
     fn task(&self) -> Task {
-        match self.uri.path().starts_with(QUERY_PATH_PREFIX) {
+        match self.path.starts_with(QUERY_PATH_PREFIX) {
             true => Task::Request,
             false => Task::StatusPage,
         }
@@ -293,10 +304,10 @@
     fn log_panic(&self, connection: u64) {
         let LoggedRequest {
             method,
-            uri,
+            path,
             query_key,
         } = self;
-        tracing::error!(connection, %method, path = uri.path(), ?query_key, "request handler panicked; its request is answered as failed");
+        tracing::error!(connection, %method, path, ?query_key, "request handler panicked; its request is answered as failed");
     }
 }
 
--- a/crates/gateway/src/http/request_head.rs
+++ b/crates/gateway/src/http/request_head.rs
@@ -22,7 +22,7 @@
 const ESTIMATED_WORK_HEADER: &str = "x-size-ms";
 const ESTIMATED_MEMORY_HEADER: &str = "x-memory";
 /// Number of hex digits of a query key and of an ordering key, by the protocol.
-const KEY_DIGITS: usize = 16;
+pub(super) const KEY_DIGITS: usize = 16;
 
 /// Fault in the head of a request, or an empty statement. The text is sent to the client and follows the protocol's
 /// wording.
@@ -111,28 +111,25 @@
 }
 
 impl RequestHead {
-    /// Checks the head of a request. `statement` is the statement if it has arrived whole, or `None` if it is streamed.
+    /// Checks the head of a request that names a query class in its path. `statement_bytes` is the length of the statement,
+    /// or `None` if it is streamed. What is kept of the head is copied from it.
     ///
     /// # Errors
     ///
     /// Returns the first fault found in the head, or [`RequestError::EmptyStatement`].
     pub fn parse(
         platform: &PlatformSettings,
-        submission: &Submission,
-        statement: Option<&[u8]>,
+        class_name: &str,
+        headers: &HeaderMap,
+        statement_bytes: Option<u64>,
     ) -> Result<Self, RequestError> {
-        let Submission {
-            class_name,
-            headers,
-            ..
-        } = submission;
-        let unknown_class = || RequestError::UnknownClass(class_name.clone());
+        let unknown_class = || RequestError::UnknownClass(class_name.to_owned());
         let class = position(&platform.names.classes, class_name).ok_or_else(unknown_class)?;
         let class_settings = &platform.settings.classes[class];
         let query_key_text = header(headers, QUERY_KEY_HEADER)?;
         let query_key = parse_key(QUERY_KEY_HEADER, query_key_text)?;
         let allowed_seconds = parse_allowed_seconds(headers, class_settings.deadline)?;
-        if statement.is_some_and(<[u8]>::is_empty) {
+        if statement_bytes == Some(0) {
             return Err(RequestError::EmptyStatement);
         }
         let tenant = parse_tenant(headers, &platform.names.tenants)?;
@@ -140,14 +137,14 @@
             .map(|key| parse_key(ORDERING_KEY_HEADER, key))
             .transpose()?;
         let class_name = HeaderValue::from_str(class_name).map_err(|_| unknown_class())?;
-        let idempotency_key = optional_header(headers, IDEMPOTENCY_KEY_HEADER)?.cloned();
+        let idempotency_key = optional_header(headers, IDEMPOTENCY_KEY_HEADER)?.map(copied);
         let estimated_work_ms = parse_estimate(headers, ESTIMATED_WORK_HEADER)?;
         Ok(RequestHead {
             class,
             tenant,
             query_key,
             ordering_key,
-            query_key_text: query_key_text.clone(),
+            query_key_text: copied(query_key_text),
             class_name,
             idempotency_key,
             in_order: ordering_key.is_some() && class_settings.in_order,
@@ -198,6 +195,11 @@
     parse_key(QUERY_KEY_HEADER, header(headers, QUERY_KEY_HEADER)?)
 }
 
+/// Copies a value out of the head that it is a slice of. A clone would keep the whole head in memory.
+fn copied(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
 }
--- a/crates/gateway/src/http/streamed_body.rs
+++ b/crates/gateway/src/http/streamed_body.rs
@@ -45,12 +45,20 @@
     mut body: Body,
 ) -> Result<Response, SubmissionError> {
     let length = body.size_hint().exact();
-    let arrival = Arrival::of(state, &submission.stream);
-    let head = RequestHead::parse(&state.platform, &submission, None)?;
+    let Submission {
+        class_name,
+        headers,
+        client,
+        stream,
+    } = submission;
+    let stream = &stream;
+    let arrival = Arrival::of(state, stream);
+    let head = RequestHead::parse(&state.platform, &class_name, &headers, None)?;
+    drop((class_name, headers));
     let retention = retention(state, head.class);
     let stored = store.admit(head.tenant, head.class, length, retention)?;
     let _abort_guard = AbortOnDrop(stored.clone());
-    let prefix = receive_prefix(&mut body, &stored, &submission.stream).await?;
+    let prefix = receive_prefix(&mut body, &stored, stream).await?;
     if prefix.is_empty() {
         return Err(RequestError::EmptyStatement.into());
     }
@@ -59,7 +67,7 @@
     drop(prefix);
     let query = SubmittedQuery {
         head,
-        client: submission.client,
+        client,
         statement: Statement::Streamed(stored.clone()),
         statement_bytes,
         data_set: Some(data_set),
@@ -67,8 +75,7 @@
     // The body store has its own memory budget, so nothing is reserved for the statement here.
     let memory = state.reserve_statement_bytes(0)?;
     let query_key = query.head.query_key;
-    submission.stream.request_received();
-    let stream = &submission.stream;
+    stream.request_received();
     match admit(state, query, arrival, memory, stream).await? {
         AdmittedQuery::Answered(answer) => Ok(close_after(answer_response(answer))),
         AdmittedQuery::Open(waiter) => {
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -12,7 +12,7 @@
 use crate::scheduling::scheduler::CancelOutcome;
 use crate::whole_body::read_whole;
 use axum::body::Body;
-use axum::extract::{Path, State};
+use axum::extract::{Path, Request, State};
 use axum::http::header::{HeaderMap, TRANSFER_ENCODING};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
@@ -34,9 +34,11 @@
     Path(class_name): Path<String>,
     Extension(stream): Extension<StreamHandle>,
     Extension(ClientAddress(client)): Extension<ClientAddress>,
-    headers: HeaderMap,
-    body: Body,
+    request: Request,
 ) -> Response {
+    let (mut head, body) = request.into_parts();
+    let headers = std::mem::take(&mut head.headers);
+    drop(head);
     let length = body.size_hint().exact();
     let submission = Submission {
         class_name,
@@ -60,14 +62,22 @@
     submission: Submission,
     body: Body,
 ) -> Result<Response, SubmissionError> {
-    let length = statement_length(&submission.headers, &body)?;
+    let Submission {
+        class_name,
+        headers,
+        client,
+        stream,
+    } = submission;
+    let length = statement_length(&headers, &body)?;
     let memory = state.reserve_statement_bytes(length)?;
+    let head = RequestHead::parse(&state.platform, &class_name, &headers, Some(length.into()));
+    // The body may take seconds to arrive, and the head is as long as a client makes it.
+    drop((class_name, headers));
     let statement = read_statement(body, length).await?;
-    check_length(&submission.stream)?;
-    submission.stream.request_received();
-    let arrival = Arrival::of(state, &submission.stream);
-    let head = RequestHead::parse(&state.platform, &submission, Some(&statement))
-        .inspect_err(|error| tracing::debug!(%error, "request rejected as invalid"))?;
+    check_length(&stream)?;
+    stream.request_received();
+    let arrival = Arrival::of(state, &stream);
+    let head = head.inspect_err(|error| tracing::debug!(%error, "request rejected as invalid"))?;
     let data_set = match state.scheduler.is_known(head.query_key) {
         // Such a request usually opens no query.
         true => None,
@@ -75,13 +85,13 @@
     };
     let query = SubmittedQuery {
         head,
-        client: submission.client,
+        client,
         statement_bytes: statement.len() as u64,
         data_set,
         statement: Statement::Complete(statement),
     };
-    let admitted = admit(state, query, arrival, memory, &submission.stream).await?;
-    response_unless_surplus(&submission.stream, admitted.response()).await
+    let admitted = admit(state, query, arrival, memory, &stream).await?;
+    response_unless_surplus(&stream, admitted.response()).await
 }
 
 /// Fails if the request is longer than its declared length, so that no part of a statement is run in place of the whole.
@@ -131,10 +141,10 @@
 pub(super) async fn cancel(
     State(state): State<Arc<ServerState>>,
     Extension(stream): Extension<StreamHandle>,
-    headers: HeaderMap,
-    body: Body,
+    request: Request,
 ) -> Response {
-    cancel_query(&state, &stream, &headers, body)
+    let (head, body) = request.into_parts();
+    cancel_query(&state, &stream, &head.headers, body)
         .await
         .unwrap_or_else(SubmissionError::into_response)
 }
--- a/crates/gateway/src/supervision.rs
+++ b/crates/gateway/src/supervision.rs
@@ -136,6 +136,8 @@
     /// Starts a task that ends by itself. A panic is recorded.
     pub fn spawn(&self, task: Task, future: impl Future<Output = ()> + Send + 'static) {
         let supervisor = self.clone();
+        // Each future that wraps another one by value holds its memory once more.
+        let future = Box::pin(future);
         tokio::spawn(async move {
             // The panic is recorded, and nobody waits for this task.
             let _ = supervisor.watch(task, future).await;
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -6,6 +6,7 @@
 use helper::process::{ms, FakeEngineProcess};
 use helper::*;
 use serde_json::json;
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -183,3 +184,46 @@
     assert_queries_are_served(&test_bed, 30, ms(1000));
     flood.stop();
 }
+
+/// Opens connections that each write `request`, a part of one, until the gateway closes them.
+fn hold_connections(test_bed: &TestBed, connections: usize, request: &str) -> Vec<TcpStream> {
+    (0..connections)
+        .filter_map(|_| {
+            let stream = TcpStream::connect(test_bed.address).ok()?;
+            // The gateway may have closed the connection already.
+            let _ = (&stream).write_all(request.as_bytes());
+            Some(stream)
+        })
+        .collect()
+}
+
+/// Returns a request head of `fields` fields beside those of a query, for a body of `length` bytes.
+fn head_of_fields(fields: usize, value: &str, length: usize) -> String {
+    let headers = request_headers(&new_id(), 4000);
+    let fields: String = (0..fields).map(|n| format!("f{n}:{value}\r\n")).collect();
+    format!(
+        "POST /v1/report HTTP/1.1\r\nHost: g\r\n{headers}{fields}Content-Length: {length}\r\n\r\n"
+    )
+}
+
+/// Hundreds of clients write slowly, stop half way or send many fields. Each held two read buffers of 16 kB, a copy of its
+/// header map, and its task four times over.
+#[test]
+fn hundreds_of_partial_requests_stay_within_the_memory_limit() {
+    const CONNECTIONS: usize = 380;
+    let engine = FakeEngineProcess::start();
+    let many_fields = head_of_fields(90, "", 262_000);
+    let requests = [
+        many_fields.trim_end().to_string(),
+        head_of_fields(90, &"x".repeat(70), 9000) + &"x".repeat(8000),
+        head_of_fields(90, &"x".repeat(150), 9000) + &"x".repeat(8000),
+        many_fields + &"x".repeat(131_000),
+    ];
+    for request in requests {
+        let test_bed = start_test_bed(&engine, 8000.0);
+        let connections = hold_connections(&test_bed, CONNECTIONS, &request);
+        assert_queries_are_served(&test_bed, 20, ms(1500));
+        assert_within_memory_limit(&test_bed);
+        drop(connections);
+    }
+}
