Count the bytes of pages and of answers that are really held

Cause: the capacity does not limit queries that start at once (376 at a capacity of 87); an answer of short rows is four times as long as its pages and grew by doubling; an answer that waits for its client was in no budget. Change: budgets of a twelfth of the memory each for pages and for answers. An answer is reserved by its exact length until it is written and has left the cache. The wait ends with the query's time and is not laid to the engine. Measured: hostile_clients::large_results_that_end_together_stay_within_the_memory_limit failed before (50,600 kB of 32,768) and passes.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -26,6 +26,7 @@
 use crate::supervision::Supervisor;
 use crate::system::clock::clamped_duration;
 use crate::system::resource_budget::ResourceBudget;
+use crate::system::result_memory::ResultMemory;
 use crate::system::send_gate::SendGate;
 use attempt::EngineSession;
 use garnetwall::api::{AttemptEnd, EngineId};
@@ -46,6 +47,8 @@
 pub struct Engines {
     connection_permits: Arc<Semaphore>,
     connect_timeout: Duration,
+    /// Memory budget for the pages of results.
+    page_memory: ResultMemory,
     list: Arc<EngineList>,
     /// Starts the tasks of connections.
     supervisor: Supervisor,
@@ -83,6 +86,7 @@
         };
         Engines {
             connection_permits: budget.engine_connections.clone(),
+            page_memory: budget.page_memory.clone(),
             connect_timeout: clamped_duration(network.connect_timeout),
             list,
             supervisor,
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -47,6 +47,7 @@
 use garnetwall::api::AttemptEnd;
 use garnetwall_ledger::{AttemptId, ConnectionId, Evidence, PollSchedule, Proof};
 use http::Method;
+use pages::FirstPage;
 use polling::PollOutcome;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -143,7 +144,13 @@
             PollOutcome::Succeeded {
                 first_page,
                 page_count,
-            } => return self.fetch_pages(query, first_page, page_count).await,
+            } => {
+                let pages = FirstPage {
+                    reply: first_page,
+                    page_count,
+                };
+                return self.fetch_pages(query, pages, &mut cancellation).await;
+            }
             PollOutcome::Unknown => {
                 let apparent_end = Some(AttemptEnd::ConnectionLost);
                 events.unknown_outcome.send_replace(apparent_end);
--- a/crates/gateway/src/engines/attempt/pages.rs
+++ b/crates/gateway/src/engines/attempt/pages.rs
@@ -2,28 +2,52 @@
 
 use super::polling::NextPoll;
 use super::EngineSession;
-use crate::engines::messages::{AttemptResult, ForwardedQuery};
+use crate::engines::messages::{AttemptResult, CancellationState, ForwardedQuery};
 use crate::engines::protocol::response_header;
 use crate::engines::response::{CallError, Reply};
 use crate::engines::result_rows;
+use crate::system::result_memory::ResultReservation;
 use bytes::Bytes;
 use garnetwall::api::AttemptEnd;
 use garnetwall_ledger::PollSchedule;
 use http::StatusCode;
+use std::time::Instant;
+use tokio::sync::watch;
 
 /// Number of pages of one result that are fetched again because their length had cut them.
 const MAX_CUT_PAGES: usize = result_rows::MAX_PAGES;
 
+/// The response that reports the success of an attempt.
+pub(super) struct FirstPage {
+    /// The response, whose body is the first page.
+    pub(super) reply: Reply,
+    /// Number of pages of the result, including the first.
+    pub(super) page_count: usize,
+}
+
 impl EngineSession<'_> {
     /// Fetches all pages after the first, and again each page of which a call that followed showed that its length had
     /// cut it. If a page can't be fetched, `end` of the result tells the cause, and its pages are not complete.
+    ///
+    /// Waits until there is memory for the pages. The attempt counts as cancelled if its result is not wanted any more
+    /// before.
     pub(super) async fn fetch_pages(
         &mut self,
         query: &ForwardedQuery,
-        first_page: Reply,
-        page_count: usize,
+        first_page: FirstPage,
+        cancellation: &mut watch::Receiver<CancellationState>,
     ) -> AttemptResult {
-        let mut result = first_page.into_result();
+        let FirstPage { reply, page_count } = first_page;
+        let mut result = reply.into_result();
+        if page_count > 1 {
+            let wait_began = Instant::now();
+            result.page_memory = self.reserve_pages(page_count, cancellation).await;
+            result.memory_wait = wait_began.elapsed();
+            if result.page_memory.is_none() {
+                let end = AttemptEnd::Cancelled;
+                return AttemptResult { end, ..result };
+            }
+        }
         result.pages.resize(page_count.max(1), Bytes::new());
         let mut schedule = self.poll_schedule();
         let mut last_page = 0;
@@ -48,6 +72,20 @@
         result
     }
 
+    /// Reserves memory for a result. Returns `None` if the result is not wanted any more before there is enough.
+    async fn reserve_pages(
+        &self,
+        page_count: usize,
+        cancellation: &mut watch::Receiver<CancellationState>,
+    ) -> Option<ResultReservation> {
+        let longest = result_rows::MAX_RESULT_BYTES.min(page_count * result_rows::MAX_PAGE_BYTES);
+        tokio::select! {
+            biased;
+            reservation = self.engines.page_memory.reserve(longest) => reservation,
+            _ = cancellation.wait_for(|state| !state.allows_polling()) => None,
+        }
+    }
+
     /// Fetches one page, with as many calls as the schedule allows.
     ///
     /// # Errors
--- a/crates/gateway/src/engines/messages.rs
+++ b/crates/gateway/src/engines/messages.rs
@@ -1,13 +1,14 @@
 //! Values that are sent to an engine and that come back from it.
 
 use super::client_presence::ClientPresence;
+use crate::system::result_memory::ResultReservation;
 use bytes::Bytes;
 use garnetwall::api::{AttemptEnd, LoadReport, Progress};
 use garnetwall_bodies::Body;
 use http::HeaderValue;
 use std::fmt;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// A query as it is forwarded to engines, unchanged.
@@ -66,6 +67,10 @@
     pub memory: Option<f64>,
     /// The engine's load report, if one came with the response.
     pub report: Option<LoadReport>,
+    /// The memory reserved for the pages.
+    pub page_memory: Option<ResultReservation>,
+    /// The time for which the attempt waited for that memory, through no fault of its engine.
+    pub memory_wait: Duration,
 }
 
 impl AttemptResult {
@@ -77,6 +82,8 @@
             work: None,
             memory: None,
             report: None,
+            page_memory: None,
+            memory_wait: Duration::ZERO,
         }
     }
 }
--- a/crates/gateway/src/engines/response.rs
+++ b/crates/gateway/src/engines/response.rs
@@ -8,6 +8,7 @@
 use garnetwall::api::{AttemptEnd, LoadReport, Progress};
 use garnetwall_ledger::CallFailure;
 use http::{HeaderMap, StatusCode};
+use std::time::Duration;
 
 /// The reason why a call to an engine failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,6 +91,8 @@
             memory: memory_mb.filter(|memory| *memory > 0.0),
             report: self.load_report(),
             pages: vec![self.body],
+            page_memory: None,
+            memory_wait: Duration::ZERO,
         }
     }
 
--- a/crates/gateway/src/engines/result_rows.rs
+++ b/crates/gateway/src/engines/result_rows.rs
@@ -1,6 +1,7 @@
 //! Converts the pages of a result into one JSON document, with the rows unchanged and in order.
 
 use bytes::Bytes;
+use std::io::{self, Write};
 use thiserror::Error;
 
 /// Protocol: the number of columns of each row.
@@ -62,17 +63,32 @@
     },
 }
 
-/// Converts all pages of a result into the JSON document `{"data":[[...],...]}`.
+/// Converts all pages of a result into the JSON document `{"data":[[...],...]}`, which has `json_bytes` bytes.
 ///
 /// # Errors
 ///
 /// [`ResultError`] if the result is too long or a page does not consist of complete rows.
-pub fn to_json(pages: &[Bytes]) -> Result<Bytes, ResultError> {
+pub fn to_json(pages: &[Bytes], json_bytes: usize) -> Result<Vec<u8>, ResultError> {
+    write_json(pages, Vec::with_capacity(json_bytes))
+}
+
+/// Returns the length in bytes of the document that [`to_json`] makes of these pages. Short rows and control characters
+/// make it several times as long as the pages.
+///
+/// # Errors
+///
+/// [`ResultError`] if the result is too long or a page does not consist of complete rows.
+pub fn json_length(pages: &[Bytes]) -> Result<usize, ResultError> {
+    let ByteCounter { bytes } = write_json(pages, ByteCounter::default())?;
+    Ok(bytes)
+}
+
+fn write_json<W: Write>(pages: &[Bytes], output: W) -> Result<W, ResultError> {
     let bytes: usize = pages.iter().map(Bytes::len).sum();
     if bytes > MAX_RESULT_BYTES {
         return Err(ResultError::TooLong { bytes });
     }
-    let mut writer = RowWriter::with_capacity(json_capacity(bytes));
+    let mut writer = RowWriter::new(output);
     for (page, content) in pages.iter().enumerate() {
         writer.write_page(page, content)?;
     }
@@ -111,24 +127,41 @@
     }
 }
 
-/// Estimates the document's length in bytes. Quotes and brackets take about a quarter of the length of the rows.
-fn json_capacity(bytes: usize) -> usize {
-    bytes + bytes / 4 + 64
+/// Counts the bytes that are written to it.
+#[derive(Default)]
+struct ByteCounter {
+    bytes: usize,
 }
 
-struct RowWriter {
-    json: Vec<u8>,
+impl Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.bytes += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes rows as JSON. Neither of its outputs, a vector and a counter, fails.
+struct RowWriter<W> {
+    output: W,
     is_empty: bool,
 }
 
-impl RowWriter {
-    fn with_capacity(bytes: usize) -> Self {
-        let mut json = Vec::with_capacity(bytes);
-        json.extend_from_slice(b"{\"data\":[");
-        RowWriter {
-            json,
+impl<W: Write> RowWriter<W> {
+    fn new(output: W) -> Self {
+        let mut writer = RowWriter {
+            output,
             is_empty: true,
-        }
+        };
+        writer.write(b"{\"data\":[");
+        writer
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        let _ = self.output.write_all(bytes);
     }
 
     fn write_page(&mut self, page: usize, content: &[u8]) -> Result<(), ResultError> {
@@ -149,29 +182,29 @@
 
     fn write_row(&mut self, page: usize, row: usize, content: &str) -> Result<(), ResultError> {
         if !self.is_empty {
-            self.json.push(b',');
+            self.write(b",");
         }
         self.is_empty = false;
-        self.json.push(b'[');
+        self.write(b"[");
         let mut columns = 0;
         for column in content.split(COLUMN_SEPARATOR) {
             if columns > 0 {
-                self.json.push(b',');
+                self.write(b",");
             }
             columns += 1;
-            serde_json::to_writer(&mut self.json, column)
+            serde_json::to_writer(&mut self.output, column)
                 .map_err(|source| ResultError::Json { page, source })?;
         }
-        self.json.push(b']');
+        self.write(b"]");
         if columns != COLUMN_COUNT {
             return Err(ResultError::ColumnCount { page, row, columns });
         }
         Ok(())
     }
 
-    fn finish(mut self) -> Bytes {
-        self.json.extend_from_slice(b"]}");
-        self.json.into()
+    fn finish(mut self) -> W {
+        self.write(b"]}");
+        self.output
     }
 }
 
--- a/crates/gateway/src/engines/result_rows/tests.rs
+++ b/crates/gateway/src/engines/result_rows/tests.rs
@@ -5,7 +5,10 @@
         .iter()
         .map(|p| Bytes::copy_from_slice(p.as_bytes()))
         .collect();
-    let json: serde_json::Value = serde_json::from_slice(&to_json(&pages)?).expect("valid JSON");
+    let length = json_length(&pages)?;
+    let json = to_json(&pages, length)?;
+    assert_eq!(json.len(), length, "length of the document");
+    let json: serde_json::Value = serde_json::from_slice(&json).expect("valid JSON");
     Ok(serde_json::from_value(json["data"].clone()).expect("rows of strings"))
 }
 
@@ -33,8 +36,8 @@
             "{page:?}"
         );
     }
-    assert!(to_json(&[Bytes::from_static(&[0xff, b'\t', b'\t', b'\n'])]).is_err());
-    assert!(to_json(&[Bytes::from(vec![b'a'; MAX_RESULT_BYTES + 1])]).is_err());
+    assert!(json_length(&[Bytes::from_static(&[0xff, b'\t', b'\t', b'\n'])]).is_err());
+    assert!(json_length(&[Bytes::from(vec![b'a'; MAX_RESULT_BYTES + 1])]).is_err());
 }
 
 #[test]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -236,6 +236,7 @@
             arrival_order: Arc::default(),
             supervisor: self.supervisor.clone(),
             statement_memory: self.budget.statement_memory.clone(),
+            answer_memory: self.budget.answer_memory.clone(),
             send_time_estimator: Mutex::new(SendTimeEstimator::new(
                 self.budget.query_capacity,
                 self.config.platform.network.connect_timeout,
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -33,6 +33,7 @@
 use crate::scheduling::scheduler::Scheduler;
 use crate::storage::query_journal::QueryJournal;
 use crate::supervision::{Supervisor, Task};
+use crate::system::result_memory::ResultMemory;
 use axum::extract::State;
 use axum::http::header::CONTENT_TYPE;
 use axum::http::StatusCode;
@@ -82,6 +83,8 @@
     pub supervisor: Supervisor,
     /// Memory budget for statements: one permit per byte.
     pub statement_memory: Arc<Semaphore>,
+    /// Memory budget for answers.
+    pub answer_memory: ResultMemory,
 }
 
 /// IP address of the client that sent a request.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -131,6 +131,7 @@
         journal: state.journal.clone(),
         journal_entry: opened.journal_entry,
         client_presence: opened.client_presence,
+        answer_memory: state.answer_memory.clone(),
         supervisor: state.supervisor.clone(),
         _memory: statement_memory,
     };
--- a/crates/gateway/src/scheduling/query_task.rs
+++ b/crates/gateway/src/scheduling/query_task.rs
@@ -11,7 +11,8 @@
 use crate::scheduling::scheduler::{Command, QueryAnswer, Scheduler};
 use crate::storage::query_journal::QueryJournal;
 use crate::supervision::{catch_panic, Supervisor, Task, TaskPanic};
-use attempt_in_flight::AttemptInFlight;
+use crate::system::result_memory::ResultMemory;
+use attempt_in_flight::{until_answer_due, AttemptInFlight};
 use bytes::Bytes;
 use garnetwall::api::{AttemptEnd, AttemptOutcome, EngineId, FollowUp, QueryId};
 use garnetwall_ledger::records::StartedQuery;
@@ -39,6 +40,8 @@
     pub journal_entry: Option<StartedQuery>,
     /// Flag that tells whether a client waits for the answer.
     pub client_presence: ClientPresence,
+    /// The memory budget of the answer.
+    pub answer_memory: ResultMemory,
     /// Records a panic of the task.
     pub supervisor: Supervisor,
     /// The statement's part of the memory budget, held until the task ends.
@@ -72,13 +75,20 @@
 }
 
 impl ScheduledAttempt {
-    fn outcome(&self, result: &AttemptResult, query_status: QueryStatus) -> AttemptOutcome {
+    fn outcome(
+        &self,
+        result: &AttemptResult,
+        query_status: QueryStatus,
+        ended_at: Instant,
+    ) -> AttemptOutcome {
         let is_finished = query_status == QueryStatus::Finished;
         AttemptOutcome {
             engine: self.engine,
             attempt: self.number,
             end: result.end,
-            latency: self.started_at.elapsed().as_secs_f64(),
+            latency: (ended_at - self.started_at)
+                .saturating_sub(result.memory_wait)
+                .as_secs_f64(),
             query_finished: is_finished || result.end == AttemptEnd::Succeeded,
             work: result.work,
             memory: result.memory,
@@ -90,13 +100,14 @@
 struct EndedAttempt {
     result: AttemptResult,
     query_status: QueryStatus,
+    ended_at: Instant,
 }
 
-/// The result of an attempt after its rows were checked. `rows` is set if the attempt succeeded and all rows are
-/// well-formed.
+/// The result of an attempt after its rows were checked. `json_bytes` is the length of the rows as JSON; set if the
+/// attempt succeeded and all rows are well-formed.
 struct CheckedResult {
     result: AttemptResult,
-    rows: Option<Bytes>,
+    json_bytes: Option<usize>,
 }
 
 impl QueryTask {
@@ -104,7 +115,8 @@
     /// a panic the query is answered as failed.
     pub async fn run(mut self) {
         let mut attempts = AttemptHistory::default();
-        let result = catch_panic(self.run_commands(&mut attempts)).await;
+        // Each future that wraps another one by value holds its memory once more.
+        let result = catch_panic(Box::pin(self.run_commands(&mut attempts))).await;
         match result {
             Ok(()) => self.supervisor.record_success(Task::Query),
             Err(panic) => self.end_after_panic(attempts, &panic).await,
@@ -183,7 +195,7 @@
         };
         sleep(self.engines.longest_run_without_task(&self.forwarded_query)).await;
         let result = AttemptResult::from_end(AttemptEnd::Cancelled);
-        let outcome = attempt.outcome(&result, QueryStatus::Finished);
+        let outcome = attempt.outcome(&result, QueryStatus::Finished, Instant::now());
         self.scheduler.attempt_ended(self.query_id, outcome, None);
     }
 
@@ -199,20 +211,23 @@
     /// Runs one attempt until it has ended, which may be after the query was answered. An engine that has left the
     /// endpoint list counts as a failed connection.
     async fn run_attempt(&mut self, attempt: ScheduledAttempt, start: AttemptStart) -> QueryStatus {
+        let deadline = start.response_deadline;
         let ended = match self.engines.target(attempt.engine) {
             Some(target) => AttemptInFlight::run(self, attempt, target, start).await,
             None => EndedAttempt {
                 result: AttemptResult::from_end(AttemptEnd::ConnectFailed),
                 query_status: QueryStatus::Open,
+                ended_at: Instant::now(),
             },
         };
-        self.attempt_ended(attempt, ended)
+        self.attempt_ended(attempt, ended, deadline).await
     }
 
     /// Reports that the outcome of an attempt is unknown for now, and answers the query if the scheduler decides so.
     fn outcome_unknown(&self, attempt: ScheduledAttempt, end: AttemptEnd) -> QueryStatus {
         self.report_discarded_body();
-        let outcome = attempt.outcome(&AttemptResult::from_end(end), QueryStatus::Open);
+        let result = AttemptResult::from_end(end);
+        let outcome = attempt.outcome(&result, QueryStatus::Open, Instant::now());
         match self.scheduler.outcome_unknown(self.query_id, outcome) {
             FollowUp::Nothing => QueryStatus::Open,
             FollowUp::Answer(answer) => {
@@ -223,12 +238,22 @@
         }
     }
 
-    /// Reports the end of an attempt. Answers the query if the attempt succeeded or the scheduler decides so.
-    fn attempt_ended(&self, attempt: ScheduledAttempt, ended: EndedAttempt) -> QueryStatus {
-        let CheckedResult { result, rows } = self.check_rows(attempt, ended.result);
+    /// Reports the end of an attempt. Answers the query if the attempt succeeded or the scheduler decides so. The answer
+    /// is due at `deadline`.
+    async fn attempt_ended(
+        &mut self,
+        attempt: ScheduledAttempt,
+        ended: EndedAttempt,
+        deadline: Instant,
+    ) -> QueryStatus {
+        let CheckedResult { result, json_bytes } = self.check_rows(attempt, ended.result);
+        let success = match json_bytes.filter(|_| ended.query_status == QueryStatus::Open) {
+            Some(bytes) => Some(self.assemble_answer(&result.pages, bytes, deadline).await),
+            None => None,
+        };
         self.supervisor.metrics().attempt_ended(result.end);
         self.engines.record_attempt_end(attempt.engine, result.end);
-        let outcome = attempt.outcome(&result, ended.query_status);
+        let outcome = attempt.outcome(&result, ended.query_status, ended.ended_at);
         tracing::debug!(
             query_id = self.query_id,
             attempt = attempt.number,
@@ -241,8 +266,8 @@
         let follow_up = self
             .scheduler
             .attempt_ended(self.query_id, outcome, result.report);
-        let answer = match (rows, follow_up) {
-            (Some(rows), _) => QueryAnswer::Succeeded(rows),
+        let answer = match (success, follow_up) {
+            (Some(answer), _) => answer,
             (None, FollowUp::Answer(answer)) => answer.into(),
             (None, FollowUp::Nothing) => return ended.query_status,
         };
@@ -250,16 +275,44 @@
         QueryStatus::Finished
     }
 
-    /// Converts the rows of a successful attempt to JSON. An attempt with malformed rows counts as a failure of its
-    /// engine.
+    /// Assembles the answer of a successful attempt, once there is memory for it. The query fails if there is none until
+    /// its answer is due, or its client leaves first. It stays open meanwhile, so that the limit on open queries bounds
+    /// the pages that wait.
+    async fn assemble_answer(
+        &mut self,
+        pages: &[Bytes],
+        json_bytes: usize,
+        deadline: Instant,
+    ) -> QueryAnswer {
+        let reservation = tokio::select! {
+            biased;
+            reservation = self.answer_memory.reserve(json_bytes) => reservation,
+            () = until_answer_due(self.scheduler.clone(), deadline) => None,
+            () = client_left(&mut self.commands) => None,
+        };
+        let Some(reservation) = reservation else {
+            let query_id = self.query_id;
+            tracing::debug!(query_id, json_bytes, "no memory for the answer in time");
+            return QueryAnswer::Failed;
+        };
+        match result_rows::to_json(pages, json_bytes) {
+            Ok(json) => QueryAnswer::Succeeded(reservation.hold(json)),
+            Err(_) => QueryAnswer::Failed,
+        }
+    }
+
+    /// Checks the rows of a successful attempt. An attempt with malformed rows counts as a failure of its engine.
     fn check_rows(&self, attempt: ScheduledAttempt, result: AttemptResult) -> CheckedResult {
         if result.end != AttemptEnd::Succeeded {
-            return CheckedResult { result, rows: None };
+            return CheckedResult {
+                result,
+                json_bytes: None,
+            };
         }
-        match result_rows::to_json(&result.pages) {
-            Ok(rows) => CheckedResult {
+        match result_rows::json_length(&result.pages) {
+            Ok(json_bytes) => CheckedResult {
                 result,
-                rows: Some(rows),
+                json_bytes: Some(json_bytes),
             },
             Err(error) => {
                 tracing::warn!(
@@ -273,7 +326,7 @@
                 };
                 CheckedResult {
                     result: failure,
-                    rows: None,
+                    json_bytes: None,
                 }
             }
         }
@@ -288,5 +341,14 @@
     }
 }
 
+/// Waits until the scheduler tells that the client has left, or drops the query.
+async fn client_left(commands: &mut UnboundedReceiver<Command>) {
+    while let Some(command) = commands.recv().await {
+        if matches!(command, Command::ClientLeft) {
+            return;
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/scheduling/query_task/attempt_in_flight.rs
+++ b/crates/gateway/src/scheduling/query_task/attempt_in_flight.rs
@@ -95,6 +95,7 @@
         EndedAttempt {
             result: AttemptResult { end, ..result },
             query_status: self.query_status,
+            ended_at: Instant::now(),
         }
     }
 
@@ -180,7 +181,7 @@
 
 /// Waits until the attempt's response deadline passes or, during a shutdown, until all answers are due, whichever is
 /// earlier.
-async fn until_answer_due(scheduler: Arc<Scheduler>, deadline: Instant) {
+pub(super) async fn until_answer_due(scheduler: Arc<Scheduler>, deadline: Instant) {
     tokio::select! {
         () = sleep_until(deadline.into()) => {}
         () = scheduler.until_answers_due() => {}
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -146,6 +146,7 @@
             journal: Arc::default(),
             journal_entry: None,
             client_presence: opened.client_presence,
+            answer_memory: ResultMemory::new(1 << 20),
             supervisor: self.supervisor.clone(),
             _memory: Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap(),
         };
--- a/crates/gateway/src/system.rs
+++ b/crates/gateway/src/system.rs
@@ -6,6 +6,7 @@
 pub mod log;
 pub mod os_error;
 pub mod resource_budget;
+pub mod result_memory;
 pub mod send_gate;
 pub mod signals;
 pub mod socket;
--- a/crates/gateway/src/system/budgeted_stream.rs
+++ b/crates/gateway/src/system/budgeted_stream.rs
@@ -15,8 +15,8 @@
 use std::task::{Context, Poll};
 use tokio::sync::OwnedSemaphorePermit;
 
-/// Maximum size of a response head, in bytes; hyper requires at least 8 KiB.
-pub const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
+/// Maximum size of a response head and size of the parser's buffer, in bytes; hyper requires at least 8 KiB.
+pub const MAX_RESPONSE_HEAD_BYTES: usize = 8 << 10;
 
 /// Aborts a connection: later writes fail, and the system discards unsent data when the connection closes.
 ///
--- a/crates/gateway/src/system/resource_budget.rs
+++ b/crates/gateway/src/system/resource_budget.rs
@@ -1,6 +1,7 @@
 //! Splits the gateway's limits on file descriptors and memory into budgets for connections, statements, results and
 //! cached answers.
 
+use super::result_memory::ResultMemory;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -17,9 +18,13 @@
 /// program itself, the buffers of connections and the allocator's overhead.
 const STATEMENT_MEMORY_DIVISOR: usize = 8;
 
-/// One in this many bytes of memory is for results.
+/// One in this many bytes of memory is for the results of open queries, by their longest length.
 const RESULT_MEMORY_DIVISOR: usize = 4;
 
+/// One in this many bytes of memory is for pages that are really held, and as many for answers. Results wait for one
+/// another where this is not enough.
+const HELD_RESULT_MEMORY_DIVISOR: usize = 12;
+
 /// One in this many bytes of memory is for cached answers, which clients may request again.
 const ANSWER_CACHE_MEMORY_DIVISOR: usize = 64;
 
@@ -50,6 +55,10 @@
     pub query_capacity: usize,
     /// One permit for each byte of the statements in flight.
     pub statement_memory: Arc<Semaphore>,
+    /// For the pages of results that are being fetched.
+    pub page_memory: ResultMemory,
+    /// For the answers that are not sent yet, or are cached.
+    pub answer_memory: ResultMemory,
     /// Size of the cache of answers, in bytes. It serves clients whose connection ended before they received their
     /// answer.
     pub answer_cache_bytes: usize,
@@ -75,11 +84,14 @@
             .max(1);
         let results = memory_bytes / RESULT_MEMORY_DIVISOR / (COPIES_PER_RESULT * max_result_bytes);
         let statement_bytes = memory_bytes / STATEMENT_MEMORY_DIVISOR;
+        let held_result_bytes = memory_bytes / HELD_RESULT_MEMORY_DIVISOR;
         ResourceBudget {
             client_connections: Arc::new(Semaphore::new(clients)),
             engine_connections: Arc::new(Semaphore::new(engines)),
             query_capacity: open_clients.min(results).max(1),
             statement_memory: Arc::new(Semaphore::new(statement_bytes)),
+            page_memory: ResultMemory::new(held_result_bytes),
+            answer_memory: ResultMemory::new(held_result_bytes),
             answer_cache_bytes: memory_bytes / ANSWER_CACHE_MEMORY_DIVISOR,
         }
     }
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -6,8 +6,8 @@
 use helper::process::{ms, FakeEngineProcess};
 use helper::*;
 use serde_json::json;
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{sleep, spawn, JoinHandle};
@@ -20,7 +20,10 @@
 const LONG_STATEMENT_BYTES: usize = 262_000;
 
 fn start_test_bed(engine: &FakeEngineProcess, longest_deadline_ms: f64) -> TestBed {
-    let engine = engine.address;
+    start_test_bed_at(engine.address, longest_deadline_ms)
+}
+
+fn start_test_bed_at(engine: SocketAddr, longest_deadline_ms: f64) -> TestBed {
     TestBed::start_with(move |config| {
         config["known"]["results"] =
             json!([full_list_event(0, &[endpoint("s-0", engine, "SERVING")])]);
@@ -227,3 +230,64 @@
         drop(connections);
     }
 }
+
+/// Starts an engine whose results have 8 pages of short rows, which take nearly four times their length as JSON. Each
+/// attempt takes 300 ms.
+fn start_engine_of_large_results() -> SocketAddr {
+    const PAGES: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let page = "\t\t\n".repeat(2000);
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let page = page.clone();
+            spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(call) = read_message(&mut reader) {
+                    let path = call.start_line.split(' ').nth(1).unwrap();
+                    let number = path.rsplit('/').next().unwrap();
+                    let headers = match (path, number) {
+                        ("/c", _) | (_, "0") => format!("Result-Pages: {PAGES}\r\n"),
+                        _ => format!("Result-Page: {number}\r\n"),
+                    };
+                    if path == "/c" {
+                        sleep(ms(300));
+                    }
+                    let response = http_response("200 OK", &headers, &page);
+                    if (&stream).write_all(response.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Large results end together, and their clients read late. An answer was several times as long as its pages, and nothing
+/// counted it.
+#[test]
+fn large_results_that_end_together_stay_within_the_memory_limit() {
+    const CLIENTS: usize = 200;
+    let test_bed = start_test_bed_at(start_engine_of_large_results(), 8000.0);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let stream = test_bed.open();
+            spawn(move || {
+                let headers = request_headers(&new_id(), 6000);
+                send_request(&stream, "POST /v1/report", &headers, "SELECT 1");
+                sleep(ms(1500));
+                read_message(&mut BufReader::new(stream)).map(Answer::of)
+            })
+        })
+        .collect();
+    let answers = clients
+        .into_iter()
+        .map(|client| client.join().unwrap().expect("an answer"));
+    let served: Vec<_> = answers.filter(Answer::succeeded).collect();
+    assert!(!served.is_empty());
+    for answer in served {
+        assert_eq!(answer.json["data"].as_array().map(Vec::len), Some(16_000));
+    }
+    assert_within_memory_limit(&test_bed);
+}
