Limit the number of finished query keys that are remembered

Cause: the index of finished keys was limited in time only, and kept keys of queries that never ran. Change: a sixteenth of the memory. Keys whose queries may run again are forgotten early; the others are kept, and while they fill the index further queries that must not run twice get 503 at once with a time to come back. Late answers beside small requests at full speed are not shown: the new test of hostile_clients passes on the code before as well.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::http::{self, ServerState};
 use crate::phase::Phase;
 use crate::scheduling::plan_routing::{self, PlanRouter};
-use crate::scheduling::scheduler::Scheduler;
+use crate::scheduling::scheduler::{MemoryLimits, Scheduler};
 use crate::storage::body_store;
 use crate::storage::query_journal::QueryJournal;
 use crate::supervision::{Supervisor, Task};
@@ -79,7 +79,10 @@
             plan_router(&config, &budget),
             clock,
             longest_deadline_seconds,
-            budget.answer_cache_bytes,
+            MemoryLimits {
+                answer_cache_bytes: budget.answer_cache_bytes,
+                finished_keys: budget.finished_keys,
+            },
             supervisor.clone(),
         );
         scheduler.set_classes(&classes);
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -101,6 +101,9 @@
         Admission::Answered(answer) => Ok(AdmittedQuery::Answered(answer)),
         Admission::Conflict => Err(SubmissionError::QueryKeyConflict),
         Admission::AnswerNotCached => Err(SubmissionError::AnswerNotCached),
+        Admission::TooManyKeys { retry_after } => {
+            Err(SubmissionError::too_many_keys(retry_after, &state.platform))
+        }
         // Not reached with a data set, which a query has here.
         Admission::DataSetRequired => Err(SubmissionError::AnswerNotCached),
         Admission::MayHaveRun => Err(SubmissionError::MayHaveRun),
--- a/crates/gateway/src/http/submission_error.rs
+++ b/crates/gateway/src/http/submission_error.rs
@@ -59,6 +59,10 @@
     /// An earlier gateway process may have sent the query to an engine, which may have run it.
     #[error("Failed")]
     MayHaveRun,
+    /// The query must not run twice, and there is no space to remember its key. The client may send it again after
+    /// `retry_after_seconds`; `None` if the response gives no time.
+    #[error("too many ids to remember")]
+    TooManyKeys { retry_after_seconds: Option<f64> },
     /// A rule or limit of the plan denies the query. The client may send it again after `retry_after_seconds`; `None`
     /// if the response gives no time.
     #[error("{reason}")]
@@ -68,7 +72,22 @@
     },
 }
 
+/// The time to retry after that a response may give, in seconds. The settings decide whether it gives one, and limit it.
+fn allowed_retry_after(seconds: f64, platform: &PlatformSettings) -> Option<f64> {
+    let settings = &platform.settings;
+    settings
+        .retry_after_allowed
+        .then_some(seconds.min(settings.max_retry_after))
+}
+
 impl SubmissionError {
+    /// Returns the error for a query whose key can't be remembered; one expires after `retry_after` seconds.
+    pub fn too_many_keys(retry_after: f64, platform: &PlatformSettings) -> Self {
+        SubmissionError::TooManyKeys {
+            retry_after_seconds: allowed_retry_after(retry_after, platform),
+        }
+    }
+
     /// Returns the error for a denial by the plan. The settings decide whether the response gives a time to retry
     /// after, and limit that time.
     pub fn denied_by_plan(denial: PlanDenial, platform: &PlatformSettings) -> Self {
@@ -86,10 +105,8 @@
                     retry_after_ms,
                     "query rejected by a rule or limit of the plan"
                 );
-                let settings = &platform.settings;
-                let retry_after_seconds = retry_after
-                    .filter(|_| settings.retry_after_allowed)
-                    .map(|span| span.as_secs_f64().min(settings.max_retry_after));
+                let retry_after_seconds =
+                    retry_after.and_then(|span| allowed_retry_after(span.as_secs_f64(), platform));
                 SubmissionError::DeniedByPlan {
                     reason,
                     retry_after_seconds,
@@ -114,9 +131,9 @@
             | SubmissionError::StatementOverPlan { .. }
             | SubmissionError::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             SubmissionError::MayHaveRun => StatusCode::INTERNAL_SERVER_ERROR,
-            SubmissionError::BodyStoreFull | SubmissionError::DeniedByPlan { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            SubmissionError::BodyStoreFull
+            | SubmissionError::TooManyKeys { .. }
+            | SubmissionError::DeniedByPlan { .. } => StatusCode::SERVICE_UNAVAILABLE,
             SubmissionError::StatementMemoryFull => StatusCode::INSUFFICIENT_STORAGE,
         }
     }
@@ -129,6 +146,7 @@
             | SubmissionError::QueryKeyConflict
             | SubmissionError::AnswerNotCached
             | SubmissionError::MayHaveRun
+            | SubmissionError::TooManyKeys { .. }
             | SubmissionError::DeniedByPlan { .. } => false,
             SubmissionError::LengthRequired
             | SubmissionError::StatementTooLong
@@ -160,7 +178,10 @@
         let text = self.to_string();
         let response = match &self {
             SubmissionError::BodyStoreFull => busy_response(Some(&text), None),
-            SubmissionError::DeniedByPlan {
+            SubmissionError::TooManyKeys {
+                retry_after_seconds,
+            }
+            | SubmissionError::DeniedByPlan {
                 retry_after_seconds,
                 ..
             } => busy_response(Some(&text), *retry_after_seconds),
--- a/crates/gateway/src/scheduling/query_task.rs
+++ b/crates/gateway/src/scheduling/query_task.rs
@@ -205,7 +205,7 @@
         if let Some(entry) = self.journal_entry.filter(|_| attempts_begun > 0) {
             self.journal.record_end(entry.query_key);
         }
-        self.scheduler.release(self.query_id);
+        self.scheduler.release(self.query_id, attempts_begun);
     }
 
     /// Runs one attempt until it has ended, which may be after the query was answered. An engine that has left the
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::discovery::{EngineList, EngineUpdate, ListChange};
-use crate::scheduling::scheduler::{Admission, ArrivingQuery, OpenedQuery, Waiter};
+use crate::scheduling::scheduler::{Admission, ArrivingQuery, MemoryLimits, OpenedQuery, Waiter};
 use crate::supervision::catch_panic_of_call;
 use crate::system::clock::Clock;
 use crate::system::resource_budget::{ResourceBudget, ResourceLimits};
@@ -59,7 +59,10 @@
             None,
             clock,
             LONGEST_DEADLINE_SECONDS,
-            1024,
+            MemoryLimits {
+                answer_cache_bytes: 1024,
+                finished_keys: 100,
+            },
             supervisor.clone(),
         );
         let address = SocketAddr::from(([127, 0, 0, 1], 4100));
--- a/crates/gateway/src/scheduling/scheduler.rs
+++ b/crates/gateway/src/scheduling/scheduler.rs
@@ -44,6 +44,15 @@
 };
 pub use waiter::Waiter;
 
+/// Limits on what is kept of finished queries.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryLimits {
+    /// Size of the cache of answers, in bytes.
+    pub answer_cache_bytes: usize,
+    /// Number of keys that are remembered.
+    pub finished_keys: usize,
+}
+
 /// The admission controller with its timer and the open queries. Times are in seconds on the gateway's [`Clock`].
 pub struct Scheduler {
     clock: Clock,
@@ -66,18 +75,17 @@
 impl Scheduler {
     /// Creates a scheduler and the channel on which it requests health checks of engines.
     ///
-    /// Keys of finished queries are remembered for `finished_retention` seconds. Their answers are cached in at most
-    /// `answer_cache_bytes` bytes.
+    /// Keys of finished queries are remembered for `finished_retention` seconds, within `limits`.
     pub fn new(
         controller: AdmissionController,
         plan_router: Option<PlanRouter>,
         clock: Clock,
         finished_retention: f64,
-        answer_cache_bytes: usize,
+        limits: MemoryLimits,
         supervisor: Supervisor,
     ) -> (Self, UnboundedReceiver<EngineId>) {
         let (health_checks, health_check_requests) = unbounded_channel();
-        let state = SchedulerState::new(controller, plan_router, clock.now(), answer_cache_bytes);
+        let state = SchedulerState::new(controller, plan_router, clock.now(), limits);
         let scheduler = Scheduler {
             clock,
             state: Mutex::new(state),
--- a/crates/gateway/src/scheduling/scheduler/admission.rs
+++ b/crates/gateway/src/scheduling/scheduler/admission.rs
@@ -41,6 +41,7 @@
     /// Index of the class that the query is treated as; the plan may assign another class than the client requested.
     class: usize,
     is_non_idempotent: bool,
+    is_idempotent: bool,
     plan_admission: Option<PlanAdmission>,
     /// The time by which the query must be answered, in seconds on the gateway's clock.
     deadline: f64,
@@ -138,7 +139,8 @@
     }
 
     /// Opens a query of an unknown key if the plan admits it. While the journal is still being read, a non-idempotent
-    /// query is not opened, since an earlier process may have sent it.
+    /// query is not opened, since an earlier process may have sent it. Neither is a query that must not run twice while
+    /// there is no space to remember its key.
     fn admit_new(
         self: &Arc<Self>,
         state: &mut SchedulerState,
@@ -154,6 +156,12 @@
             state.release_plan_admission(now, terms.plan_admission);
             return Admission::MayHaveRun;
         }
+        let full_until = state.query_index.full_until();
+        if let Some(full_until) = full_until.filter(|_| !terms.is_idempotent) {
+            state.release_plan_admission(now, terms.plan_admission);
+            let retry_after = full_until - now;
+            return Admission::TooManyKeys { retry_after };
+        }
         self.open(state, now, new, terms)
     }
 
@@ -241,6 +249,7 @@
             waiter_generation: WaiterGeneration::default(),
             client_presence: ClientPresence::default(),
             deadline: terms.deadline,
+            is_idempotent: terms.is_idempotent,
             plan_admission: terms.plan_admission,
         }
     }
@@ -308,6 +317,7 @@
         AdmissionTerms {
             class,
             is_non_idempotent: self.is_non_idempotent(class),
+            is_idempotent: self.is_idempotent(class),
             plan_admission,
             deadline,
         }
--- a/crates/gateway/src/scheduling/scheduler/messages.rs
+++ b/crates/gateway/src/scheduling/scheduler/messages.rs
@@ -146,6 +146,11 @@
     AnswerNotCached,
     /// An earlier process of this gateway may have sent the query, and the query may have run.
     MayHaveRun,
+    /// The query must not run twice, and there is no space to remember its key. It has not run.
+    TooManyKeys {
+        /// The time until a remembered key expires, in seconds.
+        retry_after: f64,
+    },
     /// The query is new, and can be admitted only with its data set.
     DataSetRequired,
     /// The plan does not admit the query.
--- a/crates/gateway/src/scheduling/scheduler/open_query.rs
+++ b/crates/gateway/src/scheduling/scheduler/open_query.rs
@@ -39,6 +39,8 @@
     pub(super) client_presence: ClientPresence,
     /// The query's deadline, in seconds on the gateway's clock.
     pub(super) deadline: f64,
+    /// Whether the query has no further effect if it runs again.
+    pub(super) is_idempotent: bool,
     /// The plan's terms and the limits that the query holds; `None` if the gateway has no plan.
     pub(super) plan_admission: Option<PlanAdmission>,
 }
--- a/crates/gateway/src/scheduling/scheduler/query_end.rs
+++ b/crates/gateway/src/scheduling/scheduler/query_end.rs
@@ -1,6 +1,6 @@
 //! The end of a query: its final answer, its cancellation by the client, and its release.
 
-use super::query_index::QueryKeyState;
+use super::query_index::{KeyRetention, QueryKeyState};
 use super::{CancelOutcome, QueryAnswer, Scheduler};
 use crate::scheduling::log_millis;
 use garnetwall::api::QueryId;
@@ -27,9 +27,10 @@
         self.handle_event(|state, now| state.end_as_failed(now, id));
     }
 
-    /// Releases a query that is finished and whose attempts have all ended. Its key stays known for the retention time.
-    /// Its answer goes to the answer cache, unless the statement was streamed.
-    pub fn release(&self, id: QueryId) {
+    /// Releases a query that is finished and whose attempts have all ended; `attempts` is their number. Its key stays
+    /// known for the retention time, or as long as there is space if it may run again. Its answer goes to the answer
+    /// cache, unless the statement was streamed.
+    pub fn release(&self, id: QueryId, attempts: u32) {
         let mut state = self.state();
         if let Some(query) = state.open_queries.remove(&id) {
             let now = self.clock.now();
@@ -39,7 +40,12 @@
                 cache.insert(now, query.query_key, fingerprint, answer, query.deadline);
             }
             let expires_at = now + self.finished_retention;
-            state.query_index.finish(query.query_key, expires_at);
+            let retention = match query.is_idempotent || attempts == 0 {
+                true => KeyRetention::WhileSpace,
+                false => KeyRetention::Required,
+            };
+            let query_index = &mut state.query_index;
+            query_index.finish(query.query_key, expires_at, retention);
             state.release_plan_admission(now, query.plan_admission);
         }
         self.open_count.send_replace(state.open_queries.len());
--- a/crates/gateway/src/scheduling/scheduler/query_index.rs
+++ b/crates/gateway/src/scheduling/scheduler/query_index.rs
@@ -1,5 +1,9 @@
 //! Index of the query keys that are open, finished or recovered, so that a repeated request does not run its query
 //! again.
+//!
+//! The number of finished keys is limited, since clients bring ever new ones. Keys whose queries may run again are
+//! forgotten early where the space is needed. Those that must not run again are kept until they expire; while they fill
+//! the index, no further query of their kind may be opened.
 
 use garnetwall::api::QueryId;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -25,6 +29,15 @@
     Pending,
 }
 
+/// Whether the key of a finished query has to be remembered until it expires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum KeyRetention {
+    /// The query may have run, and must not run again.
+    Required,
+    /// The query never ran, or has no further effect if it runs again.
+    WhileSpace,
+}
+
 /// The time at which the key of a finished query is forgotten.
 struct Expiry {
     query_key: u64,
@@ -32,18 +45,33 @@
 }
 
 /// The query keys known to this process. Times are in seconds on the gateway's clock.
-#[derive(Default)]
 pub(super) struct QueryIndex {
     open: HashMap<u64, QueryId>,
     finished: HashSet<u64>,
-    /// Expiries of finished keys, soonest first.
-    expiries: VecDeque<Expiry>,
+    max_finished: usize,
+    /// Expiries of the finished keys that have to be remembered, soonest first.
+    required: VecDeque<Expiry>,
+    /// Expiries of the other finished keys, soonest first.
+    dispensable: VecDeque<Expiry>,
     /// Recovered keys with their expiry times.
     recovered: HashMap<u64, f64>,
     recovery: Recovery,
 }
 
 impl QueryIndex {
+    /// Creates an index that remembers up to `max_finished` finished keys.
+    pub(super) fn new(max_finished: usize) -> Self {
+        QueryIndex {
+            open: HashMap::new(),
+            finished: HashSet::new(),
+            max_finished,
+            required: VecDeque::new(),
+            dispensable: VecDeque::new(),
+            recovered: HashMap::new(),
+            recovery: Recovery::default(),
+        }
+    }
+
     /// Returns the state of a key's query; `None` for an unknown key.
     pub(super) fn state(&self, query_key: u64) -> Option<QueryKeyState> {
         if let Some(id) = self.open.get(&query_key) {
@@ -61,14 +89,33 @@
         self.open.insert(query_key, id);
     }
 
-    /// Records that the query of a key has finished. The key is remembered until `expires_at`.
-    pub(super) fn finish(&mut self, query_key: u64, expires_at: f64) {
+    /// Records that the query of a key has finished. The key is remembered until `expires_at`, or as long as `retention`
+    /// allows.
+    pub(super) fn finish(&mut self, query_key: u64, expires_at: f64, retention: KeyRetention) {
         self.open.remove(&query_key);
         self.finished.insert(query_key);
-        self.expiries.push_back(Expiry {
+        let expiries = match retention {
+            KeyRetention::Required => &mut self.required,
+            KeyRetention::WhileSpace => &mut self.dispensable,
+        };
+        expiries.push_back(Expiry {
             query_key,
             expires_at,
         });
+        while self.finished.len() > self.max_finished {
+            let Some(oldest) = self.dispensable.pop_front() else {
+                return;
+            };
+            self.finished.remove(&oldest.query_key);
+        }
+    }
+
+    /// The time at which a query whose key will have to be remembered may be opened again; `None` if one may be opened
+    /// now.
+    pub(super) fn full_until(&self) -> Option<f64> {
+        let is_full = self.required.len() + self.open.len() >= self.max_finished;
+        let oldest = self.required.front().filter(|_| is_full)?;
+        Some(oldest.expires_at)
     }
 
     /// Records that an earlier process sent the query of a key. The key is remembered until `expires_at`.
@@ -93,12 +140,10 @@
 
     /// Removes the keys that have expired.
     pub(super) fn discard_expired(&mut self, now: f64) {
-        while let Some(expiry) = self.expiries.front() {
-            if expiry.expires_at >= now {
-                break;
+        for expiries in [&mut self.required, &mut self.dispensable] {
+            while let Some(expired) = expiries.pop_front_if(|expiry| expiry.expires_at < now) {
+                self.finished.remove(&expired.query_key);
             }
-            self.finished.remove(&expiry.query_key);
-            self.expiries.pop_front();
         }
         if !self.recovered.is_empty() {
             self.recovered.retain(|_, expires_at| *expires_at > now);
--- a/crates/gateway/src/scheduling/scheduler/state.rs
+++ b/crates/gateway/src/scheduling/scheduler/state.rs
@@ -3,7 +3,7 @@
 use super::answer_cache::AnswerCache;
 use super::open_query::OpenQuery;
 use super::query_index::QueryIndex;
-use super::{Command, QueryAnswer};
+use super::{Command, MemoryLimits, QueryAnswer};
 use crate::scheduling::log_millis;
 use crate::scheduling::plan_routing::{PlanAdmission, PlanRouter, SubsetUpdate};
 use crate::system::clock::Clock;
@@ -21,8 +21,8 @@
     pub(super) query_index: QueryIndex,
     pub(super) open_queries: HashMap<QueryId, OpenQuery>,
     pub(super) answer_cache: AnswerCache,
-    /// Whether queries of a class are non-idempotent, by class index.
-    pub(super) non_idempotent_classes: Vec<bool>,
+    /// The classes' idempotency, by class index.
+    pub(super) idempotency: Vec<Idempotency>,
     /// The time at which the controller is due next.
     pub(super) wakes_at: f64,
     pub(super) stall_detector: StallDetector,
@@ -33,31 +33,32 @@
         controller: AdmissionController,
         plan_router: Option<PlanRouter>,
         now: f64,
-        answer_cache_bytes: usize,
+        limits: MemoryLimits,
     ) -> Self {
         SchedulerState {
             controller,
             plan_router,
             next_query_id: 0,
-            query_index: QueryIndex::default(),
+            query_index: QueryIndex::new(limits.finished_keys),
             open_queries: HashMap::new(),
-            answer_cache: AnswerCache::new(answer_cache_bytes),
-            non_idempotent_classes: Vec::new(),
+            answer_cache: AnswerCache::new(limits.answer_cache_bytes),
+            idempotency: Vec::new(),
             wakes_at: now,
             stall_detector: StallDetector::new(now),
         }
     }
 
     pub(super) fn set_classes(&mut self, classes: &[QueryClass]) {
-        self.non_idempotent_classes = classes
-            .iter()
-            .map(|class| class.idempotency == Idempotency::NonIdempotent)
-            .collect();
+        self.idempotency = classes.iter().map(|class| class.idempotency).collect();
     }
 
     pub(super) fn is_non_idempotent(&self, class: usize) -> bool {
-        let class = self.non_idempotent_classes.get(class);
-        class.copied().unwrap_or_default()
+        self.idempotency.get(class) == Some(&Idempotency::NonIdempotent)
+    }
+
+    /// Whether a query of the class may run any number of times.
+    pub(super) fn is_idempotent(&self, class: usize) -> bool {
+        self.idempotency.get(class) == Some(&Idempotency::Idempotent)
     }
 
     pub(super) fn update_endpoint_subsets(&mut self, updates: Vec<SubsetUpdate>) {
--- a/crates/gateway/src/system/resource_budget.rs
+++ b/crates/gateway/src/system/resource_budget.rs
@@ -28,6 +28,12 @@
 /// One in this many bytes of memory is for cached answers, which clients may request again.
 const ANSWER_CACHE_MEMORY_DIVISOR: usize = 64;
 
+/// One in this many bytes of memory is for the keys of finished queries.
+const FINISHED_KEY_MEMORY_DIVISOR: usize = 16;
+
+/// Memory of a key of a finished query, in bytes, while the tables that hold it grow.
+const FINISHED_KEY_BYTES: usize = 80;
+
 /// A result is held in memory twice: as the pages from the engine, and as the answer assembled from them.
 const COPIES_PER_RESULT: usize = 2;
 
@@ -62,6 +68,8 @@
     /// Size of the cache of answers, in bytes. It serves clients whose connection ended before they received their
     /// answer.
     pub answer_cache_bytes: usize,
+    /// Number of keys of finished queries that are remembered.
+    pub finished_keys: usize,
 }
 
 impl ResourceBudget {
@@ -93,6 +101,7 @@
             page_memory: ResultMemory::new(held_result_bytes),
             answer_memory: ResultMemory::new(held_result_bytes),
             answer_cache_bytes: memory_bytes / ANSWER_CACHE_MEMORY_DIVISOR,
+            finished_keys: memory_bytes / FINISHED_KEY_MEMORY_DIVISOR / FINISHED_KEY_BYTES,
         }
     }
 }
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -291,3 +291,57 @@
     }
     assert_within_memory_limit(&test_bed);
 }
+
+/// A client that writes requests without waiting for their responses, on one connection, and reads what it is sent.
+fn pipeline(
+    test_bed: &TestBed,
+    stopped: &Arc<AtomicBool>,
+    request: impl Fn() -> String + Send + 'static,
+) -> JoinHandle<()> {
+    let (address, stopped) = (test_bed.address, stopped.clone());
+    spawn(move || {
+        while !stopped.load(Ordering::Relaxed) {
+            let Ok(stream) = TcpStream::connect(address) else {
+                continue;
+            };
+            let mut reader = stream.try_clone().unwrap();
+            let reading = spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+            while !stopped.load(Ordering::Relaxed) {
+                let requests: String = (0..50).map(|_| request()).collect();
+                if (&stream).write_all(requests.as_bytes()).is_err() {
+                    break;
+                }
+            }
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            let _ = reading.join().unwrap();
+        }
+    })
+}
+
+/// Small or unsound requests at full speed on a few connections, also under ever new ids, get no more than their turn of
+/// the gateway's time.
+#[test]
+fn small_requests_at_full_speed_delay_no_other_client() {
+    let engine = FakeEngineProcess::start();
+    let requests: [fn() -> String; 5] = [
+        || "GET /healthz HTTP/1.1\r\nHost: g\r\n\r\n".into(),
+        || head_of_fields(0, "", 8).replace("report", "nowhere") + "SELECT 1",
+        || head_of_fields(60, "", 0).replace("POST", "DELETE"),
+        || head_of_fields(0, "", 8).replace("4000", "1") + "SELECT 1",
+        || "\r\n".repeat(200) + &head_of_fields(0, "", 0).replace("X-Job-Id", "X-Job"),
+    ];
+    for request in requests {
+        let test_bed = start_test_bed(&engine, 8000.0);
+        let stopped = Arc::new(AtomicBool::new(false));
+        let clients: Vec<_> = (0..4)
+            .map(|_| pipeline(&test_bed, &stopped, request))
+            .collect();
+        sleep(ms(200));
+        assert_queries_are_served(&test_bed, 20, ms(700));
+        stopped.store(true, Ordering::Relaxed);
+        clients
+            .into_iter()
+            .for_each(|client| client.join().unwrap());
+        assert_within_memory_limit(&test_bed);
+    }
+}
