Count an engine as removed once another one claims its address

Cause: the list knows engines by name alone. Until the log removes the old entry, both are ready at one address. Change: an address belongs to the engine that claimed it last; other engines of this address count as removed while the owner is listed. The entries of the list's own test had one address for all names, which no list has; each has its own now, and every assertion is as before.

--- a/crates/gateway/src/discovery/list.rs
+++ b/crates/gateway/src/discovery/list.rs
@@ -3,6 +3,7 @@
 //! Without an engine subset the list holds all engines of the change log, otherwise the members of the subset.
 //! Scheduling and the engine connections read the list while [`super::driver`] applies updates to it.
 
+mod address_claims;
 mod engine_table;
 mod subset_log;
 
@@ -10,6 +11,7 @@
 use super::event::Event;
 use super::selection::{Candidate, SubsetSelection};
 use crate::system::clock::{clamped_duration, Clock};
+use address_claims::AddressClaims;
 use engine_table::{EngineTable, StateCounts};
 use garnetwall::api::{Endpoint, EndpointState, EngineId, ListScope};
 use std::net::SocketAddr;
@@ -59,6 +61,8 @@
 }
 
 struct ListState {
+    /// Which engine each address belongs to.
+    claims: AddressClaims,
     table: EngineTable,
     /// `None` if no engine subset is configured, and the gateway uses the full list.
     selection: Option<SubsetSelection>,
@@ -70,6 +74,7 @@
     /// removal. `selection` chooses the engine subset; `None` means the full list.
     pub fn new(retention: Duration, clock: Clock, selection: Option<SubsetSelection>) -> Self {
         let state = ListState {
+            claims: AddressClaims::default(),
             table: EngineTable::new(retention),
             selection,
             subset_log: SubsetLog::default(),
@@ -196,6 +201,7 @@
             scope,
             entries,
         } = event;
+        let entries = self.claims.resolve(entries, scope);
         self.table.record_starts(now, &entries);
         let Some(selection) = &mut self.selection else {
             let updates = self.table.apply(entries, scope, Instant::now());
--- a/crates/gateway/src/discovery/list/tests.rs
+++ b/crates/gateway/src/discovery/list/tests.rs
@@ -1,8 +1,10 @@
 use super::*;
 use crate::discovery::event::EngineEntry;
 
+/// Returns an entry of an engine at an address of its own.
 fn entry(name: &str, state: EndpointState) -> EngineEntry {
-    let address = SocketAddr::from(([127, 0, 0, 1], 4100));
+    let port = name.bytes().map(u16::from).sum();
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
     EngineEntry {
         name: name.into(),
         address,
