Reject a request with more behind it than is read ahead

Cause: a close is seen by reading up to it. With more behind an open request than the 8 kB that are read ahead and the system's buffers, it stays hidden at the client's system as long as the request is open. Change: such a request gets 400 and a close, before admission and as long as it is open; its query is given up. A usual client has one call at a time on a connection and sends nothing behind it.

--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -94,23 +94,24 @@
     response_unless_surplus(&stream, admitted.response()).await
 }
 
-/// Fails if the request is longer than its declared length, so that no part of a statement is run in place of the whole.
+/// Fails if bytes stand behind the request that must not be there, so that no part of a statement is run in place of the
+/// whole, and nothing for a client whose close can't be seen.
 pub(super) fn check_length(stream: &StreamHandle) -> Result<(), SubmissionError> {
     match stream.has_surplus() {
-        true => Err(SubmissionError::BodyLongerThanDeclared),
+        true => Err(SubmissionError::UnexpectedBytes),
         false => Ok(()),
     }
 }
 
-/// Waits for the response to an admitted query. If it turns out before that the request is longer than its declared
-/// length, the request no longer waits for the query, as if its client had left.
+/// Waits for the response to an admitted query. If bytes arrive before that must not stand behind the request, it no longer
+/// waits for the query, as if its client had left.
 pub(super) async fn response_unless_surplus(
     stream: &StreamHandle,
     response: impl Future<Output = Response>,
 ) -> Result<Response, SubmissionError> {
     tokio::select! {
         biased;
-        () = stream.surplus() => Err(SubmissionError::BodyLongerThanDeclared),
+        () = stream.surplus() => Err(SubmissionError::UnexpectedBytes),
         response = response => Ok(response),
     }
 }
--- a/crates/gateway/src/http/submission_error.rs
+++ b/crates/gateway/src/http/submission_error.rs
@@ -38,9 +38,10 @@
     /// The connection ended before the body was complete.
     #[error("statement cut off")]
     BodyTruncated,
-    /// Bytes that begin no request stand behind the body, so that the body is only a part of what the client meant.
-    #[error("more bytes than the Content-Length says")]
-    BodyLongerThanDeclared,
+    /// Bytes that begin no request stand behind the body, so that the body is only a part of what the client meant; or
+    /// so many bytes that a close by the client would not be seen.
+    #[error("unexpected bytes behind the request")]
+    UnexpectedBytes,
     /// The statement, or the next chunk of a streamed body, did not arrive in time.
     #[error("statement came too slowly")]
     BodyReadTimeout,
@@ -119,7 +120,7 @@
         match self {
             SubmissionError::InvalidHead(_)
             | SubmissionError::BodyTruncated
-            | SubmissionError::BodyLongerThanDeclared
+            | SubmissionError::UnexpectedBytes
             | SubmissionError::BodyNotStored
             | SubmissionError::ClientClosed => StatusCode::BAD_REQUEST,
             SubmissionError::BodyReadTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -155,7 +156,7 @@
             | SubmissionError::StatementMemoryFull
             | SubmissionError::BodyStoreFull
             | SubmissionError::BodyTruncated
-            | SubmissionError::BodyLongerThanDeclared
+            | SubmissionError::UnexpectedBytes
             | SubmissionError::BodyReadTimeout
             | SubmissionError::BodyNotStored
             | SubmissionError::ClientClosed => true,
--- a/crates/gateway/tests/request_lengths.rs
+++ b/crates/gateway/tests/request_lengths.rs
@@ -16,11 +16,20 @@
 const CUT_BYTES: usize = 25;
 
 fn start_test_bed(engine: &FakeEngineProcess) -> TestBed {
+    start_test_bed_with_limit(engine, 3000.0)
+}
+
+/// Starts a test bed whose queries may take `limit_ms`.
+fn start_test_bed_with_limit(engine: &FakeEngineProcess, limit_ms: f64) -> TestBed {
     let engine = engine.address;
     TestBed::start_with(move |config| {
         config["known"]["results"] =
             json!([full_list_event(0, &[endpoint("s-0", engine, "SERVING")])]);
         config["settings"]["allowed"]["may-probe"] = json!(false);
+        config["settings"]["categories"] = json!([
+            query_class("report", "retryable", limit_ms),
+            query_class("load", "fragile", limit_ms)
+        ]);
     })
 }
 
@@ -161,3 +170,28 @@
         assert!(matches!(second, None | Some(200)), "{second:?}");
     }
 }
+
+/// A client that closes with more unread than the system buffers for it: the system tells of its close only when the rest
+/// has been read. Its request, which waits for another one of its key, was sent on after that.
+#[test]
+fn request_of_a_client_that_closes_behind_unread_bytes_is_not_sent() {
+    const KEY: &str = "X-Item: 7f3a9c21e0b4d655\r\n";
+    let engine = FakeEngineProcess::start();
+    let test_bed = start_test_bed_with_limit(&engine, 12_000.0);
+    let first = test_bed.open();
+    let headers = request_headers(&new_id(), 12_000) + KEY;
+    send_request(&first, "POST /v1/load", &headers, "INSERT 1 /* runs 900 */");
+    wait_until("the first attempt", || engine.attempts().len() == 1);
+    let second = test_bed.open();
+    let headers = request_headers(&new_id(), 12_000) + KEY;
+    send_request(&second, "POST /v1/load", &headers, "INSERT 2");
+    let further = head("POST /v1/report", &new_id(), 8) + "SELECT 1";
+    second.set_write_timeout(Some(ms(300))).unwrap();
+    // The system takes what fits into its buffers, which is more than the gateway reads ahead.
+    let _ = (&second).write_all(further.repeat(20_000).as_bytes());
+    drop(second);
+    assert!(read_answer(&first).succeeded());
+    sleep(ms(500));
+    let attempts = engine.attempts();
+    assert_eq!(attempts.len(), 1, "{attempts:?}");
+}
