Share the seeds of the soaks, and number the events of the new one without gaps

Found by its first run by hand: seed 16 had a query in two cells. The trace of its attempts shows a new engine used as the old one 2.2 s after the log had told of it: the soak numbered its events with gaps, which no log does, so that the gateway waited for those between. Change: the number is that of the log; an engine is replaced once.

--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod process;
 pub mod scripted_log;
+pub mod seeds;
 
 use faults::Faults;
 use serde_json::{json, Value};
--- a/crates/gateway/tests/hostile_soak.rs
+++ b/crates/gateway/tests/hostile_soak.rs
@@ -4,12 +4,12 @@
 mod helper;
 
 use helper::process::{ms, FakeEngineProcess};
+use helper::seeds::{run_seeds, Random};
 use helper::*;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn, JoinHandle};
@@ -28,24 +28,6 @@
 /// Set by the protocol: a request whose connection is closed within this time has crossed the close.
 const CROSSING_LIMIT: Duration = Duration::from_millis(50);
 
-/// Pseudo-random numbers from a seed, by splitmix64.
-#[derive(Clone)]
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (z ^ (z >> 31)) % n
-    }
-
-    fn one_of<T: Copy>(&mut self, choices: &[T]) -> T {
-        choices[self.below(choices.len() as u64) as usize]
-    }
-}
-
 /// What the clients of one seed share.
 #[derive(Clone)]
 struct Run {
@@ -186,7 +168,7 @@
 }
 
 /// Kills an engine, and starts one of another cell at its address. The log tells of the new one first, by chance.
-fn replace_engine(test_bed: &TestBed, engines: &mut Vec<Engine>, random: &mut Random, seq: u64) {
+fn replace_engine(test_bed: &TestBed, engines: &mut Vec<Engine>, random: &mut Random) {
     let position = loop {
         let position = random.below(engines.len() as u64) as usize;
         if engines[position].is_alive {
@@ -196,7 +178,7 @@
     engines[position].is_alive = false;
     let address = engines[position].process.address;
     engines[position].process.kill();
-    let name = format!("s-new-{seq}");
+    let name = format!("s-new-{}", engines.len());
     let mut new = Engine::start(&name, 3 - engines[position].cell, address);
     let removal = engines[position].entry("DELETED");
     sleep(ms(random.below(100)));
@@ -204,28 +186,33 @@
         0 => vec![removal.clone(), new.entry("SERVING")],
         _ => vec![new.entry("SERVING")],
     };
-    test_bed.log.publish(list_change_event(seq, &changes));
+    publish(test_bed, &changes);
     new.listed_at = Instant::now();
     sleep(ms(random.below(300)));
-    test_bed.log.publish(list_change_event(seq + 1, &[removal]));
+    publish(test_bed, &[removal]);
     engines.push(new);
 }
 
+/// Publishes a change under the next number.
+fn publish(test_bed: &TestBed, entries: &[Value]) {
+    let number = test_bed.log.events.lock().unwrap().len() as u64 + 1;
+    test_bed.log.publish(list_change_event(number, entries));
+}
+
 fn disturb(test_bed: &TestBed, engines: &mut Vec<Engine>, random: &mut Random) {
     let began = Instant::now();
-    let mut seq = 1;
+    let mut is_drained = false;
     while began.elapsed() < DURATION {
         sleep(ms(200 + random.below(400)));
         match random.below(4) {
-            0 => replace_engine(test_bed, engines, random, seq),
+            0 => replace_engine(test_bed, engines, random),
             1 => test_bed.log.close_streams(),
-            2 if seq == 1 => {
-                let drained = engines[0].entry("DRAINING");
-                test_bed.log.publish(list_change_event(seq, &[drained]));
+            2 if !is_drained && engines[0].is_alive => {
+                is_drained = true;
+                publish(test_bed, &[engines[0].entry("DRAINING")]);
             }
             _ => {}
         }
-        seq += 2;
     }
 }
 
@@ -246,13 +233,39 @@
     cells
 }
 
+/// Lists the attempts of a query, with the time since the log told of their engine.
+fn attempts_of(engines: &[Engine], id: &str) -> String {
+    let mut lines = String::new();
+    for engine in engines {
+        let attempts = engine.process.attempts();
+        for attempt in attempts.iter().filter(|attempt| attempt.id == id) {
+            let since_told = attempt
+                .received_at
+                .saturating_duration_since(engine.listed_at);
+            lines += &format!(
+                "{} at {} in cell {}, {since_told:?} after it was told, {:?} ago; ",
+                engine.name,
+                engine.process.address,
+                engine.cell,
+                attempt.received_at.elapsed()
+            );
+        }
+    }
+    lines
+}
+
 fn assert_no_effect_twice(seed: u64, engines: &[Engine]) {
     for (id, cells) in cells_by_query(engines, "load") {
         assert_eq!(cells.len(), 1, "seed {seed}: {id} ran twice");
     }
     for (id, cells) in cells_by_query(engines, "keyed") {
         let distinct: BTreeSet<u64> = cells.into_iter().collect();
-        assert_eq!(distinct.len(), 1, "seed {seed}: {id} ran in two cells");
+        assert_eq!(
+            distinct.len(),
+            1,
+            "seed {seed}: {id} ran in two cells: {}",
+            attempts_of(engines, &id)
+        );
     }
     let statements = engines.iter().flat_map(|engine| engine.process.attempts());
     for attempt in statements {
@@ -327,30 +340,7 @@
     );
 }
 
-/// Returns the seeds to run, from `GATEWAY_TEST_SEEDS` where it is set.
-fn seeds() -> Range<u64> {
-    let named = std::env::var("GATEWAY_TEST_SEEDS").unwrap_or("1..9".into());
-    let (from, to) = named
-        .split_once("..")
-        .expect("GATEWAY_TEST_SEEDS should be a range such as 1..60");
-    from.parse().unwrap()..to.parse().unwrap()
-}
-
 #[test]
 fn usual_clients_are_answered_beside_bad_ones_while_engines_are_replaced() {
-    let next = Arc::new(Mutex::new(seeds()));
-    let workers: Vec<_> = (0..CONCURRENT_SEEDS)
-        .map(|_| {
-            let next = next.clone();
-            spawn(move || loop {
-                let Some(seed) = next.lock().unwrap().next() else {
-                    return;
-                };
-                run_seed(seed);
-            })
-        })
-        .collect();
-    workers
-        .into_iter()
-        .for_each(|worker| worker.join().unwrap());
+    run_seeds("1..9", CONCURRENT_SEEDS, run_seed);
 }
--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -6,12 +6,12 @@
 
 use helper::faults::Faults;
 use helper::process::{ms, FakeEngineProcess};
+use helper::seeds::{run_seeds, Random};
 use helper::*;
 use serde_json::json;
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::ops::Range;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -32,23 +32,6 @@
 /// elsewhere.
 const CROSSING_LIMIT: Duration = Duration::from_millis(50);
 
-/// Pseudo-random numbers from a seed, by splitmix64.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (z ^ (z >> 31)) % n
-    }
-
-    fn one_of<T: Copy>(&mut self, choices: &[T]) -> T {
-        choices[self.below(choices.len() as u64) as usize]
-    }
-}
-
 /// Sends queries on open connections until the gateway accepts none. Returns the number of answers and records
 /// violations.
 fn run_client(
@@ -222,30 +205,7 @@
     );
 }
 
-/// Returns the seeds to run, from `GATEWAY_TEST_SEEDS` where it is set.
-fn seeds() -> Range<u64> {
-    let named = std::env::var("GATEWAY_TEST_SEEDS").unwrap_or("1..13".into());
-    let (from, to) = named
-        .split_once("..")
-        .expect("GATEWAY_TEST_SEEDS should be a range such as 1..60");
-    from.parse().unwrap()..to.parse().unwrap()
-}
-
 #[test]
 fn queries_admitted_until_the_earliest_kill_are_answered() {
-    let next = Arc::new(Mutex::new(seeds()));
-    let workers: Vec<_> = (0..CONCURRENT_SEEDS)
-        .map(|_| {
-            let next = next.clone();
-            spawn(move || loop {
-                let Some(seed) = next.lock().unwrap().next() else {
-                    return;
-                };
-                run_seed(seed);
-            })
-        })
-        .collect();
-    workers
-        .into_iter()
-        .for_each(|worker| worker.join().unwrap());
+    run_seeds("1..13", CONCURRENT_SEEDS, run_seed);
 }
