--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -145,8 +145,8 @@
         state.framing.record_request(body_bytes);
     }
 
-    /// Whether bytes have arrived behind the open request that begin no further one, so that its length is too short, or
-    /// more than is read ahead. Reads from the socket first. Always false until the request has been read to its end.
+    /// Whether bytes have arrived behind the open request that begin no further one, so that its length is too short.
+    /// Reads from the socket first. Always false until the request has been read to its end.
     pub fn has_surplus(&self) -> bool {
         let mut state = self.state();
         state.read_available();
@@ -303,11 +303,8 @@
         }
     }
 
-    /// Whether the bytes behind the open request show that it is not to be served: they begin no further request, or are
-    /// so many that a close by the client behind them would not be seen.
     fn has_surplus(&self) -> bool {
-        self.framing.is_request_complete()
-            && (is_surplus(&self.read_ahead) || self.is_read_ahead_full())
+        self.framing.is_request_complete() && is_surplus(&self.read_ahead)
     }
 
     fn is_read_ahead_full(&self) -> bool {
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -95,7 +95,7 @@
 }
 
 /// Fails if bytes stand behind the request that must not be there, so that no part of a statement is run in place of the
-/// whole, and nothing for a client whose close can't be seen.
+/// whole.
 pub(super) fn check_length(stream: &StreamHandle) -> Result<(), SubmissionError> {
     match stream.has_surplus() {
         true => Err(SubmissionError::UnexpectedBytes),
--- a/crates/gateway/src/http/submission_error.rs
+++ b/crates/gateway/src/http/submission_error.rs
@@ -38,8 +38,7 @@
     /// The connection ended before the body was complete.
     #[error("statement cut off")]
     BodyTruncated,
-    /// Bytes that begin no request stand behind the body, so that the body is only a part of what the client meant; or
-    /// so many bytes that a close by the client would not be seen.
+    /// Bytes that begin no request stand behind the body, so that the body is only a part of what the client meant.
     #[error("unexpected bytes behind the request")]
     UnexpectedBytes,
     /// The statement, or the next chunk of a streamed body, did not arrive in time.
