--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -8,10 +8,13 @@
 //   wake N        one in N writes by which a signal handler wakes the gateway is interrupted
 //   waits N       one in N waits for events is interrupted
 //   broken N E    one in N reads and writes of a socket fails with the error number E
-//   accept N      one in N accepts fails, with a different error each time
+//   accept N E    one in N accepts fails with E; without E, with a different error each time
+//   epoll-add N E one in N sockets that epoll is to watch is refused with E
+//   poll N E      one in N calls of poll fails with E
 //   socket N E    one in N calls of socket fails with E
 //   connect N E   one in N calls of connect fails with E
 //   tcp-info N L  one in N reads of TCP_INFO fills in only L bytes
+//   tcp-info-error N E  one in N reads of TCP_INFO fails with E
 //   threads N E   one in N starts of a thread fails with E
 //   realtime S    the wall clock is S seconds ahead; a negative S sets it back
 //   disk-slow MS  each sync of a regular file or a directory takes MS milliseconds longer
@@ -22,6 +25,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -149,7 +153,8 @@
 int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags) {
     static const int codes[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EINTR};
     static _Atomic unsigned int next;
-    if (should_fail(fault("accept"))) return (int)fail_with(codes[next++ % (sizeof codes / sizeof *codes)]);
+    struct fault f = fault("accept");
+    if (should_fail(f)) return (int)fail_with(f.number ? (int)f.number : codes[next++ % (sizeof codes / sizeof *codes)]);
     if (should_fail(fault("eintr"))) return (int)fail_with(EINTR);
     return (int)syscall(SYS_accept4, fd, address, size, flags);
 }
@@ -170,6 +175,10 @@
     struct fault f = {0, 0};
     if (level == IPPROTO_TCP && name == TCP_INFO) f = fault("tcp-info");
     if (should_fail(f) && *size > (socklen_t)f.number) *size = (socklen_t)f.number;
+    if (level == IPPROTO_TCP && name == TCP_INFO) {
+        struct fault error = fault("tcp-info-error");
+        if (should_fail(error)) return (int)fail_with((int)error.number);
+    }
     return (int)syscall(SYS_getsockopt, fd, level, name, value, size);
 }
 
@@ -184,6 +193,19 @@
     return (int)syscall(SYS_epoll_pwait, fd, events, max_events, timeout, NULL, 0);
 }
 
+int epoll_ctl(int fd, int operation, int watched, struct epoll_event *event) {
+    struct fault f = fault("epoll-add");
+    if (operation == EPOLL_CTL_ADD && has_file_type(watched, S_IFSOCK) && should_fail(f)) return (int)fail_with((int)f.number);
+    return (int)syscall(SYS_epoll_ctl, fd, operation, watched, event);
+}
+
+int poll(struct pollfd *watched, nfds_t count, int timeout) {
+    struct fault f = fault("poll");
+    if (should_fail(f)) return (int)fail_with((int)f.number);
+    struct timespec limit = {timeout / 1000, timeout % 1000 * 1000000L};
+    return (int)syscall(SYS_ppoll, watched, count, timeout < 0 ? NULL : &limit, NULL, 0);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *now) {
     int result = (int)syscall(SYS_clock_gettime, clock, now);
     if (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE) now->tv_sec += fault("realtime").one_in;
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)] // Each test program uses only some of the helpers.
 
 pub mod faults;
+pub mod one_engine;
 pub mod process;
 pub mod scripted_log;
 pub mod seeds;
