Accept through a listener that tells an empty queue, and keep what epoll refuses

Callers saw: a connection closed without an answer where epoll_ctl failed with ENOMEM or ENOSPC; nobody answered at all while each accept was interrupted; a query with an ordering key kept waiting for an accept that fails although no connection waits.

Cause: tokio's accept registers the connection with epoll itself, and closes it if that fails. Interrupted calls were repeated without end, in a process with one thread. A failing accept does not say whether a connection waits.

Change: the listener and the sockets are registered by AsyncFd, which gives a refused socket back. It is kept and registered again after 10 ms; if that lasts for longer than any query allows, the client is answered 503. An interrupted call is repeated 32 times, then other tasks run. After a failed accept, poll tells whether a connection waits at all. Every accept takes the same path now, and the acceptor tells what keeps connections in the queue.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,8 @@
 use crate::storage::body_store;
 use crate::storage::query_journal::QueryJournal;
 use crate::supervision::{Supervisor, Task};
-use crate::system::clock::Clock;
+use crate::system::clock::{clamped_duration, Clock};
+use crate::system::listener::Listener;
 use crate::system::os_error::retry;
 use crate::system::resource_budget::{ResourceBudget, ResourceLimits};
 use crate::system::thread::start_pool_thread;
@@ -29,20 +30,15 @@
 use shutdown::ShutdownSchedule;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
 pub use start_error::StartError;
 
-/// Maximum number of connections that the system queues until they are accepted.
-const LISTEN_BACKLOG: u32 = 1024;
-
 /// A gateway with its configuration and the components that exist for its whole run.
 pub struct Gateway {
     config: Config,
@@ -62,7 +58,7 @@
 struct StartResources {
     journal: Arc<QueryJournal>,
     store: Option<Arc<Store>>,
-    listener: TcpListener,
+    listener: Listener,
 }
 
 impl Gateway {
@@ -141,6 +137,7 @@
             clients.clone(),
             close_connections.subscribe(),
             self.supervisor.clone(),
+            clamped_duration(self.longest_deadline_seconds),
         );
         let turns = TurnGranter::new(arrival_order, accept_queue, clients.clone());
         self.supervisor
@@ -186,7 +183,7 @@
             .await
             .map_err(StartError::BodyStore)?;
         let address = self.config.listen;
-        let listener = retry("listener", || listen(address))
+        let listener = retry("listener", || Listener::bind(address))
             .await
             .map_err(|error| StartError::Listener { address, error })?;
         Ok(StartResources {
@@ -363,14 +360,3 @@
         budget.query_capacity as f64,
     ))
 }
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    }?;
-    // Lets a gateway that was killed bind its address again at once, while old connections are in TIME_WAIT.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
-}
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -5,8 +5,8 @@
 //!    serves it, and [`client_stream`] reads and writes its bytes.
 //! 2. Handler: `submission` handles requests that submit or cancel a query, and passes long bodies to `streamed_body`.
 //! 3. Parse: `request_head` checks the request head, and [`statement`] finds the data set in the SQL statement.
-//! 4. Admission: [`arrival_order`] gives requests their turn in the order of their arrival, [`send_time`] estimates when
-//!    the client sent the query, and `admission` passes it to the scheduler.
+//! 4. Admission: [`send_time`] estimates when the client sent the query, [`arrival_order`] gives requests their turn in
+//!    the order of their arrival, and `admission` passes the query to the scheduler.
 //! 5. Response: `responses` builds the responses, and `submission_error` maps each reason for not admitting a query to
 //!    one.
 //!
--- a/crates/gateway/src/http/arrival_order/tests.rs
+++ b/crates/gateway/src/http/arrival_order/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::http::accept::Acceptor;
+use crate::http::client_stream::test_streams::accepted_stream;
 use crate::http::client_stream::StreamHandle;
 use crate::supervision::Supervisor;
 use std::sync::Arc;
@@ -81,7 +82,7 @@
         let client = TcpStream::connect(listener.local_addr().unwrap());
         let (accepted, client) = tokio::join!(listener.accept(), client);
         let mut client = client.unwrap();
-        let stream = StreamHandle::new(accepted.unwrap().0);
+        let stream = accepted_stream(accepted.unwrap().0);
         client.write_all(b"POST").await.unwrap();
         let connections = ClientConnections::new(Arc::new(Semaphore::new(1)));
         let registration = connections.acquire(0, stream.clone()).await;
@@ -101,6 +102,7 @@
             connections.clone(),
             watch::Sender::new(false).subscribe(),
             Supervisor::default(),
+            Duration::from_secs(3),
         );
         drop(acceptor);
         tokio::spawn(async move { catch_up(&accept_queue, &connections).await })
--- a/crates/gateway/src/http/client_connections/tests.rs
+++ b/crates/gateway/src/http/client_connections/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::http::client_stream::test_streams::accepted_stream;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -7,7 +8,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = TcpStream::connect(listener.local_addr().unwrap());
     let (accepted, client) = tokio::join!(listener.accept(), client);
-    (StreamHandle::new(accepted.unwrap().0), client.unwrap())
+    (accepted_stream(accepted.unwrap().0), client.unwrap())
 }
 
 /// Registers the connection of a client that sends nothing.
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -21,7 +21,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
 /// Size of the read-ahead buffer in bytes: enough for a request head and a statement of the usual length.
@@ -84,9 +83,9 @@
 
 impl StreamHandle {
     /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> StreamHandle {
+    pub fn new(socket: Socket) -> StreamHandle {
         StreamHandle(Arc::new(Mutex::new(StreamState {
-            io: TokioIo::new(Socket::new(stream)),
+            io: TokioIo::new(socket),
             read_ahead: BytesMut::new(),
             end: None,
             parser_needs_wake: false,
@@ -288,6 +287,7 @@
                 return ReadOutcome::Received;
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => self.end = Some(StreamEnd::Failed(error.kind())),
         }
         ReadOutcome::Nothing
@@ -445,5 +445,7 @@
     }
 }
 
+#[cfg(test)]
+pub mod test_streams;
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/http/client_stream/tests.rs
+++ b/crates/gateway/src/http/client_stream/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::http::client_stream::test_streams::accepted_stream;
 use std::io::Write as _;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -11,7 +12,7 @@
 async fn check_for_an_unread_request_wakes_the_task_that_parses_it() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let stream = StreamHandle::new(listener.accept().await.unwrap().0);
+    let stream = accepted_stream(listener.accept().await.unwrap().0);
     let parsing = tokio::spawn({
         let stream = stream.clone();
         async move {
--- a/crates/gateway/src/http/connection/tests.rs
+++ b/crates/gateway/src/http/connection/tests.rs
@@ -1,18 +1,19 @@
 use super::*;
 use crate::http::accept::Acceptor;
 use crate::http::client_connections::ClientConnections;
+use crate::system::listener::Listener;
 use axum::body::Body;
 use axum::routing::post;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use std::net::SocketAddr;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
 /// Serves a router on a loopback address. Returns the address and the supervisor with the counters.
 async fn serve(router: Router) -> (SocketAddr, Supervisor) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+    let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.local_address().unwrap();
     let supervisor = Supervisor::default();
     let connections = ClientConnections::new(Arc::new(Semaphore::new(8)));
     let close_connections = watch::Sender::new(false);
@@ -21,6 +22,7 @@
         connections,
         close_connections.subscribe(),
         supervisor.clone(),
+        Duration::from_secs(3),
     );
     tokio::spawn(async move {
         let stop = watch::Sender::new(false);
--- a/crates/gateway/src/system.rs
+++ b/crates/gateway/src/system.rs
@@ -3,6 +3,7 @@
 pub mod boot_clock;
 pub mod budgeted_stream;
 pub mod clock;
+pub mod listener;
 pub mod log;
 pub mod os_error;
 pub mod resource_budget;
@@ -13,4 +14,5 @@
 pub mod stall_detector;
 pub mod tcp_info;
 pub mod thread;
+pub mod watched_socket;
 pub mod write_timeout;
--- a/crates/gateway/src/system/os_error.rs
+++ b/crates/gateway/src/system/os_error.rs
@@ -1,7 +1,7 @@
 //! Classifies error codes of the operating system as local to this machine or not and as transient or not, and retries
 //! calls that fail with transient errors.
 //!
-//! The classes follow Linux's manual pages of accept(2), bind(2), connect(2) and socket(2).
+//! The classes follow Linux's manual pages of accept(2), bind(2), connect(2), epoll_ctl(2), recv(2), send(2) and socket(2).
 
 use nix::errno::Errno;
 use std::io;
@@ -20,8 +20,8 @@
 /// Whether the cause of the error is on this machine, so that the error does not indicate a fault of the peer.
 pub fn is_local(error: &io::Error) -> bool {
     match code(error) {
-        // connect(2): no ephemeral port or no entry in the routing cache is free.
-        Some(Errno::EAGAIN) => true,
+        // connect(2): no ephemeral port or no entry in the routing cache is free. epoll_ctl(2): too many watches.
+        Some(Errno::EAGAIN | Errno::ENOSPC) => true,
         Some(code) => {
             is_resource_exhaustion(code) || is_network_unreachable(code) || code == Errno::EINTR
         }
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -5,52 +5,44 @@
 
 use crate::system::os_error;
 use crate::system::tcp_info::{time_since_last_arrival, ArrivalTimeError};
-use socket2::{SockAddr, SockRef};
+use crate::system::watched_socket::{watch, UnwatchedSocket};
+use socket2::SockRef;
 use std::future::Future;
-use std::io::{self, IoSlice, Read as _};
-use std::net::{Shutdown, SocketAddr};
+use std::io::{self, IoSlice, Read as _, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::unix::{AsyncFd, AsyncFdReadyGuard};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 /// Pause before a connect that failed for a local reason is retried.
 const LOCAL_RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Number of interruptions in a row after which a call counts as failed, so that other tasks run before it is repeated.
+const MAX_INTERRUPTIONS: u32 = 32;
 
-/// Repeats a call until it returns a result other than `Interrupted`.
+/// Repeats a call until it returns a result other than `Interrupted`, or was interrupted [`MAX_INTERRUPTIONS`] times.
 ///
 /// # Errors
 ///
-/// Any error of the call except `Interrupted`.
+/// Any error of the call; `Interrupted` only from the last of [`MAX_INTERRUPTIONS`] calls.
 pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let mut interruptions = 0;
     loop {
         match call() {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error)
+                if error.kind() == io::ErrorKind::Interrupted
+                    && interruptions < MAX_INTERRUPTIONS =>
+            {
+                interruptions += 1;
+            }
             result => return result,
         }
     }
 }
 
-/// Accepts a connection that waits. It calls the system directly, because the runtime learns of a new connection only at
-/// its next poll. Returns `None` if no connection waits.
-pub fn accept_now(listener: &TcpListener) -> Option<io::Result<(TcpStream, SocketAddr)>> {
-    match uninterrupted(|| SockRef::from(listener).accept()) {
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
-        accepted => Some(accepted.and_then(|(socket, address)| into_stream(socket, &address))),
-    }
-}
-
-/// Hands an accepted socket to the runtime.
-fn into_stream(socket: socket2::Socket, address: &SockAddr) -> io::Result<(TcpStream, SocketAddr)> {
-    let address = address.as_socket().ok_or(io::ErrorKind::InvalidData)?;
-    socket.set_nonblocking(true)?;
-    let stream = TcpStream::from_std(socket.into())?;
-    Ok((stream, address))
-}
-
 /// Whether a pending connect waits for a local resource or for the peer. The caller reads it when the connect fails or
 /// times out, to attribute the failure.
 #[derive(Debug)]
@@ -89,15 +81,19 @@
 
 /// A TCP connection with Nagle's algorithm disabled.
 #[derive(Debug)]
-pub struct Socket(TcpStream);
+pub struct Socket(AsyncFd<TcpStream>);
 
 impl Socket {
-    /// Wraps a stream and disables Nagle's algorithm.
-    pub fn new(stream: TcpStream) -> Socket {
+    /// Registers a connection, which must be non-blocking, with the runtime, and disables Nagle's algorithm.
+    ///
+    /// # Errors
+    ///
+    /// The system does not let the runtime watch the connection. It is given back, and may be registered later.
+    pub fn register(stream: TcpStream) -> Result<Socket, UnwatchedSocket<TcpStream>> {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "could not set TCP_NODELAY");
         }
-        Socket(stream)
+        watch(stream, Interest::READABLE | Interest::WRITABLE).map(Socket)
     }
 
     /// Connects to an address. A local failure, such as a lack of descriptors, ports or routes, is retried without
@@ -109,25 +105,35 @@
     pub async fn connect(address: SocketAddr, wait: &ConnectWait) -> io::Result<Socket> {
         loop {
             wait.set_remote();
-            match TcpStream::connect(address).await {
+            match Socket::connect_once(address).await {
                 Err(error) if os_error::is_local(&error) => {
                     wait.set_local();
                     tracing::debug!(%error, %address, "connect failed for a local reason, retrying");
                     sleep(LOCAL_RETRY_PAUSE).await;
                 }
-                result => return result.map(Socket::new),
+                result => return result,
             }
         }
     }
 
+    async fn connect_once(address: SocketAddr) -> io::Result<Socket> {
+        let stream = tokio::net::TcpStream::connect(address).await?;
+        let stream = stream.into_std()?;
+        Socket::register(stream).map_err(|unwatched| unwatched.error)
+    }
+
+    fn stream(&self) -> &TcpStream {
+        self.0.get_ref()
+    }
+
     /// Reads the bytes that have arrived so far. It calls the system directly, because the runtime learns of new bytes
     /// only at its next poll.
     ///
     /// # Errors
     ///
-    /// `WouldBlock` if nothing has arrived, or the error of the connection.
+    /// `WouldBlock` if nothing has arrived, or the error of the call.
     pub fn read_now(&self, bytes: &mut [u8]) -> io::Result<usize> {
-        uninterrupted(|| (&*SockRef::from(&self.0)).read(bytes))
+        uninterrupted(|| self.stream().read(bytes))
     }
 
     /// Returns the time since the newest bytes arrived, whether or not they were read.
@@ -136,7 +142,7 @@
     ///
     /// The system does not tell.
     pub fn time_since_last_arrival(&self) -> Result<Duration, ArrivalTimeError> {
-        time_since_last_arrival(&self.0)
+        time_since_last_arrival(self.stream())
     }
 
     /// Reads the bytes that have arrived, or registers the task to be woken when some arrive.
@@ -145,47 +151,52 @@
         context: &mut Context,
         bytes: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_read_ready(context))?;
-            // `try_read` clears the runtime's readiness state on `WouldBlock` only, not after a short read.
-            match uninterrupted(|| self.0.try_read(bytes)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
-            }
-        }
+        let poll_ready = |context: &mut Context| self.0.poll_read_ready(context);
+        poll_transfer(context, poll_ready, || self.stream().read(bytes))
     }
 
     fn poll_write_with(
         &self,
         context: &mut Context,
-        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+        write: impl FnMut() -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match uninterrupted(|| write(&self.0)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
-            }
-        }
+        let poll_ready = |context: &mut Context| self.0.poll_write_ready(context);
+        poll_transfer(context, poll_ready, write)
     }
 
     /// Whether the peer has closed its write side, even if bytes that it sent before are still unread.
     pub fn is_read_closed(&self) -> bool {
         let mut context = Context::from_waker(std::task::Waker::noop());
         let ready = std::pin::pin!(self.0.ready(Interest::READABLE)).poll(&mut context);
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        matches!(ready, Poll::Ready(Ok(guard)) if guard.ready().is_read_closed())
     }
 
     /// Shuts down the write side; the system still sends the data that was written before.
     pub fn shut_down_write(&self) {
         // This fails only if the connection has already ended.
-        let _ = SockRef::from(&self.0).shutdown(Shutdown::Write);
+        let _ = SockRef::from(self.stream()).shutdown(Shutdown::Write);
     }
 
     /// Makes the close of the connection discard unsent data and send a reset.
     pub fn discard_on_close(&self) {
         // If the option cannot be set, the connection closes normally.
-        let _ = SockRef::from(&self.0).set_linger(Some(Duration::ZERO));
+        let _ = SockRef::from(self.stream()).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Makes a call that reads or writes once the connection is ready for it.
+fn poll_transfer<'a>(
+    context: &mut Context,
+    mut poll_ready: impl FnMut(&mut Context) -> Poll<io::Result<AsyncFdReadyGuard<'a, TcpStream>>>,
+    mut call: impl FnMut() -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        let mut ready = ready!(poll_ready(context))?;
+        match uninterrupted(&mut call) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => ready.clear_ready(),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            result => return Poll::Ready(result),
+        }
     }
 }
 
@@ -207,7 +218,7 @@
         context: &mut Context,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_with(context, |stream| stream.try_write(bytes))
+        self.poll_write_with(context, || self.stream().write(bytes))
     }
 
     fn poll_write_vectored(
@@ -215,7 +226,7 @@
         context: &mut Context,
         parts: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_with(context, |stream| stream.try_write_vectored(parts))
+        self.poll_write_with(context, || self.stream().write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/tests/arrival_faults.rs
+++ b/crates/gateway/tests/arrival_faults.rs
@@ -22,15 +22,7 @@
 const ECONNABORTED: i32 = 103;
 const ENOBUFS: i32 = 105;
 /// Documented errors of accept that pass.
-const ACCEPT_ERRORS: [i32; 7] = [
-    EINTR,
-    ENOMEM,
-    ENFILE,
-    EMFILE,
-    EPROTO,
-    ECONNABORTED,
-    ENOBUFS,
-];
+const ACCEPT_ERRORS: [i32; 7] = [EINTR, ENOMEM, ENFILE, EMFILE, EPROTO, ECONNABORTED, ENOBUFS];
 /// Longest time that a query of these tests allows, and how much later its answer may come by the protocol.
 const ALLOWED: Duration = Duration::from_millis(2900);
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
@@ -319,3 +311,39 @@
     faults.disable("eintr");
     assert!(read_answer(&open).succeeded());
 }
+
+#[test]
+fn query_of_a_key_does_not_wait_for_clients_that_send_without_a_pause() {
+    const SENDERS: usize = 4;
+    let gateway = OneEngine::start();
+    let open = gateway.open_connection();
+    let stopped = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..SENDERS {
+            let sender = gateway.open_connection();
+            let stopped = &stopped;
+            scope.spawn(move || {
+                let headers = request_headers(&new_id(), 2900);
+                write(
+                    &sender,
+                    &format!("POST /v1/report HTTP/1.1\r\nHost: g\r\n{headers}Content-Length: 200000\r\n\r\n"),
+                );
+                while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
+                    write(&sender, "x");
+                    sleep(Duration::from_micros(200));
+                }
+            });
+        }
+        let timed: Vec<_> = (0..5)
+            .map(|_| {
+                sleep(ms(GAP_MS));
+                timed_query(&open, &load("INSERT 1"))
+            })
+            .collect();
+        stopped.store(true, std::sync::atomic::Ordering::Relaxed);
+        for (answer, took) in timed {
+            assert!(answer.succeeded(), "{answer:?}");
+            assert!(took < SOCKET_SLACK, "answered after {took:?}");
+        }
+    });
+}
--- a/crates/gateway/tests/helper/one_engine.rs
+++ b/crates/gateway/tests/helper/one_engine.rs
@@ -143,4 +143,3 @@
 pub fn write(mut stream: &TcpStream, text: &str) {
     stream.write_all(text.as_bytes()).unwrap();
 }
-
