Repeat reads and writes that fail for lack of memory

Callers saw: their connection closed without an answer where recv or send failed with ENOMEM or ENOBUFS for a moment.

Cause: each error of a read or write except EAGAIN and EINTR ended the connection, also those that the manual pages give for a machine that has no memory just then. They say nothing of the connection.

Change: such a call is repeated after 5 ms, and one that was interrupted 32 times in a row as well.

--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -9,6 +9,7 @@
 
 pub(super) use response_progress::ResponseProgress;
 
+use crate::system::os_error;
 use crate::system::socket::Socket;
 use crate::system::write_timeout::WriteTimeout;
 use bytes::{Buf, Bytes, BytesMut};
@@ -287,7 +288,7 @@
                 return ReadOutcome::Received;
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if os_error::says_nothing_of_connection(&error) => {}
             Err(error) => self.end = Some(StreamEnd::Failed(error.kind())),
         }
         ReadOutcome::Nothing
--- a/crates/gateway/src/system/os_error.rs
+++ b/crates/gateway/src/system/os_error.rs
@@ -44,6 +44,11 @@
         )
 }
 
+/// Whether a read or write of a connection failed for a reason that passes and has nothing to do with the connection.
+pub fn says_nothing_of_connection(error: &io::Error) -> bool {
+    code(error).is_some_and(|code| is_resource_exhaustion(code) || code == Errno::EINTR)
+}
+
 /// Whether an accept failed for lack of resources or without an error code. The next accept would fail at once too, so
 /// the caller pauses before it.
 pub fn needs_accept_pause(error: &io::Error) -> bool {
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -2,6 +2,9 @@
 //!
 //! A system call may be interrupted or return early at any time. The runtime's own reads and writes take a short count
 //! as the sign that the socket is drained or full, and would then wait for a readiness event that may never arrive.
+//!
+//! A read or write that fails for lack of memory, or that is interrupted again and again, says nothing about the
+//! connection. It is repeated after a pause, in which other tasks run.
 
 use crate::system::os_error;
 use crate::system::tcp_info::{time_since_last_arrival, ArrivalTimeError};
@@ -12,7 +15,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::unix::{AsyncFd, AsyncFdReadyGuard};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -20,6 +23,8 @@
 
 /// Pause before a connect that failed for a local reason is retried.
 const LOCAL_RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Pause before a read or write that failed for a reason which passes is repeated.
+const TRANSFER_RETRY_PAUSE: Duration = Duration::from_millis(5);
 /// Number of interruptions in a row after which a call counts as failed, so that other tasks run before it is repeated.
 const MAX_INTERRUPTIONS: u32 = 32;
 
@@ -43,6 +48,15 @@
     }
 }
 
+/// Wakes a task after [`TRANSFER_RETRY_PAUSE`].
+fn wake_after_pause(waker: &Waker) {
+    let waker = waker.clone();
+    tokio::spawn(async move {
+        sleep(TRANSFER_RETRY_PAUSE).await;
+        waker.wake();
+    });
+}
+
 /// Whether a pending connect waits for a local resource or for the peer. The caller reads it when the connect fails or
 /// times out, to attribute the failure.
 #[derive(Debug)]
@@ -184,7 +198,8 @@
     }
 }
 
-/// Makes a call that reads or writes once the connection is ready for it.
+/// Makes a call that reads or writes once the connection is ready for it. Before a call that failed for a reason which
+/// passes is repeated, other tasks run.
 fn poll_transfer<'a>(
     context: &mut Context,
     mut poll_ready: impl FnMut(&mut Context) -> Poll<io::Result<AsyncFdReadyGuard<'a, TcpStream>>>,
@@ -194,7 +209,11 @@
         let mut ready = ready!(poll_ready(context))?;
         match uninterrupted(&mut call) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => ready.clear_ready(),
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if os_error::says_nothing_of_connection(&error) => {
+                tracing::debug!(%error, "a read or write is repeated");
+                wake_after_pause(context.waker());
+                return Poll::Pending;
+            }
             result => return Poll::Ready(result),
         }
     }
