Reject a query that may have arrived before an admitted one of its key

Wherever an earlier query is read late, for whichever reason, it ran after later ones.

Cause: the order of a key's queries was the order of their turns, and each bounded wait for an earlier query ended in letting the later one go. Nothing compared the times of arrival at the end. Where the system does not tell them, the time of reading stood in for them.

Change: key_arrivals remembers the newest admitted arrival of each key, for as long as any query allows. A query that may have arrived before it is answered 503 and has not run. An arrival is known from the system, or lies between the last time at which nothing was unread on its connection (or in the accept queue) and the time of its reading; each pass for a query with a key moves the former on, so that without a stall nobody is rejected.

Why it holds: it needs no wait and no cause. Whatever keeps a query from being read, it is compared when it is admitted, and admission is the only way to an engine.

--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -5,7 +5,7 @@
 use super::connection::ConnectionServer;
 use super::ClientAddress;
 use crate::http::client_connections::ClientConnections;
-use crate::http::client_stream::StreamHandle;
+use crate::http::client_stream::{AcceptDelay, StreamHandle};
 use crate::supervision::{Supervisor, Task};
 use crate::system::listener::{AcceptedStream, Listener, BACKLOG};
 use crate::system::os_error;
@@ -17,7 +17,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::unix::AsyncFdReadyGuard;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::yield_now;
@@ -90,6 +90,8 @@
     pauses: u32,
     /// Number of pauses after which failures count as lasting.
     max_pauses: u32,
+    /// Time at which the accept queue was last empty.
+    queue_empty_at: Instant,
 }
 
 /// Event for the acceptor.
@@ -133,6 +135,7 @@
             failures: 0,
             pauses: 0,
             max_pauses: u32::try_from(max_pauses).unwrap_or(u32::MAX),
+            queue_empty_at: Instant::now(),
         };
         let accept_queue = AcceptQueue {
             drain_requests: sender,
@@ -186,9 +189,10 @@
     async fn accept_up_to(&mut self, count: u32, listener: &Listener) -> QueueState {
         let mut accepted = 0;
         while accepted < count {
+            let called_at = Instant::now();
             match listener.accept_now() {
                 Ok(None) => {
-                    self.queue_was_empty();
+                    self.queue_was_empty(called_at);
                     return QueueState::Empty;
                 }
                 Ok(Some(stream)) => {
@@ -201,7 +205,7 @@
                 Err(error) => {
                     self.record_failure(&error);
                     if !listener.has_waiting_connection() {
-                        self.queue_was_empty();
+                        self.queue_was_empty(called_at);
                         return QueueState::Empty;
                     }
                     self.pause_after_failure(&error).await;
@@ -211,7 +215,8 @@
         QueueState::MayHaveMore
     }
 
-    fn queue_was_empty(&mut self) {
+    fn queue_was_empty(&mut self, at: Instant) {
+        self.queue_empty_at = at;
         self.pauses = 0;
         self.set_state(AcceptState::Accepting);
     }
@@ -263,7 +268,10 @@
             return;
         };
         self.failures = 0;
-        let stream = StreamHandle::new(socket);
+        let delay = AcceptDelay {
+            queue_empty_at: self.queue_empty_at,
+        };
+        let stream = StreamHandle::new(socket, delay);
         let connections = self.connections.clone();
         let mut acquiring = pin!(connections.acquire(self.next_number, stream.clone()));
         let connection = tokio::select! {
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -8,13 +8,15 @@
 use super::submission_error::SubmissionError;
 use super::ServerState;
 use crate::engines::{ForwardedQuery, Statement};
-use crate::http::client_stream::StreamHandle;
+use crate::http::client_stream::{ArrivalTime, StreamHandle};
 use crate::http::statement::{find_data_set, NO_DATA_SET};
+use crate::metrics::OrderRejection;
 use crate::scheduling::query_task::QueryTask;
 use crate::scheduling::scheduler::{Admission, OpenedQuery, QueryAnswer, Waiter};
 use axum::response::Response;
+use garnetwall::key_arrivals::ArrivalBounds;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
 /// Admitted query, which has a final answer or will get one.
@@ -38,8 +40,8 @@
 /// Arrival times of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
-    /// Arrival of its last byte, as the system tells it. Determines the order of requests.
-    at: Instant,
+    /// Arrival of its last byte. Determines the order of requests.
+    time: ArrivalTime,
     /// Time for which its last byte had waited unread.
     unread: Duration,
     /// Earliest time at which it can have arrived, in seconds on the scheduler's clock. The deadline counts from it.
@@ -49,13 +51,22 @@
 impl Arrival {
     /// Determines when the request that was last read from `stream` arrived.
     pub fn of(state: &ServerState, stream: &StreamHandle) -> Self {
-        let at = stream.arrived_at();
+        let time = stream.arrived_at();
         Arrival {
-            at,
-            unread: at.elapsed(),
+            time,
+            unread: time.latest.elapsed(),
             earliest: state.scheduler.arrival_time(stream.last_read_at()),
         }
     }
+
+    /// The bounds of the arrival in seconds on the scheduler's clock.
+    fn bounds(&self, state: &ServerState) -> ArrivalBounds {
+        let clock = state.scheduler.clock();
+        ArrivalBounds {
+            earliest: clock.at(self.time.earliest),
+            latest: clock.at(self.time.latest),
+        }
+    }
 }
 
 /// Admits a query, or joins an open query with the same key. A query with an ordering key waits for its turn in the
@@ -63,8 +74,9 @@
 ///
 /// # Errors
 ///
-/// Fails if the client has closed its connection, the query key belongs to a different query or to an ended one whose
-/// answer is not cached, an earlier gateway process may have sent the query, or the plan denies it.
+/// Fails if the client has closed its connection, the query key belongs to a different query or
+/// to an ended one whose answer is not cached, an earlier gateway process may have sent the query, it can't be known to be
+/// the next one of its ordering key, or the plan denies it.
 pub(super) async fn admit(
     state: &ServerState,
     query: SubmittedQuery,
@@ -72,18 +84,19 @@
     statement_memory: OwnedSemaphorePermit,
     stream: &StreamHandle,
 ) -> Result<AdmittedQuery, SubmissionError> {
-    log_arrival(query.head.query_key, stream, arrival.unread);
-    let _turn = match query.head.ordering_key {
-        Some(_) => state.arrival_order.turn(arrival.at).await,
-        None => None,
-    };
-    check_client_connected(stream, query.head.query_key)?;
-    check_length(stream)?;
+    let query_key = query.head.query_key;
+    log_arrival(query_key, stream, arrival.unread);
     let send_time = state.earliest_send_time(query.head.ordering_key, arrival.earliest);
     let TimedQuery {
         mut arriving,
         forwarded_query,
-    } = query.with_send_time(send_time);
+    } = query.with_times(send_time, arrival.bounds(state));
+    let _turn = match arriving.ordering_key {
+        Some(_) => state.arrival_order.turn(arrival.time.latest).await,
+        None => None,
+    };
+    check_client_connected(stream, query_key)?;
+    check_length(stream)?;
     let mut admission = state.scheduler.admit(arriving, forwarded_query.clone());
     if let (Admission::DataSetRequired, Statement::Complete(statement)) =
         (&admission, &forwarded_query.statement)
@@ -107,12 +120,24 @@
         // Not reached with a data set, which a query has here.
         Admission::DataSetRequired => Err(SubmissionError::AnswerNotCached),
         Admission::MayHaveRun => Err(SubmissionError::MayHaveRun),
+        Admission::OutOfOrder => Err(order_not_known(state, query_key, OrderRejection::Overtaken)),
         Admission::DeniedByPlan(denial) => {
             Err(SubmissionError::denied_by_plan(denial, &state.platform))
         }
     }
 }
 
+/// Counts a query that is rejected to keep the order of its key, and returns the error.
+fn order_not_known(
+    state: &ServerState,
+    query_key: u64,
+    rejection: OrderRejection,
+) -> SubmissionError {
+    state.supervisor.metrics().rejected_to_keep_order(rejection);
+    tracing::debug!(query_key = %format_args!("{query_key:016x}"), ?rejection, "query rejected to keep the order of its key");
+    SubmissionError::order_not_known(&state.platform)
+}
+
 fn log_arrival(query_key: u64, stream: &StreamHandle, unread: Duration) {
     let unread_ms = unread.as_millis();
     tracing::debug!(query_key = %format_args!("{query_key:016x}"), connection = stream.connection(), unread_ms, "query received");
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -50,6 +50,22 @@
     Nothing,
 }
 
+/// How long a connection can have waited in the accept queue.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptDelay {
+    /// Time at which the queue was last empty. The connection came later.
+    pub queue_empty_at: Instant,
+}
+
+/// When the newest bytes of a connection arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ArrivalTime {
+    /// The earliest possible time.
+    pub earliest: Instant,
+    /// The latest possible time. Equal to `earliest` if the system tells the time.
+    pub latest: Instant,
+}
+
 struct StreamState {
     io: TokioIo<Socket>,
     /// Bytes that were read from the socket and that the parser has not taken.
@@ -59,6 +75,10 @@
     /// Whether bytes were read ahead since the connection's task was last woken to parse.
     parser_needs_wake: bool,
     last_read_at: Instant,
+    /// Time at which no bytes of the client were unread.
+    nothing_unread_at: Instant,
+    /// Time after which the newest bytes that were read arrived.
+    arrived_after: Instant,
     /// Whether a request, or a part of one, is still to be received. False from when a request was received whole until
     /// its response is ready.
     awaits_request: bool,
@@ -84,13 +104,15 @@
 
 impl StreamHandle {
     /// Wraps an accepted connection.
-    pub fn new(socket: Socket) -> StreamHandle {
+    pub fn new(socket: Socket, delay: AcceptDelay) -> StreamHandle {
         StreamHandle(Arc::new(Mutex::new(StreamState {
             io: TokioIo::new(socket),
             read_ahead: BytesMut::new(),
             end: None,
             parser_needs_wake: false,
             last_read_at: Instant::now(),
+            nothing_unread_at: delay.queue_empty_at,
+            arrived_after: delay.queue_empty_at,
             awaits_request: true,
             connection: 0,
             response_progress: ResponseProgress::NoRequest,
@@ -117,14 +139,26 @@
     }
 
     /// Returns when the newest bytes of the connection arrived. They may have waited unread, for example while this
-    /// process had no processor time. If the system does not tell, returns when bytes were last read.
-    pub fn arrived_at(&self) -> Instant {
+    /// process had no processor time. If the system does not tell, the bounds are when bytes were last read, and when
+    /// none were unread before.
+    pub fn arrived_at(&self) -> ArrivalTime {
         let state = self.state();
         let now = Instant::now();
         let age = state.io.inner().time_since_last_arrival();
-        let arrived_at = age.ok().and_then(|age| now.checked_sub(age));
-        // Bytes that were read had arrived by then; the system may tell of later ones.
-        arrived_at.map_or(state.last_read_at, |at| at.min(state.last_read_at))
+        match age.ok().and_then(|age| now.checked_sub(age)) {
+            Some(at) => {
+                // Bytes that were read had arrived by then; the system may tell of later ones.
+                let at = at.min(state.last_read_at);
+                ArrivalTime {
+                    earliest: at,
+                    latest: at,
+                }
+            }
+            None => ArrivalTime {
+                earliest: state.arrived_after,
+                latest: state.last_read_at,
+            },
+        }
     }
 
     /// Sets the number of the connection in the log.
@@ -183,6 +217,10 @@
         let mut state = self.state();
         state.awaits_request = true;
         state.framing.record_response();
+        // By the protocol, a client sends one request at a time.
+        if state.read_ahead.is_empty() {
+            state.nothing_unread_at = Instant::now();
+        }
     }
 
     /// Whether bytes of an awaited request have arrived that the parser was not polled for. Reads from the socket first,
@@ -283,6 +321,7 @@
             Ok(count) => {
                 self.last_read_at = Instant::now();
                 self.parser_needs_wake = true;
+                self.arrived_after = self.nothing_unread_at;
                 self.is_offered = false;
                 self.read_ahead.extend_from_slice(&buffer[..count]);
                 return ReadOutcome::Received;
@@ -317,7 +356,11 @@
         let mut buffer = [0; READ_AHEAD_BYTES];
         while self.end.is_none() && !self.is_read_ahead_full() {
             let free = READ_AHEAD_BYTES - self.read_ahead.len();
+            let called_at = Instant::now();
             let result = self.io.inner().read_now(&mut buffer[..free]);
+            if matches!(&result, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
+                self.nothing_unread_at = called_at;
+            }
             if self.record_read(result, &buffer) == ReadOutcome::Nothing {
                 return;
             }
--- a/crates/gateway/src/http/client_stream/test_streams.rs
+++ b/crates/gateway/src/http/client_stream/test_streams.rs
@@ -1,9 +1,14 @@
 //! Streams for unit tests.
 
-use super::StreamHandle;
+use super::{AcceptDelay, StreamHandle};
 use crate::system::socket::Socket;
+use std::time::Instant;
 
 /// Wraps a connection that was accepted at once.
 pub fn accepted_stream(stream: tokio::net::TcpStream) -> StreamHandle {
-    StreamHandle::new(Socket::register(stream.into_std().unwrap()).unwrap())
+    let socket = Socket::register(stream.into_std().unwrap()).unwrap();
+    let delay = AcceptDelay {
+        queue_empty_at: Instant::now(),
+    };
+    StreamHandle::new(socket, delay)
 }
--- a/crates/gateway/src/http/request_head.rs
+++ b/crates/gateway/src/http/request_head.rs
@@ -6,6 +6,7 @@
 use crate::scheduling::scheduler::ArrivingQuery;
 use crate::system::clock::MILLIS_PER_SECOND;
 use axum::http::header::{HeaderMap, HeaderValue};
+use garnetwall::key_arrivals::ArrivalBounds;
 use garnetwall_settings::PlatformSettings;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -156,15 +157,16 @@
 }
 
 impl SubmittedQuery {
-    /// Computes the deadline from `send_time`, the time at which the client sent the query, in seconds on the
+    /// Computes the deadline from `send_time`, the time at which the client sent the query. Times are in seconds on the
     /// scheduler's clock.
-    pub fn with_send_time(self, send_time: f64) -> TimedQuery {
+    pub fn with_times(self, send_time: f64, arrival: ArrivalBounds) -> TimedQuery {
         let head = self.head;
         let arriving = ArrivingQuery {
             query_key: head.query_key,
             class: head.class,
             tenant: head.tenant,
             ordering_key: head.ordering_key,
+            arrival,
             deadline: head.allowed_seconds + send_time,
             estimated_work: head.estimated_work,
             estimated_memory: head.estimated_memory,
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -163,7 +163,7 @@
     drop(memory);
     check_length(stream)?;
     stream.request_received();
-    let _turn = state.arrival_order.turn(stream.arrived_at()).await;
+    let _turn = state.arrival_order.turn(stream.arrived_at().latest).await;
     check_length(stream)?;
     Ok(match state.scheduler.cancel(query_key) {
         CancelOutcome::Cancelled => StatusCode::NO_CONTENT.into_response(),
--- a/crates/gateway/src/http/submission_error.rs
+++ b/crates/gateway/src/http/submission_error.rs
@@ -63,6 +63,10 @@
     /// `retry_after_seconds`; `None` if the response gives no time.
     #[error("too many ids to remember")]
     TooManyKeys { retry_after_seconds: Option<f64> },
+    /// An earlier query of the same ordering key may still be unread, or a later one was admitted. The query has not run.
+    /// The client may send it again after `retry_after_seconds`; `None` if the response gives no time.
+    #[error("the order of this item is not known")]
+    OrderNotKnown { retry_after_seconds: Option<f64> },
     /// A rule or limit of the plan denies the query. The client may send it again after `retry_after_seconds`; `None`
     /// if the response gives no time.
     #[error("{reason}")]
@@ -72,6 +76,10 @@
     },
 }
 
+/// Time to retry after where the order of a query is not known, in seconds. Failures of calls of the system usually pass by
+/// then.
+const ORDER_RETRY_AFTER_SECONDS: f64 = 0.25;
+
 /// The time to retry after that a response may give, in seconds. The settings decide whether it gives one, and limit it.
 fn allowed_retry_after(seconds: f64, platform: &PlatformSettings) -> Option<f64> {
     let settings = &platform.settings;
@@ -88,6 +96,13 @@
         }
     }
 
+    /// Returns the error for a query that can't be known to be the next one of its ordering key.
+    pub fn order_not_known(platform: &PlatformSettings) -> Self {
+        SubmissionError::OrderNotKnown {
+            retry_after_seconds: allowed_retry_after(ORDER_RETRY_AFTER_SECONDS, platform),
+        }
+    }
+
     /// Returns the error for a denial by the plan. The settings decide whether the response gives a time to retry
     /// after, and limit that time.
     pub fn denied_by_plan(denial: PlanDenial, platform: &PlatformSettings) -> Self {
@@ -133,6 +148,7 @@
             SubmissionError::MayHaveRun => StatusCode::INTERNAL_SERVER_ERROR,
             SubmissionError::BodyStoreFull
             | SubmissionError::TooManyKeys { .. }
+            | SubmissionError::OrderNotKnown { .. }
             | SubmissionError::DeniedByPlan { .. } => StatusCode::SERVICE_UNAVAILABLE,
             SubmissionError::StatementMemoryFull => StatusCode::INSUFFICIENT_STORAGE,
         }
@@ -147,6 +163,7 @@
             | SubmissionError::AnswerNotCached
             | SubmissionError::MayHaveRun
             | SubmissionError::TooManyKeys { .. }
+            | SubmissionError::OrderNotKnown { .. }
             | SubmissionError::DeniedByPlan { .. } => false,
             SubmissionError::LengthRequired
             | SubmissionError::StatementTooLong
@@ -181,6 +198,9 @@
             SubmissionError::TooManyKeys {
                 retry_after_seconds,
             }
+            | SubmissionError::OrderNotKnown {
+                retry_after_seconds,
+            }
             | SubmissionError::DeniedByPlan {
                 retry_after_seconds,
                 ..
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,18 @@
     None,
 }
 
+/// Reason for which a query is rejected to keep the order of its ordering key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum OrderRejection {
+    /// A query of its key that may have arrived later was admitted before it was read.
+    Overtaken,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderRejectionLabel {
+    reason: OrderRejection,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TaskLabel {
     task: Task,
@@ -93,6 +105,7 @@
     retries_started: Counter,
     attempts_ended: Family<AttemptLabel, Counter>,
     query_answers: Family<QueryLabel, Counter>,
+    order_rejections: Family<OrderRejectionLabel, Counter>,
     ready: Gauge,
 }
 
@@ -111,6 +124,7 @@
             retries_started: Counter::default(),
             attempts_ended: Family::default(),
             query_answers: Family::default(),
+            order_rejections: Family::default(),
             ready: Gauge::default(),
         };
         metrics.register_panics();
@@ -191,6 +205,11 @@
             "Final answers by kind of queries whose client has not left",
             self.query_answers.clone(),
         );
+        registry.register(
+            "order_rejections",
+            "Queries rejected to keep the order of their ordering key, by reason",
+            self.order_rejections.clone(),
+        );
     }
 
     /// Counts a panic of a task.
@@ -250,6 +269,13 @@
             .inc();
     }
 
+    /// Counts a query that is rejected to keep the order of its ordering key.
+    pub fn rejected_to_keep_order(&self, reason: OrderRejection) {
+        self.order_rejections
+            .get_or_create(&OrderRejectionLabel { reason })
+            .inc();
+    }
+
     /// Renders all counters in the text format of Prometheus. `is_ready` is the answer of the health check.
     ///
     /// # Errors
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -6,6 +6,7 @@
 use crate::system::resource_budget::{ResourceBudget, ResourceLimits};
 use garnetwall::api::{Endpoint, EndpointState, Idempotency, ListScope, QueryClass, Settings};
 use garnetwall::controller::AdmissionController;
+use garnetwall::key_arrivals::ArrivalBounds;
 use garnetwall_settings::NetworkTimeouts;
 use http::HeaderValue;
 use std::net::SocketAddr;
@@ -117,12 +118,17 @@
     }
 
     fn admit(&self, query_key: u64) -> Admission {
+        let now = self.scheduler.clock().now();
         let arriving = ArrivingQuery {
             query_key,
             class: 0,
             tenant: 0,
             ordering_key: Some(ORDERING_KEY),
-            deadline: self.scheduler.clock().now() + LONGEST_DEADLINE_SECONDS,
+            arrival: ArrivalBounds {
+                earliest: now,
+                latest: now,
+            },
+            deadline: now + LONGEST_DEADLINE_SECONDS,
             estimated_work: None,
             estimated_memory: None,
             data_set: Some(0),
--- a/crates/gateway/src/scheduling/scheduler.rs
+++ b/crates/gateway/src/scheduling/scheduler.rs
@@ -75,7 +75,8 @@
 impl Scheduler {
     /// Creates a scheduler and the channel on which it requests health checks of engines.
     ///
-    /// Keys of finished queries are remembered for `finished_retention` seconds, within `limits`.
+    /// Keys of finished queries, and arrivals of ordering keys, are remembered for `finished_retention` seconds, within
+    /// `limits`. That is at least the longest time that a query allows.
     pub fn new(
         controller: AdmissionController,
         plan_router: Option<PlanRouter>,
@@ -85,7 +86,13 @@
         supervisor: Supervisor,
     ) -> (Self, UnboundedReceiver<EngineId>) {
         let (health_checks, health_check_requests) = unbounded_channel();
-        let state = SchedulerState::new(controller, plan_router, clock.now(), limits);
+        let state = SchedulerState::new(
+            controller,
+            plan_router,
+            clock.now(),
+            limits,
+            finished_retention,
+        );
         let scheduler = Scheduler {
             clock,
             state: Mutex::new(state),
--- a/crates/gateway/src/scheduling/scheduler/admission.rs
+++ b/crates/gateway/src/scheduling/scheduler/admission.rs
@@ -140,7 +140,8 @@
 
     /// Opens a query of an unknown key if the plan admits it. While the journal is still being read, a non-idempotent
     /// query is not opened, since an earlier process may have sent it. Neither is a query that must not run twice while
-    /// there is no space to remember its key.
+    /// there is no space to remember its key, nor one that may have arrived before another one of its ordering key that
+    /// was opened earlier.
     fn admit_new(
         self: &Arc<Self>,
         state: &mut SchedulerState,
@@ -162,6 +163,14 @@
             let retry_after = full_until - now;
             return Admission::TooManyKeys { retry_after };
         }
+        if let Some(key) = state.ordered_key(&new.arriving, &terms) {
+            let arrival = new.arriving.arrival;
+            if !state.key_arrivals.may_follow(key, arrival) {
+                state.release_plan_admission(now, terms.plan_admission);
+                return Admission::OutOfOrder;
+            }
+            state.key_arrivals.record(key, arrival);
+        }
         self.open(state, now, new, terms)
     }
 
@@ -322,6 +331,12 @@
             deadline,
         }
     }
+
+    /// The ordering key of a query; `None` if its class is not ordered.
+    fn ordered_key(&self, arriving: &ArrivingQuery, terms: &AdmissionTerms) -> Option<u64> {
+        let keeps_order = self.controller.keeps_order(terms.class);
+        arriving.ordering_key.filter(|_| keeps_order)
+    }
 }
 
 /// The journal's record of a query. The query may run for up to [`RUN_TIME_MARGIN`] after its deadline.
--- a/crates/gateway/src/scheduling/scheduler/messages.rs
+++ b/crates/gateway/src/scheduling/scheduler/messages.rs
@@ -5,6 +5,7 @@
 use crate::scheduling::plan_routing::PlanDenial;
 use bytes::Bytes;
 use garnetwall::api::{EngineId, FinalAnswer, QueryId};
+use garnetwall::key_arrivals::ArrivalBounds;
 use garnetwall_ledger::records::StartedQuery;
 use std::net::IpAddr;
 use std::time::Instant;
@@ -86,6 +87,8 @@
     pub tenant: usize,
     /// The ordering key. Queries with the same ordering key run in order of admission if their class is in order.
     pub ordering_key: Option<u64>,
+    /// When the query arrived, in seconds on the gateway's clock.
+    pub arrival: ArrivalBounds,
     /// The client's deadline, in seconds on the gateway's clock.
     pub deadline: f64,
     /// The client's estimate of the work, in seconds on one thread.
@@ -153,6 +156,8 @@
     },
     /// The query is new, and can be admitted only with its data set.
     DataSetRequired,
+    /// A query of the same ordering key that may have arrived later was admitted earlier. The query has not run.
+    OutOfOrder,
     /// The plan does not admit the query.
     DeniedByPlan(PlanDenial),
 }
--- a/crates/gateway/src/scheduling/scheduler/state.rs
+++ b/crates/gateway/src/scheduling/scheduler/state.rs
@@ -10,6 +10,7 @@
 use crate::system::stall_detector::StallDetector;
 use garnetwall::api::{Idempotency, Placement, QueryClass, QueryId};
 use garnetwall::controller::AdmissionController;
+use garnetwall::key_arrivals::KeyArrivals;
 use std::collections::HashMap;
 
 /// The scheduler's state. Times are in seconds on the gateway's clock.
@@ -21,6 +22,8 @@
     pub(super) query_index: QueryIndex,
     pub(super) open_queries: HashMap<QueryId, OpenQuery>,
     pub(super) answer_cache: AnswerCache,
+    /// The newest arrivals of the ordering keys.
+    pub(super) key_arrivals: KeyArrivals,
     /// The classes' idempotency, by class index.
     pub(super) idempotency: Vec<Idempotency>,
     /// The time at which the controller is due next.
@@ -34,6 +37,7 @@
         plan_router: Option<PlanRouter>,
         now: f64,
         limits: MemoryLimits,
+        longest_deadline_seconds: f64,
     ) -> Self {
         SchedulerState {
             controller,
@@ -42,6 +46,7 @@
             query_index: QueryIndex::new(limits.finished_keys),
             open_queries: HashMap::new(),
             answer_cache: AnswerCache::new(limits.answer_cache_bytes),
+            key_arrivals: KeyArrivals::new(longest_deadline_seconds),
             idempotency: Vec::new(),
             wakes_at: now,
             stall_detector: StallDetector::new(now),
@@ -129,9 +134,10 @@
         self.controller.client_left(now, id);
     }
 
-    /// Removes expired query keys and cached answers.
+    /// Removes expired query keys, cached answers and arrivals of ordering keys.
     pub(super) fn discard_expired(&mut self, now: f64) {
         self.query_index.discard_expired(now);
         self.answer_cache.evict(now);
+        self.key_arrivals.discard_expired(now);
     }
 }
--- a/src/controller/key_order.rs
+++ b/src/controller/key_order.rs
@@ -28,8 +28,12 @@
 
     /// Returns the query's ordering key; `None` if its class is not ordered.
     pub(super) fn ordering_key(&self, query: &Query) -> Option<u64> {
-        let in_order = self.settings.classes[query.class].in_order;
-        query.ordering_key.filter(|_| in_order)
+        query.ordering_key.filter(|_| self.keeps_order(query.class))
+    }
+
+    /// Whether the queries of an ordering key run in order in this class.
+    pub fn keeps_order(&self, class: usize) -> bool {
+        self.settings.classes[class].in_order
     }
 
     /// Appends a query to the queue of its key.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod api;
 pub mod controller;
+pub mod key_arrivals;
