Let queries with keys wait as long as a connection can't be accepted

Cause: the earlier query stood in the accept queue. catch_up gave up after 50 checks with a debug line, and the later one got its turn.

Change: while the system does not let the gateway accept a connection that waits, a pass does not go on. Failures that last for longer than any query allows no longer hold up anybody: key_arrivals rejects the earlier query when it is read. The same holds for a lack of slots and for clients that send without a pause, after 50 checks as before. A turn that is lost, by a panic or at the end of the process, is an error now and no longer a turn. A granter that was restarted sees the requests that wait. Rejections are counted by reason.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -234,6 +234,7 @@
             platform: self.config.platform.clone(),
             phase: self.phase.subscribe(),
             arrival_order: Arc::default(),
+            longest_deadline: clamped_duration(self.longest_deadline_seconds),
             supervisor: self.supervisor.clone(),
             statement_memory: self.budget.statement_memory.clone(),
             answer_memory: self.budget.answer_memory.clone(),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -77,6 +77,8 @@
     pub body_store: Option<Arc<Store>>,
     /// Gives requests whose order matters their turn.
     pub arrival_order: Arc<ArrivalOrder>,
+    /// The longest time that a query allows.
+    pub longest_deadline: Duration,
     /// Estimates when clients sent their queries.
     pub send_time_estimator: Mutex<SendTimeEstimator>,
     /// Records panics of request handlers, and holds the counters that the gateway exports.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -2,6 +2,7 @@
 //!
 //! Used for both statements that are read whole and bodies that are streamed.
 
+use super::arrival_order::{Turn, TurnError};
 use super::request_head::{SubmittedQuery, TimedQuery};
 use super::responses::answer_response;
 use super::submission::check_length;
@@ -12,12 +13,14 @@
 use crate::http::statement::{find_data_set, NO_DATA_SET};
 use crate::metrics::OrderRejection;
 use crate::scheduling::query_task::QueryTask;
-use crate::scheduling::scheduler::{Admission, OpenedQuery, QueryAnswer, Waiter};
+use crate::scheduling::scheduler::{Admission, ArrivingQuery, OpenedQuery, QueryAnswer, Waiter};
+use crate::system::clock::clamped_duration;
 use axum::response::Response;
 use garnetwall::key_arrivals::ArrivalBounds;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::sleep_until;
 
 /// Admitted query, which has a final answer or will get one.
 pub(super) enum AdmittedQuery {
@@ -37,6 +40,9 @@
     }
 }
 
+/// Time before a query's deadline at which it is no longer kept waiting for its turn, so that its answer is in time.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
 /// Arrival times of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
@@ -92,7 +98,7 @@
         forwarded_query,
     } = query.with_times(send_time, arrival.bounds(state));
     let _turn = match arriving.ordering_key {
-        Some(_) => state.arrival_order.turn(arrival.time.latest).await,
+        Some(_) => Some(turn(state, &arriving, arrival).await?),
         None => None,
     };
     check_client_connected(stream, query_key)?;
@@ -127,6 +133,33 @@
     }
 }
 
+/// Waits for the turn of a query with an ordering key, until its deadline or, during a shutdown, until all answers are due.
+async fn turn(
+    state: &ServerState,
+    arriving: &ArrivingQuery,
+    arrival: Arrival,
+) -> Result<Turn, SubmissionError> {
+    let remaining = clamped_duration(arriving.deadline - state.scheduler.clock().now());
+    let give_up_at = Instant::now() + remaining.saturating_sub(ANSWER_TIME);
+    let given_up = async {
+        tokio::select! {
+            () = sleep_until(give_up_at.into()) => {}
+            () = state.scheduler.until_answers_due() => {}
+        }
+    };
+    let turn = state
+        .arrival_order
+        .turn(arrival.time.latest, given_up)
+        .await;
+    turn.map_err(|error| {
+        let rejection = match error {
+            TurnError::NotKnownToBeNext => OrderRejection::NotKnownToBeNext,
+            TurnError::NotGranted => OrderRejection::NoTurn,
+        };
+        order_not_known(state, arriving.query_key, rejection)
+    })
+}
+
 /// Counts a query that is rejected to keep the order of its key, and returns the error.
 fn order_not_known(
     state: &ServerState,
--- a/crates/gateway/src/http/arrival_order.rs
+++ b/crates/gateway/src/http/arrival_order.rs
@@ -6,13 +6,21 @@
 //!
 //! [`TurnGranter`] works in passes. A pass first lets the gateway catch up: it waits until all requests that arrived
 //! before the pass began are read. It then grants their turns one by one, earliest arrival first.
+//!
+//! A pass cannot wait for everything. Where the system does not let the gateway accept connections, an earlier request may
+//! stand in the accept queue: the requests of the pass wait until they are given up one by one, so that nobody is served
+//! before it is known that no earlier request waits. Where this lasts for longer than any request allows, or an earlier
+//! request is kept back by its client or by a lack of slots, the pass goes on. The earlier request is then read later, and
+//! [`KeyArrivals`](garnetwall::key_arrivals::KeyArrivals) refuses it if it would overtake.
 
-use super::accept::AcceptQueue;
+use super::accept::{AcceptQueue, AcceptState};
 use super::client_connections::ClientConnections;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
@@ -27,6 +35,17 @@
 /// Place of a request in the order: when it arrived and, for equal times, its number in the order of reading.
 type Place = (Instant, u64);
 
+/// Reason why a request gets no turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum TurnError {
+    /// An earlier request may still be unread, and the time of this one is over.
+    #[error("an earlier request may still be unread")]
+    NotKnownToBeNext,
+    /// No turns are granted any more, since the gateway stops, or the turn was lost by a panic.
+    #[error("no turn is granted")]
+    NotGranted,
+}
+
 /// The right to act on a request. The next request gets its turn once this one is dropped.
 pub(super) struct Turn {
     _ended: oneshot::Sender<()>,
@@ -47,13 +66,37 @@
 }
 
 impl ArrivalOrder {
-    /// Waits for the turn of a request that was read and whose last byte arrived at `arrived_at`. Returns `None` only
-    /// while the gateway stops, when no turns are granted any more.
-    pub(super) async fn turn(&self, arrived_at: Instant) -> Option<Turn> {
+    /// Waits for the turn of a request that was read and whose last byte arrived at `arrived_at`, until `given_up`
+    /// completes.
+    ///
+    /// # Errors
+    ///
+    /// The request was given up, or no turns are granted.
+    pub(super) async fn turn(
+        &self,
+        arrived_at: Instant,
+        given_up: impl Future<Output = ()>,
+    ) -> Result<Turn, TurnError> {
         let (grant, granted) = oneshot::channel();
-        self.waiting().add(arrived_at, grant);
+        let place = self.waiting().add(arrived_at, grant);
+        let _request = WaitingRequest { order: self, place };
         self.request_waits.notify_one();
-        granted.await.ok()
+        tokio::select! {
+            biased;
+            turn = granted => turn.map_err(|_| TurnError::NotGranted),
+            () = given_up => Err(TurnError::NotKnownToBeNext),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.waiting().requests.is_empty()
+    }
+
+    /// Waits until a request waits.
+    async fn wait_for_request(&self) {
+        while self.is_empty() {
+            self.request_waits.notified().await;
+        }
     }
 
     fn waiting(&self) -> MutexGuard<'_, Waiting> {
@@ -76,10 +119,24 @@
     }
 }
 
+/// A request that waits. Dropping it gives up its place.
+struct WaitingRequest<'a> {
+    order: &'a ArrivalOrder,
+    place: Place,
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.order.waiting().requests.remove(&self.place);
+    }
+}
+
 impl Waiting {
-    fn add(&mut self, arrived_at: Instant, grant: oneshot::Sender<Turn>) {
+    fn add(&mut self, arrived_at: Instant, grant: oneshot::Sender<Turn>) -> Place {
         self.last_number += 1;
-        self.requests.insert((arrived_at, self.last_number), grant);
+        let place = (arrived_at, self.last_number);
+        self.requests.insert(place, grant);
+        place
     }
 
     /// Removes and returns the request that arrived first, unless it arrived after `until`.
@@ -120,7 +177,7 @@
     /// Grants turns. Never returns; the gateway runs this in the background.
     pub async fn run(&self) {
         loop {
-            self.order.request_waits.notified().await;
+            self.order.wait_for_request().await;
             let pass_began = Instant::now();
             catch_up(&self.accept_queue, &self.connections).await;
             self.order.grant_until(pass_began).await;
@@ -128,10 +185,11 @@
     }
 }
 
-/// Waits until all requests that arrived before the call are read, for up to [`MAX_CATCH_UP_CHECKS`] checks.
+/// Waits until all requests that arrived before the call are read: as long as the system does not let the gateway accept
+/// them, otherwise for up to [`MAX_CATCH_UP_CHECKS`] checks.
 async fn catch_up(accept_queue: &AcceptQueue, connections: &ClientConnections) {
     let mut checks = 0;
-    let is_accepted = drain(accept_queue, &mut checks).await;
+    let given_up = drain(accept_queue, &mut checks).await.err();
     let mut unread = connections.with_unread_requests();
     // Usually the tasks of these connections are due, and read the requests in one turn of the runtime.
     yield_now().await;
@@ -143,28 +201,39 @@
     }
     // A parser that has taken all bytes may need one more turn to pass the request on.
     yield_now().await;
-    if !is_accepted || !unread.is_empty() {
+    if given_up.is_some() || !unread.is_empty() {
         tracing::debug!(
             connections = unread.len(),
-            "requests that arrived earlier could not be read in time; the order of arrival may not be kept"
+            accept_state = ?given_up,
+            "earlier requests could not be read in time; they are rejected if later ones of their key were admitted"
         );
     }
 }
 
-/// Waits until the connections in the accept queue are accepted, and counts the checks. Returns false if the number of
-/// checks reached its limit before.
-async fn drain(accept_queue: &AcceptQueue, checks: &mut u32) -> bool {
+/// Waits until the connections in the accept queue are accepted, and counts the checks.
+///
+/// # Errors
+///
+/// The wait was given up, in this state of the acceptor.
+async fn drain(accept_queue: &AcceptQueue, checks: &mut u32) -> Result<(), AcceptState> {
     let mut drained = pin!(accept_queue.drain());
-    while *checks < MAX_CATCH_UP_CHECKS {
-        if timeout(CATCH_UP_CHECK_INTERVAL, drained.as_mut())
-            .await
-            .is_ok()
-        {
-            return true;
+    loop {
+        let check = timeout(CATCH_UP_CHECK_INTERVAL, drained.as_mut());
+        if check.await.is_ok() {
+            return Ok(());
+        }
+        match accept_queue.state() {
+            // The requests that wait are given up one by one.
+            AcceptState::Failing => {}
+            AcceptState::FailingForLong => return Err(AcceptState::FailingForLong),
+            state @ (AcceptState::Accepting | AcceptState::WaitingForSlot) => {
+                *checks += 1;
+                if *checks >= MAX_CATCH_UP_CHECKS {
+                    return Err(state);
+                }
+            }
         }
-        *checks += 1;
     }
-    false
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/http/arrival_order/tests.rs
+++ b/crates/gateway/src/http/arrival_order/tests.rs
@@ -3,6 +3,7 @@
 use crate::http::client_stream::test_streams::accepted_stream;
 use crate::http::client_stream::StreamHandle;
 use crate::supervision::Supervisor;
+use std::future::pending;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -21,7 +22,7 @@
     async fn wait(&self, name: &'static str, arrived_at: Instant) -> JoinHandle<()> {
         let requests = self.clone();
         let waiting = tokio::spawn(async move {
-            let turn = requests.order.turn(arrived_at).await;
+            let turn = requests.order.turn(arrived_at, pending()).await.unwrap();
             requests.had_turn.lock().unwrap().push(name);
             yield_now().await;
             requests.had_turn.lock().unwrap().push(name);
@@ -132,3 +133,11 @@
         .expect("the wait should end")
         .unwrap();
 }
+
+#[tokio::test]
+async fn request_that_is_given_up_leaves_its_place() {
+    let order = ArrivalOrder::default();
+    let turn = order.turn(Instant::now(), sleep(Duration::from_millis(5)));
+    assert_eq!(turn.await.err(), Some(TurnError::NotKnownToBeNext));
+    assert!(order.is_empty());
+}
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -21,7 +21,7 @@
 use hyper::body::Body as _;
 use std::future::Future;
 use std::sync::Arc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Longest statement that is read whole, in bytes. A statement that is longer or of unknown length is streamed through
 /// the body store, or rejected if there is no body store.
@@ -163,7 +163,10 @@
     drop(memory);
     check_length(stream)?;
     stream.request_received();
-    let _turn = state.arrival_order.turn(stream.arrived_at().latest).await;
+    let arrived_at = stream.arrived_at().latest;
+    let given_up = sleep(state.longest_deadline);
+    // If there is no turn, the query that is cancelled can't be admitted in time any more.
+    let _turn = state.arrival_order.turn(arrived_at, given_up).await;
     check_length(stream)?;
     Ok(match state.scheduler.cancel(query_key) {
         CancelOutcome::Cancelled => StatusCode::NO_CONTENT.into_response(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,8 +44,12 @@
 /// Reason for which a query is rejected to keep the order of its ordering key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum OrderRejection {
+    /// An earlier query may still have been unread when its time was over.
+    NotKnownToBeNext,
     /// A query of its key that may have arrived later was admitted before it was read.
     Overtaken,
+    /// No turns are granted, since the gateway stops.
+    NoTurn,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
