Cancel open queries at once, and those that wait before they begin

Callers saw: a cancellation took more than 100 ms while accepts failed, and the query went on meanwhile.

Cause: a cancellation waited for its turn as the queries do, also where the query that it names is open, so that no earlier request can matter to it.

Change: an open query is cancelled at once. Otherwise the cancellation is kept while it waits for its turn, and a query that it names is not admitted, so that nothing begins for a client that has left.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::engines::{self, result_rows, Engines};
 use crate::http::accept::Acceptor;
 use crate::http::arrival_order::TurnGranter;
+use crate::http::cancellations::PendingCancellations;
 use crate::http::client_connections::ClientConnections;
 use crate::http::send_time::SendTimeEstimator;
 use crate::http::{self, ServerState};
@@ -234,6 +235,7 @@
             platform: self.config.platform.clone(),
             phase: self.phase.subscribe(),
             arrival_order: Arc::default(),
+            cancellations: PendingCancellations::default(),
             longest_deadline: clamped_duration(self.longest_deadline_seconds),
             supervisor: self.supervisor.clone(),
             statement_memory: self.budget.statement_memory.clone(),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -6,7 +6,8 @@
 //! 2. Handler: `submission` handles requests that submit or cancel a query, and passes long bodies to `streamed_body`.
 //! 3. Parse: `request_head` checks the request head, and [`statement`] finds the data set in the SQL statement.
 //! 4. Admission: [`send_time`] estimates when the client sent the query, [`arrival_order`] gives requests their turn in
-//!    the order of their arrival, and `admission` passes the query to the scheduler.
+//!    the order of their arrival, [`cancellations`] holds those that come before their queries, and `admission` passes the
+//!    query to the scheduler.
 //! 5. Response: `responses` builds the responses, and `submission_error` maps each reason for not admitting a query to
 //!    one.
 //!
@@ -15,6 +16,7 @@
 pub mod accept;
 mod admission;
 pub mod arrival_order;
+pub mod cancellations;
 pub mod client_connections;
 pub mod client_stream;
 mod connection;
@@ -28,6 +30,7 @@
 
 use crate::engines::Engines;
 use crate::http::arrival_order::ArrivalOrder;
+use crate::http::cancellations::PendingCancellations;
 use crate::http::send_time::SendTimeEstimator;
 use crate::phase::Phase;
 use crate::scheduling::scheduler::Scheduler;
@@ -77,6 +80,8 @@
     pub body_store: Option<Arc<Store>>,
     /// Gives requests whose order matters their turn.
     pub arrival_order: Arc<ArrivalOrder>,
+    /// Cancellations whose queries have not been admitted yet.
+    pub cancellations: PendingCancellations,
     /// The longest time that a query allows.
     pub longest_deadline: Duration,
     /// Estimates when clients sent their queries.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -80,7 +80,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the client has closed its connection, the query key belongs to a different query or
+/// Fails if the client has closed its connection or has cancelled the query, the query key belongs to a different query or
 /// to an ended one whose answer is not cached, an earlier gateway process may have sent the query, it can't be known to be
 /// the next one of its ordering key, or the plan denies it.
 pub(super) async fn admit(
@@ -103,6 +103,9 @@
     };
     check_client_connected(stream, query_key)?;
     check_length(stream)?;
+    if state.cancellations.cancel(query_key) {
+        return Err(SubmissionError::ClientClosed);
+    }
     let mut admission = state.scheduler.admit(arriving, forwarded_query.clone());
     if let (Admission::DataSetRequired, Statement::Complete(statement)) =
         (&admission, &forwarded_query.statement)
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -138,7 +138,7 @@
         .map_err(|_| SubmissionError::BodyTruncated)
 }
 
-/// Handles a request that cancels an open query, after requests that arrived before it.
+/// Handles a request that cancels a query. A query that is not open may still wait to be admitted, or to be read.
 pub(super) async fn cancel(
     State(state): State<Arc<ServerState>>,
     Extension(stream): Extension<StreamHandle>,
@@ -163,15 +163,26 @@
     drop(memory);
     check_length(stream)?;
     stream.request_received();
+    // A query that is open is known to have arrived earlier.
+    if state.scheduler.cancel(query_key) == CancelOutcome::Cancelled {
+        return Ok(cancelled());
+    }
+    let pending = state.cancellations.add(query_key);
     let arrived_at = stream.arrived_at().latest;
     let given_up = sleep(state.longest_deadline);
     // If there is no turn, the query that is cancelled can't be admitted in time any more.
     let _turn = state.arrival_order.turn(arrived_at, given_up).await;
     check_length(stream)?;
-    Ok(match state.scheduler.cancel(query_key) {
-        CancelOutcome::Cancelled => StatusCode::NO_CONTENT.into_response(),
-        CancelOutcome::NotOpen => {
-            error_response(StatusCode::NOT_FOUND, "no batch of this id is in hand")
-        }
-    })
+    let outcome = state.scheduler.cancel(query_key);
+    if outcome == CancelOutcome::Cancelled || pending.has_taken_effect() {
+        return Ok(cancelled());
+    }
+    Ok(error_response(
+        StatusCode::NOT_FOUND,
+        "no batch of this id is in hand",
+    ))
+}
+
+fn cancelled() -> Response {
+    StatusCode::NO_CONTENT.into_response()
 }
