Count the time in the accept queue against the deadline

Callers saw: an answer 3.88 s after the request was sent, of 2.9 s allowed, where its connection could not be accepted for 1 s.

Change: it counts from the time of arrival that the system tells, if that is more than 50 ms before the reading, or else from when connections were last accepted as they came.

--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -92,6 +92,8 @@
     max_pauses: u32,
     /// Time at which the accept queue was last empty.
     queue_empty_at: Instant,
+    /// Time since which connections have not been accepted as they came; `None` if they are.
+    delayed_since: Option<Instant>,
 }
 
 /// Event for the acceptor.
@@ -136,6 +138,7 @@
             pauses: 0,
             max_pauses: u32::try_from(max_pauses).unwrap_or(u32::MAX),
             queue_empty_at: Instant::now(),
+            delayed_since: None,
         };
         let accept_queue = AcceptQueue {
             drain_requests: sender,
@@ -217,6 +220,7 @@
 
     fn queue_was_empty(&mut self, at: Instant) {
         self.queue_empty_at = at;
+        self.delayed_since = None;
         self.pauses = 0;
         self.set_state(AcceptState::Accepting);
     }
@@ -235,6 +239,7 @@
             tracing::warn!(%error, "accepting a client connection failed; repeats are not logged until one succeeds");
         }
         self.failures = self.failures.saturating_add(1);
+        self.delayed_since.get_or_insert_with(Instant::now);
     }
 
     /// Lets other tasks run before an accept is repeated. There is a pause unless the call may well succeed at once.
@@ -270,6 +275,7 @@
         self.failures = 0;
         let delay = AcceptDelay {
             queue_empty_at: self.queue_empty_at,
+            delayed_since: self.delayed_since,
         };
         let stream = StreamHandle::new(socket, delay);
         let connections = self.connections.clone();
@@ -279,6 +285,7 @@
             connection = acquiring.as_mut() => connection,
             () = ready(()) => {
                 self.set_state(AcceptState::WaitingForSlot);
+                self.delayed_since.get_or_insert_with(Instant::now);
                 acquiring.await
             }
         };
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// Time for which a request may have waited unread without its deadline being counted from its arrival. The system tells
+/// the time of arrival less exactly than the estimate of the send time needs it.
+const MAX_UNCOUNTED_WAIT: Duration = Duration::from_millis(50);
 /// Time before a query's deadline at which it is no longer kept waiting for its turn, so that its answer is in time.
 const ANSWER_TIME: Duration = Duration::from_millis(20);
 
@@ -58,10 +61,19 @@
     /// Determines when the request that was last read from `stream` arrived.
     pub fn of(state: &ServerState, stream: &StreamHandle) -> Self {
         let time = stream.arrived_at();
+        let read_at = stream.last_read_at();
+        let known_arrival = match time.is_known() {
+            true => time.earliest,
+            false => stream.earliest_read_at(),
+        };
+        let mut earliest = state.scheduler.arrival_time(read_at);
+        if read_at.saturating_duration_since(known_arrival) > MAX_UNCOUNTED_WAIT {
+            earliest = earliest.min(state.scheduler.clock().at(known_arrival));
+        }
         Arrival {
             time,
             unread: time.latest.elapsed(),
-            earliest: state.scheduler.arrival_time(stream.last_read_at()),
+            earliest,
         }
     }
 
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -55,6 +55,8 @@
 pub struct AcceptDelay {
     /// Time at which the queue was last empty. The connection came later.
     pub queue_empty_at: Instant,
+    /// Time since which connections were not accepted as they came; `None` if this one was.
+    pub delayed_since: Option<Instant>,
 }
 
 /// When the newest bytes of a connection arrived.
@@ -66,6 +68,13 @@
     pub latest: Instant,
 }
 
+impl ArrivalTime {
+    /// Whether the system tells the time.
+    pub fn is_known(&self) -> bool {
+        self.earliest == self.latest
+    }
+}
+
 struct StreamState {
     io: TokioIo<Socket>,
     /// Bytes that were read from the socket and that the parser has not taken.
@@ -79,6 +88,8 @@
     nothing_unread_at: Instant,
     /// Time after which the newest bytes that were read arrived.
     arrived_after: Instant,
+    /// Time since which the connection may have waited in the accept queue.
+    accept_delayed_since: Option<Instant>,
     /// Whether a request, or a part of one, is still to be received. False from when a request was received whole until
     /// its response is ready.
     awaits_request: bool,
@@ -113,6 +124,7 @@
             last_read_at: Instant::now(),
             nothing_unread_at: delay.queue_empty_at,
             arrived_after: delay.queue_empty_at,
+            accept_delayed_since: delay.delayed_since,
             awaits_request: true,
             connection: 0,
             response_progress: ResponseProgress::NoRequest,
@@ -138,6 +150,14 @@
         self.state().last_read_at
     }
 
+    /// Returns when bytes were last read from the connection, or, if they may have waited in the accept queue meanwhile,
+    /// the time since which they may have.
+    pub fn earliest_read_at(&self) -> Instant {
+        let state = self.state();
+        let delayed_since = state.accept_delayed_since.unwrap_or(state.last_read_at);
+        state.last_read_at.min(delayed_since)
+    }
+
     /// Returns when the newest bytes of the connection arrived. They may have waited unread, for example while this
     /// process had no processor time. If the system does not tell, the bounds are when bytes were last read, and when
     /// none were unread before.
@@ -216,6 +236,7 @@
     pub fn response_ready(&self) {
         let mut state = self.state();
         state.awaits_request = true;
+        state.accept_delayed_since = None;
         state.framing.record_response();
         // By the protocol, a client sends one request at a time.
         if state.read_ahead.is_empty() {
--- a/crates/gateway/src/http/client_stream/test_streams.rs
+++ b/crates/gateway/src/http/client_stream/test_streams.rs
@@ -9,6 +9,7 @@
     let socket = Socket::register(stream.into_std().unwrap()).unwrap();
     let delay = AcceptDelay {
         queue_empty_at: Instant::now(),
+        delayed_since: None,
     };
     StreamHandle::new(socket, delay)
 }
