--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -110,6 +110,17 @@
         self.metrics().connection_ended(reason);
         let connection = self.connection.number();
         tracing::debug!(connection, client = %self.client.0, ?reason, "client connection ended");
+        if self.owes_answer(reason) {
+            self.metrics().closed_unanswered();
+            tracing::error!(connection, client = %self.client.0, ?reason, "client connection ended with its request unanswered");
+        }
+    }
+
+    /// Whether a request is open whose client waits for its answer. After a panic the answer is still to come.
+    fn owes_answer(&self, end: ConnectionEnd) -> bool {
+        let has_answer_to_come =
+            matches!(end, ConnectionEnd::ClientClosed | ConnectionEnd::Panicked);
+        !has_answer_to_come && self.connection.has_request() && !self.stream.is_closed_by_client()
     }
 
     /// Closes the connection after its last response. An eviction ends the wait for the client.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::supervision::Task;
 use garnetwall::api::AttemptEnd;
+use garnetwall::attempt_guard::ViolatedRule;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -57,6 +58,11 @@
     reason: OrderRejection,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RuleLabel {
+    rule: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TaskLabel {
     task: Task,
@@ -109,7 +115,9 @@
     retries_started: Counter,
     attempts_ended: Family<AttemptLabel, Counter>,
     query_answers: Family<QueryLabel, Counter>,
+    requests_closed_unanswered: Counter,
     order_rejections: Family<OrderRejectionLabel, Counter>,
+    rule_violations: Family<RuleLabel, Counter>,
     ready: Gauge,
 }
 
@@ -128,7 +136,9 @@
             retries_started: Counter::default(),
             attempts_ended: Family::default(),
             query_answers: Family::default(),
+            requests_closed_unanswered: Counter::default(),
             order_rejections: Family::default(),
+            rule_violations: Family::default(),
             ready: Gauge::default(),
         };
         metrics.register_panics();
@@ -185,6 +195,11 @@
             "Responses to clients by status",
             self.responses.clone(),
         );
+        registry.register(
+            "requests_closed_unanswered",
+            "Client connections that the gateway ended with a request open whose client has not left",
+            self.requests_closed_unanswered.clone(),
+        );
     }
 
     fn register_queries(&mut self) {
@@ -214,6 +229,11 @@
             "Queries rejected to keep the order of their ordering key, by reason",
             self.order_rejections.clone(),
         );
+        registry.register(
+            "rule_violations",
+            "Attempts not sent because they would have broken a rule, by rule",
+            self.rule_violations.clone(),
+        );
     }
 
     /// Counts a panic of a task.
@@ -238,6 +258,11 @@
             .inc();
     }
 
+    /// Counts a connection that the gateway ends although an answer is owed on it.
+    pub fn closed_unanswered(&self) {
+        self.requests_closed_unanswered.inc();
+    }
+
     /// Counts a response of a request handler.
     pub fn response_ready(&self, status: u16) {
         self.responses.get_or_create(&StatusLabel { status }).inc();
@@ -280,6 +305,14 @@
             .inc();
     }
 
+    /// Counts an attempt that was not sent because it would have broken a rule.
+    pub fn rule_violated(&self, rule: ViolatedRule) {
+        let rule = violated_rule_name(rule);
+        self.rule_violations
+            .get_or_create(&RuleLabel { rule })
+            .inc();
+    }
+
     /// Renders all counters in the text format of Prometheus. `is_ready` is the answer of the health check.
     ///
     /// # Errors
@@ -310,5 +343,16 @@
     }
 }
 
+fn violated_rule_name(rule: ViolatedRule) -> &'static str {
+    match rule {
+        ViolatedRule::FinalAnswer => "FinalAnswer",
+        ViolatedRule::ClientLeft => "ClientLeft",
+        ViolatedRule::OneAttemptAtATime => "OneAttemptAtATime",
+        ViolatedRule::NoEffectTwice => "NoEffectTwice",
+        ViolatedRule::KeyOneAtATime => "KeyOneAtATime",
+        ViolatedRule::KeyOrder => "KeyOrder",
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -118,6 +118,10 @@
     }
 
     fn admit(&self, query_key: u64) -> Admission {
+        self.admit_arrived_at(query_key, self.scheduler.clock().now())
+    }
+
+    fn admit_arrived_at(&self, query_key: u64, arrived_at: f64) -> Admission {
         let now = self.scheduler.clock().now();
         let arriving = ArrivingQuery {
             query_key,
@@ -125,8 +129,8 @@
             tenant: 0,
             ordering_key: Some(ORDERING_KEY),
             arrival: ArrivalBounds {
-                earliest: now,
-                latest: now,
+                earliest: arrived_at,
+                latest: arrived_at,
             },
             deadline: now + LONGEST_DEADLINE_SECONDS,
             estimated_work: None,
@@ -168,6 +172,53 @@
     matches!(command, Ok(Some(Command::BeginAttempt { .. })))
 }
 
+/// The controller is not told that the client has left, so that it begins an attempt that breaks a rule.
+#[tokio::test]
+async fn attempt_that_would_break_a_rule_is_not_begun_and_its_query_is_rejected() {
+    let gateway = OneEngine::start();
+    let mut first = gateway.open(1);
+    let mut second = gateway.open(2);
+    assert!(begins_attempt(&mut first.commands, Duration::from_secs(2)).await);
+    second.client_presence.client_disconnected();
+    let attempt = ScheduledAttempt {
+        engine: 0,
+        number: 0,
+        started_at: Instant::now(),
+    };
+    let result = AttemptResult::from_end(AttemptEnd::Succeeded);
+    let outcome = attempt.outcome(&result, QueryStatus::Open, Instant::now());
+    gateway
+        .scheduler
+        .attempt_ended(first.query_id, outcome, None);
+    let command = timeout(Duration::from_secs(2), second.commands.recv()).await;
+    let answer = match command {
+        Ok(Some(Command::Answer(answer))) => QueryAnswer::from(answer),
+        other => panic!("an answer expected, not {other:?}"),
+    };
+    assert!(matches!(answer, QueryAnswer::Rejected { .. }));
+    let page = gateway.supervisor.metrics().render(true).unwrap();
+    assert!(
+        page.contains("garnetwall_rule_violations_total{rule=\"ClientLeft\"} 1"),
+        "{page}"
+    );
+}
+
+/// A query that is read late is refused if it arrived before one of its key that was admitted.
+#[tokio::test]
+async fn query_that_arrived_before_an_admitted_one_of_its_key_is_out_of_order() {
+    let gateway = OneEngine::start();
+    let _admitted = gateway.open(1);
+    let earlier = gateway.scheduler.clock().now() - 0.2;
+    assert!(matches!(
+        gateway.admit_arrived_at(2, earlier),
+        Admission::OutOfOrder
+    ));
+    assert!(matches!(
+        gateway.admit_arrived_at(1, earlier),
+        Admission::Joined(_)
+    ));
+}
+
 /// The engine may run the attempt until polls are missed for so long that it ends it.
 #[tokio::test]
 async fn query_whose_task_panics_is_answered_and_its_key_waits_for_the_end_of_its_attempt() {
--- a/crates/gateway/src/scheduling/scheduler.rs
+++ b/crates/gateway/src/scheduling/scheduler.rs
@@ -11,11 +11,12 @@
 //! - `admission` opens queries; `query_end` answers and releases them; `waiter` tracks the waiting clients.
 //! - `query_index` records which query keys have been seen; `answer_cache` keeps the answers of finished queries.
 //! - `open_query` and `state` define the state that the lock guards.
-//! - `attempts`, `updates`, `recovery` and `shutdown` handle the remaining events.
+//! - `attempt_check` refuses attempts that would break a rule; `attempts`, `updates`, `recovery` and `shutdown` handle the remaining events.
 //! - `messages` defines the scheduler's inputs and outputs.
 
 mod admission;
 mod answer_cache;
+mod attempt_check;
 mod attempts;
 mod messages;
 mod open_query;
@@ -92,6 +93,7 @@
             clock.now(),
             limits,
             finished_retention,
+            supervisor.clone(),
         );
         let scheduler = Scheduler {
             clock,
--- a/crates/gateway/src/scheduling/scheduler/admission.rs
+++ b/crates/gateway/src/scheduling/scheduler/admission.rs
@@ -12,6 +12,7 @@
 use crate::storage::query_journal::millis;
 use crate::system::clock::minute_of_day;
 use garnetwall::api::{Query, QueryId};
+use garnetwall::attempt_guard::KeyPlace;
 use garnetwall_ledger::records::{StartedQuery, RUN_TIME_MARGIN};
 use std::fmt;
 use std::hash::BuildHasher;
@@ -42,6 +43,8 @@
     class: usize,
     is_non_idempotent: bool,
     is_idempotent: bool,
+    /// Place among the queries of the ordering key; `None` if the class is not ordered.
+    key_place: Option<KeyPlace>,
     plan_admission: Option<PlanAdmission>,
     /// The time by which the query must be answered, in seconds on the gateway's clock.
     deadline: f64,
@@ -163,8 +166,7 @@
             let retry_after = full_until - now;
             return Admission::TooManyKeys { retry_after };
         }
-        if let Some(key) = state.ordered_key(&new.arriving, &terms) {
-            let arrival = new.arriving.arrival;
+        if let Some(KeyPlace { key, arrival }) = terms.key_place {
             if !state.key_arrivals.may_follow(key, arrival) {
                 state.release_plan_admission(now, terms.plan_admission);
                 return Admission::OutOfOrder;
@@ -259,6 +261,10 @@
             client_presence: ClientPresence::default(),
             deadline: terms.deadline,
             is_idempotent: terms.is_idempotent,
+            is_non_idempotent: terms.is_non_idempotent,
+            key_place: terms.key_place,
+            attempts: 0,
+            may_have_run: false,
             plan_admission: terms.plan_admission,
         }
     }
@@ -327,15 +333,18 @@
             class,
             is_non_idempotent: self.is_non_idempotent(class),
             is_idempotent: self.is_idempotent(class),
+            key_place: self.key_place(arriving, class),
             plan_admission,
             deadline,
         }
     }
 
-    /// The ordering key of a query; `None` if its class is not ordered.
-    fn ordered_key(&self, arriving: &ArrivingQuery, terms: &AdmissionTerms) -> Option<u64> {
-        let keeps_order = self.controller.keeps_order(terms.class);
-        arriving.ordering_key.filter(|_| keeps_order)
+    /// The place of a query among those of its ordering key; `None` if its class is not ordered.
+    fn key_place(&self, arriving: &ArrivingQuery, class: usize) -> Option<KeyPlace> {
+        let key = arriving.ordering_key?;
+        let arrival = arriving.arrival;
+        let keeps_order = self.controller.keeps_order(class);
+        keeps_order.then_some(KeyPlace { key, arrival })
     }
 }
 
--- a/crates/gateway/src/scheduling/scheduler/attempts.rs
+++ b/crates/gateway/src/scheduling/scheduler/attempts.rs
@@ -40,6 +40,7 @@
                 query_finished: outcome.query_finished || is_finished,
                 ..outcome
             };
+            state.record_attempt_end(id, outcome.end);
             state.controller.attempt_ended(now, id, outcome)
         })
     }
--- a/crates/gateway/src/scheduling/scheduler/open_query.rs
+++ b/crates/gateway/src/scheduling/scheduler/open_query.rs
@@ -4,6 +4,7 @@
 use super::{Command, QueryAnswer};
 use crate::engines::{ClientPresence, ForwardedQuery};
 use crate::scheduling::plan_routing::PlanAdmission;
+use garnetwall::attempt_guard::KeyPlace;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -41,6 +42,14 @@
     pub(super) deadline: f64,
     /// Whether the query has no further effect if it runs again.
     pub(super) is_idempotent: bool,
+    /// Whether the query must not run twice.
+    pub(super) is_non_idempotent: bool,
+    /// Place among the queries of the ordering key; `None` if the class is not ordered.
+    pub(super) key_place: Option<KeyPlace>,
+    /// Number of attempts that have begun.
+    pub(super) attempts: u32,
+    /// Whether an attempt has ended without proof that it never ran.
+    pub(super) may_have_run: bool,
     /// The plan's terms and the limits that the query holds; `None` if the gateway has no plan.
     pub(super) plan_admission: Option<PlanAdmission>,
 }
--- a/crates/gateway/src/scheduling/scheduler/state.rs
+++ b/crates/gateway/src/scheduling/scheduler/state.rs
@@ -6,9 +6,11 @@
 use super::{Command, MemoryLimits, QueryAnswer};
 use crate::scheduling::log_millis;
 use crate::scheduling::plan_routing::{PlanAdmission, PlanRouter, SubsetUpdate};
+use crate::supervision::Supervisor;
 use crate::system::clock::Clock;
 use crate::system::stall_detector::StallDetector;
 use garnetwall::api::{Idempotency, Placement, QueryClass, QueryId};
+use garnetwall::attempt_guard::AttemptGuard;
 use garnetwall::controller::AdmissionController;
 use garnetwall::key_arrivals::KeyArrivals;
 use std::collections::HashMap;
@@ -24,6 +26,10 @@
     pub(super) answer_cache: AnswerCache,
     /// The newest arrivals of the ordering keys.
     pub(super) key_arrivals: KeyArrivals,
+    /// Checks each attempt before it begins.
+    pub(super) attempt_guard: AttemptGuard,
+    /// Counts the attempts that would have broken a rule.
+    pub(super) supervisor: Supervisor,
     /// The classes' idempotency, by class index.
     pub(super) idempotency: Vec<Idempotency>,
     /// The time at which the controller is due next.
@@ -38,6 +44,7 @@
         now: f64,
         limits: MemoryLimits,
         longest_deadline_seconds: f64,
+        supervisor: Supervisor,
     ) -> Self {
         SchedulerState {
             controller,
@@ -47,6 +54,8 @@
             open_queries: HashMap::new(),
             answer_cache: AnswerCache::new(limits.answer_cache_bytes),
             key_arrivals: KeyArrivals::new(longest_deadline_seconds),
+            attempt_guard: AttemptGuard::new(longest_deadline_seconds),
+            supervisor,
             idempotency: Vec::new(),
             wakes_at: now,
             stall_detector: StallDetector::new(now),
@@ -98,6 +107,10 @@
                 send_timeout,
                 ..
             } => {
+                if let Err(rule) = self.check_attempt(id) {
+                    self.refuse_attempt(now, id, engine, rule);
+                    return;
+                }
                 let command = Command::BeginAttempt {
                     engine,
                     response_deadline: clock.instant(now + response_timeout),
@@ -139,5 +152,6 @@
         self.query_index.discard_expired(now);
         self.answer_cache.evict(now);
         self.key_arrivals.discard_expired(now);
+        self.attempt_guard.discard_expired(now);
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -265,6 +265,23 @@
     NotSent,
 }
 
+impl AttemptEnd {
+    /// Whether an attempt that ended like this provably never ran.
+    pub fn never_ran(self) -> bool {
+        match self {
+            AttemptEnd::Rejected
+            | AttemptEnd::ConnectFailed
+            | AttemptEnd::NotNeeded
+            | AttemptEnd::NotSent => true,
+            AttemptEnd::Succeeded
+            | AttemptEnd::Failed
+            | AttemptEnd::TimedOut
+            | AttemptEnd::ConnectionLost
+            | AttemptEnd::Cancelled => false,
+        }
+    }
+}
+
 /// Outcome of an attempt, with its measurements.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptOutcome {
--- a/src/controller/attempt.rs
+++ b/src/controller/attempt.rs
@@ -133,23 +133,8 @@
     }
 }
 
-/// Returns whether an attempt that ended like this provably never ran.
-fn never_ran(end: AttemptEnd) -> bool {
-    match end {
-        AttemptEnd::Rejected
-        | AttemptEnd::ConnectFailed
-        | AttemptEnd::NotNeeded
-        | AttemptEnd::NotSent => true,
-        AttemptEnd::Succeeded
-        | AttemptEnd::Failed
-        | AttemptEnd::TimedOut
-        | AttemptEnd::ConnectionLost
-        | AttemptEnd::Cancelled => false,
-    }
-}
-
 fn update_may_have_run(state: &mut QueryState, attempt: Attempt, end: AttemptEnd) {
-    if !never_ran(end) {
+    if !end.never_ran() {
         state.may_have_run.get_or_insert(attempt);
     } else if attempt.sole_cause_of_may_have_run {
         state.may_have_run = None;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 //! crates.
 
 pub mod api;
+pub mod attempt_guard;
 pub mod controller;
 pub mod key_arrivals;
