Admit no query while it is unknown whether its client has left

Callers saw: a query began more than 100 ms after its client had closed its connection.

Cause: the read before admission that would have shown the close failed for lack of memory, which counted as a client that is connected.

Change: such a read says nothing. It is repeated every 5 ms, 20 times at most; then the query is answered 503 and has not run.

--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -9,7 +9,7 @@
 use super::submission_error::SubmissionError;
 use super::ServerState;
 use crate::engines::{ForwardedQuery, Statement};
-use crate::http::client_stream::{ArrivalTime, StreamHandle};
+use crate::http::client_stream::{ArrivalTime, ClientState, StreamHandle};
 use crate::http::statement::{find_data_set, NO_DATA_SET};
 use crate::metrics::OrderRejection;
 use crate::scheduling::query_task::QueryTask;
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 /// Admitted query, which has a final answer or will get one.
 pub(super) enum AdmittedQuery {
@@ -46,6 +46,11 @@
 /// Time before a query's deadline at which it is no longer kept waiting for its turn, so that its answer is in time.
 const ANSWER_TIME: Duration = Duration::from_millis(20);
 
+/// Pause between checks of whether a client is connected, and their number, while reads from its connection fail. By the
+/// protocol, nothing is sent later than 100 ms after its client has left.
+const CLIENT_CHECK_PAUSE: Duration = Duration::from_millis(5);
+const MAX_CLIENT_CHECKS: u32 = 20;
+
 /// Arrival times of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
@@ -113,7 +118,7 @@
         Some(_) => Some(turn(state, &arriving, arrival).await?),
         None => None,
     };
-    check_client_connected(stream, query_key)?;
+    check_client_connected(state, stream, query_key).await?;
     check_length(stream)?;
     if state.cancellations.cancel(query_key) {
         return Err(SubmissionError::ClientClosed);
@@ -216,12 +221,22 @@
 }
 
 /// Fails if the client has closed its connection, so that no query is sent to an engine for a client that left before
-/// admission.
-fn check_client_connected(stream: &StreamHandle, query_key: u64) -> Result<(), SubmissionError> {
-    if !stream.is_closed_by_client() {
-        return Ok(());
+/// admission. Waits a while for reads that fail, since one of them may show the close.
+async fn check_client_connected(
+    state: &ServerState,
+    stream: &StreamHandle,
+    query_key: u64,
+) -> Result<(), SubmissionError> {
+    for _ in 0..MAX_CLIENT_CHECKS {
+        match stream.client_state() {
+            ClientState::Connected => return Ok(()),
+            ClientState::Left => {
+                tracing::debug!(query_key = %format_args!("{query_key:016x}"), "client closed its connection before its query was admitted");
+                return Err(SubmissionError::ClientClosed);
+            }
+            ClientState::Unknown => sleep(CLIENT_CHECK_PAUSE).await,
+        }
     }
-    let query_key = format_args!("{query_key:016x}");
-    tracing::debug!(%query_key, "client closed its connection before its query was admitted");
-    Err(SubmissionError::ClientClosed)
+    tracing::debug!(query_key = %format_args!("{query_key:016x}"), "query rejected: reads fail, so that its client may have left");
+    Err(SubmissionError::client_unknown(&state.platform))
 }
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -48,6 +48,19 @@
     Received,
     /// No bytes were read: none have arrived, or the client has ended its side.
     Nothing,
+    /// The read failed for a reason that says nothing of the connection.
+    Unknown,
+}
+
+/// Whether the client of a connection has ended its side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientState {
+    /// It has not.
+    Connected,
+    /// It has, and waits for no answer.
+    Left,
+    /// Reads from the connection fail for a reason that says nothing of it.
+    Unknown,
 }
 
 /// How long a connection can have waited in the accept queue.
@@ -277,10 +290,16 @@
     }
 
     /// Whether the client has ended its side of the connection. Reads from the socket first.
-    pub fn is_closed_by_client(&self) -> bool {
+    pub fn client_state(&self) -> ClientState {
         let mut state = self.state();
-        state.read_available();
-        state.is_closed_by_client()
+        let outcome = state.read_available();
+        if state.is_closed_by_client() {
+            return ClientState::Left;
+        }
+        match outcome {
+            ReadOutcome::Received | ReadOutcome::Nothing => ClientState::Connected,
+            ReadOutcome::Unknown => ClientState::Unknown,
+        }
     }
 
     /// Completes when the client has ended its side of the connection. The stream is checked only in polls in which
@@ -348,7 +367,9 @@
                 return ReadOutcome::Received;
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(error) if os_error::says_nothing_of_connection(&error) => {}
+            Err(error) if os_error::says_nothing_of_connection(&error) => {
+                return ReadOutcome::Unknown;
+            }
             Err(error) => self.end = Some(StreamEnd::Failed(error.kind())),
         }
         ReadOutcome::Nothing
@@ -372,8 +393,9 @@
         self.read_ahead.len() >= READ_AHEAD_BYTES
     }
 
-    /// Reads the bytes that the kernel holds, until a read would block or the read-ahead buffer is full.
-    fn read_available(&mut self) {
+    /// Reads the bytes that the kernel holds, until a read would block or the read-ahead buffer is full. Returns the
+    /// result of the last read.
+    fn read_available(&mut self) -> ReadOutcome {
         let mut buffer = [0; READ_AHEAD_BYTES];
         while self.end.is_none() && !self.is_read_ahead_full() {
             let free = READ_AHEAD_BYTES - self.read_ahead.len();
@@ -382,10 +404,12 @@
             if matches!(&result, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
                 self.nothing_unread_at = called_at;
             }
-            if self.record_read(result, &buffer) == ReadOutcome::Nothing {
-                return;
+            match self.record_read(result, &buffer) {
+                ReadOutcome::Received => {}
+                outcome => return outcome,
             }
         }
+        ReadOutcome::Received
     }
 
     fn is_closed_by_client(&self) -> bool {
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -5,7 +5,7 @@
 
 use super::{ClientAddress, REQUEST_READ_TIMEOUT};
 use crate::http::client_connections::ClientConnection;
-use crate::http::client_stream::StreamHandle;
+use crate::http::client_stream::{ClientState, StreamHandle};
 use crate::metrics::{ConnectionEnd, Metrics};
 use crate::supervision::Supervisor;
 use axum::Router;
@@ -120,7 +120,9 @@
     fn owes_answer(&self, end: ConnectionEnd) -> bool {
         let has_answer_to_come =
             matches!(end, ConnectionEnd::ClientClosed | ConnectionEnd::Panicked);
-        !has_answer_to_come && self.connection.has_request() && !self.stream.is_closed_by_client()
+        !has_answer_to_come
+            && self.connection.has_request()
+            && self.stream.client_state() == ClientState::Connected
     }
 
     /// Closes the connection after its last response. An eviction ends the wait for the client.
--- a/crates/gateway/src/http/submission_error.rs
+++ b/crates/gateway/src/http/submission_error.rs
@@ -67,6 +67,10 @@
     /// The client may send it again after `retry_after_seconds`; `None` if the response gives no time.
     #[error("the order of this item is not known")]
     OrderNotKnown { retry_after_seconds: Option<f64> },
+    /// Reads from the connection fail, so that the client may have left. The query has not run. The client may send it
+    /// again after `retry_after_seconds`; `None` if the response gives no time.
+    #[error("the connection can't be read")]
+    ClientUnknown { retry_after_seconds: Option<f64> },
     /// A rule or limit of the plan denies the query. The client may send it again after `retry_after_seconds`; `None`
     /// if the response gives no time.
     #[error("{reason}")]
@@ -76,9 +80,8 @@
     },
 }
 
-/// Time to retry after where the order of a query is not known, in seconds. Failures of calls of the system usually pass by
-/// then.
-const ORDER_RETRY_AFTER_SECONDS: f64 = 0.25;
+/// Time to retry after where calls of the system fail, in seconds. Such failures usually have passed by then.
+const FAILED_CALLS_RETRY_AFTER_SECONDS: f64 = 0.25;
 
 /// The time to retry after that a response may give, in seconds. The settings decide whether it gives one, and limit it.
 fn allowed_retry_after(seconds: f64, platform: &PlatformSettings) -> Option<f64> {
@@ -99,7 +102,14 @@
     /// Returns the error for a query that can't be known to be the next one of its ordering key.
     pub fn order_not_known(platform: &PlatformSettings) -> Self {
         SubmissionError::OrderNotKnown {
-            retry_after_seconds: allowed_retry_after(ORDER_RETRY_AFTER_SECONDS, platform),
+            retry_after_seconds: allowed_retry_after(FAILED_CALLS_RETRY_AFTER_SECONDS, platform),
+        }
+    }
+
+    /// Returns the error for a query whose client may have left.
+    pub fn client_unknown(platform: &PlatformSettings) -> Self {
+        SubmissionError::ClientUnknown {
+            retry_after_seconds: allowed_retry_after(FAILED_CALLS_RETRY_AFTER_SECONDS, platform),
         }
     }
 
@@ -149,6 +159,7 @@
             SubmissionError::BodyStoreFull
             | SubmissionError::TooManyKeys { .. }
             | SubmissionError::OrderNotKnown { .. }
+            | SubmissionError::ClientUnknown { .. }
             | SubmissionError::DeniedByPlan { .. } => StatusCode::SERVICE_UNAVAILABLE,
             SubmissionError::StatementMemoryFull => StatusCode::INSUFFICIENT_STORAGE,
         }
@@ -164,6 +175,7 @@
             | SubmissionError::MayHaveRun
             | SubmissionError::TooManyKeys { .. }
             | SubmissionError::OrderNotKnown { .. }
+            | SubmissionError::ClientUnknown { .. }
             | SubmissionError::DeniedByPlan { .. } => false,
             SubmissionError::LengthRequired
             | SubmissionError::StatementTooLong
@@ -201,6 +213,9 @@
             | SubmissionError::OrderNotKnown {
                 retry_after_seconds,
             }
+            | SubmissionError::ClientUnknown {
+                retry_after_seconds,
+            }
             | SubmissionError::DeniedByPlan {
                 retry_after_seconds,
                 ..
--- a/crates/gateway/tests/arrival_faults.rs
+++ b/crates/gateway/tests/arrival_faults.rs
@@ -347,3 +347,26 @@
         }
     });
 }
+
+/// Guards against seed 11 of the fault soak: the read that would have shown the close failed.
+#[test]
+fn query_of_a_client_that_left_in_a_stall_is_not_sent_while_reads_fail() {
+    let faults = Faults::new();
+    let gateway = OneEngine::start_with_faults(&faults);
+    let open: Vec<TcpStream> = (0..40).map(|_| gateway.open_connection()).collect();
+    gateway.test_bed.pause();
+    for (number, stream) in open.into_iter().enumerate() {
+        write(&stream, &report(&format!("SELECT {number}")));
+    }
+    sleep(LEAVE_LIMIT);
+    faults.enable("broken", &format!("2 {ENOMEM}"));
+    gateway.test_bed.signal("CONT");
+    sleep(ms(300));
+    faults.disable("broken");
+    sleep(ms(300));
+    let received = gateway.received("SELECT");
+    assert!(
+        received.is_empty(),
+        "sent after their clients had left: {received:?}"
+    );
+}
