Read the configuration again where the disk or the machine fails for a moment

Callers saw, or would see: at SIGHUP a new configuration that could not be read just then was dropped with a log line. The gateway stayed with the old change log, and sent queries to engines that the new one had told of as draining. At a start the process ended.

Cause: the file was read once.

Change: it is read by the same retry.

Result: configuration_that_cannot_be_read_at_sighup_is_applied_once_it_can and start_waits_for_a_configuration_that_cannot_be_read failed before and pass now, with EIO and ENOMEM for 400 ms.

--- a/crates/gateway/src/configuration/files.rs
+++ b/crates/gateway/src/configuration/files.rs
@@ -1,9 +1,11 @@
 //! Reads the files of a gateway from disk: the configuration, the settings and the plan.
 
 use super::error::{ConfigError, ConfigResult};
+use crate::system::os_error::retry_blocking;
 use garnetwall_plan::source::{resolve_relative, LoadError, Loader};
 use garnetwall_settings::{decode, FlatSettings, PlatformSettings};
 use serde_json::Value;
+use std::io;
 use std::path::Path;
 
 /// The environment variable that names the plan file. A gateway runs without a plan if none is named.
@@ -27,7 +29,7 @@
         if Path::new(name).is_dir() {
             return Err(LoadError::IsDirectory);
         }
-        Ok(std::fs::read(name)?)
+        Ok(read_file(name)?)
     }
 
     fn resolve(&self, from: &str, included: &str) -> String {
@@ -35,9 +37,15 @@
     }
 }
 
+/// Reads a file. Blocks the thread, for up to [`START_TIMEOUT`](crate::system::os_error::START_TIMEOUT) while the disk or
+/// the machine does not let it be read.
+fn read_file(name: &str) -> io::Result<Vec<u8>> {
+    retry_blocking(|| std::fs::read(name))
+}
+
 /// Reads and parses a JSON file.
 pub(super) fn read_json(file: &str) -> ConfigResult<Value> {
-    let text = std::fs::read(file).map_err(|error| ConfigError::Unreadable {
+    let text = read_file(file).map_err(|error| ConfigError::Unreadable {
         file: file.into(),
         cause: error.to_string(),
     })?;
--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -18,7 +18,7 @@
 //   threads N E   one in N starts of a thread fails with E
 //   realtime S    the wall clock is S seconds ahead; a negative S sets it back
 //   disk-slow MS  each sync of a regular file or a directory takes MS milliseconds longer
-//   disk-CALL N E one in N calls on a regular file fails with E; CALL is open, write, sync, truncate or rename
+//   disk-CALL N E one in N calls on a regular file fails with E; CALL is open, read, write, sync, truncate or rename
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -116,6 +116,10 @@
 }
 
 ssize_t read(int fd, void *bytes, size_t length) {
+    if (length && has_file_type(fd, S_IFREG)) {
+        struct fault disk = fault("disk-read");
+        if (should_fail(disk)) return fail_with((int)disk.number);
+    }
     if (length == 0 || !has_file_type(fd, S_IFSOCK)) return syscall(SYS_read, fd, bytes, length);
     size_t permitted = permitted_length(length);
     return permitted ? syscall(SYS_read, fd, bytes, permitted) : -1;
--- a/crates/gateway/tests/machine_faults.rs
+++ b/crates/gateway/tests/machine_faults.rs
@@ -255,3 +255,54 @@
         );
     }
 }
+
+/// EIO and ENOMEM.
+const READ_ERRORS: [i32; 2] = [5, 12];
+
+#[test]
+fn start_waits_for_a_configuration_that_cannot_be_read() {
+    for error in READ_ERRORS {
+        let faults = Faults::new();
+        faults.enable("disk-read", &format!("1 {error}"));
+        let later = faults.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(ms(400));
+            later.disable("disk-read");
+        });
+        assert_all_succeed(
+            &TestBed::start_with_launcher(|_| {}, serve_with(&faults)),
+            1,
+        );
+    }
+}
+
+#[test]
+fn configuration_that_cannot_be_read_at_sighup_is_applied_once_it_can() {
+    for error in READ_ERRORS {
+        let faults = Faults::new();
+        let file = std::cell::RefCell::new(std::path::PathBuf::new());
+        let test_bed = TestBed::start_with_launcher(
+            |_| {},
+            |config| {
+                *file.borrow_mut() = write_config(config);
+                let mut command = gateway_command(&["serve"]);
+                command
+                    .env("PROXY_CONFIG", &*file.borrow())
+                    .stderr(Stdio::null());
+                faults.apply_to(&mut command);
+                command.spawn().unwrap()
+            },
+        );
+        let moved = FakeChangeLog::start();
+        let mut config = test_bed.config.clone();
+        config["changelog"] = json!(moved.address.to_string());
+        std::fs::write(&*file.borrow(), config.to_string()).unwrap();
+        faults.enable("disk-read", &format!("1 {error}"));
+        test_bed.signal("HUP");
+        std::thread::sleep(ms(400));
+        faults.disable("disk-read");
+        wait_until("the gateway watches the new change log", || {
+            !moved.last_event_ids.lock().unwrap().is_empty()
+        });
+    }
+}
