Keep a connection open while reads fail that would show a request

A connection without a request is closed by an eviction, by the shutdown, or when its first request has not come in time. A read right before tells whether bytes have come after all. Where it failed for a reason that says nothing of the connection, that counted as none, and a request that had come would have been lost.

Such a read counts as bytes that may have come now. Found by going through the callers of reads; no test shows it.

--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -282,11 +282,11 @@
         self.state().read_available();
     }
 
-    /// Whether bytes have arrived that the parser has not taken. Reads from the socket first.
-    pub fn has_unparsed_bytes(&self) -> bool {
+    /// Whether bytes have arrived that the parser has not taken, or may have since reads fail. Reads from the socket first.
+    pub fn may_have_unparsed_bytes(&self) -> bool {
         let mut state = self.state();
-        state.read_available();
-        !state.read_ahead.is_empty()
+        let outcome = state.read_available();
+        !state.read_ahead.is_empty() || outcome == ReadOutcome::Unknown
     }
 
     /// Whether the client has ended its side of the connection. Reads from the socket first.
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -94,7 +94,7 @@
         match end {
             // A request whose first bytes arrived before the close is still served, as the last one.
             ConnectionEnd::Shutdown | ConnectionEnd::Evicted
-                if self.stream.has_unparsed_bytes() =>
+                if self.stream.may_have_unparsed_bytes() =>
             {
                 RequestLoop::new(self, RemainingRequests::One).run().await
             }
@@ -141,7 +141,7 @@
     /// Closes a connection on which no request was served. If a part of a request head has arrived, first responds with
     /// status 408, since the client may be sending the rest while the gateway closes.
     async fn close_unserved(&self, mode: CloseMode) {
-        if !self.stream.has_unparsed_bytes() {
+        if !self.stream.may_have_unparsed_bytes() {
             return;
         }
         let mut stream = TokioIo::new(self.stream.stream());
--- a/crates/gateway/src/http/connection/after_panic.rs
+++ b/crates/gateway/src/http/connection/after_panic.rs
@@ -48,7 +48,7 @@
             ResponseProgress::Written => {}
             ResponseProgress::NoRequest => self.wait_for_first_bytes().await,
         }
-        match self.stream.has_unparsed_bytes() {
+        match self.stream.may_have_unparsed_bytes() {
             true => PanicAnswer::Busy,
             false => PanicAnswer::None,
         }
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -190,7 +190,7 @@
     /// connection is evicted instead.
     fn eviction_requested(&self) -> Step {
         let connection = &self.server.connection;
-        if connection.has_request() || self.server.stream.has_unparsed_bytes() {
+        if connection.has_request() || self.server.stream.may_have_unparsed_bytes() {
             connection.cancel_eviction();
             return Step::Continue;
         }
@@ -206,7 +206,8 @@
     /// this process had no processor time to parse them.
     fn first_request_timed_out(&mut self) -> Step {
         let awaits_first_request = self.server.connection.awaits_first_request();
-        if awaits_first_request && (self.grace_granted || !self.server.stream.has_unparsed_bytes())
+        if awaits_first_request
+            && (self.grace_granted || !self.server.stream.may_have_unparsed_bytes())
         {
             tracing::debug!(connection = self.number(), client = %self.client(), "client connection closed: the first request head did not arrive in time");
             return Step::Close(ConnectionEnd::Silent);
@@ -224,7 +225,7 @@
         let has_request = self.server.connection.has_request();
         if self.shutdown == ShutdownProgress::NotRequested
             && !has_request
-            && self.server.stream.has_unparsed_bytes()
+            && self.server.stream.may_have_unparsed_bytes()
         {
             self.shutdown = ShutdownProgress::ParsingReceived;
             return Step::Continue;
