Repeat the call that discards unsent data of an aborted connection

The proof that an attempt has ended rests on this call: without it, a start that was given up may still arrive at its engine, beside the next attempt or after a later query of its key. A failure went unheard, and the connection closed as usual. The call is repeated up to 32 times now, and an error is logged if none succeeds. Found by going through the calls whose errors are ignored; no test shows it.

--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -25,6 +25,8 @@
 const LOCAL_RETRY_PAUSE: Duration = Duration::from_millis(10);
 /// Pause before a read or write that failed for a reason which passes is repeated.
 const TRANSFER_RETRY_PAUSE: Duration = Duration::from_millis(5);
+/// Number of calls to set an option that a close depends on.
+const MAX_LINGER_CALLS: u32 = 32;
 /// Number of interruptions in a row after which a call counts as failed, so that other tasks run before it is repeated.
 const MAX_INTERRUPTIONS: u32 = 32;
 
@@ -191,10 +193,16 @@
         let _ = SockRef::from(self.stream()).shutdown(Shutdown::Write);
     }
 
-    /// Makes the close of the connection discard unsent data and send a reset.
+    /// Makes the close of the connection discard unsent data and send a reset. Without this, the system would go on sending
+    /// the data after the close, so a call that fails is repeated.
     pub fn discard_on_close(&self) {
-        // If the option cannot be set, the connection closes normally.
-        let _ = SockRef::from(self.stream()).set_linger(Some(Duration::ZERO));
+        let set_linger = || SockRef::from(self.stream()).set_linger(Some(Duration::ZERO));
+        let is_set = (0..MAX_LINGER_CALLS).any(|_| set_linger().is_ok());
+        if !is_set {
+            tracing::error!(
+                "unsent data of an aborted connection may still arrive: SO_LINGER could not be set"
+            );
+        }
     }
 }
 
