Answer the cancellation of an ended query at once

It waited for its turn, behind a connection that can't be accepted for as long as any query allows, although nothing that is still to be read can matter to it. The tests cover this, and a cancellation that is read while its query waits for its turn: the query never begins.

--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -167,6 +167,9 @@
     if state.scheduler.cancel(query_key) == CancelOutcome::Cancelled {
         return Ok(cancelled());
     }
+    if state.scheduler.is_known(query_key) {
+        return Ok(nothing_to_cancel());
+    }
     let pending = state.cancellations.add(query_key);
     let arrived_at = stream.arrived_at().latest;
     let given_up = sleep(state.longest_deadline);
@@ -177,10 +180,11 @@
     if outcome == CancelOutcome::Cancelled || pending.has_taken_effect() {
         return Ok(cancelled());
     }
-    Ok(error_response(
-        StatusCode::NOT_FOUND,
-        "no batch of this id is in hand",
-    ))
+    Ok(nothing_to_cancel())
+}
+
+fn nothing_to_cancel() -> Response {
+    error_response(StatusCode::NOT_FOUND, "no batch of this id is in hand")
 }
 
 fn cancelled() -> Response {
--- a/crates/gateway/tests/arrival_faults.rs
+++ b/crates/gateway/tests/arrival_faults.rs
@@ -173,6 +173,43 @@
     assert!(took < LEAVE_LIMIT, "cancelled after {took:?}");
 }
 
+#[test]
+fn cancellation_of_an_ended_query_is_answered_at_once_while_accepts_fail() {
+    let faults = Faults::new();
+    let gateway = OneEngine::start_with_faults(&faults);
+    let open = gateway.open_connection();
+    let headers = request_headers(&new_id(), 2900);
+    send_request(&open, "POST /v1/load", &headers, "INSERT 1");
+    assert!(read_answer(&open).succeeded());
+    faults.enable("accept", &format!("1 {ENFILE}"));
+    let _waiting = gateway.new_connection();
+    let cancel = format!("DELETE /v1/load HTTP/1.1\r\nHost: g\r\n{headers}\r\n");
+    let (answer, took) = timed_query(&open, &cancel);
+    assert_eq!(answer.status, 404);
+    assert!(took < SOCKET_SLACK, "answered after {took:?}");
+}
+
+/// The cancellation is read while its query still waits for its turn.
+#[test]
+fn query_that_is_cancelled_while_it_waits_for_its_turn_never_begins() {
+    let faults = Faults::new();
+    let gateway = OneEngine::start_with_faults(&faults);
+    let (open, other) = (gateway.open_connection(), gateway.open_connection());
+    faults.enable("accept", &format!("1 {EMFILE}"));
+    let _waiting = gateway.new_connection();
+    sleep(ms(20));
+    let key = "X-Item: 7f3a9c21e0b4d655\r\n";
+    let headers = request_headers(&new_id(), 2900) + key;
+    send_request(&open, "POST /v1/load", &headers, "INSERT 1");
+    sleep(ms(20));
+    send_request(&other, "DELETE /v1/load", &headers, "");
+    sleep(ms(200));
+    faults.disable("accept");
+    assert_eq!(read_answer(&other).status, 204);
+    assert_eq!(read_answer(&open).status, 400);
+    assert!(gateway.received("INSERT").is_empty());
+}
+
 /// Queries of one key that wait for a turn which can't come give their connections back.
 #[test]
 fn query_without_a_key_is_served_while_queries_with_keys_wait() {
