Keep an accepted connection whose flags can't be set

A connection that could not be made non-blocking was closed with its request unanswered. It is kept and set up again now, like one that epoll refuses, and its client is rejected where that lasts.

connection_that_epoll_refuses_is_served_once_it_takes_it covers this call too, and a further test holds that a lasting shortage rejects new clients in time, serves those with open connections, and ends with the shortage.

--- a/crates/gateway/src/http/accept/refusal.rs
+++ b/crates/gateway/src/http/accept/refusal.rs
@@ -1,5 +1,6 @@
 //! Refuses a client whose connection the runtime can't watch.
 
+use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 
@@ -11,8 +12,12 @@
 const READ_BYTES: usize = 8 << 10;
 const MAX_READS: usize = 64;
 
-/// Answers that the client may send its request again, and closes the connection. The stream is non-blocking.
+/// Answers that the client may send its request again, and closes the connection.
 pub(super) fn refuse(mut stream: TcpStream) {
+    // A blocking call could hold up all other clients.
+    if SockRef::from(&stream).set_nonblocking(true).is_err() {
+        return;
+    }
     // The client would lose the response if the connection were closed with bytes unread.
     discard_received(&mut stream);
     // Nothing else can be done for the client if these calls fail.
--- a/crates/gateway/src/system/listener.rs
+++ b/crates/gateway/src/system/listener.rs
@@ -14,7 +14,7 @@
 /// Maximum number of connections that the system queues until they are accepted.
 pub const BACKLOG: u32 = 1024;
 
-/// An accepted connection, non-blocking, and the address of its client.
+/// An accepted connection and the address of its client.
 pub type AcceptedStream = (TcpStream, SocketAddr);
 
 /// A listening socket.
@@ -71,7 +71,6 @@
             accepted => accepted?,
         };
         let address = address.as_socket().ok_or(io::ErrorKind::InvalidData)?;
-        socket.set_nonblocking(true)?;
         Ok(Some((socket.into(), address)))
     }
 
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -100,12 +100,18 @@
 pub struct Socket(AsyncFd<TcpStream>);
 
 impl Socket {
-    /// Registers a connection, which must be non-blocking, with the runtime, and disables Nagle's algorithm.
+    /// Makes a connection non-blocking, registers it with the runtime, and disables Nagle's algorithm.
     ///
     /// # Errors
     ///
-    /// The system does not let the runtime watch the connection. It is given back, and may be registered later.
+    /// The system does not let the runtime use the connection. It is given back, and may be registered later.
     pub fn register(stream: TcpStream) -> Result<Socket, UnwatchedSocket<TcpStream>> {
+        if let Err(error) = SockRef::from(&stream).set_nonblocking(true) {
+            return Err(UnwatchedSocket {
+                socket: stream,
+                error,
+            });
+        }
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "could not set TCP_NODELAY");
         }
--- a/crates/gateway/tests/arrival_faults.rs
+++ b/crates/gateway/tests/arrival_faults.rs
@@ -306,19 +306,47 @@
 /// Left open by docs/incidents/incident-405061.md.
 #[test]
 fn connection_that_epoll_refuses_is_served_once_it_takes_it() {
-    for error in [ENOMEM, ENOSPC] {
+    for (call, error) in [
+        ("epoll-add", ENOMEM),
+        ("epoll-add", ENOSPC),
+        ("fcntl", ENOMEM),
+    ] {
         let faults = Faults::new();
         let gateway = OneEngine::start_with_faults(&faults);
-        faults.enable("epoll-add", &format!("1 {error}"));
+        faults.enable(call, &format!("1 {error}"));
         let new = gateway.new_connection();
         write(&new, &load("INSERT 1"));
         sleep(ms(200));
-        faults.disable("epoll-add");
+        faults.disable(call);
         let answer = read_answer(&new);
-        assert!(answer.succeeded(), "epoll fails with {error}: {answer:?}");
+        assert!(answer.succeeded(), "{call} fails with {error}: {answer:?}");
     }
 }
 
+/// The first connections stand for the whole of the shortage, the last one comes after it.
+#[test]
+fn clients_are_rejected_while_epoll_refuses_their_connections_for_long_and_served_after() {
+    let faults = Faults::new();
+    let gateway = OneEngine::start_with_faults(&faults);
+    let open = gateway.open_connection();
+    // The connection to the engine is open from then on.
+    assert!(timed_query(&open, &load("INSERT 0")).0.succeeded());
+    faults.enable("epoll-add", &format!("1 {ENOMEM}"));
+    let began = Instant::now();
+    let refused: Vec<TcpStream> = (0..3).map(|_| gateway.new_connection()).collect();
+    for stream in &refused {
+        write(stream, &report("SELECT 1"));
+    }
+    for stream in &refused {
+        assert_eq!(read_answer(stream).status, 503);
+    }
+    assert!(began.elapsed() < ALLOWED * 2);
+    assert!(timed_query(&open, &load("INSERT 1")).0.succeeded());
+    faults.disable("epoll-add");
+    let new = gateway.new_connection();
+    assert!(timed_query(&new, &load("INSERT 2")).0.succeeded());
+}
+
 #[test]
 fn client_is_answered_where_reads_and_writes_fail_for_lack_of_memory() {
     for error in [ENOMEM, ENOBUFS] {
--- a/crates/gateway/tests/faults/interpose.c
+++ b/crates/gateway/tests/faults/interpose.c
@@ -9,6 +9,8 @@
 //   waits N       one in N waits for events is interrupted
 //   broken N E    one in N reads and writes of a socket fails with the error number E
 //   accept N E    one in N accepts fails with E; without E, with a different error each time
+//   fcntl N E     one in N changes of a socket's flags fails with E
+//   setsockopt N E  one in N changes of a socket's options fails with E
 //   epoll-add N E one in N sockets that epoll is to watch is refused with E
 //   poll N E      one in N calls of poll fails with E
 //   socket N E    one in N calls of socket fails with E
@@ -186,6 +188,30 @@
     return (int)syscall(SYS_getsockopt, fd, level, name, value, size);
 }
 
+int setsockopt(int fd, int level, int name, const void *value, socklen_t size) {
+    struct fault f = fault("setsockopt");
+    if (should_fail(f)) return (int)fail_with((int)f.number);
+    return (int)syscall(SYS_setsockopt, fd, level, name, value, size);
+}
+
+int fcntl64(int fd, int command, ...) {
+    va_list rest;
+    va_start(rest, command);
+    long argument = va_arg(rest, long);
+    va_end(rest);
+    struct fault f = fault("fcntl");
+    if (command == F_SETFL && has_file_type(fd, S_IFSOCK) && should_fail(f)) return (int)fail_with((int)f.number);
+    return (int)syscall(SYS_fcntl, fd, command, argument);
+}
+
+int fcntl(int fd, int command, ...) {
+    va_list rest;
+    va_start(rest, command);
+    long argument = va_arg(rest, long);
+    va_end(rest);
+    return fcntl64(fd, command, argument);
+}
+
 int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*start)(void *), void *argument) {
     struct fault f = fault("threads");
     if (should_fail(f)) return (int)f.number;
