Ask the client's connection before its query is sent to an engine

Callers saw: a query began more than 100 ms after its client had closed its connection, where the gateway had no processor time meanwhile.

Cause: whether a client waits is a flag that the task of its connection sets. The connection to the engine was set up in the stall, and its task ran first after it.

Change: the send gate reads from the client's connection before each write of the request that starts an attempt.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -14,10 +14,12 @@
 mod response;
 pub mod result_rows;
 #[cfg(test)]
+pub mod test_clients;
+#[cfg(test)]
 mod tests;
 
 pub use crate::discovery::EngineTarget;
-pub use client_presence::ClientPresence;
+pub use client_presence::{ClientPresence, WaitingClient};
 pub use messages::{
     AttemptEvents, AttemptResult, AttemptStart, CancellationState, ForwardedQuery, Statement,
 };
@@ -173,7 +175,7 @@
         let deadline = start.response_deadline.min(start.send_deadline);
         let is_wanted = move || {
             *cancellation.borrow() == CancellationState::NotRequested
-                && client_presence.is_waiting()
+                && client_presence.is_connected()
                 && Instant::now() < deadline
         };
         SendGate::new(may_start, is_wanted)
--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -1,3 +1,4 @@
+use super::test_clients::ConnectedClient;
 use super::*;
 use crate::discovery::{EngineEntry, Event};
 use crate::system::clock::Clock;
@@ -129,7 +130,7 @@
         is_retry: true,
         response_deadline: deadline,
         send_deadline: deadline,
-        client_presence: ClientPresence::default(),
+        client_presence: ClientPresence::of(Arc::new(ConnectedClient)),
     }
 }
 
@@ -171,6 +172,32 @@
     assert_eq!(silent.received_bytes().await, 0);
 }
 
+/// A client whose connection has ended, which the scheduler does not know yet.
+struct LeftClient;
+
+impl WaitingClient for LeftClient {
+    fn may_have_left(&self) -> bool {
+        true
+    }
+
+    fn is_gone(&self) -> bool {
+        false
+    }
+}
+
+#[tokio::test]
+async fn request_is_not_sent_if_the_connection_of_its_client_has_ended() {
+    let silent = SilentEngine::start().await;
+    let (_cancel, cancellation) = watch::channel(CancellationState::NotRequested);
+    let start = AttemptStart {
+        client_presence: ClientPresence::of(Arc::new(LeftClient)),
+        ..start()
+    };
+    let result = silent.run_attempt(start, cancellation).await;
+    assert_eq!(result.end, AttemptEnd::NotNeeded);
+    assert_eq!(silent.received_bytes().await, 0);
+}
+
 /// The send deadline passes before a connection is established.
 #[tokio::test]
 async fn request_is_not_sent_after_its_send_deadline() {
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -8,7 +8,7 @@
 use super::submission::check_length;
 use super::submission_error::SubmissionError;
 use super::ServerState;
-use crate::engines::{ForwardedQuery, Statement};
+use crate::engines::{ForwardedQuery, Statement, WaitingClient};
 use crate::http::client_stream::{ArrivalTime, ClientState, StreamHandle};
 use crate::http::statement::{find_data_set, NO_DATA_SET};
 use crate::metrics::OrderRejection;
@@ -123,13 +123,18 @@
     if state.cancellations.cancel(query_key) {
         return Err(SubmissionError::ClientClosed);
     }
-    let mut admission = state.scheduler.admit(arriving, forwarded_query.clone());
+    let client: Arc<dyn WaitingClient> = Arc::new(stream.downgrade());
+    let mut admission = state
+        .scheduler
+        .admit(arriving, forwarded_query.clone(), client.clone());
     if let (Admission::DataSetRequired, Statement::Complete(statement)) =
         (&admission, &forwarded_query.statement)
     {
         // The key was known when the request arrived, and has been forgotten since.
         arriving.data_set = find_data_set(statement).await.or(Some(NO_DATA_SET));
-        admission = state.scheduler.admit(arriving, forwarded_query.clone());
+        admission = state
+            .scheduler
+            .admit(arriving, forwarded_query.clone(), client);
     }
     match admission {
         Admission::New(opened) => {
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -6,6 +6,7 @@
 
 mod request_framing;
 mod response_progress;
+mod waiting_client;
 
 pub(super) use response_progress::ResponseProgress;
 
@@ -23,6 +24,7 @@
 use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, Sleep};
+use waiting_client::WeakStreamHandle;
 
 /// Size of the read-ahead buffer in bytes: enough for a request head and a statement of the usual length.
 const READ_AHEAD_BYTES: usize = 8 << 10;
@@ -149,6 +151,11 @@
         })))
     }
 
+    /// Returns a handle that asks whether the client has left, and does not keep the connection open.
+    pub fn downgrade(&self) -> WeakStreamHandle {
+        WeakStreamHandle::new(&self.0)
+    }
+
     /// Returns the stream for an HTTP parser. Only one parser may use the stream at a time.
     pub fn stream(&self) -> ClientStream {
         ClientStream(self.clone())
@@ -269,9 +276,7 @@
         if state.is_offered {
             return false;
         }
-        if let Some(task) = &state.task {
-            task.wake_by_ref();
-        }
+        state.wake_task();
         true
     }
 
@@ -291,15 +296,7 @@
 
     /// Whether the client has ended its side of the connection. Reads from the socket first.
     pub fn client_state(&self) -> ClientState {
-        let mut state = self.state();
-        let outcome = state.read_available();
-        if state.is_closed_by_client() {
-            return ClientState::Left;
-        }
-        match outcome {
-            ReadOutcome::Received | ReadOutcome::Nothing => ClientState::Connected,
-            ReadOutcome::Unknown => ClientState::Unknown,
-        }
+        self.state().client_state()
     }
 
     /// Completes when the client has ended its side of the connection. The stream is checked only in polls in which
@@ -375,6 +372,12 @@
         ReadOutcome::Nothing
     }
 
+    fn wake_task(&self) {
+        if let Some(task) = &self.task {
+            task.wake_by_ref();
+        }
+    }
+
     fn set_task(&mut self, task: &Waker) {
         if !self
             .task
@@ -412,6 +415,17 @@
         ReadOutcome::Received
     }
 
+    fn client_state(&mut self) -> ClientState {
+        let outcome = self.read_available();
+        if self.is_closed_by_client() {
+            return ClientState::Left;
+        }
+        match outcome {
+            ReadOutcome::Received | ReadOutcome::Nothing => ClientState::Connected,
+            ReadOutcome::Unknown => ClientState::Unknown,
+        }
+    }
+
     fn is_closed_by_client(&self) -> bool {
         // While the read-ahead buffer is full, reads cannot reach the end of the stream; only the kernel reports the
         // close.
--- a/crates/gateway/src/scheduling/query_task/tests.rs
+++ b/crates/gateway/src/scheduling/query_task/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::discovery::{EngineList, EngineUpdate, ListChange};
+use crate::engines::test_clients::ConnectedClient;
 use crate::scheduling::scheduler::{Admission, ArrivingQuery, MemoryLimits, OpenedQuery, Waiter};
 use crate::supervision::catch_panic_of_call;
 use crate::system::clock::Clock;
@@ -139,7 +140,11 @@
             client: [127, 0, 0, 1].into(),
             statement_bytes: 8,
         };
-        self.scheduler.admit(arriving, self.forwarded_query.clone())
+        self.scheduler.admit(
+            arriving,
+            self.forwarded_query.clone(),
+            Arc::new(ConnectedClient),
+        )
     }
 
     fn open(&self, query_key: u64) -> OpenedQuery {
--- a/crates/gateway/src/scheduling/scheduler/admission.rs
+++ b/crates/gateway/src/scheduling/scheduler/admission.rs
@@ -6,7 +6,7 @@
 use super::query_index::QueryKeyState;
 use super::state::SchedulerState;
 use super::{Admission, ArrivingQuery, Command, OpenedQuery, Scheduler, Waiter};
-use crate::engines::{ClientPresence, ForwardedQuery, Statement};
+use crate::engines::{ClientPresence, ForwardedQuery, Statement, WaitingClient};
 use crate::scheduling::log_millis;
 use crate::scheduling::plan_routing::{PlanAdmission, PlanDenial};
 use crate::storage::query_journal::millis;
@@ -33,6 +33,7 @@
 struct NewQuery {
     arriving: ArrivingQuery,
     forwarded_query: Arc<ForwardedQuery>,
+    client: Arc<dyn WaitingClient>,
     fingerprint: Option<Fingerprint>,
     data_set: u32,
 }
@@ -63,13 +64,14 @@
         self: &Arc<Self>,
         arriving: ArrivingQuery,
         forwarded_query: Arc<ForwardedQuery>,
+        client: Arc<dyn WaitingClient>,
     ) -> Admission {
         let query_key = arriving.query_key;
         self.handle_event(|state, now| {
             state.discard_expired(now);
             match state.query_index.state(query_key) {
                 Some(QueryKeyState::Open(id)) => {
-                    self.join(state, now, id, &arriving, &forwarded_query)
+                    self.join(state, now, id, &arriving, &forwarded_query, client)
                 }
                 Some(QueryKeyState::Finished) => {
                     let fingerprint = self.fingerprint(&arriving, &forwarded_query);
@@ -84,6 +86,7 @@
                         fingerprint: self.fingerprint(&arriving, &forwarded_query),
                         arriving,
                         forwarded_query,
+                        client,
                         data_set,
                     };
                     self.admit_new(state, now, new)
@@ -121,6 +124,7 @@
         id: QueryId,
         arriving: &ArrivingQuery,
         forwarded_query: &ForwardedQuery,
+        client: Arc<dyn WaitingClient>,
     ) -> Admission {
         let Some(query) = state.open_queries.get_mut(&id) else {
             return Admission::AnswerNotCached;
@@ -131,7 +135,7 @@
         if !is_same_request {
             return Admission::Conflict;
         }
-        query.add_waiter();
+        query.add_waiter(client);
         let waiter = Waiter {
             scheduler: self.clone(),
             query_id: id,
@@ -258,7 +262,7 @@
             answer: watch::Sender::new(None),
             waiters: 1,
             waiter_generation: WaiterGeneration::default(),
-            client_presence: ClientPresence::default(),
+            client_presence: ClientPresence::of(self.client),
             deadline: terms.deadline,
             is_idempotent: terms.is_idempotent,
             is_non_idempotent: terms.is_non_idempotent,
--- a/crates/gateway/src/scheduling/scheduler/open_query.rs
+++ b/crates/gateway/src/scheduling/scheduler/open_query.rs
@@ -2,7 +2,7 @@
 
 use super::answer_cache::Fingerprint;
 use super::{Command, QueryAnswer};
-use crate::engines::{ClientPresence, ForwardedQuery};
+use crate::engines::{ClientPresence, ForwardedQuery, WaitingClient};
 use crate::scheduling::plan_routing::PlanAdmission;
 use garnetwall::attempt_guard::KeyPlace;
 use std::sync::Arc;
@@ -67,9 +67,9 @@
     }
 
     /// Adds a client that waits for the answer.
-    pub(super) fn add_waiter(&mut self) {
+    pub(super) fn add_waiter(&mut self, client: Arc<dyn WaitingClient>) {
         self.waiters += 1;
         self.waiter_generation.advance();
-        self.client_presence.client_joined();
+        self.client_presence.client_joined(client);
     }
 }
--- a/crates/gateway/tests/arrival_faults.rs
+++ b/crates/gateway/tests/arrival_faults.rs
@@ -432,3 +432,36 @@
         "sent after their clients had left: {received:?}"
     );
 }
+
+/// Guards against seed 5 of the fault soak: the connection to the engine was set up in the stall in which the client left,
+/// and the request was written before the close was seen.
+#[test]
+fn query_of_a_client_that_leaves_in_a_stall_is_not_sent_on_a_connection_made_meanwhile() {
+    const CLIENTS: usize = 20;
+    const ROUNDS: u64 = 12;
+    let gateway = OneEngine::start();
+    let mut sent_late = Vec::new();
+    for round in 0..ROUNDS {
+        let open: Vec<TcpStream> = (0..CLIENTS).map(|_| gateway.open_connection()).collect();
+        for (client, stream) in open.iter().enumerate() {
+            write(stream, &report(&format!("SELECT {round} {client}")));
+        }
+        sleep(Duration::from_micros(500 * round));
+        gateway.test_bed.pause();
+        drop(open);
+        let left_at = Instant::now();
+        sleep(LEAVE_LIMIT * 2);
+        gateway.test_bed.signal("CONT");
+        sleep(LEAVE_LIMIT);
+        let attempts = gateway.engine.attempts();
+        let late = attempts
+            .into_iter()
+            .filter(|attempt| attempt.statement.starts_with(&format!("SELECT {round} ")))
+            .filter(|attempt| attempt.received_at > left_at + LEAVE_LIMIT);
+        sent_late.extend(late.map(|attempt| attempt.statement));
+    }
+    assert!(
+        sent_late.is_empty(),
+        "sent after their clients had left: {sent_late:?}"
+    );
+}
