Write the last response of a connection to its end

Callers saw: a connection closed without its answer, where the answer was the last one on it and could not be written at once.

Cause: HTTP processing that reads no further request counts as done although a write is pending, and what it had not written went with it.

Change: HTTP processing is polled on as long as the last write is pending. The time for a write is limited as before.

--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -119,6 +119,8 @@
     /// Timer until the next check for a close by the client; set while the read-ahead buffer is full.
     close_check: Option<Pin<Box<Sleep>>>,
     write_timeout: WriteTimeout,
+    /// Whether the last write is to be repeated once the connection takes more bytes.
+    write_is_pending: bool,
 }
 
 /// Shared handle to a client's stream, for use outside the HTTP parser.
@@ -148,6 +150,7 @@
             task: None,
             close_check: None,
             write_timeout: WriteTimeout::default(),
+            write_is_pending: false,
         })))
     }
 
@@ -237,6 +240,11 @@
         .await
     }
 
+    /// Whether bytes wait to be written. The HTTP parser may be done all the same.
+    pub(super) fn is_write_pending(&self) -> bool {
+        self.state().write_is_pending
+    }
+
     /// Returns the progress of the response to the last request.
     pub(super) fn response_progress(&self) -> ResponseProgress {
         self.state().response_progress
@@ -515,6 +523,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_write(cx, bytes);
+        state.write_is_pending = result.is_pending();
         state.response_progress.record_write(&result);
         state.write_timeout.apply(cx, result)
     }
@@ -543,6 +552,7 @@
     ) -> Poll<io::Result<usize>> {
         let mut state = self.0.state();
         let result = Pin::new(&mut state.io).poll_write_vectored(cx, buffers);
+        state.write_is_pending = result.is_pending();
         state.response_progress.record_write(&result);
         state.write_timeout.apply(cx, result)
     }
--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -17,6 +17,7 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::time::{sleep, Instant, Sleep};
 use tower_service::Service;
@@ -150,7 +151,7 @@
             connection.awaits_first_request() && !first_request_timeout.is_elapsed();
         tokio::select! {
             biased;
-            result = catch_panic(poll_fn(|cx| http.poll_without_shutdown(cx))) => match result {
+            result = catch_panic(poll_fn(|cx| poll_until_written(http, stream, cx))) => match result {
                 Ok(result) => Event::HttpEnded(result),
                 Err(panic) => Event::HttpPanicked(panic),
             },
@@ -247,6 +248,19 @@
     }
 }
 
+/// Runs HTTP to its end, and until the last response is written: HTTP processing that reads no further request ends
+/// although the connection has not taken all bytes of the response.
+fn poll_until_written(
+    http: &mut http1::Connection<ClientStream, RequestService>,
+    stream: &StreamHandle,
+    context: &mut Context,
+) -> Poll<hyper::Result<()>> {
+    match http.poll_without_shutdown(context) {
+        Poll::Ready(Ok(())) if stream.is_write_pending() => Poll::Pending,
+        result => result,
+    }
+}
+
 /// Passes the requests of one connection to the router, and marks the connection active while a request is open.
 struct RequestService {
     stream: StreamHandle,
