Log where the time of arrival is unknown, and move its types to a module of their own

Errors of TCP_INFO other than a short answer went unheard. The text of the warning for a short one said that queries run in the order of reading, which is no longer so.

--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -4,10 +4,12 @@
 //! shows whether unparsed bytes have arrived before the gateway closes the connection, and whether bytes stand behind an
 //! open request.
 
+mod arrival_time;
 mod request_framing;
 mod response_progress;
 mod waiting_client;
 
+pub use arrival_time::{AcceptDelay, ArrivalTime};
 pub(super) use response_progress::ResponseProgress;
 
 use crate::system::os_error;
@@ -65,31 +67,6 @@
     Unknown,
 }
 
-/// How long a connection can have waited in the accept queue.
-#[derive(Clone, Copy, Debug)]
-pub struct AcceptDelay {
-    /// Time at which the queue was last empty. The connection came later.
-    pub queue_empty_at: Instant,
-    /// Time since which connections were not accepted as they came; `None` if this one was.
-    pub delayed_since: Option<Instant>,
-}
-
-/// When the newest bytes of a connection arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ArrivalTime {
-    /// The earliest possible time.
-    pub earliest: Instant,
-    /// The latest possible time. Equal to `earliest` if the system tells the time.
-    pub latest: Instant,
-}
-
-impl ArrivalTime {
-    /// Whether the system tells the time.
-    pub fn is_known(&self) -> bool {
-        self.earliest == self.latest
-    }
-}
-
 struct StreamState {
     io: TokioIo<Socket>,
     /// Bytes that were read from the socket and that the parser has not taken.
@@ -188,6 +165,9 @@
         let state = self.state();
         let now = Instant::now();
         let age = state.io.inner().time_since_last_arrival();
+        if let Err(error) = &age {
+            tracing::debug!(%error, connection = state.connection, "time of arrival unknown");
+        }
         match age.ok().and_then(|age| now.checked_sub(age)) {
             Some(at) => {
                 // Bytes that were read had arrived by then; the system may tell of later ones.
--- a/crates/gateway/src/system/tcp_info.rs
+++ b/crates/gateway/src/system/tcp_info.rs
@@ -60,7 +60,7 @@
     let Ok(info) = catch_panic_of_call(|| getsockopt(connection, TcpInfo)) else {
         *retry_at = Some(Instant::now() + RETRY_INTERVAL);
         let error = ArrivalTimeError::TooShort;
-        tracing::warn!(%error, "queries of an ordering key run in the order in which they are read");
+        tracing::warn!(%error, "times of arrival unknown; queries of an ordering key that may have overtaken one another are rejected");
         return Err(error);
     };
     *retry_at = None;
