--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)] // Each test program uses only some of the helpers.
 
+pub mod fault_schedule;
 pub mod faults;
 pub mod one_engine;
 pub mod process;
--- a/crates/gateway/tests/helper/seeds.rs
+++ b/crates/gateway/tests/helper/seeds.rs
@@ -1,6 +1,7 @@
 //! Runs of a test by seeds, several at a time.
 
 use std::ops::Range;
+use std::panic::catch_unwind;
 use std::sync::{Arc, Mutex};
 use std::thread::spawn;
 
@@ -25,24 +26,29 @@
 }
 
 /// Runs the seeds that `GATEWAY_TEST_SEEDS` names, or else the default ones, each a range such as `1..60`, `concurrent` at
-/// a time. Panics if the run of a seed does.
+/// a time. Panics with the failed seeds once all have run.
 pub fn run_seeds(default: &str, concurrent: usize, run: fn(u64)) {
     let named = std::env::var("GATEWAY_TEST_SEEDS").unwrap_or(default.into());
     let next = Arc::new(Mutex::new(range(&named)));
+    let failed: Arc<Mutex<Vec<u64>>> = Arc::default();
     let workers: Vec<_> = (0..concurrent)
         .map(|_| {
-            let next = next.clone();
+            let (next, failed) = (next.clone(), failed.clone());
             spawn(move || loop {
                 let Some(seed) = next.lock().unwrap().next() else {
                     return;
                 };
-                run(seed);
+                if catch_unwind(|| run(seed)).is_err() {
+                    failed.lock().unwrap().push(seed);
+                }
             })
         })
         .collect();
     workers
         .into_iter()
         .for_each(|worker| worker.join().unwrap());
+    let failed = failed.lock().unwrap();
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
 
 fn range(text: &str) -> Range<u64> {
