Connect and write without waiting for the runtime to learn of the socket

The socket is connected and registered once now, and a write is tried before the runtime knows that the connection takes bytes.

HTTP processing that ends with an error is polled on as well while a write is pending.

--- a/crates/gateway/src/http/connection/request_loop.rs
+++ b/crates/gateway/src/http/connection/request_loop.rs
@@ -249,14 +249,14 @@
 }
 
 /// Runs HTTP to its end, and until the last response is written: HTTP processing that reads no further request ends
-/// although the connection has not taken all bytes of the response.
+/// although the connection has not taken all bytes of the response, also where it ends with an error in the request.
 fn poll_until_written(
     http: &mut http1::Connection<ClientStream, RequestService>,
     stream: &StreamHandle,
     context: &mut Context,
 ) -> Poll<hyper::Result<()>> {
     match http.poll_without_shutdown(context) {
-        Poll::Ready(Ok(())) if stream.is_write_pending() => Poll::Pending,
+        Poll::Ready(_) if stream.is_write_pending() => Poll::Pending,
         result => result,
     }
 }
--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -9,7 +9,8 @@
 use crate::system::os_error;
 use crate::system::tcp_info::{time_since_last_arrival, ArrivalTimeError};
 use crate::system::watched_socket::{watch, UnwatchedSocket};
-use socket2::SockRef;
+use nix::errno::Errno;
+use socket2::{Domain, SockRef, Type};
 use std::future::Future;
 use std::io::{self, IoSlice, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -100,18 +101,22 @@
 pub struct Socket(AsyncFd<TcpStream>);
 
 impl Socket {
-    /// Makes a connection non-blocking, registers it with the runtime, and disables Nagle's algorithm.
+    /// Makes an accepted connection non-blocking, registers it with the runtime, and disables Nagle's algorithm.
     ///
     /// # Errors
     ///
     /// The system does not let the runtime use the connection. It is given back, and may be registered later.
     pub fn register(stream: TcpStream) -> Result<Socket, UnwatchedSocket<TcpStream>> {
-        if let Err(error) = SockRef::from(&stream).set_nonblocking(true) {
-            return Err(UnwatchedSocket {
+        match SockRef::from(&stream).set_nonblocking(true) {
+            Ok(()) => Socket::register_nonblocking(stream),
+            Err(error) => Err(UnwatchedSocket {
                 socket: stream,
                 error,
-            });
+            }),
         }
+    }
+
+    fn register_nonblocking(stream: TcpStream) -> Result<Socket, UnwatchedSocket<TcpStream>> {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "could not set TCP_NODELAY");
         }
@@ -139,9 +144,25 @@
     }
 
     async fn connect_once(address: SocketAddr) -> io::Result<Socket> {
-        let stream = tokio::net::TcpStream::connect(address).await?;
-        let stream = stream.into_std()?;
-        Socket::register(stream).map_err(|unwatched| unwatched.error)
+        let socket = socket2::Socket::new(
+            Domain::for_address(address),
+            Type::STREAM.nonblocking(),
+            None,
+        )?;
+        match socket.connect(&address.into()) {
+            Err(error) if error.raw_os_error() != Some(Errno::EINPROGRESS as i32) => {
+                return Err(error);
+            }
+            _ => {}
+        }
+        let connecting = Socket::register_nonblocking(socket.into());
+        let connecting = connecting.map_err(|unwatched| unwatched.error)?;
+        // The system reports the end of a connect as writable; the socket stays so.
+        connecting.0.writable().await?.retain_ready();
+        match connecting.stream().take_error()? {
+            Some(error) => Err(error),
+            None => Ok(connecting),
+        }
     }
 
     fn stream(&self) -> &TcpStream {
@@ -180,8 +201,12 @@
     fn poll_write_with(
         &self,
         context: &mut Context,
-        write: impl FnMut() -> io::Result<usize>,
+        mut write: impl FnMut() -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        // The runtime does not know of a connection that it has just been given whether it is writable; it usually is.
+        if let Ok(written) = write() {
+            return Poll::Ready(Ok(written));
+        }
         let poll_ready = |context: &mut Context| self.0.poll_write_ready(context);
         poll_transfer(context, poll_ready, write)
     }
