--- a/crates/gateway/src/system/socket.rs
+++ b/crates/gateway/src/system/socket.rs
@@ -31,11 +31,11 @@
 /// Number of interruptions in a row after which a call counts as failed, so that other tasks run before it is repeated.
 const MAX_INTERRUPTIONS: u32 = 32;
 
-/// Repeats a call until it returns a result other than `Interrupted`, or was interrupted [`MAX_INTERRUPTIONS`] times.
+/// Repeats a call until it returns a result other than `Interrupted`, or was interrupted 32 times in a row.
 ///
 /// # Errors
 ///
-/// Any error of the call; `Interrupted` only from the last of [`MAX_INTERRUPTIONS`] calls.
+/// Any error of the call; `Interrupted` only after as many interruptions.
 pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     let mut interruptions = 0;
     loop {
