Wait for an answer's time in one place, and count a lasting shortage from the last success

The wait until a deadline or the end of a shutdown stood in the task of an attempt and again at the admission; it is a method of the scheduler now. Pauses after failed accepts were counted from when the accept queue was last empty, so that in a lasting shortage each new client waited for the whole of the longest deadline again; they count from the last connection that was accepted and watched. Names and comments that a reader stumbles on.

--- a/crates/gateway/src/engines/client_presence.rs
+++ b/crates/gateway/src/engines/client_presence.rs
@@ -14,7 +14,7 @@
     fn may_have_left(&self) -> bool;
 
     /// Whether the connection has ended, so that it needs no further question.
-    fn is_gone(&self) -> bool;
+    fn is_closed(&self) -> bool;
 }
 
 /// Record that the scheduler and the attempts of one query share.
@@ -44,7 +44,7 @@
     pub fn client_joined(&self, client: Arc<dyn WaitingClient>) {
         let clients = self.shared.clients.lock();
         let mut clients = clients.unwrap_or_else(PoisonError::into_inner);
-        clients.retain(|other| !other.is_gone());
+        clients.retain(|other| !other.is_closed());
         clients.push(client);
         self.shared.is_waiting.store(true, Ordering::Relaxed);
     }
--- a/crates/gateway/src/engines/test_clients.rs
+++ b/crates/gateway/src/engines/test_clients.rs
@@ -10,7 +10,7 @@
         false
     }
 
-    fn is_gone(&self) -> bool {
+    fn is_closed(&self) -> bool {
         false
     }
 }
--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -180,7 +180,7 @@
         true
     }
 
-    fn is_gone(&self) -> bool {
+    fn is_closed(&self) -> bool {
         false
     }
 }
--- a/crates/gateway/src/http/accept.rs
+++ b/crates/gateway/src/http/accept.rs
@@ -31,7 +31,7 @@
 /// Number of connections after which other tasks run before the next one is accepted.
 const ACCEPTS_PER_TURN: u32 = 64;
 
-/// What keeps connections in the accept queue.
+/// Reason for which connections stay in the accept queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcceptState {
     /// Connections are accepted as they come.
@@ -67,7 +67,7 @@
         }
     }
 
-    /// What keeps connections in the queue now.
+    /// The reason for which connections stay in the queue now.
     pub fn state(&self) -> AcceptState {
         *self.state.borrow()
     }
@@ -86,7 +86,7 @@
     state: watch::Sender<AcceptState>,
     /// Number of accepts in a row that have failed.
     failures: u32,
-    /// Number of pauses after failures since the accept queue was last empty.
+    /// Number of pauses after failures since a connection was last accepted and watched.
     pauses: u32,
     /// Number of pauses after which failures count as lasting.
     max_pauses: u32,
@@ -105,7 +105,7 @@
     Stopped,
 }
 
-/// What is known of the accept queue.
+/// Result of accepting connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum QueueState {
     Empty,
@@ -221,7 +221,6 @@
     fn queue_was_empty(&mut self, at: Instant) {
         self.queue_empty_at = at;
         self.delayed_since = None;
-        self.pauses = 0;
         self.set_state(AcceptState::Accepting);
     }
 
@@ -273,6 +272,7 @@
             return;
         };
         self.failures = 0;
+        self.pauses = 0;
         let delay = AcceptDelay {
             queue_empty_at: self.queue_empty_at,
             delayed_since: self.delayed_since,
--- a/crates/gateway/src/http/cancellations.rs
+++ b/crates/gateway/src/http/cancellations.rs
@@ -17,7 +17,7 @@
     /// Number of requests that wait.
     requests: usize,
     /// Whether a query of the key was cancelled.
-    has_taken_effect: bool,
+    has_cancelled: bool,
 }
 
 impl PendingCancellations {
@@ -38,7 +38,7 @@
     pub(super) fn cancel(&self, query_key: u64) -> bool {
         match self.pending().get_mut(&query_key) {
             Some(pending) => {
-                pending.has_taken_effect = true;
+                pending.has_cancelled = true;
                 true
             }
             None => false,
@@ -55,11 +55,11 @@
 
 impl PendingCancellation<'_> {
     /// Whether the query was about to be admitted since, and was not.
-    pub fn has_taken_effect(&self) -> bool {
+    pub fn has_cancelled(&self) -> bool {
         let pending = self.cancellations.pending();
         pending
             .get(&self.query_key)
-            .is_some_and(|pending| pending.has_taken_effect)
+            .is_some_and(|pending| pending.has_cancelled)
     }
 }
 
--- a/crates/gateway/src/http/client_stream.rs
+++ b/crates/gateway/src/http/client_stream.rs
@@ -59,9 +59,9 @@
 /// Whether the client of a connection has ended its side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClientState {
-    /// It has not.
+    /// The client may still send, and waits for its answers.
     Connected,
-    /// It has, and waits for no answer.
+    /// The client has ended its side, and waits for no answer.
     Left,
     /// Reads from the connection fail for a reason that says nothing of it.
     Unknown,
--- a/crates/gateway/src/http/client_stream/arrival_time.rs
+++ b/crates/gateway/src/http/client_stream/arrival_time.rs
@@ -1,8 +1,8 @@
-//! When the bytes of a connection arrived, as far as it is known.
+//! Times of arrival of connections and their bytes, as far as they are known.
 
 use std::time::Instant;
 
-/// How long a connection can have waited in the accept queue.
+/// Bounds of the time for which a connection can have waited in the accept queue.
 #[derive(Clone, Copy, Debug)]
 pub struct AcceptDelay {
     /// Time at which the queue was last empty. The connection came later.
@@ -11,7 +11,7 @@
     pub delayed_since: Option<Instant>,
 }
 
-/// When the newest bytes of a connection arrived.
+/// Time of arrival of the newest bytes of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ArrivalTime {
     /// The earliest possible time.
--- a/crates/gateway/src/http/client_stream/waiting_client.rs
+++ b/crates/gateway/src/http/client_stream/waiting_client.rs
@@ -34,7 +34,7 @@
         !is_connected
     }
 
-    fn is_gone(&self) -> bool {
+    fn is_closed(&self) -> bool {
         self.0.strong_count() == 0
     }
 }
--- a/crates/gateway/src/http/submission.rs
+++ b/crates/gateway/src/http/submission.rs
@@ -177,7 +177,7 @@
     let _turn = state.arrival_order.turn(arrived_at, given_up).await;
     check_length(stream)?;
     let outcome = state.scheduler.cancel(query_key);
-    if outcome == CancelOutcome::Cancelled || pending.has_taken_effect() {
+    if outcome == CancelOutcome::Cancelled || pending.has_cancelled() {
         return Ok(cancelled());
     }
     Ok(nothing_to_cancel())
--- a/crates/gateway/src/scheduling/query_task.rs
+++ b/crates/gateway/src/scheduling/query_task.rs
@@ -12,7 +12,7 @@
 use crate::storage::query_journal::QueryJournal;
 use crate::supervision::{catch_panic, Supervisor, Task, TaskPanic};
 use crate::system::result_memory::ResultMemory;
-use attempt_in_flight::{until_answer_due, AttemptInFlight};
+use attempt_in_flight::AttemptInFlight;
 use bytes::Bytes;
 use garnetwall::api::{AttemptEnd, AttemptOutcome, EngineId, FollowUp, QueryId};
 use garnetwall_ledger::records::StartedQuery;
@@ -287,7 +287,7 @@
         let reservation = tokio::select! {
             biased;
             reservation = self.answer_memory.reserve(json_bytes) => reservation,
-            () = until_answer_due(self.scheduler.clone(), deadline) => None,
+            () = self.scheduler.until_answer_due(deadline) => None,
             () = client_left(&mut self.commands) => None,
         };
         let Some(reservation) = reservation else {
--- a/crates/gateway/src/scheduling/query_task/attempt_in_flight.rs
+++ b/crates/gateway/src/scheduling/query_task/attempt_in_flight.rs
@@ -3,14 +3,12 @@
 
 use super::{EndedAttempt, QueryStatus, QueryTask, ScheduledAttempt};
 use crate::engines::{AttemptEvents, AttemptResult, AttemptStart, CancellationState, EngineTarget};
-use crate::scheduling::scheduler::{Command, Scheduler};
+use crate::scheduling::scheduler::Command;
 use crate::storage::query_journal::SendPermission;
 use garnetwall::api::{AttemptEnd, Progress};
 use std::future::{ready, Future};
-use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::watch;
-use tokio::time::sleep_until;
 
 /// The state of an attempt's response deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +48,9 @@
             unknown_outcome: unknown_outcome_events,
             progress: progress_events,
         };
-        let deadline = until_answer_due(task.scheduler.clone(), start.response_deadline);
+        let scheduler = task.scheduler.clone();
+        let response_deadline = start.response_deadline;
+        let deadline = async move { scheduler.until_answer_due(response_deadline).await };
         let exchange = exchange(task, attempt, target, start, cancellation_requests, events);
         let in_flight = AttemptInFlight {
             task,
@@ -179,15 +179,6 @@
     }
 }
 
-/// Waits until the attempt's response deadline passes or, during a shutdown, until all answers are due, whichever is
-/// earlier.
-pub(super) async fn until_answer_due(scheduler: Arc<Scheduler>, deadline: Instant) {
-    tokio::select! {
-        () = sleep_until(deadline.into()) => {}
-        () = scheduler.until_answers_due() => {}
-    }
-}
-
 /// Runs the exchange with the engine. A non-idempotent query is recorded in the journal first.
 fn exchange(
     task: &QueryTask,
--- a/crates/gateway/src/scheduling/scheduler/shutdown.rs
+++ b/crates/gateway/src/scheduling/scheduler/shutdown.rs
@@ -20,6 +20,14 @@
         sleep_until(Instant::from_std(self.clock.instant(at))).await;
     }
 
+    /// Waits until `deadline` passes or, during a shutdown, until all answers are due, whichever is earlier.
+    pub async fn until_answer_due(&self, deadline: std::time::Instant) {
+        tokio::select! {
+            () = sleep_until(deadline.into()) => {}
+            () = self.until_answers_due() => {}
+        }
+    }
+
     /// The number of open queries, including those that are answered but still have an attempt in flight.
     pub fn open_queries(&self) -> usize {
         *self.open_count.borrow()
