Reject no repeated request as if its query had not run

Cause: the wait for a turn, and the check of the client's connection, rejected before the scheduler had looked the id up.

Change: a request whose query may have run needs no turn, since it opens no query, and neither check rejects it.

--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Admitted query, which has a final answer or will get one.
 pub(super) enum AdmittedQuery {
@@ -115,7 +115,7 @@
         forwarded_query,
     } = query.with_times(send_time, arrival.bounds(state));
     let _turn = match arriving.ordering_key {
-        Some(_) => Some(turn(state, &arriving, arrival).await?),
+        Some(_) => turn(state, &arriving, arrival).await?,
         None => None,
     };
     check_client_connected(state, stream, query_key).await?;
@@ -159,30 +159,32 @@
 }
 
 /// Waits for the turn of a query with an ordering key, until its deadline or, during a shutdown, until all answers are due.
+/// A request whose query may have run needs no turn, since it opens no query, and is not rejected: `None`.
 async fn turn(
     state: &ServerState,
     arriving: &ArrivingQuery,
     arrival: Arrival,
-) -> Result<Turn, SubmissionError> {
+) -> Result<Option<Turn>, SubmissionError> {
+    if state.scheduler.may_have_run(arriving.query_key) {
+        return Ok(None);
+    }
     let remaining = clamped_duration(arriving.deadline - state.scheduler.clock().now());
     let give_up_at = Instant::now() + remaining.saturating_sub(ANSWER_TIME);
-    let given_up = async {
-        tokio::select! {
-            () = sleep_until(give_up_at.into()) => {}
-            () = state.scheduler.until_answers_due() => {}
-        }
-    };
+    let given_up = state.scheduler.until_answer_due(give_up_at);
     let turn = state
         .arrival_order
         .turn(arrival.time.latest, given_up)
         .await;
-    turn.map_err(|error| {
-        let rejection = match error {
-            TurnError::NotKnownToBeNext => OrderRejection::NotKnownToBeNext,
-            TurnError::NotGranted => OrderRejection::NoTurn,
-        };
-        order_not_known(state, arriving.query_key, rejection)
-    })
+    let rejection = match turn {
+        Ok(turn) => return Ok(Some(turn)),
+        Err(TurnError::NotKnownToBeNext) => OrderRejection::NotKnownToBeNext,
+        Err(TurnError::NotGranted) => OrderRejection::NoTurn,
+    };
+    // A request of the same query may have had its turn meanwhile.
+    match state.scheduler.may_have_run(arriving.query_key) {
+        true => Ok(None),
+        false => Err(order_not_known(state, arriving.query_key, rejection)),
+    }
 }
 
 /// Counts a query that is rejected to keep the order of its key, and returns the error.
@@ -242,6 +244,9 @@
             ClientState::Unknown => sleep(CLIENT_CHECK_PAUSE).await,
         }
     }
+    if state.scheduler.may_have_run(query_key) {
+        return Ok(());
+    }
     tracing::debug!(query_key = %format_args!("{query_key:016x}"), "query rejected: reads fail, so that its client may have left");
     Err(SubmissionError::client_unknown(&state.platform))
 }
--- a/crates/gateway/src/scheduling/scheduler/admission.rs
+++ b/crates/gateway/src/scheduling/scheduler/admission.rs
@@ -58,6 +58,14 @@
         self.state().query_index.state(query_key).is_some()
     }
 
+    /// Whether a query of this key may have run: it is known, or the journal of an earlier process is still being read. Its
+    /// request must not be answered as if it had not.
+    pub fn may_have_run(&self, query_key: u64) -> bool {
+        let state = self.state();
+        let index = &state.query_index;
+        index.is_recovery_pending() || index.state(query_key).is_some()
+    }
+
     /// Opens an arriving query if its key is unknown and the plan admits it. Otherwise joins the open query of the same
     /// request, returns the cached answer, or tells why the query is not run.
     pub fn admit(
--- a/crates/gateway/tests/arrival_faults.rs
+++ b/crates/gateway/tests/arrival_faults.rs
@@ -211,6 +211,29 @@
     assert!(gateway.received("INSERT").is_empty());
 }
 
+/// A rejection would tell the client that its query has not run.
+#[test]
+fn repeated_request_of_an_open_query_is_not_rejected_while_accepts_fail() {
+    let faults = Faults::new();
+    let gateway = OneEngine::start_with_faults(&faults);
+    let (open, other) = (gateway.open_connection(), gateway.open_connection());
+    let id = new_id();
+    let statement = "INSERT 1 /* runs 1500 */";
+    let headers = |allowed_ms| request_headers(&id, allowed_ms) + "X-Item: 7f3a9c21e0b4d655\r\n";
+    send_request(&open, "POST /v1/load", &headers(2900), statement);
+    wait_until("the engine has the query", || {
+        !gateway.received("INSERT").is_empty()
+    });
+    faults.enable("accept", &format!("1 {ENFILE}"));
+    let _waiting = gateway.new_connection();
+    send_request(&other, "POST /v1/load", &headers(600), statement);
+    for stream in [&other, &open] {
+        let answer = read_answer(stream);
+        assert!(answer.succeeded(), "{answer:?}");
+    }
+    assert_eq!(gateway.received("INSERT").len(), 1);
+}
+
 /// Queries of one key that wait for a turn which can't come give their connections back.
 #[test]
 fn query_without_a_key_is_served_while_queries_with_keys_wait() {
